core: fold, planner, queue and policy, with the schema and the stand-ins

Cause: nothing exists yet; the decisions come first because every promise rests on them. Change: schema and generated code, the ledger fold with its guards, the planner, fair queue, choice of endpoint, retry outcomes, policy, membership, clients of the platform, QUIC peers, stand-ins. Measured: builds and vets; nothing runs from end to end yet.

--- /dev/null
+++ b/core/catalog/change.go
@@ -0,0 +1,140 @@
+package catalog
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "olivetiller/proto/olivetiller/v1"
+)
+
+// item is what every list of the configuration holds.
+type item interface {
+	proto.Message
+	GetName() string
+}
+
+// section is one list of the configuration, with its name in removals.
+type section[T item] struct {
+	kind string
+	list func(*pb.Config) *[]T
+}
+
+// singletonWeights names the weights of the two measures in a removal list.
+const singletonWeights = "weights"
+
+var (
+	modelSection     = section[*pb.Model]{"models", func(c *pb.Config) *[]*pb.Model { return &c.Models }}
+	adapterSection   = section[*pb.Adapter]{"adapters", func(c *pb.Config) *[]*pb.Adapter { return &c.Adapters }}
+	serviceSection   = section[*pb.Service]{"services", func(c *pb.Config) *[]*pb.Service { return &c.Services }}
+	callerSection    = section[*pb.Caller]{"callers", func(c *pb.Config) *[]*pb.Caller { return &c.Callers }}
+	storeSection     = section[*pb.WeightStore]{"weightStores", func(c *pb.Config) *[]*pb.WeightStore { return &c.WeightStores }}
+	objectiveSection = section[*pb.Objective]{"objectives", func(c *pb.Config) *[]*pb.Objective { return &c.Objectives }}
+)
+
+// Diff returns the items of next that are new or different, and the
+// "kind/name" of those that next lacks. Merge(base, Diff(base, next)) equals next.
+func Diff(base, next *pb.Config) (upsert *pb.Config, remove []string) {
+	upsert = &pb.Config{}
+	remove = append(remove, modelSection.diff(base, next, upsert)...)
+	remove = append(remove, adapterSection.diff(base, next, upsert)...)
+	remove = append(remove, serviceSection.diff(base, next, upsert)...)
+	remove = append(remove, callerSection.diff(base, next, upsert)...)
+	remove = append(remove, storeSection.diff(base, next, upsert)...)
+	remove = append(remove, objectiveSection.diff(base, next, upsert)...)
+	switch {
+	case proto.Equal(base.GetWeights(), next.GetWeights()):
+	case next.GetWeights() == nil:
+		remove = append(remove, singletonWeights)
+	default:
+		upsert.Weights = next.GetWeights()
+	}
+	return upsert, remove
+}
+
+// Merge returns base with the change applied, each list ordered by name. It
+// leaves base as it was; unchanged items are shared with it.
+func Merge(base, upsert *pb.Config, remove []string) *pb.Config {
+	gone := make(map[string]bool, len(remove))
+	for _, r := range remove {
+		gone[r] = true
+	}
+	out := &pb.Config{Weights: base.GetWeights()}
+	modelSection.merge(base, upsert, gone, out)
+	adapterSection.merge(base, upsert, gone, out)
+	serviceSection.merge(base, upsert, gone, out)
+	callerSection.merge(base, upsert, gone, out)
+	storeSection.merge(base, upsert, gone, out)
+	objectiveSection.merge(base, upsert, gone, out)
+	if gone[singletonWeights] {
+		out.Weights = nil
+	}
+	if upsert.GetWeights() != nil {
+		out.Weights = upsert.GetWeights()
+	}
+	return out
+}
+
+// ChangedItems counts the items a change touches.
+func ChangedItems(upsert *pb.Config, remove []string) int {
+	n := len(remove) + len(upsert.GetModels()) + len(upsert.GetAdapters()) + len(upsert.GetServices()) +
+		len(upsert.GetCallers()) + len(upsert.GetWeightStores()) + len(upsert.GetObjectives())
+	if upsert.GetWeights() != nil {
+		n++
+	}
+	return n
+}
+
+func (s section[T]) byName(cfg *pb.Config) map[string]T {
+	if cfg == nil {
+		return nil
+	}
+	list := *s.list(cfg)
+	m := make(map[string]T, len(list))
+	for _, it := range list {
+		m[it.GetName()] = it
+	}
+	return m
+}
+
+func (s section[T]) diff(base, next, upsert *pb.Config) (remove []string) {
+	have := s.byName(base)
+	want := s.byName(next)
+	for name, it := range want {
+		if old, ok := have[name]; !ok || !proto.Equal(old, it) {
+			*s.list(upsert) = append(*s.list(upsert), it)
+		}
+	}
+	s.sort(upsert)
+	for name := range have {
+		if _, ok := want[name]; !ok {
+			remove = append(remove, s.kind+"/"+name)
+		}
+	}
+	sort.Strings(remove)
+	return remove
+}
+
+func (s section[T]) merge(base, upsert *pb.Config, gone map[string]bool, out *pb.Config) {
+	m := s.byName(base)
+	if m == nil {
+		m = make(map[string]T)
+	}
+	for name := range m {
+		if gone[s.kind+"/"+name] {
+			delete(m, name)
+		}
+	}
+	for name, it := range s.byName(upsert) {
+		m[name] = it
+	}
+	for _, it := range m {
+		*s.list(out) = append(*s.list(out), it)
+	}
+	s.sort(out)
+}
+
+func (s section[T]) sort(cfg *pb.Config) {
+	list := *s.list(cfg)
+	sort.Slice(list, func(i, j int) bool { return list[i].GetName() < list[j].GetName() })
+}
--- /dev/null
+++ b/core/choose/choose.go
@@ -0,0 +1,133 @@
+// Package choose picks the replica that a request goes to.
+//
+// The problem: load reports lag, nodes do not see each other's work, and a
+// replica that just woke must not get every waiting request at once. The model:
+// a node knows exactly only its own outstanding work, so that leads; the
+// engine's own word, which rides on its answers, corrects it while fresh. Each
+// replica has a [Window] per node that bounds the node's work there: it opens
+// while answers come and closes when the engine says that it is full. Windows
+// begin small, which is the slow start of a fresh replica, and meet at a fair
+// share without a message between nodes, as congestion windows do.
+package choose
+
+import "time"
+
+// Replica is what a node knows of one replica it may send to.
+type Replica struct {
+	// Engine names the engine.
+	Engine string
+	// SameHall is true for an engine in the node's own data hall.
+	SameHall bool
+	// Running is the node's own outstanding work there.
+	Running int
+	// Reported is the load that the engine last told, all nodes' work together.
+	Reported int
+	// ReportedAt is when it told it; zero if never.
+	ReportedAt time.Time
+	// Window bounds the node's own work there.
+	Window *Window
+	// Health is the replica's recent record; nil means good.
+	Health *Health
+}
+
+// reportLife is how long an engine's word on its load is worth using.
+const reportLife = 2 * time.Second
+
+// hallPenalty is the load by which an engine in another data hall counts as
+// busier: its extra latency is worth about one request in progress.
+const hallPenalty = 1
+
+// Pick returns the index of the best replica with room, or -1.
+func Pick(replicas []Replica, now time.Time) int {
+	best := -1
+	var bestScore int
+	for i := range replicas {
+		r := &replicas[i]
+		if !r.Window.HasRoom(r.Running) || !r.Health.Admits(now, r.Running) {
+			continue
+		}
+		if s := r.score(now); best < 0 || s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	return best
+}
+
+// score is the load to expect at the replica.
+func (r *Replica) score(now time.Time) int {
+	load := r.Running
+	if now.Sub(r.ReportedAt) < reportLife {
+		load = max(load, r.Reported)
+	}
+	if !r.SameHall {
+		load += hallPenalty
+	}
+	return load
+}
+
+// Window bounds one node's work at one replica, by additive increase and
+// multiplicative decrease.
+type Window struct {
+	// size is at least 1 and at most max.
+	size float64
+	max  float64
+}
+
+// NewWindow returns a window that opens from share, a node's fair share, up to
+// limit, the replica's whole concurrency.
+func NewWindow(share, limit int) *Window {
+	return &Window{size: float64(max(1, share)), max: float64(max(1, limit))}
+}
+
+// HasRoom reports whether one more request fits beside running ones.
+func (w *Window) HasRoom(running int) bool { return running < int(w.size) }
+
+// Size returns the requests that fit.
+func (w *Window) Size() int { return int(w.size) }
+
+// Succeeded notes an answer while running requests were out. Only a full
+// window opens, by one for each window's worth of answers.
+func (w *Window) Succeeded(running int) {
+	if running >= int(w.size)-1 {
+		w.size = min(w.max, w.size+1/w.size)
+	}
+}
+
+// Full notes that the engine refused work because it is full.
+func (w *Window) Full() { w.size = max(1, w.size/2) }
+
+// Health ejects a replica that fails and lets it back with one trial.
+type Health struct {
+	// failures counts those since the last answer.
+	failures int
+	// until is when the replica may be tried again.
+	until time.Time
+}
+
+const (
+	ejectAfter  = 3
+	ejectFirst  = 500 * time.Millisecond
+	ejectAtMost = 15 * time.Second
+)
+
+// Admits reports whether the replica may get a request now. After an ejection
+// it gets one at a time until one is answered.
+func (h *Health) Admits(now time.Time, running int) bool {
+	if h == nil || h.failures < ejectAfter {
+		return true
+	}
+	return !now.Before(h.until) && running == 0
+}
+
+// Succeeded notes an answer.
+func (h *Health) Succeeded() { h.failures = 0 }
+
+// Failed notes a failure and ejects after several in a row, longer each time.
+func (h *Health) Failed(now time.Time) {
+	h.failures++
+	if h.failures < ejectAfter {
+		return
+	}
+	pause := ejectFirst << min(h.failures-ejectAfter, 5)
+	h.until = now.Add(min(pause, ejectAtMost))
+}
--- /dev/null
+++ b/core/ledger/engine.go
@@ -0,0 +1,58 @@
+package ledger
+
+import pb "olivetiller/proto/olivetiller/v1"
+
+// engineUp registers an engine. A new incarnation has lost everything that was
+// loaded, quarantine included: no order for the old one can still take effect,
+// because orders name the incarnation.
+func (s *State) engineUp(up *pb.EngineUp) Reason {
+	old := s.Engines[up.GetEngine()]
+	if old != nil && up.GetIncarnation() <= old.Incarnation {
+		return StaleIncarnation
+	}
+	if old != nil {
+		s.dropAll(old)
+	}
+	s.Engines[up.GetEngine()] = newEngine(up)
+	return Accepted
+}
+
+func newEngine(up *pb.EngineUp) *Engine {
+	return &Engine{
+		Name:         up.GetEngine(),
+		Incarnation:  up.GetIncarnation(),
+		Address:      up.GetAddress(),
+		Hall:         up.GetHall(),
+		MemoryBytes:  up.GetMemoryBytes(),
+		ChecksFences: up.GetChecksFences(),
+		Placements:   make(map[UnitVersion]*Placement),
+	}
+}
+
+func (s *State) engineGone(gone *pb.EngineGone) Reason {
+	e := s.Engines[gone.GetEngine()]
+	if e == nil {
+		return NoSuchEngine
+	}
+	if e.Incarnation != gone.GetIncarnation() {
+		return EngineReplaced
+	}
+	s.dropAll(e)
+	delete(s.Engines, e.Name)
+	return Accepted
+}
+
+func (s *State) engineDrain(d *pb.EngineDrain) Reason {
+	e := s.Engines[d.GetEngine()]
+	if e == nil {
+		return NoSuchEngine
+	}
+	e.Draining = d.GetDraining()
+	return Accepted
+}
+
+func (s *State) dropAll(e *Engine) {
+	for _, p := range e.Placements {
+		s.drop(p)
+	}
+}
--- /dev/null
+++ b/core/policy/place.go
@@ -0,0 +1,117 @@
+package policy
+
+import (
+	"sort"
+	"time"
+)
+
+// Tier is where an engine would take a checkpoint from.
+type Tier uint8
+
+// Tiers, fastest first.
+const (
+	InMemory Tier = iota
+	OnDisk
+	Remote
+)
+
+// Candidate is one engine a load could go to.
+type Candidate struct {
+	Engine string
+	// Free is the memory not accounted.
+	Free uint64
+	// Tier is where the checkpoint is, as far as known.
+	Tier Tier
+	// HallReplicas counts the unit's replicas in the engine's data hall.
+	HallReplicas int
+	// Victims are the replicas that could be unloaded here.
+	Victims []Victim
+}
+
+// Victim is one replica that nothing runs on.
+type Victim struct {
+	Unit, Version string
+	Bytes         uint64
+	Fence         uint64
+	// Idle is how long it has not been used.
+	Idle time.Duration
+	// Loss is the expected cost of having to load it again.
+	Loss float64
+}
+
+// Choice is where a load goes and what must be unloaded first.
+type Choice struct {
+	Engine string
+	// Evict is empty when there is room already.
+	Evict []Victim
+}
+
+// Place returns the best engine for need bytes; ok is false when none could
+// make room. A nearer checkpoint beats spread over data halls, which beats a
+// snug fit: what an engine has free after a snug fit is of use to nobody else.
+func Place(need uint64, cands []Candidate) (Choice, bool) {
+	best := -1
+	for i := range cands {
+		if cands[i].Free < need {
+			continue
+		}
+		if best < 0 || better(&cands[i], &cands[best]) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		return Choice{Engine: cands[best].Engine}, true
+	}
+	return placeByEviction(need, cands)
+}
+
+func better(a, b *Candidate) bool {
+	if a.Tier != b.Tier {
+		return a.Tier < b.Tier
+	}
+	if a.HallReplicas != b.HallReplicas {
+		return a.HallReplicas < b.HallReplicas
+	}
+	if a.Free != b.Free {
+		return a.Free < b.Free
+	}
+	return a.Engine < b.Engine
+}
+
+func placeByEviction(need uint64, cands []Candidate) (Choice, bool) {
+	var best Choice
+	bestLoss, found := 0.0, false
+	for i := range cands {
+		evict, loss, ok := cheapest(need, &cands[i])
+		if !ok {
+			continue
+		}
+		if !found || loss < bestLoss || (loss == bestLoss && cands[i].Engine < best.Engine) {
+			best = Choice{Engine: cands[i].Engine, Evict: evict}
+			bestLoss, found = loss, true
+		}
+	}
+	return best, found
+}
+
+// cheapest frees need bytes by taking the victims of least loss per byte.
+func cheapest(need uint64, c *Candidate) (evict []Victim, loss float64, ok bool) {
+	vs := append([]Victim(nil), c.Victims...)
+	sort.Slice(vs, func(i, j int) bool {
+		a, b := vs[i].Loss/float64(vs[i].Bytes), vs[j].Loss/float64(vs[j].Bytes)
+		if a != b {
+			return a < b
+		}
+		return vs[i].Unit < vs[j].Unit
+	})
+	free := c.Free
+	for _, v := range vs {
+		if free >= need {
+			break
+		}
+		evict = append(evict, v)
+		free += v.Bytes
+		loss += v.Loss
+	}
+	return evict, loss, free >= need
+}
--- /dev/null
+++ b/io/node/server.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"olivetiller/core/ledger"
+	pb "olivetiller/proto/olivetiller/v1"
+)
+
+// Handler answers a peer's request; from is proven by its certificate.
+type Handler func(ctx context.Context, from ledger.NodeRef, req *pb.PeerRequest) *pb.PeerResponse
+
+// Server answers peers.
+type Server struct {
+	self     ledger.NodeRef
+	listener *quic.Listener
+	handler  Handler
+	logger   hclog.Logger
+}
+
+// Listen opens the address for peers.
+func Listen(address string, cfg *tls.Config, self ledger.NodeRef, h Handler, logger hclog.Logger) (*Server, error) {
+	l, err := quic.ListenAddr(address, cfg, quicConfig())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for peers on %s; set node.peerAddress to a free one", address)
+	}
+	return &Server{self: self, listener: l, handler: h, logger: logger}, nil
+}
+
+// Address returns the address that is open.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve answers until the context ends.
+func (s *Server) Serve(ctx context.Context) {
+	for {
+		conn, err := s.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		go s.serveConn(ctx, conn)
+	}
+}
+
+// Close ends the server.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
+	certs := conn.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		_ = conn.CloseWithError(1, "no certificate")
+		return
+	}
+	name := certs[0].Subject.CommonName
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go s.serveStream(stream.Context(), name, stream)
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, name string, stream *quic.Stream) {
+	defer stream.Close()
+	data, err := io.ReadAll(io.LimitReader(stream, maxMessage))
+	if err != nil {
+		return
+	}
+	req, err := decode(data, name)
+	if err != nil {
+		s.logger.Warn("peer request refused", "peer", name, "error", err.Error())
+		stream.CancelWrite(1)
+		return
+	}
+	resp := s.handler(ctx, ledger.NodeRef{Node: req.GetNode(), Incarnation: req.GetIncarnation()}, req)
+	resp.Node = s.self.Node
+	resp.Incarnation = s.self.Incarnation
+	answer, err := proto.Marshal(resp)
+	if err != nil {
+		stream.CancelWrite(2)
+		return
+	}
+	_, _ = stream.Write(answer)
+}
+
+// ErrWrongName is returned for a request in another node's name.
+var ErrWrongName = eris.New("the request is in another node's name; check the fleet's certificates")
+
+// decode reads a peer's request and checks that it speaks for itself.
+func decode(data []byte, name string) (*pb.PeerRequest, error) {
+	var req pb.PeerRequest
+	if err := proto.Unmarshal(data, &req); err != nil {
+		return nil, eris.Wrap(err, "decode peer request")
+	}
+	if req.GetNode() != name {
+		return nil, eris.Wrapf(ErrWrongName, "certificate of %q, request of %q", name, req.GetNode())
+	}
+	return &req, nil
+}
--- /dev/null
+++ b/standin/logservice/logservice.go
@@ -0,0 +1,190 @@
+// Package logservice is a small stand-in for the platform's append-only log.
+//
+// It keeps streams in memory and speaks the protocol that io/logservice
+// documents. Faults: see [fault.Switches]; besides, retention by count and a
+// bound on appends a second.
+package logservice
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"olivetiller/standin/fault"
+)
+
+// maxRecord bounds one append.
+const maxRecord = 1 << 20
+
+// Record is one record as read.
+type Record struct {
+	Offset uint64 `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Page is the answer to a read.
+type Page struct {
+	// Earliest is the first offset still kept.
+	Earliest uint64 `json:"earliest"`
+	// Next is the offset that the next append will get.
+	Next    uint64   `json:"next"`
+	Records []Record `json:"records"`
+}
+
+// Log is the stand-in. It is safe for concurrent use.
+type Log struct {
+	Faults *fault.Injector
+
+	mu       sync.Mutex
+	streams  map[string]*stream
+	retain   int
+	limiter  *rate.Limiter
+	appended map[string]int
+}
+
+type stream struct {
+	first   uint64
+	records [][]byte
+	changed chan struct{}
+}
+
+// New returns an empty log that takes perSecond appends and keeps the newest
+// retain records of a stream; 0 means no bound.
+func New(seed uint64, perSecond float64, retain int) *Log {
+	l := &Log{Faults: fault.New(seed), streams: make(map[string]*stream), retain: retain, appended: make(map[string]int)}
+	if perSecond > 0 {
+		l.limiter = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+	}
+	return l
+}
+
+// Handler returns the log's HTTP interface.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/{stream}/records", l.append)
+	mux.HandleFunc("GET /streams/{stream}/records", l.read)
+	return l.Faults.Wrap(mux)
+}
+
+// SetRetention changes how many records each stream keeps from now on.
+func (l *Log) SetRetention(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retain = n
+	for _, s := range l.streams {
+		l.trim(s)
+	}
+}
+
+// Appends returns the appends a stream has taken.
+func (l *Log) Appends(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appended[name]
+}
+
+// Records returns what a stream keeps, for checks by tests.
+func (l *Log) Records(name string) []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	return s.page(s.first, len(s.records)).Records
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) append(w http.ResponseWriter, r *http.Request) {
+	if l.limiter != nil {
+		if err := l.limiter.Wait(r.Context()); err != nil {
+			return
+		}
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecord))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	offset := l.Append(r.PathValue("stream"), data)
+	writeJSON(w, struct {
+		Offset uint64 `json:"offset"`
+	}{offset})
+}
+
+// Append appends a record and returns its offset.
+func (l *Log) Append(name string, data []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	offset := s.first + uint64(len(s.records))
+	s.records = append(s.records, data)
+	l.appended[name]++
+	l.trim(s)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+func (l *Log) trim(s *stream) {
+	if extra := len(s.records) - l.retain; l.retain > 0 && extra > 0 {
+		s.records = append([][]byte(nil), s.records[extra:]...)
+		s.first += uint64(extra)
+	}
+}
+
+func (l *Log) read(w http.ResponseWriter, r *http.Request) {
+	from := number(r, "from", 0)
+	most := int(number(r, "max", 1000))
+	wait := time.Duration(number(r, "waitMs", 0)) * time.Millisecond
+	timeout := time.After(min(wait, time.Minute))
+	for {
+		l.mu.Lock()
+		s := l.stream(r.PathValue("stream"))
+		page, changed := s.page(from, most), s.changed
+		l.mu.Unlock()
+		if len(page.Records) > 0 || wait == 0 {
+			writeJSON(w, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			writeJSON(w, page)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *stream) page(from uint64, most int) Page {
+	p := Page{Earliest: s.first, Next: s.first + uint64(len(s.records))}
+	for o := max(from, s.first); o < p.Next && len(p.Records) < most; o++ {
+		p.Records = append(p.Records, Record{Offset: o, Data: s.records[o-s.first]})
+	}
+	return p
+}
+
+func number(r *http.Request, name string, fallback uint64) uint64 {
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return fallback
+	}
+	return n
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
