--- a/core/ledger/outcome.go
+++ b/core/ledger/outcome.go
@@ -58,6 +58,35 @@
 	StaleIncarnation: "a newer incarnation is registered",
 }
 
+var reasonNames = [...]string{
+	Accepted:         "accepted",
+	Repeated:         "repeated",
+	Unsupported:      "unsupported",
+	NoSuchUnit:       "noSuchUnit",
+	UnitBanned:       "unitBanned",
+	NoSuchEngine:     "noSuchEngine",
+	EngineReplaced:   "engineReplaced",
+	EngineDraining:   "engineDraining",
+	HallNotAllowed:   "hallNotAllowed",
+	EnoughReplicas:   "enoughReplicas",
+	AlreadyPlaced:    "alreadyPlaced",
+	NoMemory:         "noMemory",
+	NoLoadSlot:       "noLoadSlot",
+	BaseNotReady:     "baseNotReady",
+	AdaptersLoaded:   "adaptersLoaded",
+	StaleFence:       "staleFence",
+	WrongPhase:       "wrongPhase",
+	KeyTaken:         "keyTaken",
+	KeyExpired:       "keyExpired",
+	NotOwner:         "notOwner",
+	RevisionMoved:    "revisionMoved",
+	ConfigFaults:     "configFaults",
+	StaleIncarnation: "staleIncarnation",
+}
+
+// Name returns the reason's name, as metrics and logs show it.
+func (r Reason) Name() string { return reasonNames[r] }
+
 // String returns the reason with its remedy.
 func (r Reason) String() string { return reasonTexts[r] }
 
--- a/core/plan/loads.go
+++ b/core/plan/loads.go
@@ -105,15 +105,26 @@
 // acts reports whether this node acts for a unit: as its home, or because the
 // home has been silent while requests wait here.
 func (p *Planner) acts(in *Input, u *catalog.Unit, d demand.Demand) bool {
-	if p.Home(HomeKey(u)) == p.Self.Node {
+	home := p.Home(HomeKey(u))
+	if home == p.Self.Node {
 		return true
 	}
-	return d.Waiting > 0 && in.Now.Sub(d.Since) > HomeSilence+p.jitter
+	patience := HomeSilence + p.jitter
+	if in.HomeAcked != nil && in.HomeAcked(home) {
+		patience *= ackedPatience
+	}
+	return d.Waiting > 0 && in.Now.Sub(d.Since) > patience
 }
 
 // wants decides whether a unit needs one more replica now.
 func (p *Planner) wants(in *Input, u *catalog.Unit, d demand.Demand) (wish, bool) {
+	if in.Now.Before(p.failing[u.Name].until) {
+		return wish{}, false
+	}
 	usable, coming, total := p.count(in, u)
+	if usable > 0 {
+		delete(p.failing, u.Name)
+	}
 	if coming > 0 || total >= u.MaxReplicas {
 		return wish{}, false
 	}
@@ -295,10 +306,6 @@
 	if !ok {
 		since = in.Now
 		p.readySince[pl.Key] = since
-		if began, ok := p.loadSince[pl.Key]; ok {
-			p.Policy.Loaded(pl.Unit, in.Now.Sub(began))
-			delete(p.loadSince, pl.Key)
-		}
 	}
 	if d.LastUse.After(since) {
 		since = d.LastUse
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -37,6 +37,12 @@
 	// secondReplicaAfter is how long requests wait before a unit with a ready
 	// replica gets another.
 	secondReplicaAfter = time.Second
+	// failurePause is how long a unit rests after a failed load; it doubles.
+	failurePause        = 500 * time.Millisecond
+	maxFailureDoublings = 4
+	// ackedPatience multiplies HomeSilence while the home takes demand: it
+	// lives, and has its reasons for not acting.
+	ackedPatience = 8
 )
 
 // Policy decides about keeping and eviction.
@@ -76,6 +82,9 @@
 	Engines map[string]*Engine
 	// Alive reports whether a node incarnation is held to be alive.
 	Alive func(ledger.NodeRef) bool
+	// HomeAcked reports whether a node took demand from this one just now; nil
+	// means that none did.
+	HomeAcked func(node string) bool
 }
 
 // Order is an instruction for an engine under an accepted record.
@@ -115,8 +124,16 @@
 	// loadSince is when this node first saw the load of a replica.
 	loadSince map[ledger.Key]time.Time
 	reasons   map[string]string
-	lastScan  time.Time
-	jitter    time.Duration
+	// failing holds the units whose loads failed lately.
+	failing  map[string]backoff
+	lastScan time.Time
+	jitter   time.Duration
+}
+
+// backoff is the pause after failed loads.
+type backoff struct {
+	failures int
+	until    time.Time
 }
 
 // watch is when this node first saw an order.
@@ -149,6 +166,7 @@
 		readySince: make(map[ledger.Key]time.Time),
 		loadSince:  make(map[ledger.Key]time.Time),
 		reasons:    make(map[string]string),
+		failing:    make(map[string]backoff),
 		jitter:     time.Duration(jitter * float64(HomeSilence)),
 	}
 }
@@ -185,6 +203,46 @@
 	delete(p.pending, s)
 }
 
+// Observe tells the planner the outcome of any node's record.
+func (p *Planner) Observe(o ledger.Outcome, now time.Time) {
+	if !o.OK() {
+		return
+	}
+	switch b := o.Record.GetBody().(type) {
+	case *pb.Record_LoadDone:
+		p.observeLoaded(b.LoadDone, now)
+	case *pb.Record_LoadFailed:
+		p.observeFailed(b.LoadFailed, now)
+	}
+}
+
+func (p *Planner) observeLoaded(d *pb.LoadDone, now time.Time) {
+	k := ledger.Key{Unit: d.GetUnit(), Version: d.GetVersion(), Engine: d.GetEngine()}
+	if began, ok := p.loadSince[k]; ok {
+		p.Policy.Loaded(k.Unit, now.Sub(began))
+		delete(p.loadSince, k)
+	}
+}
+
+func (p *Planner) observeFailed(f *pb.LoadFailed, now time.Time) {
+	b := p.failing[f.GetUnit()]
+	b.failures++
+	b.until = now.Add(failurePause << min(b.failures-1, maxFailureDoublings))
+	p.failing[f.GetUnit()] = b
+	p.reasons[f.GetUnit()] = "the last load failed: " + f.GetCause()
+}
+
+// LoadingSince returns when this node first saw each load in progress, by unit.
+func (p *Planner) LoadingSince() map[string]time.Time {
+	out := make(map[string]time.Time, len(p.loadSince))
+	for k, at := range p.loadSince {
+		if first, ok := out[k.Unit]; !ok || at.Before(first) {
+			out[k.Unit] = at
+		}
+	}
+	return out
+}
+
 // Home returns the home of a unit or engine among the live nodes.
 func (p *Planner) Home(key string) string {
 	h, ok := p.homes[key]
@@ -250,6 +308,11 @@
 			delete(p.leases, k)
 		}
 	}
+	for k := range p.loadSince {
+		if pl := in.Ledger.Find(k); pl == nil || pl.Phase != ledger.Loading {
+			delete(p.loadSince, k)
+		}
+	}
 	for k := range p.readySince {
 		if pl := in.Ledger.Find(k); pl == nil || pl.Phase != ledger.Ready {
 			delete(p.readySince, k)
--- /dev/null
+++ b/internal/entry/runtime.go
@@ -0,0 +1,16 @@
+package entry
+
+import "runtime"
+
+// Runtime is what a process uses.
+type Runtime struct {
+	Goroutines int    `json:"goroutines"`
+	HeapBytes  uint64 `json:"heapBytes"`
+	SysBytes   uint64 `json:"sysBytes"`
+}
+
+func runtimeNow() Runtime {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return Runtime{Goroutines: runtime.NumGoroutine(), HeapBytes: m.HeapAlloc, SysBytes: m.Sys}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,50 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"olivetiller/internal/client"
+	"olivetiller/internal/fleet"
+	"olivetiller/standin/site"
+)
+
+// TestColdRequestCrossesEverything sends one request for a cold model and
+// expects its whole answer: placed by the log, loaded from the weight store,
+// streamed back.
+func TestColdRequestCrossesEverything(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	shape := site.Krautwerk()
+	shape.Engines, shape.OtherEngines = 3, 0
+	s, err := site.Start(shape, site.Addresses{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := fleet.New(s, hclog.New(&hclog.LoggerOptions{Level: hclog.Warn, Output: hclog.DefaultOutput}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	n, err := f.StartNode("node-a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fleet.Publish(ctx, n, shape.Config()); err != nil {
+		t.Fatal(err)
+	}
+	ask := client.Ask{Model: site.ModelName(0), Prompt: "read the label", Tokens: 12, Stream: true, Timeout: 30 * time.Second}
+	r := client.New("curator").Complete(ctx, n.CallerAddress(), ask)
+	if !r.Whole {
+		t.Fatalf("answer: %+v", r)
+	}
+	if got := s.Loads(); got != 1 {
+		t.Errorf("loads = %d, want 1", got)
+	}
+}
--- /dev/null
+++ b/io/caller/identify.go
@@ -0,0 +1,67 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"olivetiller/core/refusal"
+)
+
+// ready refuses while the node does not know what has been decided.
+func (s *Server) ready(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) error {
+		if !x.View.Ready {
+			if x.View.Diverged {
+				return refusal.New(refusal.NotReady, "this node's state has diverged")
+			}
+			return refusal.New(refusal.NotReady, "this node is still reading what has been decided")
+		}
+		return next(ctx, x)
+	}
+}
+
+// identify finds the caller by its bearer token.
+func (s *Server) identify(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) error {
+		token, ok := strings.CutPrefix(x.R.Header.Get("Authorization"), "Bearer ")
+		if !ok || token == "" {
+			return refusal.New(refusal.Unauthorized, "the request has no bearer token")
+		}
+		sum := sha256.Sum256([]byte(token))
+		x.Caller = x.View.Catalog.Callers[hex.EncodeToString(sum[:])]
+		if x.Caller == nil {
+			return refusal.New(refusal.Unauthorized, "no caller has this token")
+		}
+		return next(ctx, x)
+	}
+}
+
+// deadline reads how long the caller allows, and keeps a margin of it for the
+// answer's way back.
+func (s *Server) deadline(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) error {
+		allowed := s.Limits.DefaultTimeout
+		if raw := x.R.Header.Get(HeaderTimeout); raw != "" {
+			ms, err := strconv.ParseInt(raw, 10, 64)
+			if err != nil {
+				return refusal.New(refusal.HeaderInvalid, "%s is not a number of milliseconds: %q", HeaderTimeout, raw)
+			}
+			if ms <= 0 {
+				return refusal.New(refusal.DeadlinePast, "%s is %d", HeaderTimeout, ms)
+			}
+			allowed = min(time.Duration(ms)*time.Millisecond, s.Limits.MaxTimeout)
+		}
+		x.Deadline = x.Start.Add(allowed - travelMargin(allowed))
+		return next(ctx, x)
+	}
+}
+
+// travelMargin is the part of the time allowed that is kept for the way back:
+// a twentieth, at most 100 ms.
+func travelMargin(allowed time.Duration) time.Duration {
+	return min(allowed/20, 100*time.Millisecond)
+}
--- /dev/null
+++ b/io/caller/listener.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"net"
+	"sync"
+)
+
+// limitedListener bounds the open connections: beyond the bound, new ones wait
+// in the kernel's queue, so that idle connections cannot use up the memory.
+type limitedListener struct {
+	net.Listener
+	slots chan struct{}
+	done  chan struct{}
+	once  sync.Once
+}
+
+func limitListener(l net.Listener, n int) net.Listener {
+	if n <= 0 {
+		return l
+	}
+	return &limitedListener{Listener: l, slots: make(chan struct{}, n), done: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: c, release: func() { <-l.slots }}, nil
+}
+
+// Close implements net.Listener.
+func (l *limitedListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/io/caller/refuse.go
@@ -0,0 +1,80 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"olivetiller/core/refusal"
+)
+
+// Problem is the body of a refusal, after RFC 9457.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	// NotRun is true only when the request certainly did not run.
+	NotRun bool   `json:"notRun"`
+	Remedy string `json:"remedy"`
+	// RetryAfterMs is when to come back; absent when that does not help.
+	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+	RequestID    string `json:"requestId"`
+}
+
+// problemType is the prefix of the type URIs.
+const problemType = "urn:olivetiller:refusal:"
+
+func problemOf(e *refusal.Error, id string) Problem {
+	return Problem{
+		Type: problemType + string(e.Kind), Title: string(e.Kind), Status: e.Status(), Detail: e.Detail,
+		NotRun: e.NotRun(), Remedy: e.Remedy(), RetryAfterMs: e.Hint().Milliseconds(), RequestID: id,
+	}
+}
+
+// refuse writes the refusals of all that comes after it, and accounts for the
+// request. A refusal after the answer began cannot change its head: it ends the
+// stream with an error event and without the final marker.
+func (s *Server) refuse(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) error {
+		err := next(ctx, x)
+		took := s.Clock.Now().Sub(x.Start)
+		if err == nil {
+			s.Metrics.Answered.Add(1)
+			s.Logger.Debug("answered", "requestId", x.ID, "pool", x.Target.Pool, "tookMs", took.Milliseconds())
+			return nil
+		}
+		e := refusal.As(err)
+		s.Metrics.Refused.Add(string(e.Kind), 1)
+		s.Logger.Info("refused", "requestId", x.ID, "kind", string(e.Kind), "detail", e.Detail, "pool", x.Target.Pool, "tookMs", took.Milliseconds())
+		if x.Began {
+			writeErrorEvent(x, e)
+			return nil
+		}
+		writeProblem(x.W, e, x.ID)
+		return nil
+	}
+}
+
+func writeProblem(w http.ResponseWriter, e *refusal.Error, id string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(HeaderNotRun, strconv.FormatBool(e.NotRun()))
+	if hint := e.Hint(); hint > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(hint.Seconds()))))
+	}
+	w.WriteHeader(e.Status())
+	_ = json.NewEncoder(w).Encode(problemOf(e, id))
+}
+
+func writeErrorEvent(x *Exchange, e *refusal.Error) {
+	data, err := json.Marshal(problemOf(e, x.ID))
+	if err != nil {
+		return
+	}
+	_, _ = x.W.Write([]byte("event: error\ndata: "))
+	_, _ = x.W.Write(data)
+	_, _ = x.W.Write([]byte("\n\n"))
+}
--- /dev/null
+++ b/io/caller/resolve.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"olivetiller/core/refusal"
+	"olivetiller/core/view"
+)
+
+// readBody reads the body within its bounds of length and time. The time bound
+// is lifted afterwards: net/http would otherwise end the request with it.
+func (s *Server) readBody(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) error {
+		conn := http.NewResponseController(x.W)
+		_ = conn.SetReadDeadline(time.Now().Add(s.Limits.ReadTimeout))
+		body, err := io.ReadAll(http.MaxBytesReader(x.W, x.R.Body, s.Limits.BodyBytes))
+		if err != nil {
+			var tooLarge *http.MaxBytesError
+			if errors.As(err, &tooLarge) {
+				return refusal.New(refusal.BodyTooLarge, "the body is longer than %d bytes", tooLarge.Limit)
+			}
+			return refusal.New(refusal.BadRequest, "the body could not be read: %v", err)
+		}
+		x.Body = body
+		_ = conn.SetReadDeadline(time.Time{})
+		return next(ctx, x)
+	}
+}
+
+// completion is the part of an OpenAI-style request that routing reads. The
+// body is passed on as it came.
+type completion struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// costTokens is the length of an answer that costs one unit of fairness.
+const costTokens = 64
+
+// resolveModel finds the unit that a completion is for.
+func (s *Server) resolveModel(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) error {
+		var c completion
+		if err := json.Unmarshal(x.Body, &c); err != nil {
+			return refusal.New(refusal.BadRequest, "the body is not a JSON request: %v", err)
+		}
+		u := x.View.Catalog.Units[c.Model]
+		switch {
+		case u == nil:
+			return refusal.New(refusal.UnknownModel, "there is no model %q", c.Model)
+		case u.Banned:
+			return refusal.New(refusal.ModelBanned, "model %s is banned", c.Model)
+		case c.MaxTokens < 0:
+			return refusal.New(refusal.BadRequest, "max_tokens is %d", c.MaxTokens)
+		}
+		x.Target = Target{
+			Pool: u.Name, Path: x.R.URL.Path, Model: true, Stream: c.Stream,
+			OnceOnly: onceAsked(x.R), Cost: 1 + float64(c.MaxTokens)/costTokens,
+		}
+		return next(ctx, x)
+	}
+}
+
+// resolveService finds the plain service that a call is for.
+func (s *Server) resolveService(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) error {
+		name := x.R.PathValue("name")
+		svc := x.View.Catalog.Services[name]
+		if svc == nil {
+			return refusal.New(refusal.UnknownService, "there is no service %q", name)
+		}
+		path := "/" + x.R.PathValue("path")
+		if q := x.R.URL.RawQuery; q != "" {
+			path += "?" + q
+		}
+		x.Target = Target{Pool: view.ServicePool(name), Path: path, OnceOnly: svc.GetOnceOnly() || onceAsked(x.R), Cost: 1}
+		return next(ctx, x)
+	}
+}
+
+func onceAsked(r *http.Request) bool { return strings.EqualFold(r.Header.Get(HeaderOnce), "true") }
--- /dev/null
+++ b/io/caller/stream.go
@@ -0,0 +1,184 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"olivetiller/core/retry"
+	"olivetiller/internal/traffic"
+	"olivetiller/io/endpoint"
+)
+
+// Sizes of the relay.
+const (
+	relayBuffer = 8 << 10
+	// maxEvent bounds one event of a stream.
+	maxEvent = 1 << 20
+)
+
+var (
+	eventEnd   = []byte("\n\n")
+	dataPrefix = []byte("data: ")
+	doneMarker = []byte("data: [DONE]")
+)
+
+// errBroken ends a stream that stopped before its final marker.
+var errBroken = errors.New("the stream ended before its final marker")
+
+// relay passes whole events on and counts the tokens that the caller has. It
+// keeps one buffer for the stream, so that no token costs an allocation.
+type relay struct {
+	x     *Exchange
+	flush *http.ResponseController
+	buf   []byte
+	// held is how many bytes of buf belong to an event that is not whole yet.
+	held int
+	// tokens is how many token events were passed on.
+	tokens int
+	done   bool
+	s      *Server
+	// lastAt is when the latest token was passed on, in the server's clock.
+	last int64
+}
+
+// stream relays a stream and moves it to another endpoint when one breaks off.
+func (s *Server) stream(ctx context.Context, x *Exchange) error {
+	r := &relay{x: x, flush: http.NewResponseController(x.W), buf: make([]byte, relayBuffer), s: s}
+	return s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error) {
+		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, r.tokens))
+		if err != nil {
+			return failed(err), err
+		}
+		defer resp.Body.Close()
+		result := traffic.Result{Running: resp.Running, Leaving: resp.Leaving}
+		if resp.StatusCode != http.StatusOK {
+			return r.passError(resp, result)
+		}
+		if r.tokens > 0 {
+			s.Metrics.Resumed.Add(1)
+		}
+		if err := r.copy(ctx, resp.Body); err != nil {
+			err = &endpoint.Error{Outcome: retry.Ran, Cause: err}
+			if ctx.Err() != nil {
+				// The caller went away; that is no fault of the endpoint.
+				return result, err
+			}
+			return failed(err), err
+		}
+		return result, nil
+	})
+}
+
+// passError passes an answer that is not a stream on, if none has begun.
+func (r *relay) passError(resp *endpoint.Response, result traffic.Result) (traffic.Result, error) {
+	if r.x.Began {
+		err := &endpoint.Error{Outcome: retry.Ran, Cause: errBroken}
+		return failed(err), err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEvent))
+	if err != nil {
+		err = &endpoint.Error{Outcome: retry.Ran, Cause: err}
+		return failed(err), err
+	}
+	r.x.Began = true
+	r.x.W.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
+	r.x.W.WriteHeader(resp.StatusCode)
+	_, _ = r.x.W.Write(body)
+	return result, nil
+}
+
+func (r *relay) begin() {
+	if r.x.Began {
+		return
+	}
+	r.x.Began = true
+	h := r.x.W.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	r.x.W.WriteHeader(http.StatusOK)
+}
+
+// copy relays until the final marker. What is left of a broken event is dropped:
+// the endpoint that goes on sends that token again from its beginning.
+func (r *relay) copy(ctx context.Context, body io.Reader) error {
+	r.held = 0
+	for !r.done {
+		if r.held == len(r.buf) {
+			if r.held >= maxEvent {
+				return errors.New("an event of the stream is too long")
+			}
+			r.buf = append(r.buf, make([]byte, len(r.buf))...)
+		}
+		n, err := body.Read(r.buf[r.held:])
+		r.held += n
+		if n > 0 {
+			if werr := r.pass(); werr != nil {
+				return werr
+			}
+		}
+		if err != nil && !r.done {
+			if ctx.Err() == nil && errors.Is(err, io.EOF) {
+				return errBroken
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// pass writes the whole events in the buffer and keeps the rest.
+func (r *relay) pass() error {
+	end := bytes.LastIndex(r.buf[:r.held], eventEnd)
+	if end < 0 {
+		return nil
+	}
+	end += len(eventEnd)
+	r.count(r.buf[:end])
+	r.begin()
+	if _, err := r.x.W.Write(r.buf[:end]); err != nil {
+		return err
+	}
+	if err := r.flush.Flush(); err != nil {
+		return err
+	}
+	r.held = copy(r.buf, r.buf[end:r.held])
+	return nil
+}
+
+// count notes the tokens and the final marker among whole events.
+func (r *relay) count(events []byte) {
+	now := r.s.Clock.Now().UnixNano()
+	for len(events) > 0 {
+		end := bytes.Index(events, eventEnd)
+		event := events[:end]
+		events = events[end+len(eventEnd):]
+		switch {
+		case bytes.Equal(event, doneMarker):
+			r.done = true
+		case bytes.HasPrefix(event, dataPrefix):
+			r.timeToken(now)
+			r.tokens++
+		}
+	}
+}
+
+const nanosPerMilli = 1e6
+
+func (r *relay) timeToken(now int64) {
+	if r.tokens == 0 {
+		r.s.Metrics.FirstToken.Record((now - r.x.Start.UnixNano()) / nanosPerMilli)
+	} else {
+		r.s.Metrics.BetweenTokens.Record((now - r.last) / nanosPerMilli)
+	}
+	r.last = now
+}
+
+func setFrom(h http.Header, from int) {
+	if from > 0 {
+		h.Set(endpoint.HeaderResumeFrom, strconv.Itoa(from))
+	}
+}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -57,6 +57,8 @@
 // Error is a dispatch without an answer.
 type Error struct {
 	Outcome retry.Outcome
+	// Refused is true when the endpoint said that it did not begin.
+	Refused bool
 	// Full is true when the endpoint refused for want of room.
 	Full bool
 	// Cause is what happened.
@@ -141,6 +143,7 @@
 		resp.Body.Close()
 		return nil, &Error{
 			Outcome: retry.NotSent,
+			Refused: true,
 			Full:    resp.StatusCode == http.StatusTooManyRequests,
 			Cause:   eris.Errorf("the endpoint did not begin: %s", bytes.TrimSpace(text)),
 		}
--- a/io/logservice/appender.go
+++ b/io/logservice/appender.go
@@ -47,6 +47,7 @@
 	mu       sync.Mutex
 	waiting  []*pb.Record
 	sequence uint64
+	inFlight bool
 	wake     chan struct{}
 }
 
@@ -99,6 +100,13 @@
 	return len(a.waiting)
 }
 
+// Quiet reports whether every record is known to be on the log.
+func (a *Appender) Quiet() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.waiting) == 0 && !a.inFlight
+}
+
 // Run appends until the context ends.
 func (a *Appender) Run(ctx context.Context) {
 	for {
@@ -131,8 +139,10 @@
 		n++
 	}
 	if n == 0 {
+		a.inFlight = false
 		return nil
 	}
+	a.inFlight = true
 	b := &pb.Batch{Records: a.waiting[:n:n]}
 	a.waiting = append([]*pb.Record(nil), a.waiting[n:]...)
 	return b
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -57,6 +57,7 @@
 		_ = conn.CloseWithError(1, "no certificate")
 		return
 	}
+	defer func() { _ = conn.CloseWithError(0, "closing") }()
 	name := certs[0].Subject.CommonName
 	for {
 		stream, err := conn.AcceptStream(ctx)
