traffic: share one gate an engine between its units

Cause: 24 of 138 demo requests were refused: each unit had a window of its own at an engine whose room is one, so seven nodes times six units sent 42 requests to 8 places, and 20 quick tries ended. Change: one gate an endpoint, shared by pools; a full window of one closes for a jittered pause; full answers wait in the queue until the deadline; loads prefer engines with less to do. Commands and demo. Conclusion: room belongs to the engine, not to the unit.

--- /dev/null
+++ b/cmd/olivetiller/config.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"olivetiller/core/catalog"
+	pb "olivetiller/proto/olivetiller/v1"
+)
+
+// configCmd is the commands about the configuration.
+type configCmd struct {
+	Check   configCheckCmd   `cmd:"" help:"Check a configuration file without a node; lists every fault."`
+	Publish configPublishCmd `cmd:"" help:"Publish a configuration file through a node."`
+	Show    configShowCmd    `cmd:"" help:"Print the configuration in force at a node, as JSON."`
+	Watch   configWatchCmd   `cmd:"" help:"Print each revision as it comes into force at a node."`
+}
+
+// readConfig reads a configuration file: the Config message as JSON.
+func readConfig(path string) (*pb.Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	cfg := &pb.Config{}
+	if err := protojson.Unmarshal(data, cfg); err != nil {
+		return nil, usageError{fmt.Errorf("%s: %w; write it as the Config message of proto/olivetiller/v1/config.proto in JSON", path, err)}
+	}
+	return cfg, nil
+}
+
+type configCheckCmd struct {
+	File string `arg:"" type:"path" help:"The configuration file, JSON."`
+}
+
+// Run implements the command.
+func (c *configCheckCmd) Run() error {
+	cfg, err := readConfig(c.File)
+	if err != nil {
+		return err
+	}
+	faults := catalog.Check(cfg)
+	for _, f := range faults {
+		fmt.Println(f)
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("%s has %d faults", c.File, len(faults))
+	}
+	fmt.Printf("ok: %d models, %d adapters, %d services, %d callers\n",
+		len(cfg.GetModels()), len(cfg.GetAdapters()), len(cfg.GetServices()), len(cfg.GetCallers()))
+	return nil
+}
+
+type configPublishCmd struct {
+	nodeFlags
+	File         string  `arg:"" type:"path" help:"The configuration file, JSON."`
+	BaseRevision *uint64 `help:"The revision the file was made from; without it, the one in force at the node."`
+	ChangeID     string  `name:"change-id" help:"The change's id; repeat a publish with the same one. Without it, a new one is made and printed."`
+	DryRun       bool    `help:"Check everything and change nothing."`
+}
+
+// Run implements the command.
+func (c *configPublishCmd) Run() error {
+	cfg, err := readConfig(c.File)
+	if err != nil {
+		return err
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := callContext()
+	defer cancel()
+	base := c.BaseRevision
+	if base == nil {
+		now, err := client.GetConfig(ctx, authorized(&c.nodeFlags, &pb.GetConfigRequest{}))
+		if err != nil {
+			return err
+		}
+		revision := now.Msg.GetRevision()
+		base = &revision
+	}
+	if c.ChangeID == "" {
+		c.ChangeID = uuid.NewString()
+	}
+	resp, err := client.Publish(ctx, authorized(&c.nodeFlags, &pb.PublishRequest{
+		Config: cfg, BaseRevision: *base, ChangeId: c.ChangeID, DryRun: c.DryRun,
+	}))
+	if err != nil {
+		printDetails(err)
+		return err
+	}
+	if c.DryRun {
+		fmt.Printf("ok: would change %d items on revision %d\n", resp.Msg.GetChanged(), resp.Msg.GetRevision())
+		return nil
+	}
+	fmt.Printf("ok: revision %d, %d items changed, change id %s\n", resp.Msg.GetRevision(), resp.Msg.GetChanged(), c.ChangeID)
+	return nil
+}
+
+// printDetails prints the typed details of a refused publish.
+func printDetails(err error) {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return
+	}
+	for _, d := range ce.Details() {
+		msg, err := d.Value()
+		if err != nil {
+			continue
+		}
+		switch m := msg.(type) {
+		case *pb.Fault:
+			fmt.Println(catalog.Fault{Path: m.GetPath(), Problem: m.GetProblem(), Remedy: m.GetRemedy()})
+		case *pb.Conflict:
+			fmt.Printf("conflict: the revision in force is %d\n", m.GetCurrentRevision())
+		}
+	}
+}
+
+type configShowCmd struct {
+	nodeFlags
+}
+
+// Run implements the command.
+func (c *configShowCmd) Run() error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := callContext()
+	defer cancel()
+	resp, err := client.GetConfig(ctx, authorized(&c.nodeFlags, &pb.GetConfigRequest{}))
+	if err != nil {
+		return err
+	}
+	text, err := protojson.MarshalOptions{Multiline: true}.Marshal(resp.Msg.GetConfig())
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(text))
+	fmt.Fprintf(os.Stderr, "revision %d, as of %d ms ago\n", resp.Msg.GetRevision(), resp.Msg.GetAgeMs())
+	return nil
+}
+
+type configWatchCmd struct {
+	nodeFlags
+	Count int `help:"End after this many revisions; 0 goes on."`
+}
+
+// Run implements the command.
+func (c *configWatchCmd) Run() error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	stream, err := client.WatchConfig(context.Background(), authorized(&c.nodeFlags, &pb.WatchConfigRequest{}))
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for n := 1; stream.Receive(); n++ {
+		m := stream.Msg()
+		fmt.Printf("revision %d: %d models, %d adapters, %d callers\n", m.GetRevision(),
+			len(m.GetConfig().GetModels()), len(m.GetConfig().GetAdapters()), len(m.GetConfig().GetCallers()))
+		if n == c.Count {
+			return nil
+		}
+	}
+	return stream.Err()
+}
--- /dev/null
+++ b/cmd/olivetiller/exit.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"errors"
+
+	"connectrpc.com/connect"
+
+	"olivetiller/internal/fleetkeys"
+	"olivetiller/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitBad         = 1
+	exitUsage       = 2
+	exitUnreachable = 3
+)
+
+// usageError is an error that the user of the command can mend.
+type usageError struct{ error }
+
+// Unwrap returns the cause.
+func (e usageError) Unwrap() error { return e.error }
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	var usage usageError
+	var fault settings.Fault
+	if errors.As(err, &usage) || errors.As(err, &fault) || errors.Is(err, fleetkeys.ErrKeys) {
+		return exitUsage
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded:
+		return exitUnreachable
+	case connect.CodeUnauthenticated, connect.CodePermissionDenied:
+		return exitUsage
+	}
+	return exitBad
+}
--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -28,6 +28,8 @@
 	Window *Window
 	// Health is the replica's recent record; nil means good.
 	Health *Health
+	// Avoid marks a replica that just failed the request: it is the last resort.
+	Avoid bool
 }
 
 // reportLife is how long an engine's word on its load is worth using.
@@ -37,13 +39,16 @@
 // busier: its extra latency is worth about one request in progress.
 const hallPenalty = 1
 
+// avoidPenalty exceeds any load.
+const avoidPenalty = 1 << 20
+
 // Pick returns the index of the best replica with room, or -1.
 func Pick(replicas []Replica, now time.Time) int {
 	best := -1
 	var bestScore int
 	for i := range replicas {
 		r := &replicas[i]
-		if !r.Window.HasRoom(r.Running) || !r.Health.Admits(now, r.Running) {
+		if !r.Window.HasRoom(r.Running, now) || !r.Health.Admits(now, r.Running) {
 			continue
 		}
 		if s := r.score(now); best < 0 || s < bestScore {
@@ -62,17 +67,31 @@
 	if !r.SameHall {
 		load += hallPenalty
 	}
+	if r.Avoid {
+		load += avoidPenalty
+	}
 	return load
 }
 
 // Window bounds one node's work at one replica, by additive increase and
-// multiplicative decrease.
+// multiplicative decrease. Below one request at a time it closes for a while:
+// that is how many nodes share a replica that runs fewer requests than there
+// are nodes.
 type Window struct {
 	// size is at least 1 and at most max.
 	size float64
 	max  float64
+	// pause is how long the window closed last, 0 after an answer.
+	pause    time.Duration
+	closedTo time.Time
 }
 
+// Pauses of a window that is full at its least size.
+const (
+	firstPause = 4 * time.Millisecond
+	lastPause  = 250 * time.Millisecond
+)
+
 // NewWindow returns a window that opens from share, a node's fair share, up to
 // limit, the replica's whole concurrency.
 func NewWindow(share, limit int) *Window {
@@ -80,21 +99,37 @@
 }
 
 // HasRoom reports whether one more request fits beside running ones.
-func (w *Window) HasRoom(running int) bool { return running < int(w.size) }
+func (w *Window) HasRoom(running int, now time.Time) bool {
+	return running < int(w.size) && !now.Before(w.closedTo)
+}
 
 // Size returns the requests that fit.
 func (w *Window) Size() int { return int(w.size) }
 
+// OpensAt returns when a closed window opens; a past time if it is open.
+func (w *Window) OpensAt() time.Time { return w.closedTo }
+
 // Succeeded notes an answer while running requests were out. Only a full
 // window opens, by one for each window's worth of answers.
 func (w *Window) Succeeded(running int) {
-	if running >= int(w.size)-1 {
+	w.pause = 0
+	if running >= int(w.size) {
 		w.size = min(w.max, w.size+1/w.size)
 	}
 }
 
-// Full notes that the engine refused work because it is full.
-func (w *Window) Full() { w.size = max(1, w.size/2) }
+// Full notes that the engine refused work because it is full. Several refusals
+// within one pause count once: they tell of the same moment.
+func (w *Window) Full(now time.Time) {
+	if now.Before(w.closedTo) {
+		return
+	}
+	w.size = max(1, w.size/2)
+	w.pause = min(lastPause, max(firstPause, 2*w.pause))
+	// Nodes must not come back together; their clocks' low digits differ.
+	spread := time.Duration(now.UnixNano()) % (w.pause/2 + 1)
+	w.closedTo = now.Add(w.pause/2 + spread)
+}
 
 // Health ejects a replica that fails and lets it back with one trial.
 type Health struct {
@@ -119,6 +154,15 @@
 	return !now.Before(h.until) && running == 0
 }
 
+// Until returns when an ejected replica may be tried again; a past time if it
+// may be used now.
+func (h *Health) Until() time.Time {
+	if h.failures < ejectAfter {
+		return time.Time{}
+	}
+	return h.until
+}
+
 // Succeeded notes an answer.
 func (h *Health) Succeeded() { h.failures = 0 }
 
--- a/core/plan/loads.go
+++ b/core/plan/loads.go
@@ -252,7 +252,7 @@
 			tier = policy.OnDisk
 		}
 		out = append(out, policy.Candidate{
-			Engine: name, Free: e.MemoryBytes - e.Used, Tier: tier, HallReplicas: halls[e.Hall],
+			Engine: name, Free: e.MemoryBytes - e.Used, Tier: tier, HallReplicas: halls[e.Hall], Busy: busy(in, e),
 			Victims: p.victims(in, e, u),
 		})
 	}
@@ -260,6 +260,17 @@
 	return out
 }
 
+// busy counts the units on an engine that have work.
+func busy(in *Input, e *ledger.Engine) int {
+	n := 0
+	for uv := range e.Placements {
+		if d := in.Demand.Get(uv.Unit, in.Now); d.Waiting+d.Running > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func baseReady(in *Input, u *catalog.Unit, e *ledger.Engine) bool {
 	base := in.Ledger.Catalog.Units[u.Base]
 	if base == nil {
--- a/core/policy/learner.go
+++ b/core/policy/learner.go
@@ -16,6 +16,9 @@
 	decay = 0.97
 	// prior is the weight of what is believed before any gap was seen.
 	prior = 1.0
+	// minKeepBin is the least time kept, about 15 s: noise within it must not
+	// load and unload.
+	minKeepBin = 6
 )
 
 var binEdges = makeEdges()
@@ -135,8 +138,8 @@
 // histogram, whose gaps are taken at their bins' upper edge.
 func (l *Learner) Window(unit string, c Cost) Window {
 	weights := l.distribution(unit)
-	best, bestCost := 0, math.Inf(1)
-	for k := 0; k < bins; k++ {
+	best, bestCost := minKeepBin, math.Inf(1)
+	for k := minKeepBin; k < bins; k++ {
 		if cost := keepCost(&weights, k, c); cost < bestCost {
 			best, bestCost = k, cost
 		}
@@ -144,7 +147,7 @@
 	w := Window{Keep: binEdges[best], Reason: fmt.Sprintf("kept %s after use: a return costs %.1f, an idle hour %.1f", binEdges[best].Round(time.Second), c.Return, c.IdleSecond*3600)}
 	p, u, cost := prewarmBest(&weights, c)
 	if cost < bestCost*prewarmGain {
-		w.Keep = binEdges[0]
+		w.Keep = binEdges[minKeepBin]
 		w.Prewarm, w.Until = binEdges[p], binEdges[u]
 		w.Reason = fmt.Sprintf("next use expected between %s and %s after the last", binEdges[p].Round(time.Second), binEdges[u].Round(time.Second))
 	}
@@ -198,9 +201,12 @@
 // prewarmBest returns the window [P, U] of least cost, P after the first bins.
 func prewarmBest(w *[bins]float64, c Cost) (p, u int, cost float64) {
 	cost = math.Inf(1)
-	short := binEdges[0].Seconds() * c.IdleSecond
+	short := binEdges[minKeepBin].Seconds() * c.IdleSecond
 	var before float64
 	for i := 0; i < bins-1; i++ {
+		if i <= minKeepBin {
+			continue
+		}
 		before += w[i]
 		// Gaps within bins 0..i meet an unloaded replica.
 		base := short + before*c.Return
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -22,6 +22,8 @@
 	Free uint64
 	// Tier is where the checkpoint is, as far as known.
 	Tier Tier
+	// Busy counts the units on the engine that have requests waiting or running.
+	Busy int
 	// HallReplicas counts the unit's replicas in the engine's data hall.
 	HallReplicas int
 	// Victims are the replicas that could be unloaded here.
@@ -47,8 +49,9 @@
 }
 
 // Place returns the best engine for need bytes; ok is false when none could
-// make room. A nearer checkpoint beats spread over data halls, which beats a
-// snug fit: what an engine has free after a snug fit is of use to nobody else.
+// make room. A nearer checkpoint beats an engine with less to do, which beats
+// spread over data halls, which beats a snug fit: idle replicas packed together
+// hold fewer accelerators idle.
 func Place(need uint64, cands []Candidate) (Choice, bool) {
 	best := -1
 	for i := range cands {
@@ -69,6 +72,9 @@
 	if a.Tier != b.Tier {
 		return a.Tier < b.Tier
 	}
+	if a.Busy != b.Busy {
+		return a.Busy < b.Busy
+	}
 	if a.HallReplicas != b.HallReplicas {
 		return a.HallReplicas < b.HallReplicas
 	}
--- a/internal/control/boot.go
+++ b/internal/control/boot.go
@@ -29,7 +29,7 @@
 			break
 		}
 		c.Logger.Warn("no state to start from; trying again", "remedy", "the log service or a peer must be reachable")
-		c.Clock.Sleep(bootRetry)
+		c.pause(ctx, bootRetry)
 	}
 	logservice.Tail(ctx, c.Log, c.Clock, c)
 }
@@ -48,7 +48,7 @@
 		case <-ctx.Done():
 			return
 		}
-		c.Clock.Sleep(20 * time.Millisecond)
+		c.pause(ctx, 20*time.Millisecond)
 	}
 }
 
@@ -168,6 +168,6 @@
 			c.send(ctx, bootState{state: s, target: target})
 			return
 		}
-		c.Clock.Sleep(bootRetry)
+		c.pause(ctx, bootRetry)
 	}
 }
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -169,6 +169,14 @@
 	}
 }
 
+// pause sleeps, or less if the context ends.
+func (c *Controller) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-c.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // drain handles what else waits, so that one plan serves many messages.
 func (c *Controller) drain() {
 	for range inboxSize {
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -40,7 +40,7 @@
 		if err == nil {
 			c.send(ctx, listSeen{list: list})
 		}
-		c.Clock.Sleep(listEvery)
+		c.pause(ctx, listEvery)
 	}
 }
 
@@ -162,7 +162,7 @@
 			results[i].lost = misses[results[i].id] >= engineMisses
 			c.send(ctx, results[i])
 		}
-		c.Clock.Sleep(engineEvery)
+		c.pause(ctx, engineEvery)
 	}
 }
 
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -52,7 +52,7 @@
 		}
 		unsure = true
 		c.Metrics.OrderRetries.Add(1)
-		c.Clock.Sleep(orderRetry/2 + rand.N(orderRetry))
+		c.pause(ctx, orderRetry/2+rand.N(orderRetry))
 	}
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -59,7 +59,7 @@
 		for _, m := range neighbours(c.Self.Node, c.Members(ctx)) {
 			go c.probe(ctx, m)
 		}
-		c.Clock.Sleep(probeEvery)
+		c.pause(ctx, probeEvery)
 	}
 }
 
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,300 @@
+// Package demo runs both deployments' shapes, one after the other, with seven
+// nodes each against the stand-ins, exercises the promises of the brief and
+// prints what came of it.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"olivetiller/internal/client"
+	"olivetiller/internal/entry"
+	"olivetiller/internal/fleet"
+	"olivetiller/standin/service"
+	"olivetiller/standin/site"
+)
+
+// Options set a demo.
+type Options struct {
+	Seed    uint64
+	Verbose bool
+}
+
+// Sizes of the demo.
+const (
+	nodes       = 7
+	coldModels  = 6
+	perModel    = 2 // requests a model and node
+	onceKeys    = 20
+	tokens      = 24
+	askTimeout  = 15 * time.Second
+	stopStreams = 14
+)
+
+// report is what one deployment's run showed.
+type report struct {
+	name             string
+	p50, p99         time.Duration
+	decided, loaded  int
+	asked, whole     int
+	refused          int
+	doubles, lost    int
+	cutOff           int
+	spread           time.Duration
+	onceAsked        int
+	broken           []string
+	overcommittedBy  []string
+	samplesColdStart []time.Duration
+}
+
+// Run runs the demo and returns the broken promises.
+func Run(ctx context.Context, out io.Writer, o Options) ([]string, error) {
+	var broken []string
+	var reports []*report
+	for _, shape := range []site.Shape{site.Krautwerk(), site.Suva()} {
+		shape.Seed = o.Seed
+		r, err := runShape(ctx, shape, o)
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, r)
+		for _, b := range r.broken {
+			broken = append(broken, r.name+": "+b)
+		}
+	}
+	print(out, reports)
+	for _, b := range broken {
+		fmt.Fprintln(out, "demo: broken promise:", b)
+	}
+	if len(broken) == 0 {
+		fmt.Fprintln(out, "demo: ok")
+	}
+	return broken, nil
+}
+
+func runShape(ctx context.Context, shape site.Shape, o Options) (*report, error) {
+	level := hclog.Off
+	if o.Verbose {
+		level = hclog.Info
+	}
+	s, err := site.Start(shape, site.Addresses{})
+	if err != nil {
+		return nil, err
+	}
+	f, err := fleet.New(s, hclog.New(&hclog.LoggerOptions{Level: level, JSONFormat: true, Output: os.Stderr}))
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	defer f.Close()
+	for i := range nodes {
+		if _, err := f.StartNode(fmt.Sprintf("node-%d", i+1)); err != nil {
+			return nil, err
+		}
+	}
+	r := &report{name: shape.Name}
+	if err := r.publish(ctx, f); err != nil {
+		return nil, err
+	}
+	r.coldBurst(ctx, f)
+	r.onceOnly(ctx, f)
+	if err := r.plannedStop(ctx, f); err != nil {
+		return nil, err
+	}
+	r.judge(f)
+	return r, nil
+}
+
+// publish publishes the configuration through one node and waits for all.
+func (r *report) publish(ctx context.Context, f *fleet.Fleet) error {
+	if err := f.AwaitReady(ctx); err != nil {
+		return err
+	}
+	begin := time.Now()
+	revision, err := fleet.Publish(ctx, f.Node("node-1"), f.Site.Shape.Config())
+	if err != nil {
+		return err
+	}
+	if err := f.AwaitRevision(ctx, revision); err != nil {
+		return err
+	}
+	r.spread = time.Since(begin)
+	return f.AwaitEngines(ctx)
+}
+
+// coldBurst asks every node for the same cold models at the same moment.
+func (r *report) coldBurst(ctx context.Context, f *fleet.Fleet) {
+	c := client.New("curator")
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, n := range f.Nodes() {
+		for m := range coldModels * perModel {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				name := site.ModelName(m % coldModels)
+				if m%coldModels == coldModels-1 {
+					name = site.AdapterName(0)
+				}
+				ask := client.Ask{Model: name, Prompt: fmt.Sprintf("%s-%d", n.Settings.Name, m), Tokens: tokens, Stream: m%2 == 0, Timeout: askTimeout}
+				res := c.Complete(ctx, n.CallerAddress(), ask)
+				mu.Lock()
+				defer mu.Unlock()
+				r.count(res)
+				r.samplesColdStart = append(r.samplesColdStart, res.Took)
+			}()
+		}
+	}
+	wg.Wait()
+	sort.Slice(r.samplesColdStart, func(i, j int) bool { return r.samplesColdStart[i] < r.samplesColdStart[j] })
+	r.p50 = quantile(r.samplesColdStart, 0.50)
+	r.p99 = quantile(r.samplesColdStart, 0.99)
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// count judges one answer: whole, or a typed refusal; anything else is lost.
+func (r *report) count(res client.Result) {
+	r.asked++
+	switch {
+	case res.Whole:
+		r.whole++
+	case res.Refused():
+		r.refused++
+	default:
+		r.lost++
+		r.broken = append(r.broken, fmt.Sprintf("a request got neither its whole answer nor a refusal: status %d, %s, %v", res.Status, res.Wrong, res.Err))
+	}
+}
+
+// onceOnly sends each request that may not be repeated through two nodes at once.
+func (r *report) onceOnly(ctx context.Context, f *fleet.Fleet) {
+	c := client.New("clerk")
+	list := f.Nodes()
+	svc := f.Site.Shape.Services[0]
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for k := range onceKeys {
+		key := uuid.Must(uuid.NewV7()).String()
+		body := []byte(fmt.Sprintf(`{"ticket":%d}`, k))
+		for i := range 2 {
+			n := list[(k+i*3)%len(list)]
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				res := c.Call(ctx, n.CallerAddress(), svc, "/new", askTimeout, key, body)
+				mu.Lock()
+				defer mu.Unlock()
+				r.onceAsked++
+				r.count(res)
+				r.checkOnce(f, svc, key, body, res)
+			}()
+		}
+	}
+	wg.Wait()
+}
+
+func (r *report) checkOnce(f *fleet.Fleet, svc, key string, body []byte, res client.Result) {
+	runs := f.Site.Runs(svc, key)
+	if runs > 1 {
+		r.doubles++
+	}
+	if res.Whole && string(res.Body) != service.Answer(key, body) {
+		r.broken = append(r.broken, "a caller got an answer that is not its own")
+	}
+	if res.Refused() && res.Refusal.NotRun && runs > 0 {
+		r.broken = append(r.broken, `a refusal said "not run" of a request that ran`)
+	}
+}
+
+// plannedStop stops a node while it streams.
+func (r *report) plannedStop(ctx context.Context, f *fleet.Fleet) error {
+	n := f.Node("node-7")
+	c := client.New("museum")
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range stopStreams {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ask := client.Ask{Model: site.ModelName(i % 2), Prompt: fmt.Sprint("stop", i), Tokens: 150, Stream: true, Timeout: askTimeout}
+			res := c.Complete(ctx, n.CallerAddress(), ask)
+			mu.Lock()
+			defer mu.Unlock()
+			r.count(res)
+			if !res.Whole {
+				r.cutOff++
+			}
+		}()
+	}
+	awaitActive(ctx, n)
+	err := f.Stop(ctx, "node-7")
+	wg.Wait()
+	return err
+}
+
+// awaitActive waits until the streams have begun.
+func awaitActive(ctx context.Context, n *entry.Node) {
+	for n.Caller.Active() < stopStreams && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// judge compares what was decided with what the engines saw.
+func (r *report) judge(f *fleet.Fleet) {
+	for _, n := range f.Nodes() {
+		r.decided = max(r.decided, int(n.Control.Metrics.Decided.Value()))
+	}
+	r.loaded = f.Site.Loads()
+	if r.loaded > r.decided {
+		r.broken = append(r.broken, fmt.Sprintf("%d loads were decided and %d took effect", r.decided, r.loaded))
+	}
+	for _, v := range f.Site.Violations() {
+		r.broken = append(r.broken, "an engine's memory was overcommitted: "+v)
+	}
+	if r.doubles > 0 {
+		r.broken = append(r.broken, fmt.Sprintf("%d requests that may not be repeated ran more than once", r.doubles))
+	}
+	if r.cutOff > 0 {
+		r.broken = append(r.broken, fmt.Sprintf("a planned stop cut off %d requests", r.cutOff))
+	}
+}
+
+func print(out io.Writer, reports []*report) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(label string, cell func(*report) string) {
+		fmt.Fprint(w, label)
+		for _, r := range reports {
+			fmt.Fprint(w, "\t", cell(r))
+		}
+		fmt.Fprintln(w)
+	}
+	row("", func(r *report) string { return r.name })
+	row("configuration in force on 7 nodes after", func(r *report) string { return ms(r.spread) })
+	row("cold start p50", func(r *report) string { return ms(r.p50) })
+	row("cold start p99", func(r *report) string { return ms(r.p99) })
+	row("loads decided / done", func(r *report) string { return fmt.Sprintf("%d / %d", r.decided, r.loaded) })
+	row("answers complete / asked", func(r *report) string { return fmt.Sprintf("%d / %d", r.whole, r.asked) })
+	row("refused with a reason", func(r *report) string { return fmt.Sprint(r.refused) })
+	row("once-only requests sent twice", func(r *report) string { return fmt.Sprint(r.onceAsked / 2) })
+	row("doubles", func(r *report) string { return fmt.Sprint(r.doubles) })
+	row("cut off by the planned stop", func(r *report) string { return fmt.Sprint(r.cutOff) })
+	row("lost", func(r *report) string { return fmt.Sprint(r.lost) })
+	_ = w.Flush()
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%d ms", d.Milliseconds()) }
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -7,9 +7,9 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"olivetiller/core/choose"
 	"olivetiller/core/demand"
 	"olivetiller/core/queue"
+	"olivetiller/core/refusal"
 	"olivetiller/core/retry"
 	"olivetiller/core/view"
 )
@@ -22,99 +22,244 @@
 	Leaving func(endpoint string)
 }
 
-// Dispatcher holds the pools. It is safe for concurrent use.
+// Dispatcher holds the pools and gates. It is safe for concurrent use.
 type Dispatcher struct {
 	clock  clockwork.Clock
 	hall   string
 	limits queue.Limits
 	hooks  Hooks
 
-	mu    sync.RWMutex
+	mu    sync.Mutex
 	view  *view.View
 	pools map[string]*pool
+	gates map[string]*gate
 }
 
 // New returns a dispatcher for a node in a data hall.
 func New(clock clockwork.Clock, hall string, limits queue.Limits, hooks Hooks) *Dispatcher {
 	return &Dispatcher{
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
-		view: &view.View{}, pools: make(map[string]*pool),
+		view: &view.View{}, pools: make(map[string]*pool), gates: make(map[string]*gate),
 	}
 }
 
-// Acquire waits for a place at an endpoint of the named pool.
+// Acquire waits for a place at an endpoint of the named pool, until the ask's
+// deadline or the context's end.
 func (d *Dispatcher) Acquire(ctx context.Context, name string, a Ask) (*Slot, error) {
-	return d.pool(name).acquire(ctx, a)
+	start := d.clock.Now()
+	d.mu.Lock()
+	p := d.pool(name)
+	if err := p.admit(a, start); err != nil {
+		d.mu.Unlock()
+		return nil, err
+	}
+	cold := len(p.endpoints) == 0
+	if p.queue.Len() == 0 {
+		if pl, ok := p.pick(start, d.hall, a.Avoid); ok {
+			p.occupy(pl)
+			d.mu.Unlock()
+			return d.slot(p, pl, start, start, cold), nil
+		}
+	}
+	w := &waiter{avoid: a.Avoid, granted: make(chan place, 1)}
+	w.item = &queue.Item{Caller: a.Caller, Deadline: a.Deadline, Cost: a.Cost, Bytes: a.Bytes, Value: w}
+	if !p.queue.Push(w.item) {
+		n := p.queue.Len()
+		d.mu.Unlock()
+		return nil, refusal.New(refusal.QueueFull, "%d requests wait for %s", n, p.name)
+	}
+	if cold && p.coldSince.IsZero() {
+		p.coldSince = start
+	}
+	d.openLater(p, start)
+	first := p.queue.Len() == 1
+	d.mu.Unlock()
+	if first {
+		// The home should hear of the demand before the request waits long.
+		d.hooks.Waiting()
+	}
+	return d.wait(ctx, p, w, a, start, cold)
 }
 
-func (d *Dispatcher) pool(name string) *pool {
-	d.mu.RLock()
-	p := d.pools[name]
-	d.mu.RUnlock()
-	if p != nil {
-		return p
+// wait blocks until the waiter is granted a place or its time is up.
+func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiter, a Ask, start time.Time, cold bool) (*Slot, error) {
+	timer := d.clock.NewTimer(a.Deadline.Sub(start))
+	defer timer.Stop()
+	var pl place
+	granted := true
+	select {
+	case pl = <-w.granted:
+	case <-timer.Chan():
+		pl, granted = d.leave(p, w)
+	case <-ctx.Done():
+		pl, granted = d.leave(p, w)
+	}
+	now := d.clock.Now()
+	if !granted {
+		return nil, refusal.New(refusal.WaitedTooLong, "no place at %s came free within %s", p.name, now.Sub(start).Round(time.Millisecond))
 	}
+	return d.slot(p, pl, start, now, cold), nil
+}
+
+// leave takes a waiter out of the queue. If it was granted a place in the same
+// moment it keeps the place: giving up then would waste it.
+func (d *Dispatcher) leave(p *pool, w *waiter) (place, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if p = d.pools[name]; p != nil {
-		return p
+	if p.queue.Remove(w.item) {
+		return place{}, false
+	}
+	return <-w.granted, true
+}
+
+func (d *Dispatcher) slot(p *pool, pl place, start, now time.Time, cold bool) *Slot {
+	return &Slot{
+		Endpoint: pl.Endpoint, Waited: now.Sub(start), Cold: cold,
+		dispatcher: d, pool: p, gate: pl.gate, at: now,
+	}
+}
+
+// occupy counts a request in.
+func (p *pool) occupy(pl place) {
+	pl.gate.running++
+	p.running++
+}
+
+// release takes a result in and pumps the pools that share the endpoint.
+func (d *Dispatcher) release(s *Slot, r Result) {
+	if r.Leaving {
+		d.hooks.Leaving(s.Endpoint.Name)
+	}
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.gate.settle(r, now)
+	s.pool.running--
+	if r.Err == nil && !r.Full && !r.NotBegun {
+		s.pool.model.Serve.Observe(now.Sub(s.at))
+	}
+	if r.Leaving {
+		for p := range s.gate.pools {
+			p.remove(s.gate)
+		}
+	}
+	d.pumpGate(s.gate, now)
+}
+
+// pumpGate lets requests of the pools that share a gate in, the pool with the
+// most urgent head first.
+func (d *Dispatcher) pumpGate(g *gate, now time.Time) {
+	for {
+		var next *pool
+		for p := range g.pools {
+			head := p.queue.Peek()
+			if head == nil {
+				continue
+			}
+			if next == nil || head.Deadline.Before(next.queue.Peek().Deadline) {
+				next = p
+			}
+		}
+		if next == nil {
+			return
+		}
+		if !d.grantNext(next, now) {
+			return
+		}
+	}
+}
+
+// pump lets a pool's requests in while there is room.
+func (d *Dispatcher) pump(p *pool, now time.Time) {
+	for p.queue.Len() > 0 && d.grantNext(p, now) {
+		continue
+	}
+}
+
+// grantNext lets the next request of a pool in; it reports false when no place
+// has room.
+func (d *Dispatcher) grantNext(p *pool, now time.Time) bool {
+	w := p.queue.Peek().Value.(*waiter)
+	pl, ok := p.pick(now, d.hall, w.avoid)
+	if !ok {
+		d.openLater(p, now)
+		return false
+	}
+	p.queue.Pop()
+	p.occupy(pl)
+	w.granted <- pl
+	return true
+}
+
+// openLater arranges a pump for the moment a closed gate of the pool opens.
+func (d *Dispatcher) openLater(p *pool, now time.Time) {
+	for _, pl := range p.endpoints {
+		g := pl.gate
+		at := g.window.OpensAt()
+		if until := g.health.Until(); until.After(at) {
+			at = until
+		}
+		if g.timer || !at.After(now) {
+			continue
+		}
+		g.timer = true
+		d.clock.AfterFunc(at.Sub(now), func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			g.timer = false
+			d.pumpGate(g, d.clock.Now())
+		})
+	}
+}
+
+func (d *Dispatcher) pool(name string) *pool {
+	p := d.pools[name]
+	if p == nil {
+		p = &pool{name: name, queue: queue.New(d.limits), budget: retry.NewBudget()}
+		d.pools[name] = p
+		p.update(d.view, d.places(d.view, name), d.clock.Now())
 	}
-	p = &pool{name: name, clock: d.clock, hall: d.hall, hooks: d.hooks, queue: queue.New(d.limits), budget: retry.NewBudget()}
-	p.update(d.view)
-	d.pools[name] = p
 	return p
 }
 
 // Update puts a new view in force.
 func (d *Dispatcher) Update(v *view.View) {
+	now := d.clock.Now()
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.view = v
-	pools := make([]*pool, 0, len(d.pools))
-	for _, p := range d.pools {
-		pools = append(pools, p)
+	for name, p := range d.pools {
+		p.update(v, d.places(v, name), now)
+		d.pump(p, now)
 	}
-	d.mu.Unlock()
-	for _, p := range pools {
-		p.mu.Lock()
-		p.update(v)
-		p.pump()
-		p.mu.Unlock()
-	}
-}
-
-// update takes the endpoints of a view over and keeps what is known of those
-// that stay. The caller holds mu, or is the only user.
-func (p *pool) update(v *view.View) {
-	now := p.clock.Now()
-	known := make(map[string]*endpoint, len(p.endpoints))
-	for _, ep := range p.endpoints {
-		known[ep.Name] = ep
-	}
-	nodes := max(1, len(v.Live))
-	next := make([]*endpoint, 0, len(v.Endpoints[p.name]))
-	for _, e := range v.Endpoints[p.name] {
-		if ep := known[e.Name]; ep != nil && ep.Incarnation == e.Incarnation && ep.Version == e.Version {
-			next = append(next, ep)
-			continue
+	for name, g := range d.gates {
+		if len(g.pools) == 0 && g.running == 0 {
+			delete(d.gates, name)
 		}
-		share := (e.Concurrency + nodes - 1) / nodes
-		next = append(next, &endpoint{Endpoint: e, window: choose.NewWindow(share, e.Concurrency)})
-	}
-	if len(p.endpoints) == 0 && len(next) > 0 && !p.coldSince.IsZero() {
-		p.model.Load.Observe(now.Sub(p.coldSince))
 	}
-	if len(next) > 0 || p.queue.Len() == 0 {
-		p.coldSince = time.Time{}
+}
+
+// places joins the endpoints of a pool with their gates.
+func (d *Dispatcher) places(v *view.View, name string) []place {
+	eps := v.Endpoints[name]
+	out := make([]place, 0, len(eps))
+	for _, e := range eps {
+		g := d.gates[e.Name]
+		if g == nil || g.incarnation != e.Incarnation {
+			share := e.Concurrency / max(1, len(v.Live))
+			g = newGate(e, share)
+			d.gates[e.Name] = g
+		}
+		out = append(out, place{Endpoint: e, gate: g})
 	}
-	p.endpoints = next
-	p.loadingSince = v.LoadingSince[p.name]
+	return out
 }
 
-// Reports returns the demand of the pools that changed since the last call, or
-// all that have work if all is set.
+// Reports returns the demand of the pools that changed since the last call, and
+// with all set of every pool that has work.
 func (d *Dispatcher) Reports(all bool) []demand.Report {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var out []demand.Report
 	for _, p := range d.pools {
 		if r, changed := p.report(); changed || (all && (r.Waiting > 0 || r.Running > 0)) {
@@ -124,54 +269,33 @@
 	return out
 }
 
-// report returns the pool's demand and whether it is news. How many run is news
-// only when it becomes none or some: the exact number serves no decision.
-func (p *pool) report() (demand.Report, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r := demand.Report{Unit: p.name, Waiting: p.queue.Len(), Running: p.running, Arrivals: p.arrivals}
-	if deadline, ok := p.queue.Earliest(); ok {
-		r.Deadline = deadline
-	}
-	old := p.reported
-	changed := r.Waiting != old.Waiting || (r.Running == 0) != (old.Running == 0)
-	if changed {
-		p.reported = r
-		p.arrivals = 0
-	}
-	return r, changed
-}
-
 // Totals is the work of all pools.
 type Totals struct {
-	Waiting, Running int
-	WaitingBytes     int64
+	Waiting      int   `json:"waiting"`
+	Running      int   `json:"running"`
+	WaitingBytes int64 `json:"waitingBytes"`
 }
 
 // Totals returns the work of all pools.
 func (d *Dispatcher) Totals() Totals {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var t Totals
 	for _, p := range d.pools {
-		p.mu.Lock()
 		t.Waiting += p.queue.Len()
 		t.Running += p.running
 		t.WaitingBytes += p.queue.Bytes()
-		p.mu.Unlock()
 	}
 	return t
 }
 
 // Load returns the work of one pool.
 func (d *Dispatcher) Load(name string) (waiting, running int) {
-	d.mu.RLock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	p := d.pools[name]
-	d.mu.RUnlock()
 	if p == nil {
 		return 0, 0
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	return p.queue.Len(), p.running
 }
--- /dev/null
+++ b/internal/traffic/gate.go
@@ -0,0 +1,59 @@
+package traffic
+
+import (
+	"time"
+
+	"olivetiller/core/choose"
+	"olivetiller/core/view"
+)
+
+// gate is what this node knows of one endpoint. An engine that holds several
+// units has one gate: its room is one.
+type gate struct {
+	name        string
+	incarnation uint64
+	hall        string
+	// running counts this node's requests there.
+	running    int
+	window     *choose.Window
+	health     choose.Health
+	reported   int
+	reportedAt time.Time
+	// pools are those that may use the endpoint.
+	pools map[*pool]bool
+	// timer is set while a pump is due when the gate opens again.
+	timer bool
+}
+
+func newGate(e view.Endpoint, share int) *gate {
+	return &gate{
+		name: e.Name, incarnation: e.Incarnation, hall: e.Hall,
+		window: choose.NewWindow(share, e.Concurrency), pools: make(map[*pool]bool),
+	}
+}
+
+// replica describes the gate to the chooser.
+func (g *gate) replica(hall string) choose.Replica {
+	return choose.Replica{
+		Engine: g.name, SameHall: g.hall == hall, Running: g.running,
+		Reported: g.reported, ReportedAt: g.reportedAt, Window: g.window, Health: &g.health,
+	}
+}
+
+// settle takes in what became of a request.
+func (g *gate) settle(r Result, now time.Time) {
+	if r.Running >= 0 {
+		g.reported, g.reportedAt = r.Running, now
+	}
+	switch {
+	case r.Full:
+		g.window.Full(now)
+	case r.NotBegun:
+	case r.Err != nil:
+		g.health.Failed(now)
+	default:
+		g.window.Succeeded(g.running)
+		g.health.Succeeded()
+	}
+	g.running--
+}
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -20,9 +20,8 @@
 const (
 	// maxAttempts bounds the attempts that may have run.
 	maxAttempts = 3
-	// maxUnsent bounds the attempts that certainly did not run.
-	maxUnsent = 20
-	// unsentPause is the pause after an endpoint said that it did not begin.
+	// unsentPause is the pause after an endpoint did not begin for another
+	// reason than want of room, for which its gate closes.
 	unsentPause = 5 * time.Millisecond
 )
 
@@ -108,7 +107,7 @@
 // retry budget or the deadline forbid another attempt.
 func (s *Server) attempts(ctx context.Context, x *Exchange, do try) error {
 	ask := traffic.Ask{Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost}
-	tried, unsent := 0, 0
+	tried := 0
 	for {
 		slot, err := s.Dispatcher.Acquire(ctx, x.Target.Pool, ask)
 		if err != nil {
@@ -121,18 +120,16 @@
 			return nil
 		}
 		outcome := outcomeOf(err)
-		if outcome == retry.NotSent {
-			unsent++
-		} else {
+		if outcome != retry.NotSent {
 			tried++
 		}
-		if ctx.Err() != nil || !retry.MayRepeat(outcome, x.Target.OnceOnly) || tried >= maxAttempts || unsent >= maxUnsent {
+		if ctx.Err() != nil || !retry.MayRepeat(outcome, x.Target.OnceOnly) || tried >= maxAttempts || s.Clock.Now().After(x.Deadline) {
 			return endOf(outcome, x, err)
 		}
 		s.Metrics.Retries.Add(outcome.String(), 1)
 		ask.Avoid = slot.Endpoint.Name
 		ask.Retry = outcome != retry.NotSent
-		if outcome == retry.NotSent {
+		if outcome == retry.NotSent && !result.Full {
 			s.Clock.Sleep(unsentPause)
 		}
 	}
