ledger: queue decided loads for the weight store's slots

Cause: homes competed for free load slots: 125 load proposals and 121 appends for 24 loads of 20 models, most rejected with noLoadSlot; four second replicas were decided because the wait for the cold start counted as strain. Ruled out: a lower retry rate (it only delays the winner). Change: an accepted load waits in the ledger as queued; the record that frees a slot grants it to the most urgent; one load proposal a unit under way; strain counts from when the replica was ready. Conclusion: the fold is the place to arbitrate; homes only save work.

--- /dev/null
+++ b/cmd/olivebench/main.go
@@ -0,0 +1,85 @@
+// Command olivebench is the load and experiment tool of olivetiller, and runs the
+// stand-ins of the platform and endpoints as one plain process.
+//
+// Every experiment is seeded, bounded in count and time, and sends to loopback
+// only. Exit codes: 0 no violation; 1 a promise was broken; 2 wrong arguments or
+// settings.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes.
+const (
+	exitViolation = 1
+	exitUsage     = 2
+)
+
+// errViolations ends an experiment that found a broken promise.
+var errViolations = errors.New("promises were broken")
+
+// commands is the command line.
+type commands struct {
+	Standin standinCmd `cmd:"" help:"Run the stand-ins of a deployment until told to stop."`
+	Burst   burstCmd   `cmd:"" help:"Ask every node for the same cold models at once, under faults."`
+	Once    onceCmd    `cmd:"" help:"Send requests that may not be repeated, each through two nodes, under faults."`
+}
+
+// common are the flags of every experiment.
+type common struct {
+	Deployment string        `default:"krautwerk" enum:"krautwerk,suva" help:"The deployment's shape."`
+	Nodes      int           `default:"7" help:"How many nodes run."`
+	Seed       uint64        `default:"1" help:"Seeds the load and the faults."`
+	Faults     string        `default:"none" help:"Faults: none, all, or a list of lostAnswers, logOutage, slowLog, slowStore, nodeKill, pause, engineRestart."`
+	JSON       bool          `name:"json" help:"Print the result as JSON."`
+	Limit      time.Duration `default:"120s" help:"Gives up after this long."`
+	Verbose    bool          `help:"Log what the nodes do."`
+}
+
+func (c *common) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), c.Limit)
+}
+
+// show prints a result and fails if it holds violations.
+func show(result any, violations []string) error {
+	text, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(text))
+	if len(violations) > 0 {
+		return errViolations
+	}
+	return nil
+}
+
+func main() {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("olivebench"),
+		kong.Description("Load and experiments for olivetiller.\n\nExit codes: 0 no violation, 1 a promise was broken, 2 wrong arguments or settings."),
+		kong.UsageOnError(), kong.Exit(os.Exit))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "olivebench:", err)
+		os.Exit(exitUsage)
+	}
+	ctx, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "olivebench:", err)
+		os.Exit(exitUsage)
+	}
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "olivebench:", err)
+		if errors.Is(err, errViolations) {
+			os.Exit(exitViolation)
+		}
+		os.Exit(exitUsage)
+	}
+}
--- /dev/null
+++ b/cmd/olivebench/once.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"time"
+
+	"olivetiller/internal/bench"
+)
+
+// onceCmd sends requests that may not be repeated.
+type onceCmd struct {
+	common
+	Requests  int           `default:"1000" help:"How many different requests."`
+	PerSecond float64       `default:"200" help:"How many arrive a second."`
+	Timeout   time.Duration `default:"10s" help:"The time each caller allows."`
+}
+
+// Run implements the command.
+func (c *onceCmd) Run() error {
+	faults, err := bench.ParseFaults(c.Faults)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	r, err := bench.Once{Setup: c.setup(faults), Requests: c.Requests, PerSecond: c.PerSecond, Timeout: c.Timeout}.Run(ctx)
+	if err != nil {
+		return err
+	}
+	return show(r, r.Violations)
+}
--- a/core/ledger/apply.go
+++ b/core/ledger/apply.go
@@ -32,6 +32,7 @@
 		return o
 	}
 	s.dispatch(r, &o)
+	s.grant(offset + 1)
 	return o
 }
 
--- a/core/ledger/doc.go
+++ b/core/ledger/doc.go
@@ -17,9 +17,9 @@
 //
 //   - a record is folded once, however often it was appended (GuardRepeat);
 //   - a load is accepted while fewer replicas exist than it wants and the
-//     configuration allows (GuardReplicas), while the engine's accounted
-//     memory stays within its capacity (GuardMemory) and while the weight
-//     store has a free load slot (GuardSlots);
+//     configuration allows (GuardReplicas) and while the engine's accounted
+//     memory stays within its capacity (GuardMemory); it waits in the ledger
+//     until the weight store has a free load slot (GuardSlots);
 //   - the outcome of an order counts only under the fence it was ordered with
 //     (GuardFence), so the word of an executor that lost its order is void;
 //   - a replica whose engine may still receive a late order stays accounted
--- a/core/ledger/placement.go
+++ b/core/ledger/placement.go
@@ -18,20 +18,60 @@
 	if e.Used+bytes > e.MemoryBytes && s.guards(GuardMemory) {
 		return NoMemory
 	}
-	if s.loading[u.Store] >= s.Catalog.StoreSlots[u.Store] && s.guards(GuardSlots) {
+	if s.Queued(u.Store) >= MaxQueued {
 		return NoLoadSlot
 	}
+	// grant moves it on at once when a slot is free and nothing more urgent waits.
 	s.add(&Placement{
 		Key:      Key{l.GetUnit(), l.GetVersion(), l.GetEngine()},
-		Phase:    Loading,
+		Phase:    Queued,
 		Fence:    fence,
 		Executor: from,
 		Bytes:    bytes,
 		Store:    u.Store,
+		Urgent:   l.GetUrgentUnixMs(),
 	})
 	return Accepted
 }
 
+// grant gives the free load slots of each weight store to the most urgent loads
+// that wait. The record that freed a slot is the grant: the fold alone decides
+// who is next, so a burst of loads costs the log one proposal each, however
+// many homes compete.
+func (s *State) grant(fence uint64) {
+	for store := range s.queued {
+		for s.Queued(store) > 0 && (s.loading[store] < s.Catalog.StoreSlots[store] || !s.guards(GuardSlots)) {
+			p := s.mostUrgent(store)
+			s.setPhase(p, Loading)
+			p.Fence = fence
+		}
+	}
+}
+
+func (s *State) mostUrgent(store string) *Placement {
+	var best *Placement
+	for _, p := range s.queued[store] {
+		if best == nil || p.before(best) {
+			best = p
+		}
+	}
+	return best
+}
+
+// before orders queued placements alike on every node.
+func (p *Placement) before(o *Placement) bool {
+	if p.Urgent != o.Urgent {
+		return p.Urgent < o.Urgent
+	}
+	if p.Fence != o.Fence {
+		return p.Fence < o.Fence
+	}
+	if p.Engine != o.Engine {
+		return p.Engine < o.Engine
+	}
+	return p.Unit+"@"+p.Version < o.Unit+"@"+o.Version
+}
+
 // mayPlace checks everything about a load but the room for it.
 func (s *State) mayPlace(u *catalog.Unit, e *Engine, l *pb.Load) Reason {
 	switch {
@@ -131,6 +171,11 @@
 	if r != Accepted {
 		return r
 	}
+	if p.Phase == Queued {
+		// No order has gone out yet.
+		s.drop(p)
+		return Accepted
+	}
 	if p.Phase != Ready {
 		return WrongPhase
 	}
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -113,7 +113,7 @@
 				Phase: uint32(p.Phase), Fence: p.Fence,
 				Executor:   p.Executor.Node,
 				LateOrders: p.LateOrders, Bytes: p.Bytes, Store: p.Store,
-				ExecutorIncarnation: p.Executor.Incarnation,
+				ExecutorIncarnation: p.Executor.Incarnation, UrgentUnixMs: p.Urgent,
 			})
 		}
 	}
@@ -139,6 +139,7 @@
 		LateOrders: ps.GetLateOrders(),
 		Bytes:      ps.GetBytes(),
 		Store:      ps.GetStore(),
+		Urgent:     ps.GetUrgentUnixMs(),
 	}
 }
 
--- a/core/ledger/state.go
+++ b/core/ledger/state.go
@@ -21,6 +21,8 @@
 	MaxTimeStep = time.Minute
 	// sweepEvery is the fold time between two sweeps of what has expired.
 	sweepEvery = 10 * time.Second
+	// MaxQueued bounds the loads that wait for a slot of one weight store.
+	MaxQueued = 64
 )
 
 // Phase is the phase of a placement.
@@ -36,10 +38,12 @@
 	Unloading
 	// Quarantined: the replica is gone, but a late order could bring it back.
 	Quarantined
+	// Queued: decided, and waiting for a load slot of the weight store.
+	Queued
 )
 
 var phaseNames = map[Phase]string{
-	Loading: "loading", Ready: "ready", Unloading: "unloading", Quarantined: "quarantined",
+	Loading: "loading", Ready: "ready", Unloading: "unloading", Quarantined: "quarantined", Queued: "queued",
 }
 
 // String implements fmt.Stringer.
@@ -72,6 +76,8 @@
 	Bytes uint64
 	// Store is the weight store whose slot the load holds.
 	Store string
+	// Urgent orders Queued placements, in Unix milliseconds.
+	Urgent int64
 }
 
 // NodeRef is one incarnation of a node.
@@ -173,6 +179,7 @@
 	senders   map[NodeRef]sender
 	changes   map[string]change
 	loading   map[string]int
+	queued    map[string]map[Key]*Placement
 	lastSweep int64
 }
 
@@ -187,12 +194,16 @@
 		senders:  make(map[NodeRef]sender),
 		changes:  make(map[string]change),
 		loading:  make(map[string]int),
+		queued:   make(map[string]map[Key]*Placement),
 	}
 }
 
 // Loading returns the load slots of a weight store that are taken.
 func (s *State) Loading(store string) int { return s.loading[store] }
 
+// Queued returns how many loads wait for a slot of a weight store.
+func (s *State) Queued(store string) int { return len(s.queued[store]) }
+
 // Find returns the placement of key, or nil.
 func (s *State) Find(k Key) *Placement {
 	return s.Replicas[UnitVersion{k.Unit, k.Version}][k.Engine]
@@ -210,40 +221,58 @@
 	e := s.Engines[p.Engine]
 	e.Placements[uv] = p
 	e.Used += p.Bytes
-	if p.Phase == Loading {
-		s.loading[p.Store]++
-	}
-	if p.Phase != Ready {
-		s.Open[p.Key] = p
-	}
+	s.enter(p)
 }
 
 // drop removes a placement from every index.
 func (s *State) drop(p *Placement) {
 	uv := UnitVersion{p.Unit, p.Version}
-	s.setPhase(p, Quarantined)
+	s.exit(p)
 	delete(s.Replicas[uv], p.Engine)
 	if len(s.Replicas[uv]) == 0 {
 		delete(s.Replicas, uv)
 	}
 	e := s.Engines[p.Engine]
 	delete(e.Placements, uv)
-	delete(s.Open, p.Key)
 	e.Used -= p.Bytes
 }
 
-// setPhase moves a placement and keeps the count of load slots.
+// setPhase moves a placement and keeps the indexes of its phase.
 func (s *State) setPhase(p *Placement, to Phase) {
-	if p.Phase == Loading && to != Loading {
+	s.exit(p)
+	p.Phase = to
+	s.enter(p)
+}
+
+// enter counts a placement into the indexes of its phase.
+func (s *State) enter(p *Placement) {
+	switch p.Phase {
+	case Loading:
+		s.loading[p.Store]++
+	case Queued:
+		if s.queued[p.Store] == nil {
+			s.queued[p.Store] = make(map[Key]*Placement)
+		}
+		s.queued[p.Store][p.Key] = p
+	}
+	if p.Phase != Ready {
+		s.Open[p.Key] = p
+	}
+}
+
+// exit counts a placement out of the indexes of its phase.
+func (s *State) exit(p *Placement) {
+	switch p.Phase {
+	case Loading:
 		s.loading[p.Store]--
 		if s.loading[p.Store] == 0 {
 			delete(s.loading, p.Store)
 		}
+	case Queued:
+		delete(s.queued[p.Store], p.Key)
+		if len(s.queued[p.Store]) == 0 {
+			delete(s.queued, p.Store)
+		}
 	}
-	p.Phase = to
-	if to == Ready {
-		delete(s.Open, p.Key)
-	} else {
-		s.Open[p.Key] = p
-	}
+	delete(s.Open, p.Key)
 }
--- a/core/plan/loads.go
+++ b/core/plan/loads.go
@@ -24,23 +24,13 @@
 // loads proposes replicas for units that wait, are pinned or are due, the most
 // urgent first, so that they get the weight store's free slots first.
 func (p *Planner) loads(in *Input) []Action {
-	wishes := p.wishes(in)
-	free := make(map[string]int)
 	var acts []Action
-	for _, w := range wishes {
-		store := w.unit.Store
-		if _, ok := free[store]; !ok {
-			free[store] = in.Ledger.Catalog.StoreSlots[store] - in.Ledger.Loading(store)
-		}
-		if free[store] <= 0 {
-			p.reasons[w.unit.Name] = "waits for a load slot of weight store " + store
+	for _, w := range p.wishes(in) {
+		if in.Ledger.Queued(w.unit.Store) >= ledger.MaxQueued {
+			p.reasons[w.unit.Name] = "waits: the queue for weight store " + w.unit.Store + " is full"
 			continue
 		}
-		a := p.loadOne(in, w)
-		if len(a) > 0 && a[0].Propose.GetLoad() != nil {
-			free[store]--
-		}
-		acts = append(acts, a...)
+		acts = append(acts, p.loadOne(in, w)...)
 	}
 	return acts
 }
@@ -139,13 +129,29 @@
 		return w, true
 	case usable == 0:
 		return p.prewarm(in, u, d, w)
-	case d.Waiting > u.Concurrency*usable/2 && in.Now.Sub(d.Since) > secondReplicaAfter:
+	case d.Waiting > u.Concurrency*usable/2 && p.strained(in, u, d):
 		w.why = fmt.Sprintf("%d requests wait for %d replicas", d.Waiting, usable)
 		return w, true
 	}
 	return wish{}, false
 }
 
+// strained reports whether requests have waited long beside a ready replica; the
+// wait for a cold start does not count.
+func (p *Planner) strained(in *Input, u *catalog.Unit, d demand.Demand) bool {
+	since := d.Since
+	for _, pl := range in.Ledger.Replicas[ledger.UnitVersion{Unit: u.Name, Version: u.Serving}] {
+		ready, ok := p.readySince[pl.Key]
+		if !ok {
+			return false
+		}
+		if ready.After(since) {
+			since = ready
+		}
+	}
+	return in.Now.Sub(since) > secondReplicaAfter
+}
+
 // prewarm wants a replica back when the policy expects the next use.
 func (p *Planner) prewarm(in *Input, u *catalog.Unit, d demand.Demand, w wish) (wish, bool) {
 	if d.LastUse.IsZero() {
@@ -168,7 +174,7 @@
 	for _, pl := range in.Ledger.Replicas[ledger.UnitVersion{Unit: u.Name, Version: u.Serving}] {
 		total++
 		switch {
-		case pl.Phase == ledger.Loading:
+		case pl.Phase == ledger.Loading || pl.Phase == ledger.Queued:
 			coming++
 		case pl.Phase == ledger.Ready && p.usable(in, pl.Engine):
 			usable++
@@ -216,6 +222,7 @@
 		Unit: u.Name, Version: u.Serving, Engine: choice.Engine,
 		EngineIncarnation: in.Ledger.Engines[choice.Engine].Incarnation,
 		Want:              uint32(total + 1),
+		UrgentUnixMs:      w.urgent.UnixMilli(),
 	}}})
 }
 
--- a/core/plan/orders.go
+++ b/core/plan/orders.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"time"
+
 	"olivetiller/core/ledger"
 	pb "olivetiller/proto/olivetiller/v1"
 )
@@ -13,6 +15,7 @@
 		pl := in.Ledger.Open[k]
 		w := p.watch(in, pl)
 		switch {
+		case pl.Phase == ledger.Queued:
 		case pl.Phase == ledger.Quarantined:
 			acts = append(acts, p.quarantineEnd(in, pl, w)...)
 		case pl.Executor == p.Self:
@@ -42,7 +45,13 @@
 // its own order over, which gives it a new fence and a new lease.
 func (p *Planner) ownOrder(in *Input, pl *ledger.Placement) []Action {
 	l, ok := p.leases[pl.Key]
-	if !ok || l.fence != pl.Fence || in.Now.Sub(p.watched[pl.Key].since) > OrderLimit {
+	if e := in.Ledger.Engines[pl.Engine]; pl.Phase == ledger.Loading && e.ChecksFences && l.fence != pl.Fence {
+		// A slot came free for a load that was queued. Where the engine itself
+		// refuses old fences, the lease may run from when this node saw that.
+		l, ok = lease{fence: pl.Fence, end: in.Now.Add(Lease)}, true
+		p.leases[pl.Key] = l
+	}
+	if !ok || l.fence != pl.Fence || l.end.IsZero() || in.Now.Sub(p.watched[pl.Key].since) > OrderLimit {
 		return p.takeover(in, pl)
 	}
 	e := in.Ledger.Engines[pl.Engine]
@@ -66,7 +75,11 @@
 
 // Lapse makes the next plan renew the lease of an own order, because it ended,
 // or the engine holds a higher fence, before the order took effect.
-func (p *Planner) Lapse(k ledger.Key) { delete(p.leases, k) }
+func (p *Planner) Lapse(k ledger.Key) {
+	l := p.leases[k]
+	l.end = time.Time{}
+	p.leases[k] = l
+}
 
 // mayTakeOver reports whether this node should become the executor.
 func (p *Planner) mayTakeOver(in *Input, pl *ledger.Placement, w watch) bool {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -198,7 +198,9 @@
 	}
 	if k, ok := placementKey(o.Record); ok {
 		// The lease runs from the proposal, not from its acceptance.
-		p.leases[k] = lease{fence: o.Fence, end: p.pending[s].at.Add(Lease)}
+		if at := p.pending[s].at; !at.IsZero() {
+			p.leases[k] = lease{fence: o.Fence, end: at.Add(Lease)}
+		}
 	}
 	delete(p.pending, s)
 }
--- a/core/plan/subject.go
+++ b/core/plan/subject.go
@@ -8,6 +8,10 @@
 // subject names what a proposal is about: a node has at most one proposal on a
 // subject under way.
 func subject(r *pb.Record) string {
+	if l := r.GetLoad(); l != nil {
+		// Whatever engine it names, one load of a unit is proposed at a time.
+		return "load " + l.GetUnit() + "@" + l.GetVersion()
+	}
 	if k, ok := placementKey(r); ok {
 		return k.Unit + "@" + k.Version + " on " + k.Engine
 	}
--- a/core/plan/unloads.go
+++ b/core/plan/unloads.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"olivetiller/core/demand"
 	"olivetiller/core/ledger"
 	pb "olivetiller/proto/olivetiller/v1"
 )
@@ -15,7 +16,13 @@
 	for _, uv := range p.loadedUnits(in) {
 		for _, engine := range sortedNames(in.Ledger.Replicas[uv]) {
 			pl := in.Ledger.Replicas[uv][engine]
-			if pl.Phase != ledger.Ready || !p.isHome(in, uv.Unit) {
+			if !p.isHome(in, uv.Unit) {
+				continue
+			}
+			if pl.Phase == ledger.Queued && p.unwanted(in, uv.Unit) {
+				acts = append(acts, p.unload(in, pl.Key, pl.Fence)...)
+			}
+			if pl.Phase != ledger.Ready {
 				continue
 			}
 			held, why := p.held(in, pl)
@@ -28,6 +35,16 @@
 	return acts
 }
 
+// unwanted reports whether a load that still waits for a slot has lost its cause.
+func (p *Planner) unwanted(in *Input, unit string) bool {
+	u := in.Ledger.Catalog.Units[unit]
+	if u == nil || u.Banned {
+		return true
+	}
+	d := in.Demand.Get(unit, in.Now)
+	return !u.Pinned && d.Waiting == 0 && in.Now.Sub(d.LastUse) > demand.Life
+}
+
 func (p *Planner) loadedUnits(in *Input) []ledger.UnitVersion {
 	out := make([]ledger.UnitVersion, 0, len(in.Ledger.Replicas))
 	for uv := range in.Ledger.Replicas {
--- /dev/null
+++ b/internal/bench/setup.go
@@ -0,0 +1,144 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"olivetiller/core/ledger"
+	"olivetiller/internal/control"
+	"olivetiller/internal/fleet"
+	"olivetiller/standin/site"
+)
+
+// Setup is what every experiment starts from.
+type Setup struct {
+	Deployment string
+	Nodes      int
+	Seed       uint64
+	Faults     []string
+	Verbose    bool
+	// Shape changes the deployment's shape; nil leaves it.
+	Shape func(*site.Shape)
+}
+
+// shape returns the deployment's shape.
+func (s Setup) shape() (site.Shape, error) {
+	var shape site.Shape
+	switch s.Deployment {
+	case "krautwerk":
+		shape = site.Krautwerk()
+	case "suva":
+		shape = site.Suva()
+	default:
+		return shape, fmt.Errorf("there is no deployment %q; use krautwerk or suva", s.Deployment)
+	}
+	shape.Seed = s.Seed
+	if s.Shape != nil {
+		s.Shape(&shape)
+	}
+	return shape, nil
+}
+
+// start runs the deployment with its configuration in force.
+func (s Setup) start(ctx context.Context) (*fleet.Fleet, error) {
+	shape, err := s.shape()
+	if err != nil {
+		return nil, err
+	}
+	st, err := site.Start(shape, site.Addresses{})
+	if err != nil {
+		return nil, err
+	}
+	level := hclog.Off
+	if s.Verbose {
+		level = hclog.Info
+	}
+	f, err := fleet.New(st, hclog.New(&hclog.LoggerOptions{Level: level, JSONFormat: true, Output: os.Stderr}))
+	if err != nil {
+		st.Close()
+		return nil, err
+	}
+	if err := s.ready(ctx, f); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (s Setup) ready(ctx context.Context, f *fleet.Fleet) error {
+	for i := range s.Nodes {
+		if _, err := f.StartNode(fmt.Sprintf("node-%03d", i+1)); err != nil {
+			return err
+		}
+	}
+	if err := f.AwaitReady(ctx); err != nil {
+		return err
+	}
+	revision, err := fleet.Publish(ctx, f.Node("node-001"), f.Site.Shape.Config())
+	if err != nil {
+		return err
+	}
+	if err := f.AwaitRevision(ctx, revision); err != nil {
+		return err
+	}
+	return f.AwaitEngines(ctx)
+}
+
+// Latency is a distribution in milliseconds.
+type Latency struct {
+	Count int     `json:"count"`
+	P50   float64 `json:"p50Ms"`
+	P95   float64 `json:"p95Ms"`
+	P99   float64 `json:"p99Ms"`
+	Max   float64 `json:"maxMs"`
+}
+
+// latencyOf sorts the samples and returns their distribution.
+func latencyOf(samples []time.Duration) Latency {
+	sort.Slice(samples, func(i, j int) bool { return samples[i] < samples[j] })
+	at := func(q float64) float64 {
+		if len(samples) == 0 {
+			return 0
+		}
+		return millis(samples[min(len(samples)-1, int(q*float64(len(samples))))])
+	}
+	return Latency{Count: len(samples), P50: at(0.5), P95: at(0.95), P99: at(0.99), Max: at(1)}
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// verdict folds the whole log anew, apart from any node, and returns what it
+// decided: the loads accepted and the state at the end.
+func verdict(f *fleet.Fleet) (decided int, s *ledger.State, violations []string) {
+	s = ledger.NewState()
+	for _, r := range f.Site.Log.Records(control.ControlStream) {
+		for _, o := range s.ApplyEntry(r.Offset, r.Data) {
+			if o.OK() && o.Record.GetLoad() != nil {
+				decided++
+			}
+		}
+		violations = append(violations, overcommitted(s)...)
+	}
+	return decided, s, violations
+}
+
+// overcommitted checks the ledger's own accounts.
+func overcommitted(s *ledger.State) []string {
+	var out []string
+	for _, e := range s.Engines {
+		if e.Used > e.MemoryBytes {
+			out = append(out, fmt.Sprintf("ledger: engine %s holds %d of %d bytes", e.Name, e.Used, e.MemoryBytes))
+		}
+	}
+	for uv, replicas := range s.Replicas {
+		if u := s.Catalog.Units[uv.Unit]; u != nil && len(replicas) > u.MaxReplicas {
+			out = append(out, fmt.Sprintf("ledger: %s has %d replicas of %d", uv.Unit, len(replicas), u.MaxReplicas))
+		}
+	}
+	return out
+}
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -164,6 +164,7 @@
 			c.drain()
 		case <-ticker.Chan():
 			c.dirty = true
+			c.forgetOrders()
 		}
 		c.step(ctx)
 	}
@@ -364,3 +365,13 @@
 	}
 	m.reply <- c.appender.Quiet()
 }
+
+// freeze stops the control goroutine, as a paused process would.
+type freeze struct{ until <-chan time.Time }
+
+func (m freeze) handle(*Controller) { <-m.until }
+
+// Freeze holds the control goroutine for a time. Only experiments call it.
+func (c *Controller) Freeze(ctx context.Context, d time.Duration) {
+	c.send(ctx, freeze{until: c.Clock.After(d)})
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -52,7 +52,6 @@
 	spread           time.Duration
 	onceAsked        int
 	broken           []string
-	overcommittedBy  []string
 	samplesColdStart []time.Duration
 }
 
