membership: news instead of heartbeats, and a feed tree in each data hall

Cause: 30 nodes never saw each other live: probes go to log2(n) neighbours, and evidence was told one step only. Telling all of it to all costs 25 bytes x 420 an answer, over 3 KB/s. Change: the list is believed until a neighbour reports silence; only news rides on probes; evidence of life outweighs reports of silence. In a large fleet two nodes a hall read the log and feed the others.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -1,11 +1,15 @@
 // Package membership judges which nodes are alive.
 //
 // The problem: the platform's list lags, a paused node looks dead and then is
-// not, and a node cut off from one peer may be well connected to the others.
-// The model: evidence with a time. A node is alive while this node, or a peer
-// that this node hears from, has heard from it within [Silence]. One lost probe
-// proves nothing; silence toward everybody does. The list adds nodes to probe
-// and removes those it no longer shows once they are silent too.
+// not, a node cut off from one peer may be well connected to the others, and
+// what a node spends on all this must not grow with the fleet. The model: every
+// node probes a few others, its neighbours ([Neighbours]), directly. Of all
+// others it believes the list, until a neighbour of theirs reports silence.
+// Only news travels, riding on the answers to probes: that a node is silent,
+// that it was heard from though somebody reported silence, and that it is a new
+// incarnation. Evidence of life always outweighs a report of silence that is
+// not younger by [Silence], so one bad link or one lost probe kills nobody, and
+// a node is held for dead when nobody hears from it.
 //
 // No promise rests on this judgement: homes only save work, and an executor
 // that was held for dead by mistake is fenced off.
@@ -18,9 +22,16 @@
 	"olivetiller/core/ledger"
 )
 
-// Silence is how long a node is held for alive without a sign of life. With
-// probes every half second, six in a row must fail from every side.
-const Silence = 3 * time.Second
+// Times of the judgement.
+const (
+	// Silence is how long a node may give no sign of life. With a probe every
+	// half second, six in a row must fail.
+	Silence = 3 * time.Second
+	// newsLife is how long a report of silence holds unless renewed.
+	newsLife = 5 * time.Second
+	// freshLife is how long a new incarnation is news.
+	freshLife = 10 * time.Second
+)
 
 // Member is one node.
 type Member struct {
@@ -34,8 +45,23 @@
 	Leaving bool
 	// Direct is when this node last heard from it itself.
 	Direct time.Time
-	// Heard is the latest evidence, direct or not.
+	// Heard is the latest evidence of life, direct or not.
 	Heard time.Time
+	// Silent is when somebody, perhaps this node, last reported its silence.
+	Silent time.Time
+	// Probed is since when this node probes it; zero if it does not.
+	Probed time.Time
+	// since is when the incarnation was first heard of.
+	since time.Time
+}
+
+// News is one item that travels between nodes.
+type News struct {
+	ledger.NodeRef
+	// Age is how old the evidence is.
+	Age time.Duration
+	// Silent is true of a report of silence, false of a sign of life.
+	Silent bool
 }
 
 // Table holds the members. It is owned by one goroutine.
@@ -68,30 +94,94 @@
 	}
 }
 
+// Probing notes which members this node probes from now on.
+func (t *Table) Probing(names []string, now time.Time) {
+	probed := make(map[string]bool, len(names))
+	for _, name := range names {
+		probed[name] = true
+		if m := t.members[name]; m != nil && m.Probed.IsZero() {
+			m.Probed = now
+		}
+	}
+	for name, m := range t.members {
+		if !probed[name] {
+			m.Probed = time.Time{}
+		}
+	}
+}
+
 // Heard notes direct evidence of an incarnation.
 func (t *Table) Heard(ref ledger.NodeRef, now time.Time) {
 	if ref.Node == t.Self.Node {
 		return
 	}
 	m := t.member(ref.Node)
-	if !m.adopt(ref.Incarnation) {
-		return
+	if m.adopt(ref.Incarnation, now) {
+		m.Direct = now
+		m.Heard = now
 	}
-	m.Direct = now
-	m.Heard = now
 }
 
-// HeardOf notes a peer's evidence: it heard from the incarnation at a time.
-func (t *Table) HeardOf(ref ledger.NodeRef, at time.Time) {
-	m := t.members[ref.Node]
-	if m == nil || !m.adopt(ref.Incarnation) {
+// Seen notes that an incarnation exists, without a sign that it still lives.
+func (t *Table) Seen(ref ledger.NodeRef, now time.Time) {
+	if m := t.members[ref.Node]; m != nil {
+		m.adopt(ref.Incarnation, now)
+	}
+}
+
+// Take takes a peer's news in.
+func (t *Table) Take(n News, now time.Time) {
+	m := t.members[n.Node]
+	if m == nil || !m.adopt(n.Incarnation, now) {
 		return
 	}
-	if at.After(m.Heard) {
+	at := now.Add(-n.Age)
+	if n.Silent && at.After(m.Silent) {
+		m.Silent = at
+	}
+	if !n.Silent && at.After(m.Heard) {
 		m.Heard = at
 	}
 }
 
+// News returns what this node has to tell: about members whose silence is
+// reported, and about new incarnations. In a quiet fleet it is empty.
+func (t *Table) News(now time.Time) []News {
+	var out []News
+	for _, m := range t.members {
+		if m.overdue(now) {
+			m.Silent = now
+		}
+		suspected := now.Sub(m.Silent) < newsLife
+		if suspected {
+			out = append(out, News{NodeRef: m.NodeRef, Age: now.Sub(m.Silent), Silent: true})
+		}
+		fresh := now.Sub(m.since) < freshLife
+		if (suspected || fresh) && now.Sub(m.Heard) < Silence {
+			out = append(out, News{NodeRef: m.NodeRef, Age: now.Sub(m.Heard)})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
+
+// overdue reports whether this node probes the member and hears nothing.
+func (m *Member) overdue(now time.Time) bool {
+	return !m.Probed.IsZero() && now.Sub(m.Probed) >= Silence && now.Sub(m.Direct) >= Silence
+}
+
+// alive judges one member.
+func (m *Member) alive(now time.Time) bool {
+	switch {
+	case now.Sub(m.Heard) < Silence:
+		return true
+	case !m.Probed.IsZero():
+		// A neighbour must have been heard.
+		return false
+	}
+	return m.Listed && now.Sub(m.Silent) >= newsLife
+}
+
 // SetLeaving notes that a node takes no new work.
 func (t *Table) SetLeaving(node string) {
 	if m := t.members[node]; m != nil {
@@ -100,14 +190,15 @@
 }
 
 // adopt moves to a newer incarnation; it reports false for an older one.
-func (m *Member) adopt(incarnation uint64) bool {
+func (m *Member) adopt(incarnation uint64, now time.Time) bool {
 	if incarnation < m.Incarnation {
 		return false
 	}
 	if incarnation > m.Incarnation {
 		m.Incarnation = incarnation
 		m.Leaving = false
-		m.Heard, m.Direct = time.Time{}, time.Time{}
+		m.Heard, m.Direct, m.Silent = time.Time{}, time.Time{}, time.Time{}
+		m.since = now
 	}
 	return true
 }
@@ -127,7 +218,7 @@
 		return true
 	}
 	m := t.members[ref.Node]
-	return m != nil && m.Incarnation == ref.Incarnation && now.Sub(m.Heard) < Silence
+	return m != nil && m.Incarnation <= ref.Incarnation && m.alive(now)
 }
 
 // Live returns the names of the nodes that share the work, this one included
@@ -138,7 +229,7 @@
 		out = append(out, t.Self.Node)
 	}
 	for name, m := range t.members {
-		if !m.Leaving && now.Sub(m.Heard) < Silence {
+		if !m.Leaving && m.alive(now) {
 			out = append(out, name)
 		}
 	}
@@ -146,8 +237,7 @@
 	return out
 }
 
-// Peers returns the members to probe, in order of name: those listed and those
-// heard of lately.
+// Peers returns the members that may be reached, in order of name.
 func (t *Table) Peers(now time.Time) []Member {
 	var out []Member
 	for _, m := range t.members {
--- a/internal/bench/burst.go
+++ b/internal/bench/burst.go
@@ -43,10 +43,12 @@
 	Appends       int `json:"appends"`
 	// AppendsPerColdStart is Appends over Decided, in the burst alone.
 	AppendsPerColdStart float64 `json:"appendsPerColdStart"`
-	// LoadAppends counts the appends that carried a proposal to load.
-	LoadRecords int      `json:"loadRecords"`
-	ColdStart   Latency  `json:"coldStart"`
-	Violations  []string `json:"violations"`
+	// LoadRecords counts the proposals to load, LoadsRejected those that were
+	// rejected, by reason.
+	LoadRecords   int            `json:"loadRecords"`
+	LoadsRejected map[string]int `json:"loadsRejected"`
+	ColdStart     Latency        `json:"coldStart"`
+	Violations    []string       `json:"violations"`
 }
 
 // Run runs the experiment.
@@ -135,7 +137,7 @@
 	r.Appends = f.Site.Log.Appends(control.ControlStream) - before
 	decided, _, bad := verdict(f)
 	r.Decided, r.Loaded = decided, f.Site.Loads()
-	r.LoadRecords = loadRecords(f)
+	r.LoadRecords, r.LoadsRejected = loadRecords(f)
 	if decided > 0 {
 		r.AppendsPerColdStart = float64(r.Appends) / float64(decided)
 	}
@@ -147,18 +149,22 @@
 	r.Violations = append(append(r.Violations, over...), bad...)
 }
 
-// loadRecords counts the proposals to load on the log, accepted or not.
-func loadRecords(f *fleet.Fleet) int {
-	n := 0
+// loadRecords counts the proposals to load on the log, and the rejected ones.
+func loadRecords(f *fleet.Fleet) (n int, rejected map[string]int) {
+	rejected = make(map[string]int)
 	s := ledger.NewState()
 	for _, rec := range f.Site.Log.Records(control.ControlStream) {
 		for _, o := range s.ApplyEntry(rec.Offset, rec.Data) {
-			if o.Record.GetLoad() != nil && o.Reason != ledger.Repeated {
-				n++
+			if o.Record.GetLoad() == nil || o.Reason == ledger.Repeated {
+				continue
+			}
+			n++
+			if !o.OK() {
+				rejected[o.Reason.Name()]++
 			}
 		}
 	}
-	return n
+	return n, rejected
 }
 
 // watchReplicas samples how many engines hold each unit, until the returned
--- a/internal/control/boot.go
+++ b/internal/control/boot.go
@@ -31,7 +31,7 @@
 		c.Logger.Warn("no state to start from; trying again", "remedy", "the log service or a peer must be reachable")
 		c.pause(ctx, bootRetry)
 	}
-	logservice.Tail(ctx, c.Log, c.Clock, c)
+	logservice.Tail(ctx, c.Log, c.Clock, c, c.tailsNow)
 }
 
 // awaitList waits a little for the first list, so that peers can be asked.
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -33,7 +33,9 @@
 
 // Options are what a controller is made of.
 type Options struct {
-	Self   ledger.NodeRef
+	Self ledger.NodeRef
+	// Hall is the node's data hall.
+	Hall   string
 	Clock  clockwork.Clock
 	Logger hclog.Logger
 	Log    *logservice.Client
@@ -60,6 +62,10 @@
 	// heard is when the log or a peer last said how far it is, in Unix nanoseconds.
 	heard atomic.Int64
 	next  atomic.Uint64
+	// tails is true while this node reads the log itself; fedAt is when its
+	// feeder last answered, in Unix nanoseconds.
+	tails atomic.Bool
+	fedAt atomic.Int64
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 	watchers watchers
@@ -85,6 +91,7 @@
 	homeAcked map[string]time.Time
 	leaving   map[string]time.Time
 	snap      snapshots
+	feed      membership.Feed
 	dirty     bool
 }
 
@@ -321,7 +328,7 @@
 type sayLeaving struct{}
 
 func (sayLeaving) handle(c *Controller) {
-	c.broadcast(&pb.PeerRequest{Body: &pb.PeerRequest_Leaving{Leaving: &pb.Leaving{Instances: []string{c.Self.Node}}}})
+	c.toNeighbours(&pb.PeerRequest{Body: &pb.PeerRequest_Leaving{Leaving: &pb.Leaving{Instances: []string{c.Self.Node}}}})
 }
 
 // quiesceTimeout bounds the wait for own orders and records at a planned stop.
--- a/internal/control/fold.go
+++ b/internal/control/fold.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"olivetiller/core/ledger"
+	"olivetiller/core/membership"
 	"olivetiller/io/logservice"
 	pb "olivetiller/proto/olivetiller/v1"
 )
@@ -20,7 +21,7 @@
 	c.heard.Store(c.Clock.Now().UnixNano())
 	e := []*pb.LogEntry{{Offset: offset, Data: data}}
 	c.send(context.Background(), entries{list: e})
-	c.push(e)
+	c.send(context.Background(), pushed{list: e})
 }
 
 // Next implements logservice.Reader.
@@ -42,6 +43,9 @@
 		c.next.Store(list[n-1].Offset + 1)
 	}
 	c.send(context.Background(), entries{list: list, target: p.Next})
+	if len(c.Members(context.Background())) > membership.SmallFleet {
+		c.send(context.Background(), pushed{list: list})
+	}
 	if p.Earliest > from && len(list) > 0 {
 		c.send(context.Background(), gap{earliest: p.Earliest})
 	}
@@ -107,6 +111,7 @@
 		c.Metrics.Rejected.Add(o.Reason.Name(), 1)
 	}
 	c.planner.Observe(o, now)
+	c.members.Seen(ledger.NodeRef{Node: o.Record.GetNode(), Incarnation: o.Record.GetIncarnation()}, now)
 	switch b := o.Record.GetBody().(type) {
 	case *pb.Record_Load:
 		if o.OK() {
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -70,7 +70,8 @@
 	}
 	c.members.Listed(nodes)
 	c.members.Forget(now)
-	c.markLeaving(leaving, now, true)
+	c.refeed(now)
+	c.markLeaving(leaving, now)
 	c.seeEngines(engines)
 	c.dirty = true
 }
@@ -87,7 +88,12 @@
 			c.engines[id] = &plan.Engine{}
 		}
 	}
+	many := len(listed) > askAllEngines
 	for id, e := range c.engines {
+		if known := c.state.Engines[id]; many && known != nil && c.planner.Home(id) != c.Self.Node {
+			e.Reachable = true
+			e.Up = &pb.EngineUp{Engine: id, Incarnation: known.Incarnation}
+		}
 		_, e.Listed = listed[id]
 		if !e.Listed && c.state.Engines[id] == nil {
 			delete(c.engines, id)
@@ -97,7 +103,7 @@
 
 // markLeaving notes leaving instances and tells the peers of those that are
 // news, so that a notice reaches every node whoever hears of it first.
-func (c *Controller) markLeaving(ids []string, now time.Time, spread bool) {
+func (c *Controller) markLeaving(ids []string, now time.Time) {
 	var news []string
 	for _, id := range ids {
 		if _, known := c.leaving[id]; !known {
@@ -119,23 +125,18 @@
 		return
 	}
 	c.dirty = true
-	if spread {
-		c.broadcast(&pb.PeerRequest{Body: &pb.PeerRequest_Leaving{Leaving: &pb.Leaving{Instances: news}}})
-	}
+	c.toNeighbours(&pb.PeerRequest{Body: &pb.PeerRequest_Leaving{Leaving: &pb.Leaving{Instances: news}}})
 }
 
-// leavingTold is a notice from a peer or an endpoint's own answer.
-type leavingTold struct {
-	ids []string
-	// direct is true when an endpoint told this node, so that peers must hear of it.
-	direct bool
-}
+// leavingTold is a notice from a peer or an endpoint's own answer. What is news
+// here is passed on, so that it reaches nodes that the teller does not talk to.
+type leavingTold struct{ ids []string }
 
-func (m leavingTold) handle(c *Controller) { c.markLeaving(m.ids, c.Clock.Now(), m.direct) }
+func (m leavingTold) handle(c *Controller) { c.markLeaving(m.ids, c.Clock.Now()) }
 
 // EndpointLeaving notes that an endpoint told this node that it is leaving.
 func (c *Controller) EndpointLeaving(id string) {
-	c.send(context.Background(), leavingTold{ids: []string{id}, direct: true})
+	c.send(context.Background(), leavingTold{ids: []string{id}})
 }
 
 // engineLoop asks the engines for their status.
@@ -170,15 +171,26 @@
 type askTargets struct{ reply chan []instancelist.Instance }
 
 func (m askTargets) handle(c *Controller) {
-	var out []instancelist.Instance
+	var all, own []instancelist.Instance
 	for _, in := range c.listed {
-		if in.Kind == instancelist.KindEngine {
-			out = append(out, in)
+		if in.Kind != instancelist.KindEngine {
+			continue
 		}
+		all = append(all, in)
+		if c.planner.Home(in.ID) == c.Self.Node {
+			own = append(own, in)
+		}
+	}
+	if len(all) <= askAllEngines {
+		own = all
 	}
-	m.reply <- out
+	m.reply <- own
 }
 
+// askAllEngines is the number of engines up to which every node asks each one;
+// of more, it asks those whose home it is, and believes the ledger of the rest.
+const askAllEngines = 64
+
 func (c *Controller) engineTargets(ctx context.Context) []instancelist.Instance {
 	reply := make(chan []instancelist.Instance, 1)
 	c.send(ctx, askTargets{reply: reply})
@@ -239,7 +251,7 @@
 		e.OnDisk[d] = true
 	}
 	if st.Leaving && !e.Leaving {
-		c.markLeaving([]string{m.id}, c.Clock.Now(), true)
+		c.markLeaving([]string{m.id}, c.Clock.Now())
 	}
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -53,18 +53,77 @@
 
 func (m peerHeard) handle(c *Controller) { c.members.Heard(m.ref, c.Clock.Now()) }
 
-// probeLoop asks the peers for a sign of life and for what they have folded.
+// probeLoop asks the neighbours for a sign of life and for what they have folded.
 func (c *Controller) probeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, m := range neighbours(c.Self.Node, c.Members(ctx)) {
-			go c.probe(ctx, m)
+		reply := make(chan probeRound, 1)
+		c.send(ctx, askProbes{reply: reply})
+		select {
+		case round := <-reply:
+			for _, m := range round.targets {
+				go c.probe(ctx, m, round.news)
+			}
+		case <-ctx.Done():
+			return
 		}
 		c.pause(ctx, probeEvery)
 	}
 }
 
-func (c *Controller) probe(ctx context.Context, m membership.Member) {
-	resp, err := c.call(ctx, m, probeTimeout, &pb.PeerRequest{Body: &pb.PeerRequest_Ping{Ping: &pb.Ping{NextOffset: c.next.Load()}}})
+// probeRound is whom to probe and what to tell them.
+type probeRound struct {
+	targets []membership.Member
+	news    []*pb.News
+}
+
+// askProbes asks for the next round of probes.
+type askProbes struct{ reply chan probeRound }
+
+func (m askProbes) handle(c *Controller) {
+	now := c.Clock.Now()
+	targets := membership.Neighbours(c.Self.Node, c.members.Peers(now))
+	names := make([]string, 0, len(targets)+1)
+	for _, t := range targets {
+		names = append(names, t.Node)
+	}
+	// The feeder is probed too: its answer says whether it is ahead.
+	if f, ok := c.members.Member(c.feed.Feeder); ok && !contains(names, f.Node) {
+		targets = append(targets, f)
+		names = append(names, f.Node)
+	}
+	c.members.Probing(names, now)
+	m.reply <- probeRound{targets: targets, news: c.newsOut(now)}
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) newsOut(now time.Time) []*pb.News {
+	var out []*pb.News
+	for _, n := range c.members.News(now) {
+		out = append(out, &pb.News{Node: n.Node, Incarnation: n.Incarnation, AgeMs: n.Age.Milliseconds(), Silent: n.Silent})
+	}
+	return out
+}
+
+func (c *Controller) takeNews(list []*pb.News, now time.Time) {
+	for _, n := range list {
+		c.members.Take(membership.News{
+			NodeRef: ledger.NodeRef{Node: n.GetNode(), Incarnation: n.GetIncarnation()},
+			Age:     time.Duration(n.GetAgeMs()) * time.Millisecond, Silent: n.GetSilent(),
+		}, now)
+	}
+}
+
+func (c *Controller) probe(ctx context.Context, m membership.Member, news []*pb.News) {
+	ping := &pb.Ping{NextOffset: c.next.Load(), News: news}
+	resp, err := c.call(ctx, m, probeTimeout, &pb.PeerRequest{Body: &pb.PeerRequest_Ping{Ping: ping}})
 	if err != nil || resp.GetAck() == nil {
 		return
 	}
@@ -83,9 +142,9 @@
 	if m.ack.GetStopping() {
 		c.members.SetLeaving(m.from.Node)
 	}
-	for _, h := range m.ack.GetHeard() {
-		ref := ledger.NodeRef{Node: h.GetNode(), Incarnation: h.GetIncarnation()}
-		c.members.HeardOf(ref, now.Add(-time.Duration(h.GetAgeMs())*time.Millisecond))
+	c.takeNews(m.ack.GetNews(), now)
+	if m.from.Node == c.feed.Feeder {
+		c.fedAt.Store(now.UnixNano())
 	}
 	if c.booted && m.ack.GetNextOffset() > c.state.NextOffset {
 		go c.fetchFrom(m.from, c.state.NextOffset)
@@ -108,45 +167,50 @@
 	c.send(ctx, entries{list: list, target: target})
 }
 
-// neighbours returns the peers that a node probes: all of a few, and of many
-// those at distances 1, 2, 4, ... on the ring of names, so that probes for each
-// node grow with the logarithm of the fleet and evidence reaches all in as many steps.
-func neighbours(self string, peers []membership.Member) []membership.Member {
-	if len(peers) <= probeAll {
-		return peers
-	}
-	start := 0
-	for start < len(peers) && peers[start].Node < self {
-		start++
-	}
-	var out []membership.Member
-	for d := 1; d <= len(peers); d *= 2 {
-		out = append(out, peers[(start+d-1)%len(peers)])
-	}
-	return out
-}
-
-// probeAll is the number of peers up to which a node probes every one.
-const probeAll = 8
-
-// broadcast sends a request to every live peer. The control goroutine calls it.
-func (c *Controller) broadcast(req *pb.PeerRequest) {
-	for _, m := range c.members.Peers(c.Clock.Now()) {
+// spread passes a request on to the peers it should reach next. The control
+// goroutine calls it.
+func (c *Controller) spread(to []membership.Member, req *pb.PeerRequest) {
+	for _, m := range to {
 		r := &pb.PeerRequest{Body: req.Body}
 		go func() { _, _ = c.call(context.Background(), m, tellTimeout, r) }()
 	}
 }
 
-// push gives confirmed entries to the peers.
-func (c *Controller) push(list []*pb.LogEntry) {
-	c.send(context.Background(), pushed{list: list})
+// toNeighbours passes a request on to the neighbours; what is news to them they
+// pass on in turn.
+func (c *Controller) toNeighbours(req *pb.PeerRequest) {
+	c.spread(membership.Neighbours(c.Self.Node, c.members.Peers(c.Clock.Now())), req)
 }
 
-// pushed makes the control goroutine pass entries on.
+// pushed makes the control goroutine pass entries of the log on.
 type pushed struct{ list []*pb.LogEntry }
 
 func (m pushed) handle(c *Controller) {
-	c.broadcast(&pb.PeerRequest{Body: &pb.PeerRequest_LogPush{LogPush: &pb.LogPush{Entries: m.list}}})
+	if len(m.list) > 0 && len(c.feed.Fed) > 0 {
+		c.spread(c.feed.Fed, &pb.PeerRequest{Body: &pb.PeerRequest_LogPush{LogPush: &pb.LogPush{Entries: m.list}}})
+	}
+}
+
+// refeed works out anew how records of the log reach this node and others.
+func (c *Controller) refeed(now time.Time) {
+	live := c.members.Peers(now)
+	kept := live[:0]
+	for _, m := range live {
+		if !m.Leaving && c.members.Alive(m.NodeRef, now) {
+			kept = append(kept, m)
+		}
+	}
+	c.feed = membership.FeedOf(c.Self.Node, c.Hall, kept)
+	c.tails.Store(c.feed.Tails)
+}
+
+// feedSilence is how long a node waits for its feeder before it reads the log
+// itself.
+const feedSilence = 2 * time.Second
+
+// tailsNow reports whether this node should read the log itself now.
+func (c *Controller) tailsNow() bool {
+	return c.tails.Load() || c.Clock.Now().Sub(time.Unix(0, c.fedAt.Load())) > feedSilence
 }
 
 // tellHome sends demand to a home. The control goroutine calls it.
@@ -175,6 +239,8 @@
 	return func(ctx context.Context, from ledger.NodeRef, req *pb.PeerRequest) *pb.PeerResponse {
 		c.send(ctx, peerHeard{ref: from})
 		switch b := req.GetBody().(type) {
+		case *pb.PeerRequest_Ping:
+			return c.answerPing(ctx, b.Ping)
 		case *pb.PeerRequest_Demand:
 			done := make(chan struct{})
 			c.send(ctx, peerDemand{node: from.Node, units: b.Demand.GetUnits(), done: done})
@@ -193,18 +259,31 @@
 		case *pb.PeerRequest_AnswerFetch:
 			return &pb.PeerResponse{Body: &pb.PeerResponse_Answer{Answer: answers.Fetch(ctx, b.AnswerFetch)}}
 		}
-		return c.ack(ctx)
+		return &pb.PeerResponse{Body: &pb.PeerResponse_Ack{Ack: &pb.Ack{}}}
 	}
 }
 
-// ack returns how far this node is and whom it heard.
-func (c *Controller) ack(ctx context.Context) *pb.PeerResponse {
+// pinged is a peer's probe.
+type pinged struct {
+	ping  *pb.Ping
+	reply chan *pb.Ack
+}
+
+func (m pinged) handle(c *Controller) {
 	now := c.Clock.Now()
-	a := &pb.Ack{NextOffset: c.next.Load(), Stopping: c.stopping.Load()}
-	for _, m := range c.Members(ctx) {
-		if age := now.Sub(m.Direct); age < membership.Silence {
-			a.Heard = append(a.Heard, &pb.HeardOf{Node: m.Node, Incarnation: m.Incarnation, AgeMs: age.Milliseconds()})
-		}
+	c.takeNews(m.ping.GetNews(), now)
+	m.reply <- &pb.Ack{NextOffset: c.state.NextOffset, Stopping: c.stopping.Load(), News: c.newsOut(now)}
+}
+
+// answerPing answers a probe from the control goroutine, so that the answer
+// proves that it lives.
+func (c *Controller) answerPing(ctx context.Context, ping *pb.Ping) *pb.PeerResponse {
+	reply := make(chan *pb.Ack, 1)
+	c.send(ctx, pinged{ping: ping, reply: reply})
+	ack := &pb.Ack{}
+	select {
+	case ack = <-reply:
+	case <-ctx.Done():
 	}
-	return &pb.PeerResponse{Body: &pb.PeerResponse_Ack{Ack: a}}
+	return &pb.PeerResponse{Body: &pb.PeerResponse_Ack{Ack: ack}}
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -123,7 +123,7 @@
 	}
 	n.Traffic = traffic.New(o.Clock, s.Hall, queue.Limits{Items: s.QueueItems, Bytes: s.QueueBytes}, hooks)
 	n.Control = control.New(control.Options{
-		Self: self, Clock: o.Clock, Logger: n.logger.Named("control"),
+		Self: self, Hall: s.Hall, Clock: o.Clock, Logger: n.logger.Named("control"),
 		Log:       logservice.NewClient(s.LogAddress, control.ControlStream),
 		Snapshots: logservice.NewClient(s.LogAddress, control.SnapshotStream),
 		List:      instancelist.NewClient(s.InstanceListAddress),
--- a/io/logservice/tail.go
+++ b/io/logservice/tail.go
@@ -23,9 +23,13 @@
 	Page(p Page, err error)
 }
 
-// Tail reads a stream on and on until the context ends.
-func Tail(ctx context.Context, c *Client, clock clockwork.Clock, r Reader) {
+// Tail reads a stream on and on until the context ends, while wanted says so.
+func Tail(ctx context.Context, c *Client, clock clockwork.Clock, r Reader, wanted func() bool) {
 	for ctx.Err() == nil {
+		if !wanted() {
+			pause(ctx, clock, tailRetry)
+			continue
+		}
 		rctx, cancel := context.WithTimeout(ctx, 2*tailWait)
 		p, err := c.Read(rctx, r.Next(), tailWait, tailPage)
 		cancel()
@@ -34,7 +38,15 @@
 		}
 		r.Page(p, err)
 		if err != nil {
-			clock.Sleep(tailRetry/2 + rand.N(tailRetry))
+			pause(ctx, clock, tailRetry/2+rand.N(tailRetry))
 		}
 	}
 }
+
+// pause sleeps, or less if the context ends.
+func pause(ctx context.Context, clock clockwork.Clock, d time.Duration) {
+	select {
+	case <-clock.After(d):
+	case <-ctx.Done():
+	}
+}
