policy: break placement ties by unit, so that homes choose different engines

Cause: 10 of 30 load records of a burst were rejected with noMemory: every home chose the first engine. Change: engines that are alike are ordered by a hash of unit and engine.

--- a/core/plan/loads.go
+++ b/core/plan/loads.go
@@ -9,6 +9,7 @@
 	"olivetiller/core/demand"
 	"olivetiller/core/ledger"
 	"olivetiller/core/policy"
+	"olivetiller/core/rendezvous"
 	pb "olivetiller/proto/olivetiller/v1"
 )
 
@@ -260,7 +261,7 @@
 		}
 		out = append(out, policy.Candidate{
 			Engine: name, Free: e.MemoryBytes - e.Used, Tier: tier, HallReplicas: halls[e.Hall], Busy: busy(in, e),
-			Victims: p.victims(in, e, u),
+			Tie: rendezvous.Score(u.Name, name), Victims: p.victims(in, e, u),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Engine < out[j].Engine })
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -26,6 +26,9 @@
 	Busy int
 	// HallReplicas counts the unit's replicas in the engine's data hall.
 	HallReplicas int
+	// Tie orders engines that are alike otherwise. It differs from unit to unit,
+	// so that homes that decide at the same moment choose different engines.
+	Tie uint64
 	// Victims are the replicas that could be unloaded here.
 	Victims []Victim
 }
@@ -81,6 +84,9 @@
 	if a.Free != b.Free {
 		return a.Free < b.Free
 	}
+	if a.Tie != b.Tie {
+		return a.Tie > b.Tie
+	}
 	return a.Engine < b.Engine
 }
 
--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -18,7 +18,7 @@
 	var best string
 	var bestScore uint64
 	for _, n := range nodes {
-		s := score(key, n)
+		s := Score(key, n)
 		if best == "" || s > bestScore || (s == bestScore && n < best) {
 			best, bestScore = n, s
 		}
@@ -31,7 +31,7 @@
 func Rank(key string, nodes []string) []string {
 	out := append([]string(nil), nodes...)
 	sort.Slice(out, func(i, j int) bool {
-		a, b := score(key, out[i]), score(key, out[j])
+		a, b := Score(key, out[i]), Score(key, out[j])
 		if a != b {
 			return a > b
 		}
@@ -40,7 +40,8 @@
 	return out
 }
 
-func score(key, node string) uint64 {
+// Score returns the weight of a node for a key.
+func Score(key, node string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(key)
