--- a/core/ledger/placement.go
+++ b/core/ledger/placement.go
@@ -130,6 +130,10 @@
 	if p.Phase != Loading {
 		return WrongPhase
 	}
+	if d.GetUnsure() && !s.Engines[p.Engine].ChecksFences {
+		// An attempt without an answer may still arrive after an unload.
+		p.LateOrders = true
+	}
 	s.setPhase(p, Ready)
 	return Accepted
 }
--- a/core/plan/orders.go
+++ b/core/plan/orders.go
@@ -104,12 +104,16 @@
 	return p.Home(key) == p.Self.Node
 }
 
-// quarantineEnd frees a placement that this node has watched long enough.
+// quarantineEnd returns the last unload of a placement that this node has
+// watched long enough: no late order is under way any more, but one may have
+// arrived, so the engine must confirm that it does not hold the replica.
 func (p *Planner) quarantineEnd(in *Input, pl *ledger.Placement, w watch) []Action {
 	if !p.isHome(in, pl.Unit) || in.Now.Sub(w.since) < Quarantine {
 		return nil
 	}
-	return p.propose(in, &pb.Record{Body: &pb.Record_QuarantineEnd{QuarantineEnd: &pb.QuarantineEnd{
-		Unit: pl.Unit, Version: pl.Version, Engine: pl.Engine, Fence: pl.Fence,
-	}}})
+	e := in.Ledger.Engines[pl.Engine]
+	return []Action{{Order: &Order{
+		Key: pl.Key, Fence: pl.Fence, Unload: true, Cleanup: true, LeaseEnd: in.Now.Add(Lease),
+		Address: e.Address, Incarnation: e.Incarnation, Bytes: pl.Bytes,
+	}}}
 }
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -92,6 +92,8 @@
 	ledger.Key
 	Fence  uint64
 	Unload bool
+	// Cleanup is the last unload before a quarantine ends.
+	Cleanup bool
 	// LeaseEnd is when the executor must no longer write the order.
 	LeaseEnd time.Time
 	// Address and Incarnation are the engine's.
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -68,7 +68,7 @@
 
 func (m orderEnd) handle(c *Controller) {
 	o := m.order
-	if c.orders[o.Key] == o.Fence {
+	if c.orders[o.Key] == o.Fence && !o.Cleanup {
 		delete(c.orders, o.Key)
 	}
 	p := c.state.Find(o.Key)
@@ -78,12 +78,15 @@
 	}
 	log := c.Logger.With("unit", o.Unit, "version", o.Version, "engine", o.Engine, "fence", o.Fence)
 	switch {
+	case o.Cleanup:
+		c.cleanedUp(o, m.err)
+		return
 	case m.err == nil && o.Unload:
 		log.Info("unloaded")
 		c.Submit(unloadDone(o, m.unsure))
 	case m.err == nil:
 		log.Info("loaded")
-		c.Submit(loadDone(o))
+		c.Submit(loadDone(o, m.unsure))
 	case errors.Is(m.err, errLapsed), errors.Is(m.err, engine.ErrStaleFence):
 		log.Warn("order lapsed; taking it over", "cause", m.err.Error())
 		c.planner.Lapse(o.Key)
@@ -101,9 +104,23 @@
 	c.orders[o.Key] = o.Fence
 }
 
-func loadDone(o *plan.Order) *pb.Record {
-	return &pb.Record{Body: &pb.Record_LoadDone{LoadDone: &pb.LoadDone{
+// cleanedUp ends a quarantine once the engine has confirmed that it does not
+// hold the replica; otherwise the next plan tries again.
+func (c *Controller) cleanedUp(o *plan.Order, err error) {
+	delete(c.cleanups, o.Key)
+	if err != nil {
+		c.Logger.Warn("quarantine goes on: the engine did not confirm", "unit", o.Unit, "engine", o.Engine, "cause", err.Error())
+		return
+	}
+	c.Logger.Info("quarantine ends", "unit", o.Unit, "engine", o.Engine)
+	c.Submit(&pb.Record{Body: &pb.Record_QuarantineEnd{QuarantineEnd: &pb.QuarantineEnd{
 		Unit: o.Unit, Version: o.Version, Engine: o.Engine, Fence: o.Fence,
+	}}})
+}
+
+func loadDone(o *plan.Order, unsure bool) *pb.Record {
+	return &pb.Record{Body: &pb.Record_LoadDone{LoadDone: &pb.LoadDone{
+		Unit: o.Unit, Version: o.Version, Engine: o.Engine, Fence: o.Fence, Unsure: unsure,
 	}}}
 }
 
