modelcheck: placement holds in every order; five faults found and closed

Cause: exhaustive interleavings of load, takeover, unload and quarantine over the real fold found, one after the other: (1) a quarantine that only waits leaves a replica that a late load brought back; (2) a load confirmed on a second attempt hid that the first may still arrive; (3) a last unload written twice outlives the quarantine and removes a later replica; (4) two homes each write it; (5) a takeover meant for the unload passes for one of the quarantine, because the fence had not moved. Ruled out: the fold's own guards. Change: a quarantine ends with one unload by a node that took the placement over on the log, confirmed by the engine; unsure outcomes are marked on the record; entering quarantine raises the fence.

--- a/core/ledger/apply.go
+++ b/core/ledger/apply.go
@@ -46,13 +46,13 @@
 	case *pb.Record_LoadDone:
 		o.Reason = s.loadDone(b.LoadDone)
 	case *pb.Record_LoadFailed:
-		o.Reason = s.loadFailed(b.LoadFailed)
+		o.Reason = s.loadFailed(b.LoadFailed, fence)
 	case *pb.Record_Takeover:
 		o.Reason = s.takeover(b.Takeover, from, fence)
 	case *pb.Record_Unload:
 		o.Reason = s.unload(b.Unload, from, fence)
 	case *pb.Record_UnloadDone:
-		o.Reason = s.unloadDone(b.UnloadDone)
+		o.Reason = s.unloadDone(b.UnloadDone, fence)
 	case *pb.Record_QuarantineEnd:
 		o.Reason = s.quarantineEnd(b.QuarantineEnd)
 	case *pb.Record_EngineUp:
--- a/core/ledger/placement.go
+++ b/core/ledger/placement.go
@@ -138,7 +138,7 @@
 	return Accepted
 }
 
-func (s *State) loadFailed(f *pb.LoadFailed) Reason {
+func (s *State) loadFailed(f *pb.LoadFailed, fence uint64) Reason {
 	p, r := s.current(Key{f.GetUnit(), f.GetVersion(), f.GetEngine()}, f.GetFence())
 	if r != Accepted {
 		return r
@@ -146,20 +146,22 @@
 	if p.Phase != Loading {
 		return WrongPhase
 	}
-	s.remove(p, f.GetUnsure())
+	s.remove(p, f.GetUnsure(), fence)
 	return Accepted
 }
 
 // takeover gives an unfinished order a new executor and a higher fence. Who may
 // take over when is the planner's affair; the fold only sees to it that one
 // does. An engine that ignores fences may still receive the order of the
-// executor before, hence LateOrders.
+// executor before, hence LateOrders. The takeover of a quarantined placement
+// makes one node, and no other, write the unload that ends the quarantine: two
+// such unloads could outlive it and remove a later replica.
 func (s *State) takeover(t *pb.Takeover, from NodeRef, fence uint64) Reason {
 	p, r := s.current(Key{t.GetUnit(), t.GetVersion(), t.GetEngine()}, t.GetFence())
 	if r != Accepted {
 		return r
 	}
-	if p.Phase != Loading && p.Phase != Unloading {
+	if p.Phase != Loading && p.Phase != Unloading && p.Phase != Quarantined {
 		return WrongPhase
 	}
 	if !s.Engines[p.Engine].ChecksFences {
@@ -203,7 +205,7 @@
 	return false
 }
 
-func (s *State) unloadDone(d *pb.UnloadDone) Reason {
+func (s *State) unloadDone(d *pb.UnloadDone, fence uint64) Reason {
 	p, r := s.current(Key{d.GetUnit(), d.GetVersion(), d.GetEngine()}, d.GetFence())
 	if r != Accepted {
 		return r
@@ -211,16 +213,20 @@
 	if p.Phase != Unloading {
 		return WrongPhase
 	}
-	s.remove(p, d.GetUnsure())
+	s.remove(p, d.GetUnsure(), fence)
 	return Accepted
 }
 
 // remove ends a placement: at once, or through quarantine when a late order
 // could bring it back on an engine that ignores fences.
-func (s *State) remove(p *Placement, unsure bool) {
+func (s *State) remove(p *Placement, unsure bool, fence uint64) {
 	late := p.LateOrders || (unsure && !s.Engines[p.Engine].ChecksFences)
 	if late && s.guards(GuardQuarantine) {
 		s.setPhase(p, Quarantined)
+		// Nobody may write an order for it until somebody takes it over, and a
+		// takeover meant for the order before must not pass for that.
+		p.Executor = NodeRef{}
+		p.Fence = fence
 		return
 	}
 	s.drop(p)
--- a/core/plan/orders.go
+++ b/core/plan/orders.go
@@ -17,7 +17,7 @@
 		switch {
 		case pl.Phase == ledger.Queued:
 		case pl.Phase == ledger.Quarantined:
-			acts = append(acts, p.quarantineEnd(in, pl, w)...)
+			acts = append(acts, p.quarantined(in, pl, w)...)
 		case pl.Executor == p.Self:
 			acts = append(acts, p.ownOrder(in, pl)...)
 		case p.mayTakeOver(in, pl, w):
@@ -54,6 +54,10 @@
 	if !ok || l.fence != pl.Fence || l.end.IsZero() || in.Now.Sub(p.watched[pl.Key].since) > OrderLimit {
 		return p.takeover(in, pl)
 	}
+	return []Action{{Order: p.order(in, pl, l)}}
+}
+
+func (p *Planner) order(in *Input, pl *ledger.Placement, l lease) *Order {
 	e := in.Ledger.Engines[pl.Engine]
 	o := &Order{
 		Key: pl.Key, Fence: pl.Fence, Unload: pl.Phase == ledger.Unloading,
@@ -63,7 +67,7 @@
 	if u := in.Ledger.Catalog.Units[pl.Unit]; u != nil {
 		o.Base = u.Base
 	}
-	return []Action{{Order: o}}
+	return o
 }
 
 // takeover proposes to become the executor, or to renew an own lease.
@@ -104,16 +108,23 @@
 	return p.Home(key) == p.Self.Node
 }
 
-// quarantineEnd returns the last unload of a placement that this node has
-// watched long enough: no late order is under way any more, but one may have
-// arrived, so the engine must confirm that it does not hold the replica.
-func (p *Planner) quarantineEnd(in *Input, pl *ledger.Placement, w watch) []Action {
+// quarantined returns what a placement in quarantine asks for. Once it has been
+// watched long enough no late order is under way any more, but one may have
+// arrived: a node takes the placement over and makes the engine confirm that it
+// does not hold the replica. If that fails, the quarantine begins anew with the
+// fence of the takeover.
+func (p *Planner) quarantined(in *Input, pl *ledger.Placement, w watch) []Action {
+	if pl.Executor == p.Self {
+		l := p.leases[pl.Key]
+		if l.fence != pl.Fence || in.Now.After(l.end) {
+			return nil
+		}
+		o := p.order(in, pl, l)
+		o.Unload, o.Cleanup = true, true
+		return []Action{{Order: o}}
+	}
 	if !p.isHome(in, pl.Unit) || in.Now.Sub(w.since) < Quarantine {
 		return nil
 	}
-	e := in.Ledger.Engines[pl.Engine]
-	return []Action{{Order: &Order{
-		Key: pl.Key, Fence: pl.Fence, Unload: true, Cleanup: true, LeaseEnd: in.Now.Add(Lease),
-		Address: e.Address, Incarnation: e.Incarnation, Bytes: pl.Bytes,
-	}}}
+	return p.takeover(in, pl)
 }
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -88,7 +88,6 @@
 	waiters   map[uint64]chan ledger.Outcome
 	early     map[uint64][]byte
 	orders    map[ledger.Key]uint64
-	cleanups  map[ledger.Key]bool
 	homeAcked map[string]time.Time
 	leaving   map[string]time.Time
 	snap      snapshots
@@ -114,7 +113,7 @@
 		Options: o, inbox: make(chan message, inboxSize), Metrics: newMetrics(), demandWake: make(chan struct{}, 1),
 		state: ledger.NewState(), members: membership.NewTable(o.Self), demand: demand.NewTable(),
 		engines: make(map[string]*plan.Engine), waiters: make(map[uint64]chan ledger.Outcome),
-		early: make(map[uint64][]byte), orders: make(map[ledger.Key]uint64), cleanups: make(map[ledger.Key]bool),
+		early: make(map[uint64][]byte), orders: make(map[ledger.Key]uint64),
 		homeAcked: make(map[string]time.Time), leaving: make(map[string]time.Time),
 	}
 	if c.Policy == nil {
@@ -229,13 +228,6 @@
 		return
 	}
 	o := a.Order
-	if o.Cleanup {
-		if !c.cleanups[o.Key] {
-			c.cleanups[o.Key] = true
-			go c.execute(ctx, o)
-		}
-		return
-	}
 	if c.orders[o.Key] == o.Fence {
 		return
 	}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -68,7 +68,7 @@
 
 func (m orderEnd) handle(c *Controller) {
 	o := m.order
-	if c.orders[o.Key] == o.Fence && !o.Cleanup {
+	if c.orders[o.Key] == o.Fence {
 		delete(c.orders, o.Key)
 	}
 	p := c.state.Find(o.Key)
@@ -79,7 +79,7 @@
 	log := c.Logger.With("unit", o.Unit, "version", o.Version, "engine", o.Engine, "fence", o.Fence)
 	switch {
 	case o.Cleanup:
-		c.cleanedUp(o, m.err)
+		c.cleanedUp(o, m.err, m.unsure)
 		return
 	case m.err == nil && o.Unload:
 		log.Info("unloaded")
@@ -105,11 +105,12 @@
 }
 
 // cleanedUp ends a quarantine once the engine has confirmed that it does not
-// hold the replica; otherwise the next plan tries again.
-func (c *Controller) cleanedUp(o *plan.Order, err error) {
-	delete(c.cleanups, o.Key)
-	if err != nil {
-		c.Logger.Warn("quarantine goes on: the engine did not confirm", "unit", o.Unit, "engine", o.Engine, "cause", err.Error())
+// hold the replica. After a failure, or an attempt without an answer, which may
+// still arrive and unload a later replica, the quarantine simply goes on.
+func (c *Controller) cleanedUp(o *plan.Order, err error, unsure bool) {
+	c.orders[o.Key] = o.Fence
+	if err != nil || unsure {
+		c.Logger.Warn("quarantine goes on: the engine did not confirm", "unit", o.Unit, "engine", o.Engine, "unsure", unsure)
 		return
 	}
 	c.Logger.Info("quarantine ends", "unit", o.Unit, "engine", o.Engine)
--- a/internal/modelcheck/modelcheck_test.go
+++ b/internal/modelcheck/modelcheck_test.go
@@ -8,6 +8,21 @@
 	"olivetiller/internal/explore"
 )
 
+// Bounds under which the placement protocol is explored. Together they cover
+// what none of them does alone: two units, a takeover, an attempt that gets no
+// answer, and a second replica after a quarantine.
+var (
+	twoUnits  = Bounds{Units: "xy", Loads: 2, Takeovers: 1, Unloads: 1, Cleanups: 1}
+	oneRetry  = Bounds{Units: "x", Loads: 2, Unloads: 1, Retries: 1, Cleanups: 2}
+	takenOver = Bounds{Units: "x", Loads: 2, Takeovers: 1, Unloads: 1, Cleanups: 1}
+)
+
+// placement explores the placement protocol.
+func placement(g PlacementGuards, b Bounds) func(*testing.T) explore.Report {
+	g.Bounds = b
+	return func(t *testing.T) explore.Report { return explored(t, Placement(g)) }
+}
+
 // explored runs a model and returns its report.
 func explored[W any](t *testing.T, m explore.Model[W]) explore.Report {
 	t.Helper()
@@ -25,12 +40,10 @@
 		name string
 		run  func(t *testing.T) explore.Report
 	}{
-		{"placement on an engine that checks fences", func(t *testing.T) explore.Report {
-			return explored(t, Placement(PlacementGuards{ChecksFences: true}))
-		}},
-		{"placement on an engine that ignores fences", func(t *testing.T) explore.Report {
-			return explored(t, Placement(PlacementGuards{}))
-		}},
+		{"placement, fences checked", placement(PlacementGuards{ChecksFences: true}, twoUnits)},
+		{"placement, fences ignored, two units", placement(PlacementGuards{}, twoUnits)},
+		{"placement, fences ignored, a retry", placement(PlacementGuards{}, oneRetry)},
+		{"placement, fences ignored, a takeover", placement(PlacementGuards{}, takenOver)},
 		{"claims", func(t *testing.T) explore.Report { return explored(t, Claims(ClaimGuards{})) }},
 		{"publish", func(t *testing.T) explore.Report { return explored(t, Publish(0)) }},
 		{"snapshots", func(t *testing.T) explore.Report { return explored(t, Snapshots(SnapshotGuards{})) }},
@@ -52,24 +65,13 @@
 		name string
 		run  func(t *testing.T) explore.Report
 	}{
-		{"no memory check", func(t *testing.T) explore.Report {
-			return explored(t, Placement(PlacementGuards{ChecksFences: true, FoldOff: ledger.GuardMemory}))
-		}},
-		{"outcomes count under any fence", func(t *testing.T) explore.Report {
-			return explored(t, Placement(PlacementGuards{ChecksFences: true, FoldOff: ledger.GuardFence}))
-		}},
-		{"no quarantine", func(t *testing.T) explore.Report {
-			return explored(t, Placement(PlacementGuards{FoldOff: ledger.GuardQuarantine}))
-		}},
-		{"quarantine ends without a last unload", func(t *testing.T) explore.Report {
-			return explored(t, Placement(PlacementGuards{NoCleanup: true}))
-		}},
-		{"a retry is hidden", func(t *testing.T) explore.Report {
-			return explored(t, Placement(PlacementGuards{HideRetry: true}))
-		}},
-		{"no lease", func(t *testing.T) explore.Report {
-			return explored(t, Placement(PlacementGuards{NoLease: true, FoldOff: ledger.GuardQuarantine}))
-		}},
+		{"no memory check", placement(PlacementGuards{ChecksFences: true, FoldOff: ledger.GuardMemory}, twoUnits)},
+		{"outcomes count under any fence", placement(PlacementGuards{ChecksFences: true, FoldOff: ledger.GuardFence}, twoUnits)},
+		{"no quarantine", placement(PlacementGuards{FoldOff: ledger.GuardQuarantine}, takenOver)},
+		{"quarantine ends without a last unload", placement(PlacementGuards{NoCleanup: true}, takenOver)},
+		{"every node ends the quarantine", placement(PlacementGuards{ManyCleanups: true}, oneRetry)},
+		{"a retry is hidden", placement(PlacementGuards{HideRetry: true}, oneRetry)},
+		{"no lease", placement(PlacementGuards{NoLease: true}, takenOver)},
 		{"claims are not exclusive", func(t *testing.T) explore.Report {
 			return explored(t, Claims(ClaimGuards{FoldOff: ledger.GuardClaim}))
 		}},
--- a/internal/modelcheck/placement.go
+++ b/internal/modelcheck/placement.go
@@ -17,22 +17,27 @@
 	NoLease bool
 	// HideRetry reports an order as sure though an attempt got no answer.
 	HideRetry bool
+	// ManyCleanups lets every node write the last unload of a quarantine.
+	ManyCleanups bool
 	// NoCleanup ends a quarantine without a last unload at the engine.
 	NoCleanup bool
 	// ChecksFences says which kind of engine the model has.
 	ChecksFences bool
+	Bounds
 }
 
-// Bounds of the model.
+// Bounds keep the model finite: how often each thing may happen.
+type Bounds struct {
+	// Units are the units there are, one letter each.
+	Units                                        string
+	Loads, Takeovers, Unloads, Retries, Cleanups int
+}
+
+// Names of the model's parts.
 const (
-	maxLoads     = 2
-	maxTakeovers = 1
-	maxUnloads   = 1
 	modelEngine  = "e"
-	modelUnits   = "xy"
 	modelVersion = "v"
 	wiresPerNode = 2
-	maxTries     = 2
 )
 
 // order is an order in a node's hand or on its way to the engine.
@@ -58,9 +63,10 @@
 	// answer is the confirmed order it has yet to report.
 	answer  order
 	replied bool
-	// wrote is the fence of the order it wrote last, tries how often.
-	wrote uint64
-	tries int
+	// expired is the highest fence whose lease is over, written or not.
+	expired uint64
+	// wrote is the order it wrote last: only its answer is waited for.
+	wrote order
 }
 
 // placementWorld is one state of the model. It is a value: steps copy it.
@@ -74,6 +80,7 @@
 	loaded                    string
 	fence                     uint64
 	loads, takeovers, unloads int
+	retries, cleanups         int
 	overcommitted             bool
 }
 
@@ -93,9 +100,9 @@
 	folds map[string]*ledger.State
 }
 
-func placementPreamble(checksFences bool) []*pb.Record {
+func placementPreamble(g PlacementGuards) []*pb.Record {
 	cfg := &pb.Config{WeightStores: []*pb.WeightStore{{Name: "s", LoadSlots: 2}}}
-	for _, u := range modelUnits {
+	for _, u := range g.Units {
 		cfg.Models = append(cfg.Models, &pb.Model{
 			Name: string(u), Versions: []*pb.Version{{Name: modelVersion, WeightBytes: 1}}, ServingVersion: modelVersion,
 			MaxReplicas: 1, WeightStore: "s",
@@ -104,7 +111,7 @@
 	return []*pb.Record{
 		{Node: "o", Incarnation: 1, Sequence: 1, Body: &pb.Record_ConfigChange{ConfigChange: &pb.ConfigChange{ChangeId: "1", Upsert: cfg}}},
 		{Node: "o", Incarnation: 1, Sequence: 2, Body: &pb.Record_EngineUp{EngineUp: &pb.EngineUp{
-			Engine: modelEngine, Incarnation: 1, MemoryBytes: 1, ChecksFences: checksFences,
+			Engine: modelEngine, Incarnation: 1, MemoryBytes: 1, ChecksFences: g.ChecksFences,
 		}}},
 	}
 }
@@ -122,7 +129,7 @@
 	s := ledger.NewState()
 	s.Off = m.guards.FoldOff
 	offset := uint64(0)
-	for _, r := range placementPreamble(m.guards.ChecksFences) {
+	for _, r := range placementPreamble(m.guards) {
 		s.Apply(offset, r)
 		offset++
 	}
@@ -201,6 +208,13 @@
 		kind := map[bool]string{false: "loaded", true: "unloaded"}[n.answer.unload]
 		if n.answer.cleanup {
 			kind = "clean"
+			if n.answer.unsure && !m.guards.HideRetry {
+				// An attempt without an answer may still arrive: the quarantine
+				// begins anew.
+				to.nodes[i].replied = false
+				add(fmt.Sprintf("%d begins the quarantine anew", i), to)
+				return
+			}
 		}
 		if n.answer.unsure && !m.guards.HideRetry {
 			kind += "?"
@@ -213,23 +227,22 @@
 
 // proposals returns what a node may propose or pick up by its own fold.
 func (m *placementModel) proposals(w placementWorld, i int, s *ledger.State, add func(string, placementWorld)) {
-	n := &w.nodes[i]
 	e := s.Engines[modelEngine]
-	for _, u := range []byte(modelUnits) {
+	for _, u := range []byte(m.guards.Units) {
 		p := s.Find(ledger.Key{Unit: string(u), Version: modelVersion, Engine: modelEngine})
 		switch {
-		case p == nil && w.loads < maxLoads && e.Used < e.MemoryBytes:
+		case p == nil && w.loads < m.guards.Loads && e.Used < e.MemoryBytes:
 			to := w.append("load", u, i, 0)
 			to.loads++
 			add(fmt.Sprintf("%d proposes load %c", i, u), to)
 		case p == nil:
-		case p.Phase == ledger.Ready && w.unloads < maxUnloads:
+		case p.Phase == ledger.Ready && w.unloads < m.guards.Unloads:
 			to := w.append("unload", u, i, p.Fence)
 			to.unloads++
 			add(fmt.Sprintf("%d proposes unload %c", i, u), to)
 		case p.Phase == ledger.Loading || p.Phase == ledger.Unloading:
 			m.orderSteps(w, i, u, p, add)
-		case p.Phase == ledger.Quarantined && !n.has && m.quarantineOver(w):
+		case p.Phase == ledger.Quarantined:
 			m.cleanup(w, i, u, p, add)
 		}
 	}
@@ -239,9 +252,9 @@
 	n := &w.nodes[i]
 	o := order{unit: u, fence: p.Fence, unload: p.Phase == ledger.Unloading}
 	if p.Executor.Node == fmt.Sprint(i) {
-		if !n.has && !n.replied && n.wrote != o.fence {
+		if !n.has && !n.replied && n.wrote.fence != o.fence {
 			to := w
-			to.nodes[i].hand, to.nodes[i].has, to.nodes[i].lapsed = o, true, false
+			to.nodes[i].hand, to.nodes[i].has, to.nodes[i].lapsed = o, true, o.fence <= n.expired
 			add(fmt.Sprintf("%d picks up %c", i, u), to)
 		}
 		return
@@ -250,9 +263,12 @@
 	// A fenced engine's order is taken over at any suspicion; another's only
 	// after the lease of whoever holds it has surely ended.
 	leaseOver := !other.has || other.hand.unit != u || other.lapsed
-	if w.takeovers < maxTakeovers && (m.guards.ChecksFences || leaseOver) {
+	if w.takeovers < m.guards.Takeovers && (m.guards.ChecksFences || leaseOver) {
 		to := w.append("takeover", u, i, p.Fence)
 		to.takeovers++
+		if !m.guards.ChecksFences {
+			to.nodes[1-i].expired = p.Fence
+		}
 		add(fmt.Sprintf("%d takes %c over", i, u), to)
 	}
 }
@@ -268,15 +284,32 @@
 	return !w.nodes[0].has && !w.nodes[1].has
 }
 
+// cleanup returns the steps that end a quarantine: a takeover once it is over,
+// and the last unload by whoever took it over.
 func (m *placementModel) cleanup(w placementWorld, i int, u byte, p *ledger.Placement, add func(string, placementWorld)) {
+	n := &w.nodes[i]
 	if m.guards.NoCleanup {
-		add(fmt.Sprintf("%d ends quarantine of %c", i, u), w.append("clean", u, i, p.Fence))
+		if m.quarantineOver(w) {
+			add(fmt.Sprintf("%d ends quarantine of %c", i, u), w.append("clean", u, i, p.Fence))
+		}
 		return
 	}
-	to := w
-	to.nodes[i].hand, to.nodes[i].has = order{unit: u, fence: p.Fence, unload: true, cleanup: true}, true
-	to.nodes[i].lapsed = false
-	add(fmt.Sprintf("%d cleans %c up", i, u), to)
+	o := order{unit: u, fence: p.Fence, unload: true, cleanup: true}
+	mine := p.Executor.Node == fmt.Sprint(i)
+	if m.guards.ManyCleanups {
+		mine = m.quarantineOver(w)
+	}
+	if mine && !n.has && !n.replied && (n.wrote != o || m.guards.ManyCleanups) {
+		to := w
+		to.nodes[i].hand, to.nodes[i].has, to.nodes[i].lapsed = o, true, o.fence <= n.expired
+		add(fmt.Sprintf("%d cleans %c up", i, u), to)
+	}
+	if !m.guards.ManyCleanups && w.cleanups < m.guards.Cleanups && m.quarantineOver(w) {
+		to := w.append("takeover", u, i, p.Fence)
+		to.cleanups++
+		to.nodes[0].expired, to.nodes[1].expired = p.Fence, p.Fence
+		add(fmt.Sprintf("%d takes the quarantine of %c over", i, u), to)
+	}
 }
 
 // write returns the steps of a node with an order in hand.
@@ -300,14 +333,14 @@
 		}
 		to := w
 		to.wire[slot], to.sent[slot] = n.hand, true
-		to.nodes[i].wrote = n.hand.fence
+		to.nodes[i].wrote = n.hand
 		to.nodes[i].has = false
 		to.nodes[i].hand = order{}
-		to.nodes[i].tries = 1
 		add(fmt.Sprintf("%d writes %c", i, n.hand.unit), to)
-		if !n.lapsed && n.tries < maxTries-1 {
+		if !n.lapsed && !n.hand.unsure && !m.guards.ChecksFences && w.retries < m.guards.Retries {
 			// No answer comes in time: the node keeps the order to write again.
 			again := to
+			again.retries++
 			again.nodes[i].has = true
 			again.nodes[i].hand = n.hand
 			again.nodes[i].hand.unsure = true
@@ -335,15 +368,14 @@
 		w.overcommitted = w.overcommitted || len(w.loaded) > 1
 	}
 	n := &w.nodes[i/wiresPerNode]
-	if n.wrote == o.fence && !n.has {
-		// Only the answer to the latest attempt is waited for.
+	if n.wrote == o && !n.has {
 		n.answer, n.replied = o, true
 	}
 	return w
 }
 
-// check says what is wrong with a world: the engine overcommitted, or holding a
-// replica that the ledger does not account for.
+// check says what is wrong with a world: the engine overcommitted, holding a
+// replica that the ledger does not account for, or lacking one that is ready.
 func (m *placementModel) check(w placementWorld) error {
 	if w.overcommitted {
 		return fmt.Errorf("the engine is overcommitted")
@@ -354,6 +386,11 @@
 			return fmt.Errorf("the engine holds %c, which the ledger does not account for", u)
 		}
 	}
+	for _, p := range s.Engines[modelEngine].Placements {
+		if p.Phase == ledger.Ready && !strings.Contains(w.loaded, p.Unit) {
+			return fmt.Errorf("the ledger holds %s for ready, which the engine does not hold", p.Unit)
+		}
+	}
 	if e := s.Engines[modelEngine]; e.Used > e.MemoryBytes {
 		return fmt.Errorf("the ledger overcommits the engine")
 	}
