--- a/cmd/olivebench/main.go
+++ b/cmd/olivebench/main.go
@@ -30,6 +30,8 @@
 type commands struct {
 	Standin standinCmd `cmd:"" help:"Run the stand-ins of a deployment until told to stop."`
 	Burst   burstCmd   `cmd:"" help:"Ask every node for the same cold models at once, under faults."`
+	Slopes  slopesCmd  `cmd:"" help:"Measure the slopes behind docs/CAPACITY.md."`
+	Model   modelCmd   `cmd:"" help:"Explore the small protocols in every order of events."`
 	Once    onceCmd    `cmd:"" help:"Send requests that may not be repeated, each through two nodes, under faults."`
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -209,10 +209,7 @@
 	tree.Set("control", n.Control.Metrics.Tree())
 	tree.Set("caller", n.Caller.Metrics.Tree())
 	tree.Set("traffic", expvar.Func(func() any { return n.Traffic.Totals() }))
-	tree.Set("peer", expvar.Func(func() any {
-		t := n.peers.Traffic
-		return map[string]int64{"sentBytes": t.Sent.Load(), "receivedBytes": t.Received.Load(), "messages": t.Messages.Load()}
-	}))
+	tree.Set("peer", expvar.Func(func() any { return n.PeerTraffic() }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -225,6 +222,27 @@
 	return mux
 }
 
+// PeerTraffic is what a node and its peers say to each other, in bytes, of the
+// connections that the node began.
+type PeerTraffic struct {
+	Messages     int64 `json:"messages"`
+	Sent         int64 `json:"sentBytes"`
+	Received     int64 `json:"receivedBytes"`
+	WireSent     int64 `json:"wireSentBytes"`
+	WireReceived int64 `json:"wireReceivedBytes"`
+	Dials        int64 `json:"dials"`
+}
+
+// PeerTraffic returns the traffic between this node and its peers so far.
+func (n *Node) PeerTraffic() PeerTraffic {
+	t := n.peers.Traffic
+	sent, received := n.peers.Wire()
+	return PeerTraffic{
+		Messages: t.Messages.Load(), Sent: t.Sent.Load(), Received: t.Received.Load(),
+		WireSent: sent, WireReceived: received, Dials: t.Dials.Load(),
+	}
+}
+
 // CallerAddress returns the address that callers reach.
 func (n *Node) CallerAddress() string { return n.listen[listenCaller].Addr().String() }
 
--- a/io/node/client.go
+++ b/io/node/client.go
@@ -30,9 +30,37 @@
 	}
 }
 
-// Traffic counts the bytes of messages, without those of QUIC itself.
+// Traffic counts what a node and its peers say to each other.
 type Traffic struct {
+	// Messages counts requests sent; Sent and Received their bytes and those of
+	// the answers, without QUIC's own.
 	Sent, Received, Messages atomic.Int64
+	// WireSent and WireReceived are the bytes of closed connections with all
+	// that QUIC adds.
+	WireSent, WireReceived atomic.Int64
+	// Dials counts connections begun.
+	Dials atomic.Int64
+}
+
+// closed adds a connection's bytes to the totals.
+func (t *Traffic) closed(conn *quic.Conn) {
+	st := conn.ConnectionStats()
+	t.WireSent.Add(int64(st.BytesSent))
+	t.WireReceived.Add(int64(st.BytesReceived))
+}
+
+// Wire returns the bytes of all connections that this node began, with all that
+// QUIC adds.
+func (c *Client) Wire() (sent, received int64) {
+	sent, received = c.Traffic.WireSent.Load(), c.Traffic.WireReceived.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		st := conn.ConnectionStats()
+		sent += int64(st.BytesSent)
+		received += int64(st.BytesReceived)
+	}
+	return sent, received
 }
 
 // Client sends requests to peers. It is safe for concurrent use.
@@ -120,7 +148,9 @@
 	old := c.conns[name]
 	c.conns[name] = conn
 	c.mu.Unlock()
+	c.Traffic.Dials.Add(1)
 	if old != nil {
+		c.Traffic.closed(old)
 		_ = old.CloseWithError(0, "replaced")
 	}
 	return conn, nil
@@ -130,6 +160,7 @@
 	c.mu.Lock()
 	if c.conns[name] == conn {
 		delete(c.conns, name)
+		c.Traffic.closed(conn)
 	}
 	c.mu.Unlock()
 	_ = conn.CloseWithError(0, "failed")
