membership, view, plan: flat control costs

Change: three probes a second in turns, the next on the ring always; views built from the last one by what a record touched, and only when something changed; the scan passes over what has another home before sorting.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -24,11 +24,11 @@
 
 // Times of the judgement.
 const (
-	// Silence is how long a node may give no sign of life. With a probe every
-	// half second, six in a row must fail.
-	Silence = 3 * time.Second
+	// Silence is how long a node may give no sign of life. Probes come every
+	// second to a watched node, or in a small fleet every two seconds each way.
+	Silence = 5 * time.Second
 	// newsLife is how long a report of silence holds unless renewed.
-	newsLife = 5 * time.Second
+	newsLife = 6 * time.Second
 	// freshLife is how long a new incarnation is news.
 	freshLife = 10 * time.Second
 )
--- a/core/membership/topology.go
+++ b/core/membership/topology.go
@@ -24,6 +24,39 @@
 	return out
 }
 
+// probesPerRound is how many members a node probes in a round. Being probed is
+// evidence too, so a node exchanges signs of life with twice as many.
+const probesPerRound = 3
+
+// Round returns the members to probe in a round, and of those the ones this node
+// watches: it must hear from them, and reports their silence. In a small fleet
+// it takes turns and watches all. In a large one it probes its next on the ring,
+// which it alone watches beside that one's other neighbour, and takes turns with
+// the others, over whom news travels.
+func Round(self string, peers []Member, round int) (probe []Member, watched []string) {
+	near := Neighbours(self, peers)
+	if len(peers) <= SmallFleet {
+		for _, m := range near {
+			watched = append(watched, m.Node)
+		}
+		return turn(near, round, probesPerRound), watched
+	}
+	fixed := near[:1]
+	return append(append(probe, fixed...), turn(near[1:], round, probesPerRound-1)...), []string{fixed[0].Node}
+}
+
+// turn returns the n members whose turn it is.
+func turn(members []Member, round, n int) []Member {
+	if len(members) <= n {
+		return members
+	}
+	out := make([]Member, 0, n)
+	for i := range n {
+		out = append(out, members[(round*n+i)%len(members)])
+	}
+	return out
+}
+
 // tailersPerHall is how many nodes of a data hall read the log themselves in a
 // large fleet: two, so that one may go without a gap.
 const tailersPerHall = 2
--- a/core/plan/unloads.go
+++ b/core/plan/unloads.go
@@ -16,9 +16,6 @@
 	for _, uv := range p.loadedUnits(in) {
 		for _, engine := range sortedNames(in.Ledger.Replicas[uv]) {
 			pl := in.Ledger.Replicas[uv][engine]
-			if !p.isHome(in, uv.Unit) {
-				continue
-			}
 			if pl.Phase == ledger.Queued && p.unwanted(in, uv.Unit) {
 				acts = append(acts, p.unload(in, pl.Key, pl.Fence)...)
 			}
@@ -45,10 +42,14 @@
 	return !u.Pinned && d.Waiting == 0 && in.Now.Sub(d.LastUse) > demand.Life
 }
 
+// loadedUnits returns, in order, what is placed of the units whose home this
+// node is.
 func (p *Planner) loadedUnits(in *Input) []ledger.UnitVersion {
 	out := make([]ledger.UnitVersion, 0, len(in.Ledger.Replicas))
 	for uv := range in.Ledger.Replicas {
-		out = append(out, uv)
+		if p.isHome(in, uv.Unit) {
+			out = append(out, uv)
+		}
 	}
 	sort.Slice(out, func(i, j int) bool {
 		if out[i].Unit != out[j].Unit {
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -67,28 +68,84 @@
 	Diverged     bool
 }
 
-// Build makes a view.
-func Build(in *Input) *View {
-	v := &View{
+// Builder makes views, each from the one before: what did not change is shared,
+// so that a record costs what it touches and not what is loaded.
+type Builder struct {
+	last *View
+	// touched holds the pools to work out anew; all asks for every one.
+	touched map[string]bool
+	all     bool
+}
+
+// NewBuilder returns a builder whose first view is worked out whole.
+func NewBuilder() *Builder { return &Builder{touched: make(map[string]bool), all: true} }
+
+// Touch marks a unit as changed.
+func (b *Builder) Touch(unit string) { b.touched[unit] = true }
+
+// TouchAll marks everything as changed.
+func (b *Builder) TouchAll() { b.all = true }
+
+// Build makes a view and returns the pools that changed in it; nil means all.
+func (b *Builder) Build(in *Input) (v *View, changed []string) {
+	v = &View{
 		Ready: in.Ready, Diverged: in.Diverged, Catalog: in.Ledger.Catalog,
 		Revision: in.Ledger.Revision, NextOffset: in.Ledger.NextOffset,
-		Endpoints:    make(map[string][]Endpoint),
 		LoadingSince: in.LoadingSince, Live: in.Live,
 	}
-	for uv, replicas := range in.Ledger.Replicas {
-		u := in.Ledger.Catalog.Units[uv.Unit]
-		if u == nil || u.Banned || !serves(in, u, uv.Version) {
+	switch {
+	case b.all:
+		v.Endpoints = make(map[string][]Endpoint, len(in.Ledger.Replicas))
+		for uv := range in.Ledger.Replicas {
+			b.unit(in, v, uv.Unit)
+		}
+	case len(b.touched) > 0:
+		v.Endpoints = maps.Clone(b.last.Endpoints)
+		for unit := range b.touched {
+			b.unit(in, v, unit)
+			changed = append(changed, unit)
+		}
+	default:
+		v.Endpoints = b.last.Endpoints
+		changed = []string{}
+	}
+	if b.all {
+		b.services(in, v)
+	}
+	b.last, b.all = v, false
+	clear(b.touched)
+	return v, changed
+}
+
+// unit works out where a unit takes requests.
+func (b *Builder) unit(in *Input, v *View, name string) {
+	delete(v.Endpoints, name)
+	u := in.Ledger.Catalog.Units[name]
+	if u == nil || u.Banned {
+		return
+	}
+	var eps []Endpoint
+	for version := range u.Versions {
+		if !serves(in, u, version) {
 			continue
 		}
-		for _, p := range replicas {
+		for _, p := range in.Ledger.Replicas[ledger.UnitVersion{Unit: name, Version: version}] {
 			if e := in.Ledger.Engines[p.Engine]; takesWork(in, p, e) {
-				v.Endpoints[uv.Unit] = append(v.Endpoints[uv.Unit], Endpoint{
-					Name: e.Name, Address: e.Address, Hall: e.Hall, Version: uv.Version,
+				eps = append(eps, Endpoint{
+					Name: e.Name, Address: e.Address, Hall: e.Hall, Version: version,
 					Incarnation: e.Incarnation, Concurrency: u.Concurrency,
 				})
 			}
 		}
 	}
+	if len(eps) > 0 {
+		sortByName(eps)
+		v.Endpoints[name] = eps
+	}
+}
+
+// services works out where plain services take calls.
+func (b *Builder) services(in *Input, v *View) {
 	for _, s := range in.Services {
 		cfg := in.Ledger.Catalog.Services[s.Service]
 		if cfg == nil || s.Leaving {
@@ -98,11 +155,12 @@
 		ep.Concurrency = int(cfg.GetConcurrency())
 		pool := ServicePool(s.Service)
 		v.Endpoints[pool] = append(v.Endpoints[pool], ep)
+		sortByName(v.Endpoints[pool])
 	}
-	for _, eps := range v.Endpoints {
-		sort.Slice(eps, func(i, j int) bool { return eps[i].Name < eps[j].Name })
-	}
-	return v
+}
+
+func sortByName(eps []Endpoint) {
+	sort.Slice(eps, func(i, j int) bool { return eps[i].Name < eps[j].Name })
 }
 
 // serves reports whether requests go to a version: the serving one, or while
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -40,7 +40,7 @@
 func (s Slopes) Run(ctx context.Context) (*SlopesResult, error) {
 	r := &SlopesResult{}
 	for _, measure := range []func() *Slope{
-		foldCost, recordBytes, viewCost, planCost, quietPlanCost, snapshotCost, snapshotBytes, stateMemory,
+		foldCost, recordBytes, viewCost, viewChangeCost, planCost, quietPlanCost, snapshotCost, snapshotBytes, stateMemory,
 		claimMemory, publishCost, homeCost, learnerCost, bootCost,
 	} {
 		sl := measure()
@@ -122,11 +122,23 @@
 }
 
 func viewCost() *Slope {
-	s := &Slope{Name: "buildView", XUnit: "loaded models", YUnit: "microseconds a view", How: codeAlone}
+	s := &Slope{Name: "buildViewWhole", XUnit: "loaded models", YUnit: "microseconds a view", How: codeAlone}
 	return each(s, func(syn *synthetic) float64 {
-		engines := syn.soft()
-		in := &view.Input{Ledger: syn.state, Engines: engines, Ready: true}
-		return micros(timed(31, func(int) { view.Build(in) }))
+		in := &view.Input{Ledger: syn.state, Engines: syn.soft(), Ready: true}
+		return micros(timed(31, func(int) { view.NewBuilder().Build(in) }))
+	}, byModels)
+}
+
+func viewChangeCost() *Slope {
+	s := &Slope{Name: "buildViewChange", XUnit: "loaded models", YUnit: "microseconds a view in which one unit changed", How: codeAlone}
+	return each(s, func(syn *synthetic) float64 {
+		in := &view.Input{Ledger: syn.state, Engines: syn.soft(), Ready: true}
+		b := view.NewBuilder()
+		b.Build(in)
+		return micros(timed(101, func(i int) {
+			b.Touch(unitName(i % syn.models))
+			b.Build(in)
+		}))
 	}, byModels)
 }
 
--- a/internal/control/boot.go
+++ b/internal/control/boot.go
@@ -139,6 +139,7 @@
 		return
 	}
 	c.state = m.state
+	c.builder.TouchAll()
 	c.booted = true
 	c.target = max(c.target, m.target)
 	c.snap.lastMark = m.state.NextOffset
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,7 +93,12 @@
 	leaving   map[string]time.Time
 	snap      snapshots
 	feed      membership.Feed
-	dirty     bool
+	round     int
+	builder   *view.Builder
+	live      []string
+	// lastServices are the plain services in the view.
+	lastServices []view.Service
+	dirty        bool
 }
 
 // message is something that happened, handled by the control goroutine.
@@ -122,7 +128,9 @@
 	c.planner = plan.New(o.Self, c.Policy, rand.Float64())
 	c.appender = logservice.NewAppender(o.Self.Node, o.Self.Incarnation, o.Log, o.Clock, o.AppendPause, c.onAppended)
 	c.snap = newSnapshots()
-	c.view.Store(view.Build(&view.Input{Ledger: c.state}))
+	c.builder = view.NewBuilder()
+	first, _ := c.builder.Build(&view.Input{Ledger: c.state})
+	c.view.Store(first)
 	return c
 }
 
@@ -170,13 +178,22 @@
 			m.handle(c)
 			c.drain()
 		case <-ticker.Chan():
-			c.dirty = true
 			c.forgetOrders()
+			c.noticeLive()
 		}
 		c.step(ctx)
 	}
 }
 
+// noticeLive marks the view out of date when the live nodes have changed.
+func (c *Controller) noticeLive() {
+	live := c.members.Live(c.Clock.Now(), false)
+	if !slices.Equal(live, c.live) {
+		c.live = live
+		c.dirty = true
+	}
+}
+
 // pause sleeps, or less if the context ends.
 func (c *Controller) pause(ctx context.Context, d time.Duration) {
 	select {
@@ -208,7 +225,7 @@
 	}
 	if c.dirty {
 		c.dirty = false
-		c.publish(now)
+		c.publish()
 	}
 }
 
@@ -240,14 +257,14 @@
 }
 
 // publish makes a new view and gives it to traffic.
-func (c *Controller) publish(now time.Time) {
-	v := view.Build(&view.Input{
+func (c *Controller) publish() {
+	v, changed := c.builder.Build(&view.Input{
 		Ledger: c.state, Engines: c.engines, Services: c.services(),
-		LoadingSince: c.planner.LoadingSince(), Live: c.members.Live(now, false),
+		LoadingSince: c.planner.LoadingSince(), Live: c.live,
 		Ready: c.booted && c.caughtUp && !c.diverged, Diverged: c.diverged,
 	})
 	old := c.view.Swap(v)
-	c.Dispatcher.Update(v)
+	c.Dispatcher.Update(v, changed)
 	if old.Revision != v.Revision || old.Ready != v.Ready {
 		c.watchers.notify()
 	}
--- a/internal/control/fold.go
+++ b/internal/control/fold.go
@@ -112,6 +112,7 @@
 	}
 	c.planner.Observe(o, now)
 	c.members.Seen(ledger.NodeRef{Node: o.Record.GetNode(), Incarnation: o.Record.GetIncarnation()}, now)
+	c.touch(o)
 	switch b := o.Record.GetBody().(type) {
 	case *pb.Record_Load:
 		if o.OK() {
@@ -137,6 +138,21 @@
 	}
 }
 
+// touch marks what an accepted record changes in the view.
+func (c *Controller) touch(o ledger.Outcome) {
+	if !o.OK() {
+		return
+	}
+	switch b := o.Record.GetBody().(type) {
+	case *pb.Record_LoadDone:
+		c.builder.Touch(b.LoadDone.GetUnit())
+	case *pb.Record_Unload:
+		c.builder.Touch(b.Unload.GetUnit())
+	case *pb.Record_EngineUp, *pb.Record_EngineGone, *pb.Record_EngineDrain, *pb.Record_ConfigChange:
+		c.builder.TouchAll()
+	}
+}
+
 // ErrLogSilent is returned when a proposal was not decided in time.
 var ErrLogSilent = eris.New("the log has not decided in time; ask again when it is reachable")
 
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,15 +73,27 @@
 	c.members.Forget(now)
 	c.refeed(now)
 	c.markLeaving(leaving, now)
-	c.seeEngines(engines)
-	c.dirty = true
+	if c.seeEngines(engines) || c.seeServices() {
+		c.builder.TouchAll()
+		c.dirty = true
+	}
 }
 
-// seeEngines keeps the soft state in step with the list and the ledger.
-func (c *Controller) seeEngines(listed map[string]instancelist.Instance) {
+// seeServices reports whether the plain services in the list have changed.
+func (c *Controller) seeServices() bool {
+	now := c.services()
+	same := slices.Equal(now, c.lastServices)
+	c.lastServices = now
+	return !same
+}
+
+// seeEngines keeps the soft state in step with the list and the ledger; it
+// reports whether an engine has become usable or ceased to be.
+func (c *Controller) seeEngines(listed map[string]instancelist.Instance) (changed bool) {
 	for id := range listed {
 		if c.engines[id] == nil {
 			c.engines[id] = &plan.Engine{}
+			changed = true
 		}
 	}
 	for id := range c.state.Engines {
@@ -91,14 +104,18 @@
 	many := len(listed) > askAllEngines
 	for id, e := range c.engines {
 		if known := c.state.Engines[id]; many && known != nil && c.planner.Home(id) != c.Self.Node {
+			changed = changed || !e.Reachable
 			e.Reachable = true
-			e.Up = &pb.EngineUp{Engine: id, Incarnation: known.Incarnation}
+			if e.Up == nil || e.Up.GetIncarnation() != known.Incarnation {
+				e.Up = &pb.EngineUp{Engine: id, Incarnation: known.Incarnation}
+			}
 		}
 		_, e.Listed = listed[id]
 		if !e.Listed && c.state.Engines[id] == nil {
 			delete(c.engines, id)
 		}
 	}
+	return changed
 }
 
 // markLeaving notes leaving instances and tells the peers of those that are
@@ -124,6 +141,7 @@
 	if len(news) == 0 {
 		return
 	}
+	c.builder.TouchAll()
 	c.dirty = true
 	c.toNeighbours(&pb.PeerRequest{Body: &pb.PeerRequest_Leaving{Leaving: &pb.Leaving{Instances: news}}})
 }
@@ -227,6 +245,7 @@
 	if !m.ok {
 		if m.lost && e.Reachable {
 			e.Reachable = false
+			c.builder.TouchAll()
 			c.dirty = true
 			c.Logger.Warn("engine does not answer", "engine", m.id)
 		}
@@ -235,12 +254,15 @@
 	st := m.status
 	if !e.Reachable {
 		e.Reachable = true
+		c.builder.TouchAll()
 		c.dirty = true
 	}
 	if e.Up == nil || e.Up.GetIncarnation() != st.Incarnation {
 		// A new incarnation is not bound by the old one's leaving.
 		delete(c.leaving, m.id)
 		e.Leaving = false
+		c.builder.TouchAll()
+		c.dirty = true
 	}
 	e.Up = &pb.EngineUp{
 		Engine: m.id, Incarnation: st.Incarnation, Address: m.address, Hall: st.Hall,
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -12,7 +12,7 @@
 
 // Times toward peers.
 const (
-	probeEvery   = 500 * time.Millisecond
+	probeEvery   = time.Second
 	probeTimeout = time.Second
 	tellTimeout  = time.Second
 	fetchTimeout = 3 * time.Second
@@ -81,23 +81,19 @@
 
 func (m askProbes) handle(c *Controller) {
 	now := c.Clock.Now()
-	targets := membership.Neighbours(c.Self.Node, c.members.Peers(now))
-	names := make([]string, 0, len(targets)+1)
-	for _, t := range targets {
-		names = append(names, t.Node)
-	}
+	targets, watched := membership.Round(c.Self.Node, c.members.Peers(now), c.round)
+	c.round++
 	// The feeder is probed too: its answer says whether it is ahead.
-	if f, ok := c.members.Member(c.feed.Feeder); ok && !contains(names, f.Node) {
+	if f, ok := c.members.Member(c.feed.Feeder); ok && !probed(targets, f.Node) {
 		targets = append(targets, f)
-		names = append(names, f.Node)
 	}
-	c.members.Probing(names, now)
+	c.members.Probing(watched, now)
 	m.reply <- probeRound{targets: targets, news: c.newsOut(now)}
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
+func probed(targets []membership.Member, name string) bool {
+	for _, m := range targets {
+		if m.Node == name {
 			return true
 		}
 	}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -222,15 +222,23 @@
 	return p
 }
 
-// Update puts a new view in force.
-func (d *Dispatcher) Update(v *view.View) {
+// Update puts a new view in force, in which the named pools changed; nil means
+// all.
+func (d *Dispatcher) Update(v *view.View, changed []string) {
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view = v
+	if changed == nil {
+		for name := range d.pools {
+			d.updatePool(name, now)
+		}
+	}
+	for _, name := range changed {
+		d.updatePool(name, now)
+	}
 	for name, p := range d.pools {
-		p.update(v, d.places(v, name), now)
-		d.pump(p, now)
+		p.loadingSince = v.LoadingSince[name]
 	}
 	for name, g := range d.gates {
 		if len(g.pools) == 0 && g.running == 0 {
@@ -239,6 +247,15 @@
 	}
 }
 
+func (d *Dispatcher) updatePool(name string, now time.Time) {
+	p := d.pools[name]
+	if p == nil {
+		return
+	}
+	p.update(d.view, d.places(d.view, name), now)
+	d.pump(p, now)
+}
+
 // places joins the endpoints of a pool with their gates.
 func (d *Dispatcher) places(v *view.View, name string) []place {
 	eps := v.Endpoints[name]
