--- a/cmd/olivebench/main.go
+++ b/cmd/olivebench/main.go
@@ -32,6 +32,7 @@
 	Burst   burstCmd   `cmd:"" help:"Ask every node for the same cold models at once, under faults."`
 	Slopes  slopesCmd  `cmd:"" help:"Measure the slopes behind docs/CAPACITY.md."`
 	Model   modelCmd   `cmd:"" help:"Explore the small protocols in every order of events."`
+	Policy  policyCmd  `cmd:"" help:"Run the policies over days of synthetic demand in virtual time."`
 	Once    onceCmd    `cmd:"" help:"Send requests that may not be repeated, each through two nodes, under faults."`
 }
 
--- /dev/null
+++ b/cmd/olivebench/policy.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"olivetiller/internal/policylab"
+)
+
+// policyCmd runs the policies in virtual time.
+type policyCmd struct {
+	Deployment string `default:"krautwerk" enum:"krautwerk,suva" help:"The deployment's demand."`
+	Days       int    `default:"7" help:"How many days."`
+	Seed       uint64 `default:"1" help:"Seeds the demand."`
+	Faults     bool   `help:"Add an hour of a log outage and three of a slow weight store."`
+	JSON       bool   `name:"json" help:"Print the results as JSON."`
+}
+
+// Run implements the command.
+func (c *policyCmd) Run() error {
+	ex := policylab.Experiment{Deployment: c.Deployment, Days: c.Days, Seed: c.Seed, Faults: c.Faults}
+	results := ex.Run()
+	if c.JSON {
+		return show(results, nil)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "POLICY\tREQUESTS\tREFUSED\tCOLD\tWAIT P95\tWAIT P99\tP99.9\tCOLD P50\tCOLD P99\tCOLD S\tIDLE H\tIDLE H BY MEMORY\tLOADS/H\tTIB MOVED")
+	for _, r := range results {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\n", r.Policy, r.Requests, r.Refused, r.ColdStarts,
+			r.WaitP95, r.WaitP99, r.WaitP999, r.ColdP50, r.ColdP99, r.ColdSeconds, r.IdleHours, r.IdleHoursByMemory, r.LoadsPerHour, r.BytesMoved/(1<<40))
+	}
+	return w.Flush()
+}
--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -116,3 +116,10 @@
 		}
 	}
 }
+
+// Touch sets when a unit was last used, for runs in virtual time.
+func (t *Table) Touch(name string, at time.Time) {
+	if u := t.units[name]; u != nil {
+		u.lastUse = at
+	}
+}
--- /dev/null
+++ b/internal/policylab/experiment.go
@@ -0,0 +1,67 @@
+package policylab
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"olivetiller/core/plan"
+	"olivetiller/core/policy"
+)
+
+// Experiment runs every policy over one workload.
+type Experiment struct {
+	Deployment string
+	Days       int
+	Seed       uint64
+	// Faults adds an hour of a log outage and three of a slow weight store.
+	Faults bool
+}
+
+// Workload returns the experiment's demand.
+func (e Experiment) Workload() *Workload {
+	if e.Deployment == "suva" {
+		return Suva(e.Days, e.Seed)
+	}
+	return Krautwerk(e.Days, e.Seed)
+}
+
+// Platform returns the experiment's platform.
+func (e Experiment) Platform() Platform {
+	p := DefaultPlatform()
+	if e.Faults {
+		p.Faults = []Fault{
+			{From: 34 * time.Hour, To: 35 * time.Hour, LogOut: true},
+			{From: 57 * time.Hour, To: 60 * time.Hour, SlowStore: 4},
+		}
+	}
+	return p
+}
+
+// Run returns the results: the baselines, the product's policy at each weight,
+// and the oracle.
+func (e Experiment) Run() []Result {
+	work, platform := e.Workload(), e.Platform()
+	runs := Baselines()
+	for _, w := range IdleHourWeights {
+		runs = append(runs, Named{fmt.Sprintf("costed, idle hour %g", w), Costed(w)})
+	}
+	runs = append(runs, Named{"oracle", Oracle(work, platform, policy.DefaultWeights)})
+	results := make([]Result, len(runs))
+	var wg sync.WaitGroup
+	for i, r := range runs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			results[i] = Run(work, platform, r.Policy)
+			results[i].Policy = r.Name
+		}()
+	}
+	wg.Wait()
+	return results
+}
+
+// Costed returns the product's policy with a weight for an idle hour.
+func Costed(idleHour float64) plan.Policy {
+	return policy.NewCosted(policy.Weights{ColdStartSecond: 1, IdleHour: idleHour})
+}
