policy: decide by chance of use within a horizon, by pauses and time of day; evict bases with adapters

Change: victims are groups of a base and its idle adapters; use of an adapter is use of its base; a policy answers hold and prewarm from pause histogram, quarter-hour profile of weekday and weekend, load time and the number of requests a cold start delays.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -36,6 +36,8 @@
 
 // Table holds the reports of all nodes. It is owned by one goroutine.
 type Table struct {
+	// Life is how long a report counts unless renewed.
+	Life  time.Duration
 	units map[string]*unit
 }
 
@@ -51,7 +53,7 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{units: make(map[string]*unit)} }
+func NewTable() *Table { return &Table{Life: Life, units: make(map[string]*unit)} }
 
 // Put takes a node's report in.
 func (t *Table) Put(node string, r Report, now time.Time) {
@@ -82,7 +84,7 @@
 	}
 	d := Demand{LastUse: u.lastUse}
 	for node, r := range u.reports {
-		if now.Sub(r.at) > Life {
+		if now.Sub(r.at) > t.Life {
 			delete(u.reports, node)
 			continue
 		}
@@ -117,9 +119,15 @@
 	}
 }
 
-// Touch sets when a unit was last used, for runs in virtual time.
-func (t *Table) Touch(name string, at time.Time) {
-	if u := t.units[name]; u != nil {
+// Used notes a use of a unit that no report tells of: that of a base model
+// through its adapter.
+func (t *Table) Used(name string, at time.Time) {
+	u := t.units[name]
+	if u == nil {
+		u = &unit{reports: make(map[string]dated)}
+		t.units[name] = u
+	}
+	if at.After(u.lastUse) {
 		u.lastUse = at
 	}
 }
--- a/core/plan/loads.go
+++ b/core/plan/loads.go
@@ -158,12 +158,11 @@
 	if d.LastUse.IsZero() {
 		return wish{}, false
 	}
-	win := p.Policy.KeepWindow(u.Name, p.share(in, u, u.Bytes(u.Serving)))
-	idle := in.Now.Sub(d.LastUse)
-	if win.Until == 0 || idle < win.Prewarm || idle >= win.Until {
+	verdict := p.Policy.Decide(u.Name, p.share(in, u, u.Bytes(u.Serving)), in.Now.Sub(d.LastUse), in.Now)
+	if !verdict.Prewarm {
 		return wish{}, false
 	}
-	w.why = win.Reason
+	w.why = "expected soon: " + verdict.Why
 	// A replica that nobody waits for yet comes after those somebody waits for.
 	w.urgent = in.Now.Add(time.Hour)
 	return w, true
@@ -229,7 +228,16 @@
 
 func (p *Planner) evict(in *Input, w wish, choice policy.Choice) []Action {
 	var acts []Action
+	var out []policy.Victim
 	for _, v := range choice.Evict {
+		if len(v.First) > 0 {
+			// The base model goes in a later round, when its adapters are gone.
+			out = append(out, v.First...)
+			continue
+		}
+		out = append(out, v)
+	}
+	for _, v := range out {
 		p.reasons[v.Unit] = "unloads on " + choice.Engine + " to make room for " + w.unit.Name
 		acts = append(acts, p.unload(in, ledger.Key{Unit: v.Unit, Version: v.Version, Engine: choice.Engine}, v.Fence)...)
 	}
@@ -289,27 +297,53 @@
 }
 
 // victims returns the replicas on an engine that nothing uses and that the
-// unit does not need itself.
+// unit does not need itself. A base model comes with its adapters: it can go
+// when none of them is in use.
 func (p *Planner) victims(in *Input, e *ledger.Engine, u *catalog.Unit) []policy.Victim {
-	var out []policy.Victim
+	single := make(map[string]policy.Victim)
 	for uv, pl := range e.Placements {
-		if pl.Phase != ledger.Ready || uv.Unit == u.Base || hasAdapters(in, e, uv.Unit) {
-			continue
+		if v, ok := p.victim(in, pl, u); ok {
+			single[uv.Unit] = v
 		}
-		vu := in.Ledger.Catalog.Units[uv.Unit]
-		d := in.Demand.Get(uv.Unit, in.Now)
-		if d.Waiting+d.Running > 0 || (vu != nil && vu.Pinned) {
-			continue
+	}
+	var out []policy.Victim
+	for name, v := range single {
+		whole := true
+		for uv := range e.Placements {
+			if au := in.Ledger.Catalog.Units[uv.Unit]; au == nil || au.Base != name {
+				continue
+			}
+			adapter, ok := single[uv.Unit]
+			whole = whole && ok
+			v.First = append(v.First, adapter)
+			v.Bytes += adapter.Bytes
+			v.Loss += adapter.Loss
+		}
+		if whole {
+			out = append(out, v)
 		}
-		idle := p.idle(in, pl, d)
-		out = append(out, policy.Victim{
-			Unit: uv.Unit, Version: uv.Version, Bytes: pl.Bytes, Fence: pl.Fence,
-			Idle: idle, Loss: p.Policy.Loss(uv.Unit, idle),
-		})
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Unit < out[j].Unit })
 	return out
 }
 
+// victim returns one replica as a victim, if nothing uses it.
+func (p *Planner) victim(in *Input, pl *ledger.Placement, u *catalog.Unit) (policy.Victim, bool) {
+	if pl.Phase != ledger.Ready || pl.Unit == u.Base {
+		return policy.Victim{}, false
+	}
+	vu := in.Ledger.Catalog.Units[pl.Unit]
+	d := in.Demand.Get(pl.Unit, in.Now)
+	if d.Waiting+d.Running > 0 || (vu != nil && vu.Pinned) {
+		return policy.Victim{}, false
+	}
+	idle := p.idle(in, pl, d)
+	return policy.Victim{
+		Unit: pl.Unit, Version: pl.Version, Bytes: pl.Bytes, Fence: pl.Fence,
+		Idle: idle, Loss: p.Policy.Loss(pl.Unit, idle, in.Now),
+	}, true
+}
+
 func hasAdapters(in *Input, e *ledger.Engine, unit string) bool {
 	for uv := range e.Placements {
 		if u := in.Ledger.Catalog.Units[uv.Unit]; u != nil && u.Base == unit {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -47,10 +47,11 @@
 
 // Policy decides about keeping and eviction.
 type Policy interface {
-	// KeepWindow says how long a replica with a share of an engine's memory is kept.
-	KeepWindow(unit string, share float64) policy.Window
+	// Decide says whether a unit that has been idle for a time is held loaded, or
+	// loaded before anybody asks, with its share of an engine's memory.
+	Decide(unit string, share float64, idle time.Duration, now time.Time) policy.Decision
 	// Loss is the expected cost of unloading a replica idle for a time.
-	Loss(unit string, idle time.Duration) float64
+	Loss(unit string, idle time.Duration, now time.Time) float64
 	// Used notes a use.
 	Used(unit string, at time.Time)
 	// Loaded notes a load's duration.
--- a/core/plan/unloads.go
+++ b/core/plan/unloads.go
@@ -102,9 +102,9 @@
 	case d.Waiting+d.Running > 0:
 		return true, fmt.Sprintf("kept: %d requests wait, %d run", d.Waiting, d.Running)
 	}
-	w := p.Policy.KeepWindow(pl.Unit, p.share(in, u, pl.Bytes))
-	if w.Holds(idle) {
-		return true, w.Reason
+	verdict := p.Policy.Decide(pl.Unit, p.share(in, u, pl.Bytes), idle, in.Now)
+	if verdict.Hold {
+		return true, "kept: " + verdict.Why
 	}
-	return false, fmt.Sprintf("unloads: idle for %s; %s", idle.Round(time.Second), w.Reason)
+	return false, fmt.Sprintf("unloads: idle for %s; %s", idle.Round(time.Second), verdict.Why)
 }
--- a/core/policy/learner.go
+++ b/core/policy/learner.go
@@ -1,24 +1,33 @@
 package policy
 
 import (
-	"fmt"
 	"math"
 	"time"
 )
 
-// The bins of a histogram grow by a constant factor from firstBin, so that a
-// gap of seconds and one of days are told apart with few numbers.
+// The bins of the histogram of pauses grow by a constant factor, so that pauses
+// of minutes and of days are told apart with few numbers.
 const (
-	bins      = 40
-	firstBin  = 2 * time.Second
-	binGrowth = 1.4
-	// decay is what an old gap keeps of its weight for each newer one.
+	bins      = 32
+	firstBin  = 30 * time.Second
+	binGrowth = 1.45
+	// decay is what an old pause keeps of its weight for each newer one.
 	decay = 0.97
-	// prior is the weight of what is believed before any gap was seen.
-	prior = 1.0
-	// minKeepBin is the least time kept, about 15 s: noise within it must not
-	// load and unload.
-	minKeepBin = 6
+	// prior is the weight, in pauses, of what all units together show.
+	prior = 2.0
+	// session is the pause that ends a burst of use. Shorter ones say nothing
+	// about when to unload, and are not counted.
+	session = firstBin
+)
+
+// The day is cut into slots, once for weekdays and once for weekends.
+const (
+	slotLength  = 15 * time.Minute
+	slotsPerDay = int(24 * time.Hour / slotLength)
+	// slotGain is how fast a slot's chance follows what happens on a day.
+	slotGain = 0.35
+	// slotUnit is a chance of 1 in the stored form.
+	slotUnit = 255
 )
 
 var binEdges = makeEdges()
@@ -33,25 +42,36 @@
 	return edges
 }
 
-func binOf(gap time.Duration) int {
-	if gap <= firstBin {
+// binOf returns the bin whose upper edge is the first at or above the pause.
+func binOf(pause time.Duration) int {
+	if pause <= firstBin {
 		return 0
 	}
-	i := int(math.Ceil(math.Log(float64(gap)/float64(firstBin)) / math.Log(binGrowth)))
+	i := int(math.Ceil(math.Log(float64(pause)/float64(firstBin)) / math.Log(binGrowth)))
 	return min(i, bins-1)
 }
 
 // history is what is known of one unit's use.
 type history struct {
-	gaps [bins]float32
-	// total is the decayed sum of gaps.
+	pauses [bins]float32
+	// total is the decayed sum of pauses.
 	total   float32
 	lastUse time.Time
-	// busyUntil is the end of the latest use.
+	// began is when the session in progress began.
+	began time.Time
+	// load is the learned load time, 0 before the first.
 	load time.Duration
+	// early counts the uses within a load time of the session's beginning, and
+	// waiters is what is learned of it: the requests that a cold start delays.
+	early   int
+	waiters float32
+	// day holds the chance of a session's beginning in each slot, by kind of day.
+	day [2][slotsPerDay]uint8
+	// dayAt is the slot up to which day has been brought.
+	dayAt time.Time
 }
 
-// Learner keeps the inter-arrival histograms. It is owned by one goroutine.
+// Learner keeps what is known of every unit. It is owned by one goroutine.
 type Learner struct {
 	units map[string]*history
 	// pooled is the histogram of all units together: the prior of a new one.
@@ -61,28 +81,81 @@
 // NewLearner returns a learner that has seen nothing.
 func NewLearner() *Learner { return &Learner{units: make(map[string]*history)} }
 
-// Used notes that a unit was in use at a time. Uses must come in time order.
-func (l *Learner) Used(unit string, at time.Time) {
-	h := l.units[unit]
+func (l *Learner) unit(name string) *history {
+	h := l.units[name]
 	if h == nil {
-		h = &history{}
-		l.units[unit] = h
+		h = &history{waiters: 1}
+		l.units[name] = h
 	}
-	if !h.lastUse.IsZero() {
-		gap := at.Sub(h.lastUse)
-		h.observe(gap)
-		l.pooled.observe(gap)
+	return h
+}
+
+// Used notes that a unit was in use at a time. Uses must come in time order.
+func (l *Learner) Used(unit string, at time.Time) {
+	h := l.unit(unit)
+	pause := at.Sub(h.lastUse)
+	switch {
+	case h.lastUse.IsZero():
+		h.begin(at)
+	case pause > session:
+		h.observe(pause)
+		l.pooled.observe(pause)
+		h.begin(at)
+	case at.Sub(h.began) <= max(h.load, firstBin/3):
+		h.early++
 	}
 	h.lastUse = at
 }
 
+// begin notes the beginning of a session.
+func (h *history) begin(at time.Time) {
+	if !h.began.IsZero() {
+		h.waiters += 0.2 * (float32(h.early) - h.waiters)
+	}
+	h.began = at
+	h.early = 1
+	h.catchUp(at)
+	slot := &h.day[kindOfDay(at)][slotOf(at)]
+	*slot = uint8(float32(*slot) + slotGain*(slotUnit-float32(*slot)))
+}
+
+// catchUp lowers the chance of the slots that passed without a beginning.
+func (h *history) catchUp(to time.Time) {
+	if h.dayAt.IsZero() {
+		h.dayAt = to.Truncate(slotLength)
+		return
+	}
+	for t := h.dayAt.Add(slotLength); !t.After(to.Truncate(slotLength).Add(-slotLength)); t = t.Add(slotLength) {
+		slot := &h.day[kindOfDay(t)][slotOf(t)]
+		*slot = uint8(float32(*slot) * (1 - slotGain))
+	}
+	if s := to.Truncate(slotLength); s.After(h.dayAt) {
+		h.dayAt = s
+	}
+}
+
+func slotOf(t time.Time) int {
+	return int(t.Sub(t.Truncate(24*time.Hour)) / slotLength)
+}
+
+func kindOfDay(t time.Time) int {
+	if d := t.Weekday(); d == time.Saturday || d == time.Sunday {
+		return 1
+	}
+	return 0
+}
+
+func (h *history) observe(pause time.Duration) {
+	for i := range h.pauses {
+		h.pauses[i] *= decay
+	}
+	h.total = h.total*decay + 1
+	h.pauses[binOf(pause)]++
+}
+
 // Loaded notes how long a load of the unit took.
 func (l *Learner) Loaded(unit string, d time.Duration) {
-	h := l.units[unit]
-	if h == nil {
-		h = &history{}
-		l.units[unit] = h
-	}
+	h := l.unit(unit)
 	if h.load == 0 {
 		h.load = d
 		return
@@ -98,152 +171,73 @@
 	return fallback
 }
 
-// LastUse returns when the unit was last used; zero if never.
-func (l *Learner) LastUse(unit string) time.Time {
+// Waiters returns how many requests a cold start of the unit keeps waiting.
+func (l *Learner) Waiters(unit string) float64 {
 	if h := l.units[unit]; h != nil {
-		return h.lastUse
+		return float64(max(1, h.waiters))
 	}
-	return time.Time{}
+	return 1
 }
 
-// burstGap is the gap within which uses belong to one burst. Such gaps say
-// nothing about when to unload, so they are not counted.
-const burstGap = firstBin
-
-func (h *history) observe(gap time.Duration) {
-	if gap <= burstGap {
-		return
-	}
-	for i := range h.gaps {
-		h.gaps[i] *= decay
-	}
-	h.total = h.total*decay + 1
-	h.gaps[binOf(gap)]++
-}
-
-// Cost is what keeping and returning cost for one replica.
-type Cost struct {
-	// Return is the cost of a cold start.
-	Return float64
-	// IdleSecond is the cost of one second loaded without use.
-	IdleSecond float64
-}
-
-// Window returns the keeping that costs least in expectation.
-//
-// For a gap g, keeping until K costs min(g, K) idle seconds, and a cold start
-// when g > K. Loading again at P costs a cold start when K < g < P, g - P idle
-// seconds when P <= g < U, and U - P and a cold start after that. The expected
-// cost of every (K), and of every (P, U) with K at one bin, is summed over the
-// histogram, whose gaps are taken at their bins' upper edge.
-func (l *Learner) Window(unit string, c Cost) Window {
-	weights := l.distribution(unit)
-	best, bestCost := minKeepBin, math.Inf(1)
-	for k := minKeepBin; k < bins; k++ {
-		if cost := keepCost(&weights, k, c); cost < bestCost {
-			best, bestCost = k, cost
+// PauseChance returns how likely a pause that has lasted for idle ends within
+// horizon, by the unit's own pauses and, while it has few, those of all units.
+func (l *Learner) PauseChance(unit string, idle, horizon time.Duration) float64 {
+	h := l.units[unit]
+	from, to := binOf(idle), binOf(idle+horizon)
+	var soon, rest float64
+	for i := from; i < bins; i++ {
+		w := l.pausesAt(h, i)
+		rest += w
+		if i <= to && i < bins-1 {
+			// A part of the first and last bin lies outside the horizon.
+			soon += w * overlap(i, idle, idle+horizon)
 		}
 	}
-	w := Window{Keep: binEdges[best], Reason: fmt.Sprintf("kept %s after use: a return costs %.1f, an idle hour %.1f", binEdges[best].Round(time.Second), c.Return, c.IdleSecond*3600)}
-	p, u, cost := prewarmBest(&weights, c)
-	if cost < bestCost*prewarmGain {
-		w.Keep = binEdges[minKeepBin]
-		w.Prewarm, w.Until = binEdges[p], binEdges[u]
-		w.Reason = fmt.Sprintf("next use expected between %s and %s after the last", binEdges[p].Round(time.Second), binEdges[u].Round(time.Second))
+	if rest == 0 {
+		return 0
 	}
-	return w
+	return min(1, soon/rest)
 }
 
-// prewarmGain is what a prewarm must save before it is preferred: it costs a
-// load of the weight store that keeping does not.
-const prewarmGain = 0.9
-
-// distribution returns the unit's gap weights, mixed with the pooled prior and
-// summing to 1, the last bin standing for "never".
-func (l *Learner) distribution(unit string) [bins]float64 {
-	var w [bins]float64
-	var total float64
+func (l *Learner) pausesAt(h *history, i int) float64 {
+	var w float64
 	if l.pooled.total > 0 {
-		for i, g := range l.pooled.gaps {
-			w[i] = prior * float64(g) / float64(l.pooled.total)
-		}
-		total = prior
-	} else {
-		w[bins-1] = prior / 2
-		w[bins/2] = prior / 2
-		total = prior
+		w = prior * float64(l.pooled.pauses[i]) / float64(l.pooled.total)
 	}
-	if h := l.units[unit]; h != nil {
-		for i, g := range h.gaps {
-			w[i] += float64(g)
-		}
-		total += float64(h.total)
-	}
-	for i := range w {
-		w[i] /= total
+	if h != nil {
+		w += float64(h.pauses[i])
 	}
 	return w
 }
 
-func keepCost(w *[bins]float64, k int, c Cost) float64 {
-	var cost float64
-	keep := binEdges[k].Seconds()
-	for i, p := range w {
-		if i <= k && i < bins-1 {
-			cost += p * binEdges[i].Seconds() * c.IdleSecond
-			continue
-		}
-		cost += p * (keep*c.IdleSecond + c.Return)
+// overlap returns the part of a bin between two pauses.
+func overlap(bin int, from, to time.Duration) float64 {
+	var low time.Duration
+	if bin > 0 {
+		low = binEdges[bin-1]
 	}
-	return cost
-}
-
-// prewarmBest returns the window [P, U] of least cost, P after the first bins.
-func prewarmBest(w *[bins]float64, c Cost) (p, u int, cost float64) {
-	cost = math.Inf(1)
-	short := binEdges[minKeepBin].Seconds() * c.IdleSecond
-	var before float64
-	for i := 0; i < bins-1; i++ {
-		if i <= minKeepBin {
-			continue
-		}
-		before += w[i]
-		// Gaps within bins 0..i meet an unloaded replica.
-		base := short + before*c.Return
-		if base >= cost {
-			break
-		}
-		idle := 0.0
-		served := 0.0
-		start := binEdges[i].Seconds()
-		for j := i + 1; j < bins-1; j++ {
-			held := binEdges[j].Seconds() - start
-			idle += w[j] * held
-			served += w[j]
-			rest := max(0, 1-before-served)
-			total := base + (idle+rest*held)*c.IdleSecond + rest*c.Return
-			if total < cost {
-				p, u, cost = i, j, total
-			}
-		}
+	high := binEdges[bin]
+	a, b := max(low, from), min(high, to)
+	if b <= a {
+		return 0
 	}
-	return p, u, cost
+	return float64(b-a) / float64(high-max(low, min(from, high)))
 }
 
-// Chance returns how likely the unit is used within horizon, given that it has
-// been idle for a time.
-func (l *Learner) Chance(unit string, idle, horizon time.Duration) float64 {
-	w := l.distribution(unit)
-	from, to := binOf(idle), binOf(idle+horizon)
-	var soon, rest float64
-	for i := from; i < bins; i++ {
-		rest += w[i]
-		if i <= to && i < bins-1 {
-			soon += w[i]
-		}
-	}
-	if rest == 0 {
+// DayChance returns how likely a session begins within horizon from now, by the
+// time of day at which the unit woke on days before.
+func (l *Learner) DayChance(unit string, now time.Time, horizon time.Duration) float64 {
+	h := l.units[unit]
+	if h == nil {
 		return 0
 	}
-	return soon / rest
+	h.catchUp(now)
+	none := 1.0
+	end := now.Add(horizon)
+	for t := now.Truncate(slotLength); t.Before(end); t = t.Add(slotLength) {
+		part := min(end.Sub(t), t.Add(slotLength).Sub(now), slotLength)
+		chance := float64(h.day[kindOfDay(t)][slotOf(t)]) / slotUnit
+		none *= 1 - chance*float64(part)/float64(slotLength)
+	}
+	return 1 - none
 }
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -42,6 +43,8 @@
 	Idle time.Duration
 	// Loss is the expected cost of having to load it again.
 	Loss float64
+	// First holds the adapters that must go before it; Bytes and Loss count them.
+	First []Victim
 }
 
 // Choice is where a load goes and what must be unloaded first.
@@ -117,10 +120,22 @@
 		return vs[i].Unit < vs[j].Unit
 	})
 	free := c.Free
+	gone := make(map[string]bool)
 	for _, v := range vs {
 		if free >= need {
 			break
 		}
+		if gone[v.Unit] || math.IsInf(v.Loss, 1) {
+			continue
+		}
+		for _, f := range v.First {
+			if gone[f.Unit] {
+				// It was taken alone already.
+				v.Bytes -= f.Bytes
+			}
+			gone[f.Unit] = true
+		}
+		gone[v.Unit] = true
 		evict = append(evict, v)
 		free += v.Bytes
 		loss += v.Loss
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -323,8 +323,13 @@
 // takeDemand enters a report and teaches the policy of the use.
 func (c *Controller) takeDemand(node string, r demand.Report, now time.Time) {
 	c.demand.Put(node, r, now)
-	if r.Waiting+r.Running+r.Arrivals > 0 {
-		c.Policy.Used(r.Unit, now)
+	if r.Waiting+r.Running+r.Arrivals == 0 {
+		return
+	}
+	c.Policy.Used(r.Unit, now)
+	if u := c.state.Catalog.Units[r.Unit]; u != nil && u.Base != "" {
+		c.Policy.Used(u.Base, now)
+		c.demand.Used(u.Base, now)
 	}
 }
 
--- a/internal/policylab/experiment.go
+++ b/internal/policylab/experiment.go
@@ -46,7 +46,7 @@
 	for _, w := range IdleHourWeights {
 		runs = append(runs, Named{fmt.Sprintf("costed, idle hour %g", w), Costed(w)})
 	}
-	runs = append(runs, Named{"oracle", Oracle(work, platform, policy.DefaultWeights)})
+	runs = append(runs, Named{"oracle", Oracle(work, platform)})
 	results := make([]Result, len(runs))
 	var wg sync.WaitGroup
 	for i, r := range runs {
--- a/internal/policylab/lab.go
+++ b/internal/policylab/lab.go
@@ -50,7 +50,7 @@
 // Times of the lab.
 const (
 	// round is the time between two planner's rounds without an event.
-	round = 5 * time.Second
+	round = 10 * time.Second
 	// decide is the time from a proposal to its outcome.
 	decide = 30 * time.Millisecond
 	// unloadTime is the time an unload takes.
@@ -123,6 +123,8 @@
 		queues: make(map[string][]waiting), running: make(map[string]int), onUnit: make(map[ledger.Key]int), onE: make(map[string]int),
 	}
 	l.planner = plan.New(l.self, pol, 0)
+	// Nothing is lost on the way to the lab's planner, so nothing is renewed.
+	l.table.Life = time.Duration(work.Days+1) * 24 * time.Hour
 	l.setUp()
 	for i := range work.Arrivals {
 		a := work.Arrivals[i]
@@ -267,7 +269,7 @@
 	l.result.Requests++
 	cold := !l.anyReady(a.Unit)
 	l.queues[a.Unit] = append(l.queues[a.Unit], waiting{Arrival: a, cold: cold})
-	l.planner.Policy.Used(a.Unit, l.time())
+	l.used(a.Unit)
 	l.report(a.Unit)
 	l.pump(a.Unit)
 	if len(l.queues[a.Unit]) > 0 {
@@ -276,6 +278,14 @@
 	}
 }
 
+// used teaches the policy of a use, and of that of a base model by its adapter.
+func (l *lab) used(unit string) {
+	l.planner.Policy.Used(unit, l.time())
+	if base := l.state.Catalog.Units[unit].Base; base != "" {
+		l.planner.Policy.Used(base, l.time())
+	}
+}
+
 func (l *lab) anyReady(unit string) bool {
 	for _, p := range l.state.Replicas[ledger.UnitVersion{Unit: unit, Version: "v"}] {
 		if p.Phase == ledger.Ready {
@@ -305,8 +315,10 @@
 	if r.Waiting > 0 {
 		r.Deadline = epoch.Add(l.queues[unit][0].At + l.Timeout)
 	}
-	l.table.Put(l.self.Node, r, l.time().Add(24*time.Hour))
-	l.table.Touch(unit, l.time())
+	l.table.Put(l.self.Node, r, l.time())
+	if base := l.state.Catalog.Units[unit].Base; base != "" {
+		l.table.Used(base, l.time())
+	}
 }
 
 // pump starts waiting requests on ready replicas with room.
@@ -354,7 +366,7 @@
 		l.running[k.Unit]--
 		l.onUnit[k]--
 		l.onE[k.Engine]--
-		l.planner.Policy.Used(k.Unit, l.time())
+		l.used(k.Unit)
 		l.pump(k.Unit)
 	})
 }
--- a/internal/policylab/policies.go
+++ b/internal/policylab/policies.go
@@ -22,7 +22,7 @@
 type neverUnload struct{ policy.Fixed }
 
 // Loss makes every replica too dear to unload.
-func (neverUnload) Loss(string, time.Duration) float64 { return math.Inf(1) }
+func (neverUnload) Loss(string, time.Duration, time.Time) float64 { return math.Inf(1) }
 
 // Baselines returns the baselines.
 func Baselines() []Named {
@@ -50,23 +50,20 @@
 // oracle knows every arrival to come. It keeps a replica through a gap that
 // costs less than a return, and otherwise loads it again just in time.
 type oracle struct {
-	uses    map[string][]time.Time
-	lastUse map[string]time.Time
-	load    map[string]time.Duration
-	weights policy.Weights
+	uses map[string][]time.Time
+	load map[string]time.Duration
 }
 
 // Oracle returns a lower bound for a workload: its decisions are made unit by
 // unit with the future known, its loads are in time unless the store is full.
-func Oracle(w *Workload, p Platform, weights policy.Weights) plan.Policy {
-	o := &oracle{
-		uses: make(map[string][]time.Time), lastUse: make(map[string]time.Time),
-		load: make(map[string]time.Duration), weights: weights,
-	}
+func Oracle(w *Workload, p Platform) plan.Policy {
+	o := &oracle{uses: make(map[string][]time.Time), load: make(map[string]time.Duration)}
 	bases := make(map[string]string)
 	for _, u := range w.Units {
 		o.load[u.Name] = time.Duration(float64(u.Bytes) / p.StoreBytesPerSecond * float64(time.Second))
 		bases[u.Name] = u.Base
+		// An adapter comes after its base model.
+		o.load[u.Name] += o.load[u.Base]
 	}
 	for _, a := range w.Arrivals {
 		o.uses[a.Unit] = append(o.uses[a.Unit], epoch.Add(a.At))
@@ -80,36 +77,38 @@
 	return o
 }
 
-// KeepWindow implements plan.Policy.
-func (o *oracle) KeepWindow(unit string, share float64) policy.Window {
-	last := o.lastUse[unit]
+// next returns the time to the next use.
+func (o *oracle) next(unit string, now time.Time) (time.Duration, bool) {
 	uses := o.uses[unit]
-	i := sort.Search(len(uses), func(i int) bool { return uses[i].After(last) })
+	i := sort.Search(len(uses), func(i int) bool { return uses[i].After(now) })
 	if i == len(uses) {
-		return policy.Window{}
+		return 0, false
 	}
-	gap := uses[i].Sub(last)
-	ahead := o.load[unit] + 2*round
-	// A return in time costs no wait, only the hold while it loads.
-	if gap < 2*ahead {
-		return policy.Window{Keep: gap + time.Second}
+	return uses[i].Sub(now), true
+}
+
+// Decide implements plan.Policy: a replica is held while a return takes longer
+// than the time to its next use, and loaded again just in time.
+func (o *oracle) Decide(unit string, _ float64, _ time.Duration, now time.Time) policy.Decision {
+	gap, ok := o.next(unit, now)
+	if !ok {
+		return policy.Decision{}
 	}
-	return policy.Window{Prewarm: gap - ahead, Until: gap + time.Minute}
+	ahead := o.load[unit] + 3*round
+	return policy.Decision{Hold: gap < 2*ahead, Prewarm: gap < ahead}
 }
 
 // Loss implements plan.Policy: what is needed last goes first.
-func (o *oracle) Loss(unit string, idle time.Duration) float64 {
-	last := o.lastUse[unit]
-	uses := o.uses[unit]
-	i := sort.Search(len(uses), func(i int) bool { return uses[i].After(last) })
-	if i == len(uses) {
+func (o *oracle) Loss(unit string, _ time.Duration, now time.Time) float64 {
+	gap, ok := o.next(unit, now)
+	if !ok {
 		return 0
 	}
-	return 1 / (1 + (uses[i].Sub(last) - idle).Seconds())
+	return 1 / (1 + gap.Seconds())
 }
 
 // Used implements plan.Policy.
-func (o *oracle) Used(unit string, at time.Time) { o.lastUse[unit] = at }
+func (o *oracle) Used(string, time.Time) {}
 
 // Loaded implements plan.Policy.
 func (o *oracle) Loaded(string, time.Duration) {}
