--- a/cmd/olivebench/policy.go
+++ b/cmd/olivebench/policy.go
@@ -14,13 +14,20 @@
 	Days       int    `default:"7" help:"How many days."`
 	Seed       uint64 `default:"1" help:"Seeds the demand."`
 	Faults     bool   `help:"Add an hour of a log outage and three of a slow weight store."`
+	Ablate     bool   `help:"Compare the product's policy with itself, a part less each time."`
+	Plot       string `type:"path" help:"Also draw the frontier of the two measures into FILE.svg and FILE.png."`
 	JSON       bool   `name:"json" help:"Print the results as JSON."`
 }
 
 // Run implements the command.
 func (c *policyCmd) Run() error {
-	ex := policylab.Experiment{Deployment: c.Deployment, Days: c.Days, Seed: c.Seed, Faults: c.Faults}
+	ex := policylab.Experiment{Deployment: c.Deployment, Days: c.Days, Seed: c.Seed, Faults: c.Faults, Ablate: c.Ablate}
 	results := ex.Run()
+	if c.Plot != "" {
+		if err := policylab.PlotFrontier(results, c.Deployment, c.Plot); err != nil {
+			return err
+		}
+	}
 	if c.JSON {
 		return show(results, nil)
 	}
--- a/core/policy/costed.go
+++ b/core/policy/costed.go
@@ -138,3 +138,6 @@
 
 // Loaded implements the planner's policy.
 func (f Fixed) Loaded(string, time.Duration) {}
+
+// SetWeights puts a deployment's weights in force; what was learned stays.
+func (c *Costed) SetWeights(w Weights) { c.Weights = w }
--- a/core/policy/place.go
+++ b/core/policy/place.go
@@ -74,12 +74,16 @@
 	return placeByEviction(need, cands)
 }
 
+// busyStep is how many units with work an engine may have before another is
+// preferred for it.
+const busyStep = 3
+
 func better(a, b *Candidate) bool {
 	if a.Tier != b.Tier {
 		return a.Tier < b.Tier
 	}
-	if a.Busy != b.Busy {
-		return a.Busy < b.Busy
+	if x, y := a.Busy/busyStep, b.Busy/busyStep; x != y {
+		return x < y
 	}
 	if a.HallReplicas != b.HallReplicas {
 		return a.HallReplicas < b.HallReplicas
--- a/internal/control/boot.go
+++ b/internal/control/boot.go
@@ -140,6 +140,7 @@
 	}
 	c.state = m.state
 	c.builder.TouchAll()
+	c.adoptWeights()
 	c.booted = true
 	c.target = max(c.target, m.target)
 	c.snap.lastMark = m.state.NextOffset
--- a/internal/control/fold.go
+++ b/internal/control/fold.go
@@ -8,6 +8,7 @@
 
 	"olivetiller/core/ledger"
 	"olivetiller/core/membership"
+	"olivetiller/core/policy"
 	"olivetiller/io/logservice"
 	pb "olivetiller/proto/olivetiller/v1"
 )
@@ -220,11 +221,27 @@
 	if !o.OK() {
 		return
 	}
+	c.adoptWeights()
 	spread := c.Clock.Now().UnixMilli() - o.Record.GetTimeUnixMs()
 	c.Metrics.ConfigSpread.Record(spread)
 	c.Logger.Info("configuration in force", "revision", o.Revision, "spreadMs", spread)
 }
 
+// weighted is a policy that follows the weights of the configuration.
+type weighted interface {
+	SetWeights(w policy.Weights)
+}
+
+// adoptWeights gives the policy the weights in force.
+func (c *Controller) adoptWeights() {
+	w := c.state.Catalog.Config.GetWeights()
+	p, ok := c.Policy.(weighted)
+	if !ok || w == nil {
+		return
+	}
+	p.SetWeights(policy.Weights{ColdStartSecond: w.GetColdStartSecond(), IdleHour: w.GetIdleHour()})
+}
+
 // claimAsked asks the control goroutine for a claim.
 type claimAsked struct {
 	id    ledger.ClaimID
--- a/internal/policylab/experiment.go
+++ b/internal/policylab/experiment.go
@@ -16,6 +16,8 @@
 	Seed       uint64
 	// Faults adds an hour of a log outage and three of a slow weight store.
 	Faults bool
+	// Ablate compares the product's policy with itself, a part less each time.
+	Ablate bool
 }
 
 // Workload returns the experiment's demand.
@@ -42,11 +44,46 @@
 // and the oracle.
 func (e Experiment) Run() []Result {
 	work, platform := e.Workload(), e.Platform()
+	return runAll(work, platform, e.policies(work, platform))
+}
+
+// policies returns what the experiment compares.
+func (e Experiment) policies(work *Workload, platform Platform) []Named {
+	if e.Ablate {
+		return ablations()
+	}
 	runs := Baselines()
 	for _, w := range IdleHourWeights {
 		runs = append(runs, Named{fmt.Sprintf("costed, idle hour %g", w), Costed(w)})
 	}
-	runs = append(runs, Named{"oracle", Oracle(work, platform)})
+	return append(runs, Named{"oracle", Oracle(work, platform)})
+}
+
+// ablationWeight is the weight of an idle hour at which parts are switched off.
+const ablationWeight = 60
+
+// ablations returns the product's policy whole, and without each of its parts.
+func ablations() []Named {
+	out := []Named{{"whole", Costed(ablationWeight)}}
+	for _, part := range []struct {
+		name string
+		off  policy.Part
+	}{
+		{"without the time of day", policy.PartDay},
+		{"without the histogram of pauses", policy.PartPauses},
+		{"without counting waiters", policy.PartWaiters},
+		{"without prewarming", policy.PartPrewarm},
+		{"evicting by idle time", policy.PartLoss},
+	} {
+		c := policy.NewCosted(policy.Weights{ColdStartSecond: 1, IdleHour: ablationWeight})
+		c.Off = part.off
+		out = append(out, Named{part.name, c})
+	}
+	return out
+}
+
+// runAll runs policies side by side.
+func runAll(work *Workload, platform Platform, runs []Named) []Result {
 	results := make([]Result, len(runs))
 	var wg sync.WaitGroup
 	for i, r := range runs {
