cmd, endpoint: scenarios of real processes, and once-only requests cut at every byte

Cause: the commands are a contract, and net/http repeats some requests by itself. Conclusion: the transport for once-only requests is needed and does its work.

--- a/cmd/olivetiller/config.go
+++ b/cmd/olivetiller/config.go
@@ -35,6 +35,11 @@
 	return cfg, nil
 }
 
+// marshalConfig writes a configuration as readConfig reads it.
+func marshalConfig(cfg *pb.Config) ([]byte, error) {
+	return protojson.MarshalOptions{Multiline: true}.Marshal(cfg)
+}
+
 type configCheckCmd struct {
 	File string `arg:"" type:"path" help:"The configuration file, JSON."`
 }
@@ -140,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	text, err := protojson.MarshalOptions{Multiline: true}.Marshal(resp.Msg.GetConfig())
+	text, err := marshalConfig(resp.Msg.GetConfig())
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/olivetiller/main_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"olivetiller/internal/client"
+	"olivetiller/standin/site"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"olivetiller": main, "standin": standin})
+}
+
+// standin runs a small deployment's stand-ins at the addresses in the
+// environment, with the nodes a and b in the list.
+func standin() {
+	shape := site.Krautwerk()
+	shape.Engines, shape.OtherEngines, shape.ListLag = 3, 0, 100*time.Millisecond
+	s, err := site.Start(shape, site.Addresses{Log: os.Getenv("LOG"), List: os.Getenv("LIST")})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	for _, n := range []string{"a", "b"} {
+		s.AddNode(n, os.Getenv("PEER_"+n), shape.Halls[0])
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	s.Close()
+}
+
+// TestScripts runs the scenarios: commands of the product as separate processes.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			for _, name := range []string{"LOG", "LIST", "CALLER_a", "OPERATOR_a", "PEER_a", "CALLER_b", "OPERATOR_b", "PEER_b"} {
+				address, err := freeAddress()
+				if err != nil {
+					return err
+				}
+				env.Setenv(name, address)
+			}
+			env.Setenv("OLIVETILLER_TOKEN", "t")
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"expand": expand, "await": await, "ask": ask, "config": writeConfig,
+		},
+	})
+}
+
+// freeAddress returns a loopback address whose port was free just now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// expand replaces ${NAME} in files by the environment.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o644))
+	}
+}
+
+// await repeats a command until it succeeds and its output holds a text.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	until := time.Now().Add(30 * time.Second)
+	var err error
+	for time.Now().Before(until) {
+		if err = ts.Exec(args[1], args[2:]...); err == nil && strings.Contains(ts.ReadFile("stdout"), args[0]) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%v never showed %q: %v", args[1:], args[0], err)
+}
+
+// ask sends a completion for a model to an address and checks every token.
+func ask(ts *testscript.TestScript, neg bool, args []string) {
+	r := client.New("curator").Complete(context.Background(), args[0], client.Ask{
+		Model: args[1], Prompt: "p", Tokens: 5, Stream: true, Timeout: 30 * time.Second,
+	})
+	if r.Whole == neg {
+		ts.Fatalf("answer of %s: %+v", args[1], r)
+	}
+}
+
+// writeConfig writes the stand-ins' configuration to a file.
+func writeConfig(ts *testscript.TestScript, _ bool, args []string) {
+	text, err := marshalConfig(site.Krautwerk().Config())
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), text, 0o644))
+}
--- /dev/null
+++ b/io/endpoint/endpoint_test.go
@@ -0,0 +1,168 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"olivetiller/core/retry"
+)
+
+// requestBytes is the length up to which requests are cut; theirs is a few more.
+const requestBytes = 124
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Type: text/plain\r\n\r\nok"
+
+// cutServer reads up to readMost bytes of each request, then writes the first
+// writeMost bytes of the answer and cuts the connection. It counts the requests
+// of which any byte arrived.
+type cutServer struct {
+	l                   net.Listener
+	readMost, writeMost int
+	requests            atomic.Int64
+}
+
+func newCutServer(t *testing.T, readMost, writeMost int) *cutServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &cutServer{l: l, readMost: readMost, writeMost: writeMost}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *cutServer) serve(c net.Conn) {
+	defer c.Close()
+	n, _ := io.ReadAtLeast(c, make([]byte, 4096), s.readMost)
+	if n > 0 {
+		s.requests.Add(1)
+	}
+	_, _ = c.Write([]byte(wholeAnswer)[:s.writeMost])
+}
+
+func onceRequest(address string) *Request {
+	return &Request{
+		Address: address, Method: http.MethodPost, Path: "/new", Body: []byte(`{"ticket":1}`), OnceOnly: true,
+		Header: http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}},
+	}
+}
+
+// TestOnceOnlyIsWrittenOnce cuts the connection at each byte of the exchange and
+// expects that at most one request was written, and that "not sent" is said
+// only where nothing arrived.
+func TestOnceOnlyIsWrittenOnce(t *testing.T) {
+	type cut struct {
+		name        string
+		read, write int
+	}
+	var cuts []cut
+	for read := range requestBytes {
+		cuts = append(cuts, cut{fmt.Sprintf("after %d bytes of the request", read), read, 0})
+	}
+	for write := range len(wholeAnswer) {
+		cuts = append(cuts, cut{fmt.Sprintf("after %d bytes of the answer", write), 1, write})
+	}
+	for _, tc := range cuts {
+		s := newCutServer(t, tc.read, tc.write)
+		resp, err := NewClient().Do(context.Background(), onceRequest(s.l.Addr().String()))
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err == nil {
+				t.Errorf("%s: a cut answer passed for a whole one", tc.name)
+			}
+		}
+		var e *Error
+		if errors.As(err, &e) && e.Outcome == retry.NotSent {
+			t.Errorf("%s: it was called not sent", tc.name)
+		}
+		if n := s.requests.Load(); n > 1 {
+			t.Errorf("%s: written %d times", tc.name, n)
+		}
+	}
+}
+
+// TestNetHTTPRepeats shows the fault that the transport for once-only requests
+// prevents: on a reused connection that ends before an answer, net/http writes a
+// request with an Idempotency-Key again.
+func TestNetHTTPRepeats(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf := make([]byte, 4096)
+				for i := 0; ; i++ {
+					if n, err := c.Read(buf); err != nil || n == 0 {
+						return
+					}
+					requests.Add(1)
+					if i > 0 {
+						return // the second request on a connection gets no answer
+					}
+					_, _ = c.Write([]byte(wholeAnswer))
+				}
+			}()
+		}
+	}()
+	send := func(once bool) int64 {
+		c := NewClient()
+		before := requests.Load()
+		for range 2 {
+			r := onceRequest(l.Addr().String())
+			r.OnceOnly = once
+			resp, err := c.Do(context.Background(), r)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		}
+		return requests.Load() - before
+	}
+	if n := send(false); n != 3 {
+		t.Errorf("two requests over the pooled transport were written %d times, want 3: the fault is gone", n)
+	}
+	if n := send(true); n != 2 {
+		t.Errorf("two once-only requests were written %d times, want 2", n)
+	}
+}
+
+// TestNotSentMeansNotSent dials an address where nobody listens.
+func TestNotSentMeansNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	_, err = NewClient().Do(context.Background(), onceRequest(address))
+	var e *Error
+	if !errors.As(err, &e) || e.Outcome != retry.NotSent {
+		t.Errorf("error = %v, want notSent", err)
+	}
+}
