--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
 	"olivetiller/internal/client"
@@ -48,3 +49,6 @@
 		t.Errorf("loads = %d, want 1", got)
 	}
 }
+
+// newKey returns a request key.
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -20,6 +20,9 @@
 	answerBytes = 32 << 20
 	// claimTimeout is the longest wait for the log to decide a claim.
 	claimTimeout = 5 * time.Second
+	// claimShare is the part, in hundredths, of the time left that a claim may
+	// take: the refusal that it did not run must reach the caller in time.
+	claimShare = 80
 	// runGrace is how long a run may outlast its caller's deadline.
 	runGrace = time.Minute
 )
@@ -79,7 +82,7 @@
 
 // claimAndRun claims the key and runs the request, or finds out who did.
 func (c *Coordinator) claimAndRun(ctx context.Context, r *run, key oncekey.Key, deadline time.Time, exec Run) {
-	wait := min(claimTimeout, deadline.Sub(c.clock.Now()))
+	wait := min(claimTimeout, deadline.Sub(c.clock.Now())*claimShare/100)
 	claimCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	o, err := c.decider.Propose(claimCtx, claimRecord(key), func(late ledger.Outcome) {
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -146,10 +146,15 @@
 	if !wait(r, e.FirstToken) {
 		return
 	}
+	began := e.currentIncarnation()
 	for i := from; i < c.MaxTokens; i++ {
 		if i > from && !wait(r, e.BetweenTokens) {
 			return
 		}
+		if e.currentIncarnation() != began {
+			// The process that streamed is gone.
+			panic(http.ErrAbortHandler)
+		}
 		if _, err := io.WriteString(w, event(id, c.Model, Token(c.Model, text, i), chat)); err != nil {
 			return
 		}
@@ -158,6 +163,12 @@
 	_, _ = io.WriteString(w, "data: [DONE]\n\n")
 }
 
+func (e *Engine) currentIncarnation() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.incarnation
+}
+
 func event(id, model, token string, chat bool) string {
 	if chat {
 		return fmt.Sprintf("data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", id, model, token)
