--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -28,7 +28,10 @@
 	// second to a watched node, or in a small fleet every two seconds each way.
 	Silence = 5 * time.Second
 	// newsLife is how long a report of silence holds unless renewed.
-	newsLife = 6 * time.Second
+	newsLife = 7 * time.Second
+	// confirm is how long a report of silence stands before it is believed, so
+	// that whoever heard from the node can say so first.
+	confirm = 3 * time.Second
 	// freshLife is how long a new incarnation is news.
 	freshLife = 10 * time.Second
 )
@@ -49,6 +52,8 @@
 	Heard time.Time
 	// Silent is when somebody, perhaps this node, last reported its silence.
 	Silent time.Time
+	// suspected is when the reports of silence in force began.
+	suspected time.Time
 	// Probed is since when this node probes it; zero if it does not.
 	Probed time.Time
 	// since is when the incarnation was first heard of.
@@ -136,8 +141,8 @@
 		return
 	}
 	at := now.Add(-n.Age)
-	if n.Silent && at.After(m.Silent) {
-		m.Silent = at
+	if n.Silent {
+		m.suspect(at, now)
 	}
 	if !n.Silent && at.After(m.Heard) {
 		m.Heard = at
@@ -150,7 +155,7 @@
 	var out []News
 	for _, m := range t.members {
 		if m.overdue(now) {
-			m.Silent = now
+			m.suspect(now, now)
 		}
 		suspected := now.Sub(m.Silent) < newsLife
 		if suspected {
@@ -165,6 +170,16 @@
 	return out
 }
 
+// suspect notes a report of silence made at a time.
+func (m *Member) suspect(at, now time.Time) {
+	if now.Sub(m.Silent) >= newsLife {
+		m.suspected = now
+	}
+	if at.After(m.Silent) {
+		m.Silent = at
+	}
+}
+
 // overdue reports whether this node probes the member and hears nothing.
 func (m *Member) overdue(now time.Time) bool {
 	return !m.Probed.IsZero() && now.Sub(m.Probed) >= Silence && now.Sub(m.Direct) >= Silence
@@ -179,7 +194,7 @@
 		// A neighbour must have been heard.
 		return false
 	}
-	return m.Listed && now.Sub(m.Silent) >= newsLife
+	return m.Listed && (now.Sub(m.Silent) >= newsLife || now.Sub(m.suspected) < confirm)
 }
 
 // SetLeaving notes that a node takes no new work.
--- a/internal/bench/fit.go
+++ b/internal/bench/fit.go
@@ -41,6 +41,10 @@
 	}
 	s.Base, s.PerX = stat.LinearRegression(xs, ys, nil, false)
 	s.R2 = stat.RSquared(xs, ys, nil, s.Base, s.PerX)
+	if math.IsNaN(s.R2) {
+		// All points are equal: the level line explains them.
+		s.R2 = 1
+	}
 	for _, p := range s.Points {
 		if p.Y != 0 {
 			s.WorstError = max(s.WorstError, math.Abs(s.At(p.X)-p.Y)/math.Abs(p.Y))
