--- a/core/plan/loads.go
+++ b/core/plan/loads.go
@@ -158,11 +158,11 @@
 	if d.LastUse.IsZero() {
 		return wish{}, false
 	}
-	verdict := p.Policy.Decide(u.Name, p.share(in, u, u.Bytes(u.Serving)), in.Now.Sub(d.LastUse), in.Now)
-	if !verdict.Prewarm {
+	said := p.decide(u.Name, p.share(in, u, u.Bytes(u.Serving)), in.Now.Sub(d.LastUse), in.Now)
+	if !said.Prewarm {
 		return wish{}, false
 	}
-	w.why = "expected soon: " + verdict.Why
+	w.why = "expected soon: " + said.Why
 	// A replica that nobody waits for yet comes after those somebody waits for.
 	w.urgent = in.Now.Add(time.Hour)
 	return w, true
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -127,12 +127,34 @@
 	// loadSince is when this node first saw the load of a replica.
 	loadSince map[ledger.Key]time.Time
 	reasons   map[string]string
+	// verdicts holds what the policy said of each unit lately.
+	verdicts map[string]verdict
 	// failing holds the units whose loads failed lately.
 	failing  map[string]backoff
 	lastScan time.Time
 	jitter   time.Duration
 }
 
+// verdict is what the policy said of a unit.
+type verdict struct {
+	policy.Decision
+	at, lastUse time.Time
+}
+
+// decideEvery is how long a verdict holds while the unit is not used.
+const decideEvery = 10 * time.Second
+
+// decide asks the policy about a unit that nothing uses.
+func (p *Planner) decide(u string, share float64, idle time.Duration, now time.Time) policy.Decision {
+	lastUse := now.Add(-idle)
+	if v, ok := p.verdicts[u]; ok && now.Sub(v.at) < decideEvery && v.lastUse.Equal(lastUse) {
+		return v.Decision
+	}
+	d := p.Policy.Decide(u, share, idle, now)
+	p.verdicts[u] = verdict{Decision: d, at: now, lastUse: lastUse}
+	return d
+}
+
 // backoff is the pause after failed loads.
 type backoff struct {
 	failures int
@@ -169,6 +191,7 @@
 		readySince: make(map[ledger.Key]time.Time),
 		loadSince:  make(map[ledger.Key]time.Time),
 		reasons:    make(map[string]string),
+		verdicts:   make(map[string]verdict),
 		failing:    make(map[string]backoff),
 		jitter:     time.Duration(jitter * float64(HomeSilence)),
 	}
@@ -313,6 +336,11 @@
 			delete(p.leases, k)
 		}
 	}
+	for u, v := range p.verdicts {
+		if in.Now.Sub(v.at) > decideEvery {
+			delete(p.verdicts, u)
+		}
+	}
 	for k := range p.loadSince {
 		if pl := in.Ledger.Find(k); pl == nil || pl.Phase != ledger.Loading {
 			delete(p.loadSince, k)
--- a/core/plan/unloads.go
+++ b/core/plan/unloads.go
@@ -102,9 +102,9 @@
 	case d.Waiting+d.Running > 0:
 		return true, fmt.Sprintf("kept: %d requests wait, %d run", d.Waiting, d.Running)
 	}
-	verdict := p.Policy.Decide(pl.Unit, p.share(in, u, pl.Bytes), idle, in.Now)
-	if verdict.Hold {
-		return true, "kept: " + verdict.Why
+	said := p.decide(pl.Unit, p.share(in, u, pl.Bytes), idle, in.Now)
+	if said.Hold {
+		return true, "kept: " + said.Why
 	}
-	return false, fmt.Sprintf("unloads: idle for %s; %s", idle.Round(time.Second), verdict.Why)
+	return false, fmt.Sprintf("unloads: idle for %s; %s", idle.Round(time.Second), said.Why)
 }
--- /dev/null
+++ b/core/policy/policy_test.go
@@ -0,0 +1,102 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const gib = 1 << 30
+
+// TestPlace gives small situations with the one right engine.
+func TestPlace(t *testing.T) {
+	idle := func(unit string, size uint64, loss float64) Victim {
+		return Victim{Unit: unit, Bytes: size * gib, Loss: loss}
+	}
+	tests := []struct {
+		name  string
+		cands []Candidate
+		want  string
+		evict []string
+		ok    bool
+	}{
+		{"the only one with room", []Candidate{{Engine: "a", Free: gib}, {Engine: "b", Free: 20 * gib}}, "b", nil, true},
+		{"checkpoint on disk beats a snug fit", []Candidate{{Engine: "a", Free: 10 * gib, Tier: Remote}, {Engine: "b", Free: 40 * gib, Tier: OnDisk}}, "b", nil, true},
+		{"another hall for a second replica", []Candidate{{Engine: "a", Free: 10 * gib, HallReplicas: 1, Tier: Remote}, {Engine: "b", Free: 40 * gib, Tier: Remote}}, "b", nil, true},
+		{"not where much runs", []Candidate{{Engine: "a", Free: 10 * gib, Busy: 3}, {Engine: "b", Free: 40 * gib}}, "b", nil, true},
+		{"the snug fit", []Candidate{{Engine: "a", Free: 40 * gib}, {Engine: "b", Free: 12 * gib}}, "b", nil, true},
+		{"evict the least loss for its bytes", []Candidate{{Engine: "a", Victims: []Victim{idle("x", 10, 5), idle("y", 10, 1)}}}, "a", []string{"y"}, true},
+		{"evict on the engine of least loss", []Candidate{{Engine: "a", Victims: []Victim{idle("x", 10, 5)}}, {Engine: "b", Victims: []Victim{idle("y", 10, 1)}}}, "b", []string{"y"}, true},
+		{"nothing to evict", []Candidate{{Engine: "a", Victims: []Victim{idle("x", 2, 1)}}}, "", nil, false},
+		{"what is too dear stays", []Candidate{{Engine: "a", Victims: []Victim{idle("x", 20, math.Inf(1))}}}, "", nil, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			got, ok := Place(10*gib, tc.cands)
+			var evict []string
+			for _, v := range got.Evict {
+				evict = append(evict, v.Unit)
+			}
+			if ok != tc.ok || got.Engine != tc.want {
+				t.Errorf("engine %q, %t; want %q, %t", got.Engine, ok, tc.want, tc.ok)
+			}
+			if diff := cmp.Diff(tc.evict, evict); diff != "" {
+				t.Errorf("evicted (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// monday is the first of a run of weekdays.
+var monday = time.Date(2026, 6, 1, 0, 0, 0, 0, time.UTC)
+
+// taught returns a policy that has seen a unit wake at nine on five weekdays for
+// a session of ten uses, with loads of 20 s.
+func taught(idleHour float64) *Costed {
+	c := NewCosted(Weights{ColdStartSecond: 1, IdleHour: idleHour})
+	c.Loaded("u", 20*time.Second)
+	for day := range 5 {
+		at := monday.Add(time.Duration(day)*24*time.Hour + 9*time.Hour + 2*time.Minute)
+		for i := range 10 {
+			c.Used("u", at.Add(time.Duration(i)*5*time.Second))
+		}
+	}
+	return c
+}
+
+// TestDecide asks about a unit that wakes at nine on weekdays.
+func TestDecide(t *testing.T) {
+	nextMonday := monday.Add(7 * 24 * time.Hour)
+	tests := []struct {
+		name     string
+		idleHour float64
+		now      time.Time
+		idle     time.Duration
+		hold     bool
+		prewarm  bool
+	}{
+		{"just used", 100, monday.Add(9 * time.Hour), time.Second, true, false},
+		{"after its session", 100, monday.Add(4*24*time.Hour + 11*time.Hour), 2 * time.Hour, false, false},
+		{"shortly before nine", 100, nextMonday.Add(9 * time.Hour), 3 * 24 * time.Hour, true, true},
+		{"at nine on a Saturday", 100, monday.Add(5*24*time.Hour + 9*time.Hour), 24 * time.Hour, false, false},
+		{"at night", 100, nextMonday.Add(3 * time.Hour), 66 * time.Hour, false, false},
+		{"idling is very dear", 1e6, nextMonday.Add(9 * time.Hour), 3 * 24 * time.Hour, false, false},
+		{"idling costs next to nothing", 0.001, nextMonday.Add(3 * time.Hour), 18 * time.Hour, true, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			got := taught(tc.idleHour).Decide("u", 0.5, tc.idle, tc.now)
+			if got.Hold != tc.hold {
+				t.Errorf("hold = %t, want %t: %s", got.Hold, tc.hold, got.Why)
+			}
+			if got.Prewarm != tc.prewarm {
+				t.Errorf("prewarm = %t, want %t: %s", got.Prewarm, tc.prewarm, got.Why)
+			}
+			if got.Why == "" {
+				t.Error("no reason is given")
+			}
+		})
+	}
+}
