--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -116,10 +116,9 @@
 	Self   ledger.NodeRef
 	Policy Policy
 
-	homes    map[string]string
-	homesFor []string
-	watched  map[ledger.Key]watch
-	pending  map[string]pendingProposal
+	homes   *rendezvous.Table
+	watched map[ledger.Key]watch
+	pending map[string]pendingProposal
 	// leases holds the lease of each order in force of this node.
 	leases map[ledger.Key]lease
 	// readySince is when this node first saw a replica ready.
@@ -184,7 +183,7 @@
 	return &Planner{
 		Self:       self,
 		Policy:     p,
-		homes:      make(map[string]string),
+		homes:      rendezvous.NewTable(),
 		watched:    make(map[ledger.Key]watch),
 		pending:    make(map[string]pendingProposal),
 		leases:     make(map[ledger.Key]lease),
@@ -199,7 +198,7 @@
 
 // Plan returns the next steps.
 func (p *Planner) Plan(in *Input) []Action {
-	p.rehome(in.Live)
+	p.homes.Update(in.Live)
 	var acts []Action
 	acts = append(acts, p.openOrders(in)...)
 	acts = append(acts, p.loads(in)...)
@@ -272,14 +271,7 @@
 }
 
 // Home returns the home of a unit or engine among the live nodes.
-func (p *Planner) Home(key string) string {
-	h, ok := p.homes[key]
-	if !ok {
-		h = rendezvous.Home(key, p.homesFor)
-		p.homes[key] = h
-	}
-	return h
-}
+func (p *Planner) Home(key string) string { return p.homes.Home(key) }
 
 // HomeKey returns the key whose home serves a unit: adapters share the home of
 // their base model, which must be loaded first.
@@ -293,26 +285,6 @@
 // Reason says why a unit is loaded, waiting or neither.
 func (p *Planner) Reason(unit string) string { return p.reasons[unit] }
 
-func (p *Planner) rehome(live []string) {
-	if equalStrings(live, p.homesFor) {
-		return
-	}
-	p.homesFor = append([]string(nil), live...)
-	clear(p.homes)
-}
-
-func equalStrings(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // propose returns the action unless the same proposal is under way.
 func (p *Planner) propose(in *Input, r *pb.Record) []Action {
 	s := subject(r)
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -181,7 +181,11 @@
 			results[i].lost = misses[results[i].id] >= engineMisses
 			c.send(ctx, results[i])
 		}
-		c.pause(ctx, engineEvery)
+		every := engineEvery
+		if len(targets) > manyOwnEngines {
+			every *= 3
+		}
+		c.pause(ctx, every)
 	}
 }
 
@@ -209,6 +213,10 @@
 // of more, it asks those whose home it is, and believes the ledger of the rest.
 const askAllEngines = 64
 
+// manyOwnEngines is the number of engines from which on a node asks each only
+// every third time: their load rides on their answers anyway.
+const manyOwnEngines = 16
+
 func (c *Controller) engineTargets(ctx context.Context) []instancelist.Instance {
 	reply := make(chan []instancelist.Instance, 1)
 	c.send(ctx, askTargets{reply: reply})
