--- a/core/ledger/property_test.go
+++ b/core/ledger/property_test.go
@@ -45,7 +45,6 @@
 	s       *State
 	writers []*writer
 	records []*pb.Record
-	fence   []uint64
 }
 
 func (h *history) apply(r *pb.Record) Outcome {
