--- a/cmd/olivebench/main.go
+++ b/cmd/olivebench/main.go
@@ -28,12 +28,13 @@
 
 // commands is the command line.
 type commands struct {
-	Standin standinCmd `cmd:"" help:"Run the stand-ins of a deployment until told to stop."`
-	Burst   burstCmd   `cmd:"" help:"Ask every node for the same cold models at once, under faults."`
-	Slopes  slopesCmd  `cmd:"" help:"Measure the slopes behind docs/CAPACITY.md."`
-	Model   modelCmd   `cmd:"" help:"Explore the small protocols in every order of events."`
-	Policy  policyCmd  `cmd:"" help:"Run the policies over days of synthetic demand in virtual time."`
-	Once    onceCmd    `cmd:"" help:"Send requests that may not be repeated, each through two nodes, under faults."`
+	Standin  standinCmd  `cmd:"" help:"Run the stand-ins of a deployment until told to stop."`
+	Burst    burstCmd    `cmd:"" help:"Ask every node for the same cold models at once, under faults."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure the slopes behind docs/CAPACITY.md."`
+	Model    modelCmd    `cmd:"" help:"Explore the small protocols in every order of events."`
+	Policy   policyCmd   `cmd:"" help:"Run the policies over days of synthetic demand in virtual time."`
+	Overload overloadCmd `cmd:"" help:"Send multiples of what an engine can serve, as an open loop."`
+	Once     onceCmd     `cmd:"" help:"Send requests that may not be repeated, each through two nodes, under faults."`
 }
 
 // common are the flags of every experiment.
--- a/internal/policylab/lab.go
+++ b/internal/policylab/lab.go
@@ -385,13 +385,17 @@
 	if hours == 0 {
 		return
 	}
+	// Whole numbers are summed over the map, and turned into hours once: a sum of
+	// fractions would depend on the map's order in its last digits.
+	idle, held := 0, uint64(0)
 	for name, e := range l.state.Engines {
-		if e.Used == 0 || l.onE[name] > 0 {
-			continue
+		if e.Used > 0 && l.onE[name] == 0 {
+			idle++
+			held += e.Used
 		}
-		l.result.IdleHours += hours
-		l.result.IdleHoursByMemory += hours * float64(e.Used) / float64(e.MemoryBytes)
 	}
+	l.result.IdleHours += hours * float64(idle)
+	l.result.IdleHoursByMemory += hours * float64(held) / float64(l.EngineMemory)
 }
 
 // summary works the figures out.
