--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -15,6 +15,8 @@
 // Sizes of snapshots.
 const (
 	chunkBytes = 256 << 10
+	// maxChunks bounds a snapshot: 4 GB, far beyond the letter's 1.3 MB.
+	maxChunks = 1 << 14
 	// recentMost bounds the entries kept for peers.
 	recentMost = 4096
 	// marksKept bounds the marks whose hashes are remembered.
@@ -221,6 +223,10 @@
 	sets := make(map[string]*part)
 	var best *ledger.State
 	for _, ch := range chunks {
+		if ch.GetCount() > maxChunks {
+			// No snapshot is that long: the entry is damaged.
+			continue
+		}
 		key := string(ch.GetHash())
 		p := sets[key]
 		if p == nil {
