control: entries far ahead must not crowd out the next one

Cause: read as a newcomer: entries that peers push ahead of their turn were bounded by count, so ten thousand of them made a node drop the entry it needed, while its tail had moved on: it would have stood still for good. Change: the bound is on the offset; a tick makes the tail read again from where the fold stands.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -180,6 +180,7 @@
 		case <-ticker.Chan():
 			c.forgetOrders()
 			c.noticeLive()
+			c.healGap()
 		}
 		c.step(ctx)
 	}
--- a/internal/control/fold.go
+++ b/internal/control/fold.go
@@ -13,7 +13,7 @@
 	pb "olivetiller/proto/olivetiller/v1"
 )
 
-// maxEarly bounds the entries kept that came before their turn.
+// maxEarly bounds how far ahead of its turn an entry is kept.
 const maxEarly = 10000
 
 // onAppended passes a confirmed append on: to the own fold and to the peers.
@@ -61,7 +61,9 @@
 
 func (m entries) handle(c *Controller) {
 	for _, e := range m.list {
-		if e.GetOffset() >= c.state.NextOffset && len(c.early) < maxEarly {
+		// The bound is on the offset and not on the count: entries far ahead must
+		// not crowd out the one whose turn is next.
+		if o := e.GetOffset(); o >= c.state.NextOffset && o < c.state.NextOffset+maxEarly {
 			c.early[e.GetOffset()] = e.GetData()
 		}
 	}
@@ -104,6 +106,14 @@
 	}
 }
 
+// healGap makes the tail read again from where the fold stands, when entries
+// wait for one that never came.
+func (c *Controller) healGap() {
+	if c.booted && len(c.early) > 0 {
+		c.next.Store(c.state.NextOffset)
+	}
+}
+
 // settle acts on the outcome of one record.
 func (c *Controller) settle(o ledger.Outcome) {
 	now := c.Clock.Now()
