--- /dev/null
+++ b/cmd/olivetiller/hosted.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/placement"
+	"olivetiller/core/route"
+	"olivetiller/internal/hosted"
+	"olivetiller/internal/logout"
+	"olivetiller/io/caller"
+	"olivetiller/platform"
+)
+
+const (
+	// memoryShare is the part of the machine's memory at which the collector
+	// works harder.
+	memoryShare = 0.6
+	// collectAt is the growth of the heap, in percent, between two collections: a
+	// node's heap is small and its processor time dear.
+	collectAt = 400
+)
+
+// runHosted runs a node on the users' platform until a signal ends it.
+func runHosted() error {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return usageError{err}
+	}
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	out := logout.New(os.Stdout)
+	defer out.Close()
+	logger := hclog.New(&hclog.LoggerOptions{Name: "olivetiller", Level: hclog.Info, JSONFormat: true, Output: out})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	n, err := hosted.Start(hostedSettings(s), hostedPlatform(s), clockwork.NewRealClock(), logger)
+	if err != nil {
+		logger.Error("not started", "error", err.Error())
+		return usageError{err}
+	}
+	for sig := range signals {
+		if sig == syscall.SIGHUP {
+			reload(logger)
+			continue
+		}
+		break
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- n.Stop() }()
+	for {
+		select {
+		case err := <-ended:
+			if err != nil {
+				logger.Warn("requests were cut off", "error", err.Error())
+			}
+			return nil
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				logger.Warn("second signal", "signal", sig.String())
+			}
+		}
+	}
+}
+
+// reload reads the settings anew. What they hold beside addresses is fixed for a
+// deployment, and addresses cannot change while the process lives: the new values
+// count from the next start.
+func reload(logger hclog.Logger) {
+	if _, err := platform.ReadSettings(); err != nil {
+		logger.Error("settings not usable; the old ones hold", "error", err.Error())
+		return
+	}
+	logger.Info("settings read anew; they count from the next start")
+}
+
+func hostedSettings(s platform.Settings) hosted.Settings {
+	return hosted.Settings{
+		Name: s.Name, Hall: s.Hall, CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
+		MetricsAddress: s.MetricsAddress, StopTimeout: s.StopTimeout, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		RetryWindow: s.RetryWindow, Loads: placement.Limits{Window: s.LoadWindow, Overage: s.LoadOverage},
+	}
+}
+
+func hostedPlatform(s platform.Settings) hosted.Platform {
+	return hosted.Platform{
+		Store: platform.NewStore(s.StoreAddress), Engines: platform.NewEngines(s.Name), Judge: platform.Judge,
+		Protocol: func(table func() *route.Table) caller.Protocol { return &platform.Front{Table: table} },
+		Dialer:   func(timeout time.Duration) *net.Dialer { return platform.Dialer(timeout) },
+	}
+}
--- a/cmd/olivetiller/node.go
+++ b/cmd/olivetiller/node.go
@@ -15,20 +15,25 @@
 
 // nodeCmd runs one node.
 type nodeCmd struct {
-	Settings string `required:"" type:"path" help:"The node's settings file, INI."`
+	Settings string `xor:"where" required:"" type:"path" help:"The node's settings file, INI."`
+	Platform bool   `xor:"where" required:"" help:"Run on the users' platform, with the settings file that it lays out."`
 }
 
 // Help implements kong.HelpProvider.
 func (nodeCmd) Help() string {
 	return "The first SIGTERM or SIGINT begins a planned stop: the node tells its peers and the platform,\n" +
 		"serves on while the balancer may still send, ends every request and exits 0.\n" +
-		"A second signal ends it at once with exit code 1; so does times.stopTimeout."
+		"A second signal ends it at once with exit code 1; so does times.stopTimeout.\n" +
+		"With --platform the settings are those of the platform; SIGHUP reads them anew."
 }
 
 var errCutOff = eris.New("the stop was cut short; requests in progress were ended")
 
 // Run implements the command.
 func (c *nodeCmd) Run() error {
+	if c.Platform {
+		return runHosted()
+	}
 	var s entry.Settings
 	if err := s.Table().Read(c.Settings); err != nil {
 		return err
--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -30,6 +30,8 @@
 	Health *Health
 	// Avoid marks a replica that just failed the request: it is the last resort.
 	Avoid bool
+	// Home marks the replica that most likely keeps the beginning of the prompt.
+	Home bool
 }
 
 // reportLife is how long an engine's word on its load is worth using.
@@ -39,6 +41,10 @@
 // busier: its extra latency is worth about one request in progress.
 const hallPenalty = 1
 
+// homeBonus is the load by which a replica that keeps the beginning of the prompt
+// may be busier than another.
+const homeBonus = 2
+
 // avoidPenalty exceeds any load.
 const avoidPenalty = 1 << 20
 
@@ -67,6 +73,9 @@
 	if !r.SameHall {
 		load += hallPenalty
 	}
+	if r.Home {
+		load -= homeBonus
+	}
 	if r.Avoid {
 		load += avoidPenalty
 	}
--- /dev/null
+++ b/core/directory/directory.go
@@ -0,0 +1,164 @@
+package directory
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Instance is one life of an endpoint, as it describes itself.
+type Instance struct {
+	// ID names this life of the endpoint and no other.
+	ID      string
+	Service string
+	Address string
+	Hall    string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Draining endpoints take no new work.
+	Draining bool
+	// Remaining is the time to the endpoint's end where one was announced.
+	Remaining time.Duration
+	// Holdings are what an engine has loaded and what copies it keeps.
+	Holdings
+}
+
+// Holdings are what an engine said it holds.
+type Holdings struct {
+	Models []Held
+	// Warm and OnDisk name the models of which the engine keeps copies.
+	Warm, OnDisk []string
+}
+
+// Held is a loaded model with its loaded adapters.
+type Held struct {
+	Model    string
+	Adapters []string
+}
+
+// Record is one record of the list of endpoints.
+type Record struct {
+	ID string
+	// Instance is nil when the entry is gone.
+	Instance *Instance
+}
+
+// Entry is an instance with what this node knows of its entry.
+type Entry struct {
+	Instance
+	// SeenAt is when this node last read the entry.
+	SeenAt time.Time
+	// GoneAt is when the entry is to be believed gone; zero while it is there.
+	GoneAt time.Time
+}
+
+// lapseGrace is how long a live endpoint may take to record itself anew once
+// the store is back; the platform states about two seconds.
+const lapseGrace = 2500 * time.Millisecond
+
+// Directory is the list. It is not safe for concurrent use.
+type Directory struct {
+	entries map[string]*Entry
+	// trustAt is when a vanished entry may be believed gone.
+	trustAt time.Time
+}
+
+// New returns an empty directory.
+func New() *Directory { return &Directory{entries: make(map[string]*Entry)} }
+
+// StoreAway notes that the store did not answer just now.
+func (d *Directory) StoreAway(now time.Time) { d.trustAt = now.Add(lapseGrace) }
+
+// Apply folds one record in and reports whether anything but its age changed.
+func (d *Directory) Apply(r Record, now time.Time) bool {
+	e := d.entries[r.ID]
+	if r.Instance == nil {
+		return d.vanish(e, now)
+	}
+	if e == nil {
+		d.entries[r.ID] = &Entry{Instance: *r.Instance, SeenAt: now}
+		return true
+	}
+	changed := !e.GoneAt.IsZero() || !sameInstance(&e.Instance, r.Instance)
+	draining := e.Draining
+	e.Instance, e.SeenAt, e.GoneAt = *r.Instance, now, time.Time{}
+	// An endpoint that leaves does not come back in the same life.
+	e.Draining = e.Draining || draining
+	return changed
+}
+
+// Replace takes a whole list over: what is not on it has vanished.
+func (d *Directory) Replace(list []Record, now time.Time) {
+	listed := make(map[string]bool, len(list))
+	for _, r := range list {
+		listed[r.ID] = true
+		d.Apply(r, now)
+	}
+	for id, e := range d.entries {
+		if !listed[id] {
+			d.vanish(e, now)
+		}
+	}
+}
+
+func (d *Directory) vanish(e *Entry, now time.Time) bool {
+	if e == nil || !e.GoneAt.IsZero() {
+		return false
+	}
+	e.GoneAt = now
+	if d.trustAt.After(now) {
+		e.GoneAt = d.trustAt
+	}
+	return true
+}
+
+// Drain notes that an endpoint said itself that it leaves.
+func (d *Directory) Drain(id string) bool {
+	e := d.entries[id]
+	if e == nil || e.Draining {
+		return false
+	}
+	e.Draining = true
+	return true
+}
+
+// forgetAfter is how long an entry that is gone is remembered, so that a late
+// record of it does not bring it back unnoticed.
+const forgetAfter = time.Minute
+
+// Live returns the entries that are not gone, ordered by id; draining ones too.
+func (d *Directory) Live(now time.Time) []*Entry {
+	out := make([]*Entry, 0, len(d.entries))
+	for id, e := range d.entries {
+		switch {
+		case e.GoneAt.IsZero() || now.Before(e.GoneAt):
+			out = append(out, e)
+		case now.Sub(e.GoneAt) > forgetAfter:
+			delete(d.entries, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// NextLapse returns when the next vanished entry is to be believed gone.
+func (d *Directory) NextLapse(now time.Time) (at time.Time, ok bool) {
+	for _, e := range d.entries {
+		if e.GoneAt.After(now) && (!ok || e.GoneAt.Before(at)) {
+			at, ok = e.GoneAt, true
+		}
+	}
+	return at, ok
+}
+
+func sameInstance(a, b *Instance) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Hall == b.Hall && a.Slots == b.Slots &&
+		a.Draining == b.Draining && a.Remaining == b.Remaining && SameHoldings(a.Holdings, b.Holdings)
+}
+
+// SameHoldings reports whether two holdings are equal.
+func SameHoldings(a, b Holdings) bool {
+	return slices.EqualFunc(a.Models, b.Models, func(x, y Held) bool {
+		return x.Model == y.Model && slices.Equal(x.Adapters, y.Adapters)
+	}) && slices.Equal(a.Warm, b.Warm) && slices.Equal(a.OnDisk, b.OnDisk)
+}
--- /dev/null
+++ b/core/logstore/logstore.go
@@ -0,0 +1,76 @@
+// Package logstore names what a node reads from the platform's log store and
+// how a call to it may end.
+//
+// The problem: a call without an answer may have been carried out, or may be
+// carried out later; a refused one certainly was not. The model: every failure
+// is an [Error] whose [Kind] says which of these holds, and a [Page] holds the
+// records of one read, in order, each with its offset.
+package logstore
+
+import (
+	"olivetiller/core/directory"
+	"olivetiller/core/route"
+)
+
+// Kind says how a call failed.
+type Kind uint8
+
+// The kinds of failure.
+const (
+	// Refused calls had no effect.
+	Refused Kind = iota + 1
+	// NoAnswer calls may have had an effect, or may have it later.
+	NoAnswer
+	// Moved appends had no effect: the topic did not end where they said.
+	Moved
+	// Dropped reads began before the first record still kept.
+	Dropped
+)
+
+var kindNames = map[Kind]string{
+	Refused: "the store refused the call", NoAnswer: "the store did not answer",
+	Moved: "another record came first", Dropped: "the records asked for are no longer kept",
+}
+
+// Error is a call that failed.
+type Error struct {
+	Kind Kind
+	// End is the topic's end where the kind is Moved.
+	End uint64
+	// First is the first record kept where the kind is Dropped.
+	First uint64
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return kindNames[e.Kind] + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Record is one record with its place.
+type Record[T any] struct {
+	Offset uint64
+	Value  T
+}
+
+// Page is the result of one read.
+type Page[T any] struct {
+	// Records are in the order of their offsets; records that hold nothing of
+	// interest are left out.
+	Records []Record[T]
+	// Next is the offset to read from next.
+	Next uint64
+	// First and End bound the records that the store keeps.
+	First, End uint64
+	// Damaged holds a fault for each record that could not be decoded.
+	Damaged []error
+}
+
+// Config is a configuration as read.
+type Config struct {
+	Table *route.Table
+}
+
+// Instance is a change of the list of endpoints.
+type Instance = directory.Record
--- /dev/null
+++ b/core/placement/adapters.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// adapters loads the adapters that requests wait for, the most urgent first.
+func (g *planning) adapters() {
+	type wish struct {
+		unit   Unit
+		urgent time.Time
+	}
+	var wishes []wish
+	for unit, u := range g.uses {
+		if unit.Adapter == "" {
+			continue
+		}
+		if waiting, _, urgent := u.sums(g.now); waiting > 0 {
+			wishes = append(wishes, wish{unit, urgent})
+		}
+	}
+	sort.Slice(wishes, func(i, j int) bool {
+		if !wishes[i].urgent.Equal(wishes[j].urgent) {
+			return wishes[i].urgent.Before(wishes[j].urgent)
+		}
+		return wishes[i].unit.Pool() < wishes[j].unit.Pool()
+	})
+	for _, w := range wishes {
+		g.adapter(w.unit)
+	}
+}
+
+// adapter loads an adapter at the least loaded engine that holds its model.
+func (g *planning) adapter(unit Unit) {
+	var best *engine
+	bestLoad := 0
+	for _, e := range g.order {
+		if e.service != unit.Service || e.draining || !e.serves(unit.Model) {
+			continue
+		}
+		if a := e.models[unit.Model].adapters[unit.Adapter]; a != nil {
+			// Held or on its way.
+			g.wake(a.readyAt)
+			g.expect(unit, a.readyAt)
+			return
+		}
+		if o := e.sent; o != nil && !o.Unload && o.Unit == unit {
+			return
+		}
+		if !e.takesAdapters(g.now) || e.coming(g.now) >= adaptersComing {
+			continue
+		}
+		load := g.runningAt(unit.Base(), e.id)
+		if g.fullOfAdapters(e, unit) {
+			if g.adapterVictim(e) == nil {
+				continue
+			}
+			load += replicaLoad
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = e, load
+		}
+	}
+	if best == nil {
+		g.wake(g.now.Add(adapterTime))
+		return
+	}
+	if g.fullOfAdapters(best, unit) {
+		g.send(best, &Order{Unit: *g.adapterVictim(best), Unload: true, Why: "makes way for " + unit.Model + "/" + unit.Adapter})
+		return
+	}
+	g.send(best, &Order{Unit: unit, Expected: adapterTime, Why: "requests wait"})
+}
+
+// fullOfAdapters reports whether an engine has no room for one more adapter.
+func (g *planning) fullOfAdapters(e *engine, unit Unit) bool {
+	if e.adapters() >= e.shape.AdapterSlots {
+		return true
+	}
+	m := g.table.Model(unit.Service, unit.Model)
+	return m != nil && e.freeMB(g.table) < m.AdapterMB
+}
+
+// adapterVictim returns the adapter that was used least lately and that nothing
+// uses, or nil.
+func (g *planning) adapterVictim(e *engine) *Unit {
+	var victim *Unit
+	var oldest time.Time
+	for model, h := range e.models {
+		for name, a := range h.adapters {
+			unit := Unit{Service: e.service, Model: model, Adapter: name}
+			if a.readyAt.After(g.now) || g.used(unit, e.id) {
+				continue
+			}
+			if victim == nil || a.lastUse.Before(oldest) || a.lastUse.Equal(oldest) && unit.Pool() < victim.Pool() {
+				victim, oldest = &unit, a.lastUse
+			}
+		}
+	}
+	return victim
+}
+
+// used reports whether requests for a unit run at an engine or wait.
+func (g *planning) used(unit Unit, engine string) bool {
+	u := g.uses[unit]
+	if u == nil {
+		return false
+	}
+	waiting, _, _ := u.sums(g.now)
+	return waiting > 0 || u.runningAt(engine, g.now) > 0
+}
--- /dev/null
+++ b/core/placement/engine.go
@@ -0,0 +1,197 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/route"
+)
+
+// engine is what the holder knows of one engine.
+type engine struct {
+	id, address, hall, service string
+	draining                   bool
+	shape                      *route.Engine
+	// known is false while the engine's state is in doubt: it gets no orders
+	// until it has reported.
+	known bool
+	// doubtSince is when the doubt began; a report of an earlier moment does not
+	// end it.
+	doubtSince time.Time
+	// taken is the number of orders that the engine has taken.
+	taken  int64
+	models map[string]*held
+	warm   map[string]bool
+	onDisk map[string]bool
+	// sent is the order whose reply is awaited.
+	sent *Order
+	// work is the load or unload of a model in progress.
+	work *work
+	// probing is set while a report is awaited; nextProbe is when to ask again.
+	probing   bool
+	nextProbe time.Time
+	// restUntil is when the next order may be sent after a refused one.
+	restUntil time.Time
+}
+
+// held is a model that an engine holds, with its adapters.
+type held struct {
+	since    time.Time
+	adapters map[string]*adapter
+}
+
+// adapter is an adapter that an engine holds or gets.
+type adapter struct {
+	// readyAt is when it may be used.
+	readyAt time.Time
+	lastUse time.Time
+}
+
+// work is an order in progress at an engine.
+type work struct {
+	unit      Unit
+	unload    bool
+	fromStore bool
+	began     time.Time
+	expected  time.Time
+}
+
+func newEngine(e *directory.Entry, now time.Time) *engine {
+	return &engine{
+		id: e.ID, address: e.Address, hall: e.Hall, service: e.Service, doubtSince: now,
+		models: make(map[string]*held), warm: make(map[string]bool), onDisk: make(map[string]bool),
+	}
+}
+
+// idle reports whether the engine can take an order for a model now.
+func (e *engine) idle(now time.Time) bool {
+	return e.takesAdapters(now) && e.work == nil
+}
+
+// takesAdapters reports whether the engine can take an order for an adapter now.
+func (e *engine) takesAdapters(now time.Time) bool {
+	return e.known && e.sent == nil && !e.draining && e.shape != nil && !now.Before(e.restUntil)
+}
+
+// serves reports whether the engine holds a model that is not on its way out.
+func (e *engine) serves(model string) bool {
+	return e.models[model] != nil && !e.leaves(model)
+}
+
+// leaves reports whether the engine is unloading a model.
+func (e *engine) leaves(model string) bool {
+	if e.work != nil && e.work.unload && e.work.unit.Model == model {
+		return true
+	}
+	return e.sent != nil && e.sent.Unload && e.sent.Unit.Adapter == "" && e.sent.Unit.Model == model
+}
+
+// loads reports whether the engine is loading a model, or has been told to.
+func (e *engine) loads(model string) bool {
+	if e.work != nil && !e.work.unload && e.work.unit.Model == model {
+		return true
+	}
+	return e.sent != nil && !e.sent.Unload && e.sent.Unit.Adapter == "" && e.sent.Unit.Model == model
+}
+
+// adapters returns how many adapters the engine holds or gets.
+func (e *engine) adapters() int {
+	n := 0
+	for _, h := range e.models {
+		n += len(h.adapters)
+	}
+	return n
+}
+
+// coming returns how many adapters are on their way.
+func (e *engine) coming(now time.Time) int {
+	n := 0
+	for _, h := range e.models {
+		for _, a := range h.adapters {
+			if a.readyAt.After(now) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// freeMB returns the memory for weights that is neither used nor promised.
+func (e *engine) freeMB(t *route.Table) float64 {
+	free := e.shape.WeightsMB
+	for name, h := range e.models {
+		if m := t.Model(e.service, name); m != nil {
+			free -= m.WeightsMB + float64(len(h.adapters))*m.AdapterMB
+		}
+	}
+	if e.work != nil && !e.work.unload && e.models[e.work.unit.Model] == nil {
+		if m := t.Model(e.service, e.work.unit.Model); m != nil {
+			free -= m.WeightsMB
+		}
+	}
+	return free
+}
+
+// unknownWeights reports whether the engine holds a model whose size the
+// configuration does not tell.
+func (e *engine) unknownWeights(t *route.Table) bool {
+	for name := range e.models {
+		if t.Model(e.service, name) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// doubt forgets what is known until the engine has reported a later moment.
+func (e *engine) doubt(now time.Time, wait time.Duration) {
+	e.known = false
+	e.doubtSince = now
+	e.nextProbe = now.Add(wait)
+}
+
+// adopt takes a report over.
+func (e *engine) adopt(r *Report, now time.Time) {
+	e.taken = r.Taken
+	for name := range e.models {
+		if !slices.ContainsFunc(r.Models, func(h directory.Held) bool { return h.Model == name }) {
+			delete(e.models, name)
+		}
+	}
+	for _, rh := range r.Models {
+		h := e.models[rh.Model]
+		if h == nil {
+			h = &held{since: now, adapters: make(map[string]*adapter)}
+			e.models[rh.Model] = h
+		}
+		e.adoptAdapters(h, rh.Adapters, now)
+	}
+	e.copies(r.Holdings)
+}
+
+// adoptAdapters keeps those that are on their way and takes the reported ones.
+func (e *engine) adoptAdapters(h *held, reported []string, now time.Time) {
+	for name, a := range h.adapters {
+		if !slices.Contains(reported, name) && now.Sub(a.readyAt) > reportLag {
+			delete(h.adapters, name)
+		}
+	}
+	for _, name := range reported {
+		if h.adapters[name] == nil {
+			h.adapters[name] = &adapter{lastUse: now}
+		}
+	}
+}
+
+// copies notes the copies of weights that the engine keeps.
+func (e *engine) copies(h directory.Holdings) {
+	clear(e.warm)
+	clear(e.onDisk)
+	for _, m := range h.Warm {
+		e.warm[m] = true
+	}
+	for _, m := range h.OnDisk {
+		e.onDisk[m] = true
+	}
+}
--- /dev/null
+++ b/core/placement/order.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"time"
+
+	"olivetiller/core/directory"
+)
+
+// Order is an instruction for an engine.
+type Order struct {
+	Engine, Address string
+	Unit            Unit
+	Unload          bool
+	// Fence is the fencing number of the lease under which the order is given.
+	Fence uint64
+	// Taken is the number of orders that the engine must have taken before.
+	Taken int64
+	// Why says what the order is for, for logs.
+	Why string
+	// FromStore is true when the weights may come from the weight store.
+	FromStore bool
+	// Expected is how long it should take.
+	Expected time.Duration
+}
+
+// Reply is what became of an order.
+type Reply uint8
+
+// The replies.
+const (
+	// Accepted orders are being carried out.
+	Accepted Reply = iota + 1
+	// Holds: nothing was to be done.
+	Holds
+	// Conflict: another order is in progress, or the engine took others before.
+	Conflict
+	// Fenced: the engine has seen a higher fencing number.
+	Fenced
+	// Gone: the address belongs to another engine.
+	Gone
+	// Invalid: the engine does not understand the order.
+	Invalid
+	// Lost: no answer; the order may have been taken, or may be taken later.
+	Lost
+)
+
+var replyNames = map[Reply]string{
+	Accepted: "accepted", Holds: "holds", Conflict: "conflict", Fenced: "fenced", Gone: "gone", Invalid: "invalid", Lost: "lost",
+}
+
+// String implements fmt.Stringer.
+func (r Reply) String() string { return replyNames[r] }
+
+// Probe asks for an engine's report.
+type Probe struct {
+	Engine, Address string
+}
+
+// Action is one step: exactly one field is set.
+type Action struct {
+	Order *Order
+	Probe *Probe
+}
+
+// Report is what an engine tells of itself, as it stood some hundred
+// milliseconds before.
+type Report struct {
+	// Taken is the number of orders that it has taken.
+	Taken int64
+	// Busy is true while it carries out an order.
+	Busy bool
+	// Coming is the number of adapters on their way.
+	Coming           int
+	Running, Waiting int
+	directory.Holdings
+}
+
+// Use is one node's report of the requests for one unit.
+type Use struct {
+	Unit    Unit
+	Waiting int
+	// Arrivals counts the requests since the node's report before.
+	Arrivals int
+	// Urgent is the time by which the first of the waiting wants its place; zero
+	// if none waits.
+	Urgent time.Time
+	// RunningAt counts the running requests by engine.
+	RunningAt map[string]int
+}
--- /dev/null
+++ b/core/placement/planner.go
@@ -0,0 +1,370 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/route"
+)
+
+// Times and limits of the planner.
+const (
+	// probeEvery is the time between two reports of an engine that is awaited; the
+	// reports themselves are some hundred milliseconds old.
+	probeEvery = 100 * time.Millisecond
+	// reportLag is the age that a report may have.
+	reportLag = 400 * time.Millisecond
+	// firstProbe is when the first report after an unload is asked for.
+	firstProbe = 100 * time.Millisecond
+	// adapterTime is how long an adapter takes to come; the platform says "some
+	// milliseconds".
+	adapterTime = 12 * time.Millisecond
+	// refusedRest is how long an engine gets no order after it refused one.
+	refusedRest = 100 * time.Millisecond
+	// adaptersComing is how many adapters may be on their way to an engine.
+	adaptersComing = 4
+	// storeLoadsAtOnce is how many loads from the weight store run at once: the
+	// platform slows them all beyond a number that it does not tell.
+	storeLoadsAtOnce = 4
+	// urgentExtra is how many more may run when a request waits.
+	urgentExtra = 2
+)
+
+// Limits bound the loads from the weight store beyond the configured rate.
+type Limits struct {
+	// Window is the time over which loads are counted.
+	Window time.Duration
+	// Overage is the factor by which the rate may be exceeded within it.
+	Overage float64
+}
+
+// Planner is the holder's state. It is not safe for concurrent use.
+type Planner struct {
+	limits  Limits
+	table   *route.Table
+	engines map[string]*engine
+	order   []*engine
+	uses    map[Unit]*use
+	// models holds the units in use by their model.
+	models map[Unit]map[Unit]bool
+	// reported holds the units of each node's latest report.
+	reported map[string][]Unit
+	// storeLoads holds when loads from the weight store began, within the window.
+	storeLoads []time.Time
+	readyAt    map[Unit]time.Time
+	fence      uint64
+	// version rises whenever the holdings or the expected times change.
+	version uint64
+	wakeAt  time.Time
+}
+
+// New returns a planner that knows no engine.
+func New(limits Limits) *Planner {
+	return &Planner{
+		limits: limits, engines: make(map[string]*engine), uses: make(map[Unit]*use),
+		models: make(map[Unit]map[Unit]bool), reported: make(map[string][]Unit), readyAt: make(map[Unit]time.Time),
+	}
+}
+
+// Reset puts every engine in doubt: another node may have given orders since.
+func (p *Planner) Reset(now time.Time) {
+	for _, e := range p.order {
+		e.sent, e.work, e.probing = nil, nil, false
+		e.doubt(now, 0)
+	}
+	// What the former holder loaded within the window is not known: as much as
+	// is allowed is taken to have begun just now, but for one load.
+	p.storeLoads = nil
+	for range max(0, p.allowedLoads()-1) {
+		p.storeLoads = append(p.storeLoads, now)
+	}
+}
+
+// SetTable puts a configuration in force.
+func (p *Planner) SetTable(t *route.Table) {
+	p.table = t
+	for _, e := range p.order {
+		e.shape = p.shape(e.service)
+	}
+}
+
+func (p *Planner) shape(service string) *route.Engine {
+	if p.table == nil {
+		return nil
+	}
+	if s := p.table.Service(service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// SetEngines takes the list of live endpoints over.
+func (p *Planner) SetEngines(entries []*directory.Entry, now time.Time) {
+	listed := make(map[string]bool, len(entries))
+	for _, en := range entries {
+		shape := p.shape(en.Service)
+		if shape == nil {
+			continue
+		}
+		listed[en.ID] = true
+		e := p.engines[en.ID]
+		if e == nil {
+			e = newEngine(en, now)
+			p.engines[en.ID] = e
+			p.version++
+		}
+		e.address, e.draining, e.shape = en.Address, en.Draining, shape
+	}
+	p.order = p.order[:0]
+	for id, e := range p.engines {
+		if !listed[id] {
+			delete(p.engines, id)
+			p.version++
+			continue
+		}
+		p.order = append(p.order, e)
+	}
+	sort.Slice(p.order, func(i, j int) bool { return p.order[i].id < p.order[j].id })
+}
+
+// Use takes a node's report of use in. It is whole: units that it does not name
+// are not in use there.
+func (p *Planner) Use(node string, reports []Use, now time.Time) {
+	for _, unit := range p.reported[node] {
+		delete(p.uses[unit].nodes, node)
+	}
+	p.reported[node] = p.reported[node][:0]
+	for _, r := range reports {
+		u := p.uses[r.Unit]
+		if u == nil {
+			u = &use{nodes: make(map[string]nodeUse), rateAt: now}
+			p.uses[r.Unit] = u
+			base := r.Unit.Base()
+			if p.models[base] == nil {
+				p.models[base] = make(map[Unit]bool)
+			}
+			p.models[base][r.Unit] = true
+		}
+		p.reported[node] = append(p.reported[node], r.Unit)
+		u.add(node, r, now)
+		p.touchAdapter(r, now)
+	}
+}
+
+// touchAdapter notes the use of an adapter where it is held.
+func (p *Planner) touchAdapter(r Use, now time.Time) {
+	if r.Unit.Adapter == "" {
+		return
+	}
+	for id := range r.RunningAt {
+		if e := p.engines[id]; e != nil && e.models[r.Unit.Model] != nil {
+			if a := e.models[r.Unit.Model].adapters[r.Unit.Adapter]; a != nil {
+				a.lastUse = now
+			}
+		}
+	}
+}
+
+// Missing notes that an engine said that it does not hold a unit.
+func (p *Planner) Missing(engine string, now time.Time) {
+	if e := p.engines[engine]; e != nil && e.known {
+		e.doubt(now, reportLag)
+	}
+}
+
+// Replied takes the reply to an order in.
+func (p *Planner) Replied(o *Order, r Reply, now time.Time) {
+	e := p.engines[o.Engine]
+	if e == nil || e.sent != o {
+		return
+	}
+	e.sent = nil
+	p.version++
+	switch r {
+	case Accepted:
+		e.taken++
+		p.began(e, o, now)
+	case Holds:
+		p.done(e, o, now)
+	case Conflict:
+		e.restUntil = now.Add(refusedRest)
+		e.doubt(now, reportLag)
+	default:
+		e.doubt(now, reportLag)
+		e.restUntil = now.Add(refusedRest)
+	}
+}
+
+// began notes that an engine carries an order out.
+func (p *Planner) began(e *engine, o *Order, now time.Time) {
+	name := o.Unit.Model
+	switch {
+	case o.Unit.Adapter != "" && o.Unload:
+		if h := e.models[name]; h != nil {
+			delete(h.adapters, o.Unit.Adapter)
+		}
+	case o.Unit.Adapter != "":
+		if h := e.models[name]; h != nil {
+			h.adapters[o.Unit.Adapter] = &adapter{readyAt: now.Add(adapterTime), lastUse: now}
+		}
+	default:
+		e.work = &work{unit: o.Unit, unload: o.Unload, fromStore: o.FromStore, began: now, expected: now.Add(o.Expected)}
+	}
+}
+
+// done notes that there was nothing left to be carried out.
+func (p *Planner) done(e *engine, o *Order, now time.Time) {
+	name := o.Unit.Model
+	switch {
+	case o.Unit.Adapter != "" && o.Unload:
+		if h := e.models[name]; h != nil {
+			delete(h.adapters, o.Unit.Adapter)
+		}
+	case o.Unit.Adapter != "":
+		if h := e.models[name]; h != nil {
+			h.adapters[o.Unit.Adapter] = &adapter{readyAt: now, lastUse: now}
+		}
+	case o.Unload:
+		delete(e.models, name)
+		e.work = nil
+	default:
+		if e.models[name] == nil {
+			e.models[name] = &held{since: now, adapters: make(map[string]*adapter)}
+		}
+		e.work = nil
+	}
+}
+
+// Reported takes an engine's report in, asked for at a time.
+func (p *Planner) Reported(id string, r *Report, askedAt, now time.Time) {
+	e := p.engines[id]
+	if e == nil {
+		return
+	}
+	e.probing = false
+	e.nextProbe = now.Add(probeEvery)
+	if !e.known {
+		// The report may be of a moment before the doubt began.
+		if !e.doubtSince.IsZero() && askedAt.Before(e.doubtSince) {
+			return
+		}
+		e.known = true
+		p.resume(e, r, now)
+		return
+	}
+	if r.Taken < e.taken {
+		return
+	}
+	if r.Busy && e.work != nil {
+		return
+	}
+	p.resume(e, r, now)
+}
+
+// resume takes a report over as the engine's state.
+func (p *Planner) resume(e *engine, r *Report, now time.Time) {
+	p.version++
+	e.adopt(r, now)
+	switch {
+	case !r.Busy:
+		e.work = nil
+	case e.work == nil:
+		// An order of somebody else is in progress; what it is for is not told.
+		e.doubt(now, probeEvery)
+	}
+}
+
+// ProbeFailed notes that a report did not come.
+func (p *Planner) ProbeFailed(id string, now time.Time) {
+	if e := p.engines[id]; e != nil {
+		e.probing = false
+		e.nextProbe = now.Add(reportLag)
+	}
+}
+
+// Version rises whenever what Serving or ReadyAt return may have changed.
+func (p *Planner) Version() uint64 { return p.version }
+
+// Serving returns the units that each engine whose state is known can serve now.
+func (p *Planner) Serving(now time.Time) map[string][]Unit {
+	out := make(map[string][]Unit, len(p.order))
+	for _, e := range p.order {
+		if e.shape == nil || (!e.known && len(e.models) == 0) {
+			continue
+		}
+		units := []Unit{}
+		for name, h := range e.models {
+			if e.leaves(name) {
+				continue
+			}
+			units = append(units, Unit{Service: e.service, Model: name})
+			for a, ad := range h.adapters {
+				if !ad.readyAt.After(now) {
+					units = append(units, Unit{Service: e.service, Model: name, Adapter: a})
+				}
+			}
+		}
+		sort.Slice(units, func(i, j int) bool { return units[i].Pool() < units[j].Pool() })
+		out[e.id] = units
+	}
+	return out
+}
+
+// ReadyAt returns when units that wait for a load are expected to be served.
+func (p *Planner) ReadyAt() map[Unit]time.Time { return p.readyAt }
+
+// WakeAt returns when the next call of Plan is due even if nothing happens.
+func (p *Planner) WakeAt() time.Time { return p.wakeAt }
+
+func (p *Planner) wake(at time.Time) {
+	if p.wakeAt.IsZero() || at.Before(p.wakeAt) {
+		p.wakeAt = at
+	}
+}
+
+// allowedLoads is how many loads from the weight store may begin in a window. The
+// overage is left as a reserve for loads whose beginning is not known exactly.
+func (p *Planner) allowedLoads() int {
+	rate := 0.0
+	if p.table == nil {
+		return 0
+	}
+	for _, s := range p.table.Config.Services {
+		if s.Engine != nil {
+			rate = max(rate, s.Engine.LoadsPerSecond)
+		}
+	}
+	return max(1, int(rate*p.limits.Window.Seconds()))
+}
+
+// mayLoadFromStore reports whether one more load from the store may begin.
+func (p *Planner) mayLoadFromStore(urgent bool, now time.Time) bool {
+	kept := p.storeLoads[:0]
+	for _, at := range p.storeLoads {
+		if now.Sub(at) < p.limits.Window {
+			kept = append(kept, at)
+		}
+	}
+	p.storeLoads = kept
+	if len(kept) >= p.allowedLoads() {
+		p.wake(kept[0].Add(p.limits.Window))
+		return false
+	}
+	limit := storeLoadsAtOnce
+	if urgent {
+		limit += urgentExtra
+	}
+	return p.loading() < limit
+}
+
+// loading is how many loads from the weight store are in progress.
+func (p *Planner) loading() int {
+	n := 0
+	for _, e := range p.order {
+		if e.work != nil && e.work.fromStore || e.sent != nil && e.sent.FromStore {
+			n++
+		}
+	}
+	return n
+}
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -44,6 +44,7 @@
 	OutcomeUnknown     Kind = "outcomeUnknown"
 	StillRunning       Kind = "stillRunning"
 	EndpointFailed     Kind = "endpointFailed"
+	TimedOut           Kind = "timedOut"
 	Internal           Kind = "internal"
 )
 
@@ -83,6 +84,7 @@
 	OutcomeUnknown:     {http.StatusConflict, false, "check at the service whether the request ran before making a new one", 0},
 	StillRunning:       {http.StatusConflict, false, "ask again with the same key after the hint", time.Second},
 	EndpointFailed:     {http.StatusBadGateway, false, "repeat the request if it may run twice", time.Second},
+	TimedOut:           {http.StatusGatewayTimeout, false, "allow more time; repeat the request if it may run twice", 0},
 	Internal:           {http.StatusInternalServerError, false, "report the request id to the operators", 0},
 }
 
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -30,36 +30,43 @@
 	return o == NotSent || !onceOnly
 }
 
-// Budget bounds retries to a share of the requests. It holds tenths of a retry
-// so that counting stays exact. It is not safe for concurrent use.
+// Budget bounds retries to a share of the requests. It is not safe for
+// concurrent use.
 type Budget struct {
-	// tenths is what is left, between 0 and the cap.
-	tenths int
-	// share is the tenths each first attempt earns.
-	share int
-	cap   int
+	// left is the retries that may be made now, between 0 and reserve.
+	left float64
+	// share is what each first attempt earns.
+	share   float64
+	reserve float64
 }
 
 // Defaults of a Budget: one retry for ten requests, ten in reserve.
 const (
-	defaultShareTenths = 1
-	defaultReserve     = 10
+	defaultShare   = 0.1
+	defaultReserve = 10
 )
 
+// spendable is the least that pays for one retry; it leaves room for the error
+// of adding tenths.
+const spendable = 1 - 1e-9
+
 // NewBudget returns a full budget with the default share and reserve.
-func NewBudget() *Budget {
-	reserve := defaultReserve * 10
-	return &Budget{tenths: reserve, share: defaultShareTenths, cap: reserve}
+func NewBudget() *Budget { return NewBudgetOf(defaultShare, defaultReserve) }
+
+// NewBudgetOf returns a full budget that allows a share of the requests and a
+// reserve beyond.
+func NewBudgetOf(share, reserve float64) *Budget {
+	return &Budget{left: reserve, share: share, reserve: reserve}
 }
 
 // Earn notes a first attempt.
-func (b *Budget) Earn() { b.tenths = min(b.cap, b.tenths+b.share) }
+func (b *Budget) Earn() { b.left = min(b.reserve, b.left+b.share) }
 
 // Spend takes one retry, or reports false when the budget is used up.
 func (b *Budget) Spend() bool {
-	if b.tenths < 10 {
+	if b.left < spendable {
 		return false
 	}
-	b.tenths -= 10
+	b.left--
 	return true
 }
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,115 @@
+package route
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fault is something wrong with a configuration.
+type Fault struct {
+	// Where names the route or service.
+	Where   string
+	Problem string
+}
+
+// Error implements error.
+func (f Fault) Error() string {
+	return fmt.Sprintf("configuration: %s: %s; correct it and publish again", f.Where, f.Problem)
+}
+
+// Table is a configuration ready for look-ups. It does not change.
+type Table struct {
+	Config   *Config
+	services map[string]*Service
+	models   map[ModelKey]*Model
+	// hosts holds the routes of a host, the longest prefix first.
+	hosts map[string][]*Route
+}
+
+// ModelKey names a model of a service.
+type ModelKey struct {
+	Service, Model string
+}
+
+// New checks a configuration and makes its table.
+func New(c *Config) (*Table, error) {
+	t := &Table{
+		Config: c, services: make(map[string]*Service, len(c.Services)),
+		models: make(map[ModelKey]*Model), hosts: make(map[string][]*Route),
+	}
+	for i := range c.Services {
+		s := &c.Services[i]
+		t.services[s.Name] = s
+		if s.Engine == nil {
+			continue
+		}
+		for j := range s.Engine.Models {
+			m := &s.Engine.Models[j]
+			t.models[ModelKey{s.Name, m.Name}] = m
+		}
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if err := t.check(r); err != nil {
+			return nil, err
+		}
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	if len(r.Services) == 0 {
+		return Fault{Where: r.Name, Problem: "the route names no service"}
+	}
+	for _, s := range r.Services {
+		if t.services[s.Service] == nil {
+			return Fault{Where: r.Name, Problem: fmt.Sprintf("there is no service %q", s.Service)}
+		}
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return Fault{Where: r.Name, Problem: fmt.Sprintf("the prefix %q does not begin and end with a slash", r.Prefix)}
+	}
+	return nil
+}
+
+// Match returns the route of a request, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Model returns a model of a service, or nil.
+func (t *Table) Model(service, model string) *Model { return t.models[ModelKey{service, model}] }
+
+// Pick returns the service for a request. Equal ids get equal services, so that
+// a request does not change sides between its attempts.
+func (r *Route) Pick(id string) string {
+	total := 0
+	for _, s := range r.Services {
+		total += s.Weight
+	}
+	if total <= 0 || len(r.Services) == 1 {
+		return r.Services[0].Service
+	}
+	n := int(xxhash.Sum64String(id) % uint64(total))
+	for _, s := range r.Services {
+		if n -= s.Weight; n < 0 {
+			return s.Service
+		}
+	}
+	return r.Services[0].Service
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -41,6 +41,8 @@
 	Endpoints map[string][]Endpoint
 	// LoadingSince holds when the load in progress of a unit was first seen.
 	LoadingSince map[string]time.Time
+	// ReadyAt holds when a unit without an endpoint is expected to have one.
+	ReadyAt map[string]time.Time
 	// Live holds the live nodes in order.
 	Live []string
 }
--- /dev/null
+++ b/internal/hosted/hosted.go
@@ -0,0 +1,232 @@
+// Package hosted assembles a node that runs on the users' platform.
+//
+// It joins the same filter chain, queues, choice and attempts that package entry
+// joins (io/caller, internal/traffic, io/endpoint) with the control side for a
+// platform that keeps what must last (internal/placer). What speaks to the
+// platform comes in as [Platform]: that is the one place where it plugs in.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/lease"
+	"olivetiller/core/placement"
+	"olivetiller/core/queue"
+	"olivetiller/core/retry"
+	"olivetiller/core/route"
+	"olivetiller/internal/placer"
+	"olivetiller/internal/traffic"
+	"olivetiller/io/caller"
+	"olivetiller/io/endpoint"
+	"olivetiller/io/peer"
+)
+
+// Settings are what a hosted node is started with.
+type Settings struct {
+	Name, Hall string
+	// CallerAddress takes callers; ReadyAddress answers the balancer; PeerAddress
+	// takes the other nodes; MetricsAddress serves metrics, empty for none.
+	CallerAddress, ReadyAddress, PeerAddress, MetricsAddress string
+	// StopTimeout is how long after a stop signal the process may live.
+	StopTimeout time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound what all nodes together may
+	// send again: a part of the requests, and a number, in a window.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	Loads                  placement.Limits
+}
+
+// Platform is what speaks to the platform.
+type Platform struct {
+	Store   placer.Store
+	Engines placer.Engines
+	// Protocol is the callers' form, given where to find the configuration.
+	Protocol func(table func() *route.Table) caller.Protocol
+	Judge    endpoint.Judge
+	Dialer   func(timeout time.Duration) *net.Dialer
+}
+
+// Limits of a hosted node.
+const (
+	// answerBytes bounds a whole answer.
+	answerBytes = 32 << 20
+	// bodyBytes bounds a request's body where the configuration does not.
+	bodyBytes = 8 << 20
+	// headerBytes bounds a request's head; the platform's callers keep within
+	// what the configuration tells, which is less.
+	headerBytes = 64 << 10
+	// readTimeout bounds the time in which a head or a body must come in.
+	readTimeout = 10 * time.Second
+	// idleTimeout closes connections at rest. It is above what the configurations
+	// of the platform tell, since callers use connections up to four fifths of that.
+	idleTimeout = 2 * time.Minute
+	// queueItems and queueBytes bound what waits for one unit.
+	queueItems = 2000
+	queueBytes = 32 << 20
+	// dialTimeout bounds a new connection to an endpoint: a few round trips.
+	dialTimeout = 500 * time.Millisecond
+	// balancerLag is how long after it was told the balancer may still send: it
+	// asks every second and gives up on a node after two misses.
+	balancerLag = 2500 * time.Millisecond
+	// stopReserve is kept of the time to stop for the end itself.
+	stopReserve = 300 * time.Millisecond
+	// retryShare is the part of the platform's retry bound that nodes use, since
+	// each knows its own part only.
+	retryShare = 0.7
+	// assumedNodes is how many nodes share the retry bound until the holder tells.
+	assumedNodes = 8
+)
+
+// Node is one running node.
+type Node struct {
+	s       Settings
+	clock   clockwork.Clock
+	logger  hclog.Logger
+	control *placer.Controller
+	traffic *traffic.Dispatcher
+	caller  *caller.Server
+	servers []*http.Server
+	wg      sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// Start opens the addresses and begins to run a node.
+func Start(s Settings, p Platform, clock clockwork.Clock, logger hclog.Logger) (*Node, error) {
+	n := &Node{s: s, clock: clock, logger: logger.With("node", s.Name)}
+	n.assemble(p)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	callers, err := net.Listen("tcp", s.CallerAddress)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if err := n.serve(s.ReadyAddress, n.ready()); err != nil {
+		n.Kill()
+		return nil, err
+	}
+	if err := n.serve(s.PeerAddress, peer.Handler(n.control)); err != nil {
+		n.Kill()
+		return nil, err
+	}
+	if s.MetricsAddress != "" {
+		if err := n.serve(s.MetricsAddress, n.metrics()); err != nil {
+			// Metrics are not worth a node.
+			n.logger.Error("no metrics", "address", s.MetricsAddress, "error", err.Error())
+		}
+	}
+	n.wg.Go(func() { n.control.Run(ctx) })
+	n.wg.Go(func() { n.note("callers", n.caller.Serve(callers)) })
+	n.logger.Info("started", "dataHall", s.Hall, "callerAddress", s.CallerAddress, "peerAddress", s.PeerAddress, "stopTimeoutMs", s.StopTimeout.Milliseconds())
+	return n, nil
+}
+
+func (n *Node) assemble(p Platform) {
+	s := n.s
+	life := lease.NewLife(s.Name)
+	hooks := traffic.Hooks{
+		Waiting: func() { n.control.WakeDemand() },
+		Leaving: func(id string) { go n.control.EndpointLeaving(id) },
+		Missing: func(id, pool string) { go n.control.EngineLacks(id, pool) },
+	}
+	n.traffic = traffic.New(n.clock, s.Hall, queue.Limits{Items: queueItems, Bytes: queueBytes}, hooks)
+	n.limitRetries(assumedNodes)
+	n.control = placer.New(placer.Options{
+		Self:  lease.Record{Holder: s.Name, Life: life, Address: s.PeerAddress},
+		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
+		Peers: peer.NewClient(p.Dialer(dialTimeout)), Dispatcher: n.traffic, Limits: s.Loads, Nodes: n.limitRetries,
+	})
+	n.caller = &caller.Server{
+		Clock: n.clock, Logger: n.logger.Named("caller"), Dispatcher: n.traffic,
+		Limits: caller.Limits{
+			BodyBytes: bodyBytes, AnswerBytes: answerBytes, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		},
+		Endpoints: endpoint.NewClientWith(endpoint.Options{Judge: p.Judge, Dialer: p.Dialer(dialTimeout)}),
+		Metrics:   caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control.Table),
+	}
+}
+
+// limitRetries gives this node its part of what all may send again.
+func (n *Node) limitRetries(nodes int) {
+	part := n.s.RetrySlack * retryShare / float64(nodes)
+	n.traffic.LimitRetries(func() *retry.Budget { return retry.NewBudgetOf(n.s.RetryRatio*retryShare, max(1, part)) })
+}
+
+// serve answers HTTP at an address.
+func (n *Node) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readTimeout}
+	n.servers = append(n.servers, srv)
+	n.wg.Go(func() { n.note(address, srv.Serve(l)) })
+	return nil
+}
+
+// note logs why a server ended, unless it was told to.
+func (n *Node) note(what string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		n.logger.Error("a server ended", "server", what, "error", err.Error())
+	}
+}
+
+// ready answers the balancer.
+func (n *Node) ready() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !n.control.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// metrics serves the metrics as one tree.
+func (n *Node) metrics() http.Handler {
+	tree := new(expvar.Map).Init()
+	tree.Set("caller", n.caller.Metrics.Tree())
+	tree.Set("traffic", expvar.Func(func() any { return n.traffic.Totals() }))
+	tree.Set("control", n.control.Metrics())
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the reader is gone.
+		_, _ = w.Write([]byte(`{"olivetiller":` + tree.String() + "}\n"))
+	})
+}
+
+// Stop is the planned stop: the balancer is told, the lease is given up, requests
+// are taken while the balancer may still send, and all that were taken are
+// answered as far as the time to stop allows.
+func (n *Node) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), n.s.StopTimeout-stopReserve)
+	defer cancel()
+	n.logger.Info("stopping", "active", n.caller.Active())
+	n.control.Stop(ctx)
+	select {
+	case <-n.clock.After(balancerLag):
+	case <-ctx.Done():
+	}
+	err := n.caller.Shutdown(ctx)
+	n.logger.Info("stopped", "cutOff", n.caller.Active())
+	n.Kill()
+	return err
+}
+
+// Kill ends the node at once.
+func (n *Node) Kill() {
+	n.cancel()
+	// Nobody is left to tell that a connection could not be closed.
+	_ = n.caller.Close()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	n.wg.Wait()
+}
--- /dev/null
+++ b/internal/placer/controller.go
@@ -0,0 +1,363 @@
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/lease"
+	"olivetiller/core/logstore"
+	"olivetiller/core/placement"
+	"olivetiller/core/route"
+	"olivetiller/core/view"
+	"olivetiller/internal/traffic"
+	"olivetiller/io/peer"
+)
+
+// Store is the platform's log store.
+type Store interface {
+	Append(ctx context.Context, at uint64, record []byte) (offset uint64, err error)
+	Lease(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[[]byte], error)
+	Configs(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[logstore.Config], error)
+	Instances(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[logstore.Instance], error)
+	NewestConfig(ctx context.Context) (logstore.Page[logstore.Config], error)
+	NewestInstances(ctx context.Context) (logstore.Page[logstore.Instance], error)
+}
+
+// Engines takes orders.
+type Engines interface {
+	Order(ctx context.Context, o placement.Order) (placement.Reply, error)
+	Report(ctx context.Context, engine, address string) (placement.Report, error)
+}
+
+// Peers speaks to the holder of the lease.
+type Peers interface {
+	Report(ctx context.Context, address string, r *peer.Report) error
+	Watch(ctx context.Context, address, life string, after uint64) (*peer.Snapshot, error)
+}
+
+// Options are what a controller is made of.
+type Options struct {
+	// Self is the record with which this node takes the lease.
+	Self       lease.Record
+	Clock      clockwork.Clock
+	Logger     hclog.Logger
+	Store      Store
+	Engines    Engines
+	Peers      Peers
+	Dispatcher *traffic.Dispatcher
+	Limits     placement.Limits
+	// Nodes is called when the number of nodes that share the traffic changes.
+	Nodes func(n int)
+}
+
+// Times of the controller.
+const (
+	// tickEvery is the time between two looks at what is due by time alone.
+	tickEvery = 100 * time.Millisecond
+	// reportEvery is the time between two reports while nothing waits.
+	reportEvery = 250 * time.Millisecond
+	// holderFresh is how long the holder's word on the engines counts.
+	holderFresh = 2 * time.Second
+	// missLife is how long an engine's word that it lacks a unit counts: until
+	// the holder has asked it for a report.
+	missLife = time.Second
+	// orderTimeout bounds an order; engines answer at once.
+	orderTimeout = time.Second
+	// appendTimeout bounds an append to the store.
+	appendTimeout = 1500 * time.Millisecond
+	// inboxSize bounds the messages that wait for the owner.
+	inboxSize = 256
+)
+
+// message is something the owner is told. handle runs on the owner's goroutine.
+type message interface{ handle(c *Controller) }
+
+// Controller is the control side of a node. Its fields below the inbox belong to
+// the goroutine of Run.
+type Controller struct {
+	o        Options
+	inbox    chan message
+	view     atomic.Pointer[view.View]
+	table    atomic.Pointer[route.Table]
+	stopping atomic.Bool
+	holder   board
+	ended    chan struct{}
+
+	lease     *lease.Lease
+	planner   *placement.Planner
+	directory *directory.Directory
+	// held is true while this node orders engines under the lease.
+	held bool
+	// listed is set once the list of endpoints was read.
+	listed bool
+	// released is set once the lease was given up for a stop.
+	released bool
+	remote   remote
+	misses   map[missKey]time.Time
+	newMiss  []peer.Miss
+	// reporting is true while a report is on its way; dirty asks for another.
+	reporting, dirty bool
+	reportedAt       time.Time
+	nodes            map[string]time.Time
+	stale            bool
+}
+
+type missKey struct{ engine, pool string }
+
+// New returns a controller; Run starts it.
+func New(o Options) *Controller {
+	c := &Controller{
+		o: o, inbox: make(chan message, inboxSize), ended: make(chan struct{}),
+		lease: lease.New(o.Self), planner: placement.New(o.Limits), directory: directory.New(),
+		misses: make(map[missKey]time.Time), nodes: make(map[string]time.Time),
+	}
+	c.holder.init()
+	c.view.Store(&view.View{})
+	return c
+}
+
+// View returns the view in force.
+func (c *Controller) View() *view.View { return c.view.Load() }
+
+// Table returns the configuration in force, or nil.
+func (c *Controller) Table() *route.Table { return c.table.Load() }
+
+// Stopping reports whether a planned stop has begun.
+func (c *Controller) Stopping() bool { return c.stopping.Load() }
+
+// Ready reports whether the balancer may send callers here.
+func (c *Controller) Ready() bool { return c.View().Ready && !c.Stopping() }
+
+// Run owns the state until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	defer close(c.ended)
+	c.startReaders(ctx)
+	tick := c.o.Clock.NewTicker(tickEvery)
+	defer tick.Stop()
+	wake := c.o.Clock.NewTimer(tickEvery)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c.inbox:
+			m.handle(c)
+			c.drain()
+		case <-tick.Chan():
+			c.tick()
+		case <-wake.Chan():
+		}
+		c.step(ctx)
+		if at := c.planner.WakeAt(); c.held && !at.IsZero() {
+			wake.Reset(max(time.Millisecond, at.Sub(c.o.Clock.Now())))
+		}
+	}
+}
+
+// drain handles what else waits, so that one step serves all of it.
+func (c *Controller) drain() {
+	for range inboxSize {
+		select {
+		case m := <-c.inbox:
+			m.handle(c)
+		default:
+			return
+		}
+	}
+}
+
+// send tells the owner something; it reports false when the owner has ended.
+func (c *Controller) send(ctx context.Context, m message) bool {
+	select {
+	case c.inbox <- m:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-c.ended:
+		return false
+	}
+}
+
+// tick does what is due by time alone.
+func (c *Controller) tick() {
+	now := c.o.Clock.Now()
+	if at, ok := c.directory.NextLapse(now); ok && at.Sub(now) <= tickEvery {
+		c.stale = true
+	}
+	if c.remote.lapsed(now) {
+		c.stale = true
+	}
+	if c.held {
+		c.forgetNodes(now)
+	}
+	for k, until := range c.misses {
+		if now.After(until) {
+			delete(c.misses, k)
+			c.stale = true
+		}
+	}
+}
+
+// step acts on what is known now: lease, orders, reports, view.
+func (c *Controller) step(ctx context.Context) {
+	now := c.o.Clock.Now()
+	c.keepLease(ctx, now)
+	c.report(ctx, now)
+	if c.held {
+		c.orders(ctx, now)
+	}
+	if c.stale {
+		c.stale = false
+		c.publish(now)
+	}
+}
+
+// keepLease renews or takes the lease, and notes when it is gained or lost.
+func (c *Controller) keepLease(ctx context.Context, now time.Time) {
+	if c.lease.Wants(now) && !c.stopping.Load() && c.listed {
+		rec := c.lease.Begin(now)
+		go c.append(ctx, c.lease.End(), rec)
+	}
+	fence, held := c.lease.Held(now)
+	if held {
+		c.holder.extend(c.lease.Until())
+	}
+	if held == c.held {
+		return
+	}
+	c.held = held
+	holder, _ := c.lease.Holder()
+	if held {
+		c.o.Logger.Info("lease gained", "fence", fence)
+		c.planner.Reset(now)
+		c.holder.begin(c.o.Self.Life, fence)
+	} else {
+		c.o.Logger.Info("lease lost", "holder", holder.Holder, "fence", fence)
+		c.holder.end()
+	}
+	c.stale = true
+}
+
+// append appends a record of the lease and tells the owner what became of it.
+func (c *Controller) append(ctx context.Context, at uint64, rec lease.Record) {
+	raw, err := json.Marshal(rec)
+	if err == nil {
+		actx, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		var offset uint64
+		offset, err = c.o.Store.Append(actx, at, raw)
+		if err == nil {
+			c.send(ctx, leaseAppended{offset})
+			return
+		}
+	}
+	c.send(ctx, leaseFailed{err})
+}
+
+type leaseAppended struct{ offset uint64 }
+
+func (m leaseAppended) handle(c *Controller) { c.lease.Appended(m.offset, c.o.Clock.Now()) }
+
+type leaseFailed struct{ err error }
+
+func (m leaseFailed) handle(c *Controller) {
+	c.o.Logger.Debug("append to the lease failed", "error", m.err.Error())
+	c.lease.Failed()
+}
+
+// orders sends what the planner finds due.
+func (c *Controller) orders(ctx context.Context, now time.Time) {
+	fence, ok := c.lease.Held(now)
+	if !ok {
+		return
+	}
+	for _, a := range c.planner.Plan(now, fence) {
+		switch {
+		case a.Order != nil:
+			go c.order(ctx, a.Order)
+		case a.Probe != nil:
+			go c.probe(ctx, a.Probe, now)
+		}
+	}
+	if c.holder.update(c.planner, len(c.nodes)+1, now) {
+		c.stale = true
+	}
+}
+
+// order sends one order, unless the lease ran out since it was planned.
+func (c *Controller) order(ctx context.Context, o *placement.Order) {
+	octx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	reply, err := placement.Conflict, error(nil)
+	if c.holder.mayOrder(o.Fence, c.o.Clock.Now()) {
+		reply, err = c.o.Engines.Order(octx, *o)
+	}
+	args := []any{
+		"engine", o.Engine, "unit", o.Unit.Pool(), "unload", o.Unload, "fence", o.Fence, "taken", o.Taken,
+		"fromStore", o.FromStore, "why", o.Why, "reply", reply.String(),
+	}
+	if err != nil {
+		args = append(args, "error", err.Error())
+	}
+	c.o.Logger.Info("order", args...)
+	c.send(ctx, replied{o, reply})
+}
+
+type replied struct {
+	order *placement.Order
+	reply placement.Reply
+}
+
+func (m replied) handle(c *Controller) { c.planner.Replied(m.order, m.reply, c.o.Clock.Now()) }
+
+// probe asks an engine for its report.
+func (c *Controller) probe(ctx context.Context, p *placement.Probe, asked time.Time) {
+	pctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r, err := c.o.Engines.Report(pctx, p.Engine, p.Address)
+	if err != nil {
+		c.o.Logger.Info("no report", "engine", p.Engine, "error", err.Error())
+	}
+	c.send(ctx, reported{p.Engine, r, err, asked})
+}
+
+type reported struct {
+	engine string
+	report placement.Report
+	err    error
+	asked  time.Time
+}
+
+func (m reported) handle(c *Controller) {
+	now := c.o.Clock.Now()
+	if m.err != nil {
+		c.planner.ProbeFailed(m.engine, now)
+		return
+	}
+	c.o.Logger.Info("report", "engine", m.engine, "taken", m.report.Taken, "busy", m.report.Busy, "running", m.report.Running,
+		"models", len(m.report.Models), "onDisk", len(m.report.OnDisk), "warm", len(m.report.Warm))
+	c.planner.Reported(m.engine, &m.report, m.asked, now)
+}
+
+// Stop begins a planned stop: no more orders, and the lease is given up.
+func (c *Controller) Stop(ctx context.Context) {
+	c.stopping.Store(true)
+	c.send(ctx, stop{ctx})
+}
+
+type stop struct{ ctx context.Context }
+
+func (m stop) handle(c *Controller) {
+	rec, ok := c.lease.Releasing()
+	if !ok || c.released {
+		return
+	}
+	c.released = true
+	go c.append(m.ctx, c.lease.End(), rec)
+}
--- /dev/null
+++ b/internal/placer/metrics.go
@@ -0,0 +1,18 @@
+package placer
+
+import "expvar"
+
+// Metrics shows what the node believes, for the metrics address.
+func (c *Controller) Metrics() expvar.Var {
+	return expvar.Func(func() any {
+		v := c.View()
+		m := struct {
+			Ready   bool   `json:"ready"`
+			Version uint64 `json:"configurationVersion"`
+			Pools   int    `json:"poolsServed"`
+			Loading int    `json:"unitsExpected"`
+			Holder  bool   `json:"holdsLease"`
+		}{Ready: c.Ready(), Version: v.Revision, Pools: len(v.Endpoints), Loading: len(v.ReadyAt), Holder: c.lifeShown() != ""}
+		return m
+	})
+}
--- /dev/null
+++ b/internal/placer/readers.go
@@ -0,0 +1,202 @@
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/lease"
+	"olivetiller/core/logstore"
+	"olivetiller/core/route"
+)
+
+// Times of the readers.
+const (
+	// readWait is how long the store keeps a read open. It bounds how long a
+	// reader is blind when its connection died without a sign.
+	readWait = time.Second
+	// readSlack is added to it for the answer.
+	readSlack = 700 * time.Millisecond
+	// instancesEvery is the least time between two reads of the list: engines
+	// record themselves all the time, and the list lags by more than that.
+	instancesEvery = 300 * time.Millisecond
+	// retryPause is the pause after a failed read.
+	retryPause = 250 * time.Millisecond
+)
+
+// reader follows one topic.
+type reader[T any] struct {
+	name string
+	// every is the least time between two reads.
+	every  time.Duration
+	newest func(context.Context) (logstore.Page[T], error)
+	read   func(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[T], error)
+	// apply makes the message for the owner; whole is true for a page that holds
+	// all there is.
+	apply func(page logstore.Page[T], whole bool) message
+}
+
+func (c *Controller) startReaders(ctx context.Context) {
+	s := c.o.Store
+	go follow(ctx, c, reader[logstore.Config]{
+		name: "configuration", newest: s.NewestConfig, read: s.Configs,
+		apply: func(p logstore.Page[logstore.Config], _ bool) message { return configs{p} },
+	})
+	go follow(ctx, c, reader[logstore.Instance]{
+		name: "endpoints", every: instancesEvery, newest: s.NewestInstances, read: s.Instances,
+		apply: func(p logstore.Page[logstore.Instance], whole bool) message { return instances{p, whole} },
+	})
+	go follow(ctx, c, reader[[]byte]{
+		name: "lease", read: s.Lease,
+		apply: func(p logstore.Page[[]byte], _ bool) message { return leases{p} },
+	})
+	go c.watch(ctx)
+}
+
+// follow reads a topic until the context ends: first what is newest, where the
+// topic has keys, then what comes. When the platform dropped the records asked
+// for, it begins anew.
+func follow[T any](ctx context.Context, c *Controller, r reader[T]) {
+	var next uint64
+	whole, well := r.newest != nil, true
+	for ctx.Err() == nil {
+		started := c.o.Clock.Now()
+		page, err := readOnce(ctx, r, next, whole)
+		var failed *logstore.Error
+		switch {
+		case err == nil:
+			if !well {
+				c.o.Logger.Info("store regained", "topic", r.name, "next", page.Next)
+			}
+			well = true
+			for _, damage := range page.Damaged {
+				c.o.Logger.Error("record passed over", "topic", r.name, "error", damage.Error())
+			}
+			if !c.send(ctx, r.apply(page, whole)) {
+				return
+			}
+			next, whole = page.Next, false
+		case errors.As(err, &failed) && failed.Kind == logstore.Dropped:
+			c.o.Logger.Info("records dropped by the store", "topic", r.name, "from", next, "first", failed.First)
+			next, whole = max(next, failed.First), r.newest != nil
+			continue
+		default:
+			if well {
+				c.o.Logger.Warn("store lost", "topic", r.name, "error", err.Error())
+			}
+			well = false
+			c.send(ctx, storeAway{})
+			c.pause(ctx, retryPause)
+			continue
+		}
+		if left := r.every - c.o.Clock.Now().Sub(started); left > 0 {
+			c.pause(ctx, left)
+		}
+	}
+}
+
+func readOnce[T any](ctx context.Context, r reader[T], next uint64, whole bool) (logstore.Page[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
+	defer cancel()
+	if whole {
+		return r.newest(ctx)
+	}
+	return r.read(ctx, next, readWait)
+}
+
+func (c *Controller) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-c.o.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+type storeAway struct{}
+
+func (storeAway) handle(c *Controller) { c.directory.StoreAway(c.o.Clock.Now()) }
+
+type configs struct {
+	page logstore.Page[logstore.Config]
+}
+
+func (m configs) handle(c *Controller) {
+	for _, r := range m.page.Records {
+		c.configure(r.Value.Table)
+	}
+}
+
+// configure puts a configuration in force unless a newer one is.
+func (c *Controller) configure(t *route.Table) {
+	if old := c.table.Load(); old != nil && old.Config.Version >= t.Config.Version {
+		return
+	}
+	c.table.Store(t)
+	c.planner.SetTable(t)
+	c.planner.SetEngines(c.directory.Live(c.o.Clock.Now()), c.o.Clock.Now())
+	c.o.Logger.Info("configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes), "services", len(t.Config.Services))
+	c.stale = true
+}
+
+type instances struct {
+	page  logstore.Page[logstore.Instance]
+	whole bool
+}
+
+func (m instances) handle(c *Controller) {
+	now := c.o.Clock.Now()
+	changed := m.whole
+	if m.whole {
+		list := make([]directory.Record, 0, len(m.page.Records))
+		for _, r := range m.page.Records {
+			list = append(list, r.Value)
+		}
+		c.directory.Replace(list, now)
+		c.listed = true
+	} else {
+		for _, r := range m.page.Records {
+			if c.directory.Apply(r.Value, now) {
+				changed = true
+				c.noteInstance(r.Value, r.Offset)
+			}
+		}
+	}
+	if changed {
+		c.planner.SetEngines(c.directory.Live(now), now)
+		c.stale = true
+	}
+}
+
+// noteInstance logs a change of the list.
+func (c *Controller) noteInstance(r directory.Record, offset uint64) {
+	if r.Instance == nil {
+		c.o.Logger.Info("endpoint's entry gone", "endpoint", r.ID, "offset", offset)
+		return
+	}
+	if r.Instance.Draining {
+		c.o.Logger.Info("endpoint leaves", "endpoint", r.ID, "service", r.Instance.Service, "remainingMs", r.Instance.Remaining.Milliseconds(), "offset", offset)
+		return
+	}
+	c.o.Logger.Debug("endpoint changed", "endpoint", r.ID, "service", r.Instance.Service, "models", len(r.Instance.Models), "offset", offset)
+}
+
+type leases struct{ page logstore.Page[[]byte] }
+
+func (m leases) handle(c *Controller) {
+	now := c.o.Clock.Now()
+	before, _ := c.lease.Holder()
+	for _, r := range m.page.Records {
+		var rec lease.Record
+		if err := json.Unmarshal(r.Value, &rec); err != nil {
+			c.o.Logger.Error("record passed over", "topic", "lease", "offset", r.Offset, "error", err.Error())
+			continue
+		}
+		c.lease.Fold(r.Offset, rec, now)
+	}
+	c.lease.CaughtUp(m.page.Next)
+	if holder, fence := c.lease.Holder(); holder != before {
+		c.o.Logger.Info("holder of the lease", "holder", holder.Holder, "address", holder.Address, "fence", fence)
+		c.remote.follow(holder)
+	}
+}
--- /dev/null
+++ b/internal/placer/remote.go
@@ -0,0 +1,224 @@
+package placer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"olivetiller/core/lease"
+	"olivetiller/core/placement"
+	"olivetiller/io/peer"
+)
+
+// remote is what the holder told this node. The watcher reads the holder; the
+// rest belongs to the owner.
+type remote struct {
+	mu     sync.Mutex
+	holder lease.Record
+
+	life    string
+	version uint64
+	// heardAt is when the holder last answered; zero if it never did.
+	heardAt time.Time
+	// fresh is what the last look at heardAt came to.
+	fresh   bool
+	serving map[string][]string
+	readyAt map[string]time.Time
+}
+
+// follow sets whom to watch.
+func (r *remote) follow(holder lease.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holder = holder
+}
+
+func (r *remote) target() lease.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holder
+}
+
+// lapsed reports whether the holder's word has just become too old.
+func (r *remote) lapsed(now time.Time) bool {
+	fresh := !r.heardAt.IsZero() && now.Sub(r.heardAt) <= holderFresh
+	was := r.fresh
+	r.fresh = fresh
+	return was && !fresh
+}
+
+// watch asks the holder for news until the context ends.
+func (c *Controller) watch(ctx context.Context) {
+	var life string
+	var version uint64
+	heard := true
+	for ctx.Err() == nil {
+		h := c.remote.target()
+		if h.Holder == "" || h.Life == c.o.Self.Life {
+			c.pause(ctx, tickEvery)
+			continue
+		}
+		s, err := c.o.Peers.Watch(ctx, h.Address, life, version)
+		if err != nil {
+			if heard {
+				c.o.Logger.Info("holder lost", "holder", h.Holder, "address", h.Address, "error", err.Error())
+			}
+			heard = false
+			c.pause(ctx, tickEvery)
+			continue
+		}
+		if !heard {
+			c.o.Logger.Info("holder regained", "holder", h.Holder, "fence", s.Fence)
+		}
+		heard = true
+		life, version = s.Life, s.Version
+		if !c.send(ctx, heardFrom{s}) {
+			return
+		}
+	}
+}
+
+// heardFrom is the holder's answer.
+type heardFrom struct{ s *peer.Snapshot }
+
+func (m heardFrom) handle(c *Controller) {
+	r, s, now := &c.remote, m.s, c.o.Clock.Now()
+	if s.Life != r.life || s.Whole {
+		r.life, r.serving = s.Life, make(map[string][]string, len(s.Serving))
+		c.stale = true
+	}
+	if !r.fresh || len(s.Serving) > 0 || len(s.Gone) > 0 || s.Version != r.version {
+		c.stale = true
+	}
+	r.version, r.heardAt, r.fresh = s.Version, now, true
+	for engine, pools := range s.Serving {
+		r.serving[engine] = pools
+	}
+	for _, engine := range s.Gone {
+		delete(r.serving, engine)
+	}
+	r.readyAt = make(map[string]time.Time, len(s.ReadyInMs))
+	for pool, ms := range s.ReadyInMs {
+		r.readyAt[pool] = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	c.setNodes(s.Nodes)
+}
+
+func (c *Controller) setNodes(n int) {
+	if c.o.Nodes != nil && n > 0 {
+		c.o.Nodes(n)
+	}
+}
+
+// WakeDemand asks for a report at once; it may be called from any goroutine.
+func (c *Controller) WakeDemand() {
+	select {
+	case c.inbox <- demandNow{}:
+	default:
+		// The owner is busy; the next tick reports.
+	}
+}
+
+type demandNow struct{}
+
+func (demandNow) handle(c *Controller) { c.dirty = true }
+
+// EndpointLeaving notes that an endpoint says that it takes no new work, or that
+// its address is another's by now.
+func (c *Controller) EndpointLeaving(id string) {
+	select {
+	case c.inbox <- endpointLeaving{id}:
+	case <-c.ended:
+	}
+}
+
+type endpointLeaving struct{ id string }
+
+func (m endpointLeaving) handle(c *Controller) {
+	if c.directory.Drain(m.id) {
+		c.o.Logger.Info("endpoint refused work as leaving or gone", "endpoint", m.id)
+		now := c.o.Clock.Now()
+		c.planner.SetEngines(c.directory.Live(now), now)
+		c.stale = true
+	}
+}
+
+// EngineLacks notes that an engine says that it does not hold a pool's unit.
+func (c *Controller) EngineLacks(engine, pool string) {
+	select {
+	case c.inbox <- engineLacks{engine, pool}:
+	case <-c.ended:
+	}
+}
+
+type engineLacks struct{ engine, pool string }
+
+func (m engineLacks) handle(c *Controller) {
+	now := c.o.Clock.Now()
+	c.o.Logger.Info("engine lacks what it was believed to hold", "engine", m.engine, "pool", m.pool)
+	c.misses[missKey(m)] = now.Add(missLife)
+	c.stale, c.dirty = true, true
+	if c.held {
+		c.planner.Missing(m.engine, now)
+		return
+	}
+	c.newMiss = append(c.newMiss, peer.Miss{Engine: m.engine, Pool: m.pool})
+}
+
+// report tells the holder of this node's use, at once when requests wait.
+func (c *Controller) report(ctx context.Context, now time.Time) {
+	due := now.Sub(c.reportedAt) >= reportEvery
+	if !c.dirty && !due || c.reporting {
+		return
+	}
+	if c.held {
+		c.dirty, c.reportedAt = false, now
+		c.planner.Use(c.o.Self.Holder, c.uses(now), now)
+		return
+	}
+	h := c.remote.target()
+	if h.Holder == "" || h.Life == c.o.Self.Life {
+		return
+	}
+	c.dirty, c.reportedAt, c.reporting = false, now, true
+	r := &peer.Report{Node: c.o.Self.Holder, Use: c.wireUses(now), Misses: c.newMiss}
+	c.newMiss = nil
+	go func() {
+		err := c.o.Peers.Report(ctx, h.Address, r)
+		c.send(ctx, reportSent{err})
+	}()
+}
+
+type reportSent struct{ err error }
+
+func (m reportSent) handle(c *Controller) {
+	c.reporting = false
+	if m.err != nil {
+		c.o.Logger.Debug("report to the holder failed", "error", m.err.Error())
+	}
+}
+
+// uses returns this node's own use.
+func (c *Controller) uses(now time.Time) []placement.Use {
+	var out []placement.Use
+	for _, u := range c.o.Dispatcher.Usage() {
+		unit, ok := placement.ParsePool(u.Pool)
+		if !ok {
+			continue
+		}
+		out = append(out, placement.Use{Unit: unit, Waiting: u.Waiting, Arrivals: u.Arrivals, Urgent: u.Urgent, RunningAt: u.RunningAt})
+	}
+	return out
+}
+
+func (c *Controller) wireUses(now time.Time) []peer.Use {
+	var out []peer.Use
+	for _, u := range c.uses(now) {
+		w := peer.Use{Pool: u.Unit.Pool(), Waiting: u.Waiting, Arrivals: u.Arrivals, RunningAt: u.RunningAt}
+		if !u.Urgent.IsZero() {
+			w.UrgentInMs = u.Urgent.Sub(now).Milliseconds()
+		}
+		out = append(out, w)
+	}
+	return out
+}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	Waiting func()
 	// Leaving is called when an endpoint says that it takes no new work.
 	Leaving func(endpoint string)
+	// Missing is called when an engine says that it does not hold what the pool
+	// is for; nil where nobody wants to know.
+	Missing func(endpoint, pool string)
 }
 
 // Dispatcher holds the pools and gates. It is safe for concurrent use.
@@ -33,6 +37,10 @@
 	view  *view.View
 	pools map[string]*pool
 	gates map[string]*gate
+	// budgets holds the retry budgets that several pools share.
+	budgets map[string]*retry.Budget
+	// newBudget makes a retry budget.
+	newBudget func() *retry.Budget
 }
 
 // New returns a dispatcher for a node in a data hall.
@@ -40,29 +48,50 @@
 	return &Dispatcher{
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
 		view: &view.View{}, pools: make(map[string]*pool), gates: make(map[string]*gate),
+		budgets: make(map[string]*retry.Budget), newBudget: retry.NewBudget,
 	}
 }
 
+// LimitRetries sets what the retry budgets made from here on allow.
+func (d *Dispatcher) LimitRetries(newBudget func() *retry.Budget) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.newBudget = newBudget
+}
+
+// budget returns the retry budget for a request of a pool.
+func (d *Dispatcher) budget(p *pool, name string) *retry.Budget {
+	if name == "" {
+		name = p.name
+	}
+	b := d.budgets[name]
+	if b == nil {
+		b = d.newBudget()
+		d.budgets[name] = b
+	}
+	return b
+}
+
 // Acquire waits for a place at an endpoint of the named pool, until the ask's
 // deadline or the context's end.
 func (d *Dispatcher) Acquire(ctx context.Context, name string, a Ask) (*Slot, error) {
 	start := d.clock.Now()
 	d.mu.Lock()
 	p := d.pool(name)
-	if err := p.admit(a, start); err != nil {
+	if err := p.admit(a, d.budget(p, a.Budget), start); err != nil {
 		d.mu.Unlock()
 		return nil, err
 	}
 	cold := len(p.endpoints) == 0
 	if p.queue.Len() == 0 {
-		if pl, ok := p.pick(start, d.hall, a.Avoid); ok {
+		if pl, ok := p.pick(start, d.hall, &a); ok {
 			p.occupy(pl)
 			d.mu.Unlock()
 			return d.slot(p, pl, start, start, cold), nil
 		}
 	}
-	w := &waiter{avoid: a.Avoid, granted: make(chan place, 1)}
-	w.item = &queue.Item{Caller: a.Caller, Deadline: a.Deadline, Cost: a.Cost, Bytes: a.Bytes, Value: w}
+	w := &waiter{ask: a, granted: make(chan place, 1)}
+	w.item = &queue.Item{Caller: a.Caller, Deadline: a.urgent(start), Cost: a.Cost, Bytes: a.Bytes, Value: w}
 	if !p.queue.Push(w.item) {
 		n := p.queue.Len()
 		d.mu.Unlock()
@@ -81,24 +110,69 @@
 	return d.wait(ctx, p, w, a, start, cold)
 }
 
-// wait blocks until the waiter is granted a place or its time is up.
+// wait blocks until the waiter is granted a place, its time is up, or it is
+// better told to come back later.
 func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiter, a Ask, start time.Time, cold bool) (*Slot, error) {
 	timer := d.clock.NewTimer(a.Deadline.Sub(start))
 	defer timer.Stop()
+	var decide <-chan time.Time
+	if a.Objective > 0 {
+		decide = d.clock.After(a.Objective / decideShare)
+	}
 	var pl place
-	granted := true
-	select {
-	case pl = <-w.granted:
-	case <-timer.Chan():
-		pl, granted = d.leave(p, w)
-	case <-ctx.Done():
-		pl, granted = d.leave(p, w)
+	for {
+		granted := true
+		var refused error
+		select {
+		case pl = <-w.granted:
+		case <-decide:
+			decide = nil
+			if refused = d.reconsider(p, w, start); refused == nil {
+				continue
+			}
+			pl, granted = d.leave(p, w)
+		case <-timer.Chan():
+			pl, granted = d.leave(p, w)
+		case <-ctx.Done():
+			pl, granted = d.leave(p, w)
+		}
+		now := d.clock.Now()
+		switch {
+		case granted:
+			return d.slot(p, pl, start, now, cold), nil
+		case refused != nil:
+			return nil, refused
+		}
+		return nil, refusal.New(refusal.WaitedTooLong, "no place at %s came free within %s", p.name, now.Sub(start).Round(time.Millisecond))
 	}
+}
+
+const (
+	// decideShare is the part of a request's objective after which it is decided
+	// whether it waits on: by then the home has answered, and a caller that is
+	// sent away within a quarter of its objective loses little.
+	decideShare = 5
+	// returnShare is the part of its remaining time that a caller is at most
+	// willing to stay away.
+	returnShare = 3
+	// returnMargin is added to the time at which a model is expected.
+	returnMargin = 150 * time.Millisecond
+)
+
+// reconsider returns why a waiting request is better refused now: its model will
+// come too late for its objective, and the caller can come back when it is there.
+func (d *Dispatcher) reconsider(p *pool, w *waiter, start time.Time) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := d.clock.Now()
-	if !granted {
-		return nil, refusal.New(refusal.WaitedTooLong, "no place at %s came free within %s", p.name, now.Sub(start).Round(time.Millisecond))
+	if len(p.endpoints) > 0 || !w.ask.Returns || p.readyAt.IsZero() {
+		return nil
 	}
-	return d.slot(p, pl, start, now, cold), nil
+	least := p.readyAt.Sub(now)
+	if now.Add(least).Before(start.Add(w.ask.Objective)) || (least+returnMargin)*returnShare > w.ask.Deadline.Sub(now) {
+		return nil
+	}
+	return refusal.New(refusal.CannotMakeDeadline, "%s is ready in %s, later than the objective", p.name, least.Round(time.Millisecond)).After(least + returnMargin)
 }
 
 // leave takes a waiter out of the queue. If it was granted a place in the same
@@ -123,6 +197,7 @@
 func (p *pool) occupy(pl place) {
 	pl.gate.running++
 	p.running++
+	p.runningAt[pl.Name]++
 }
 
 // release takes a result in and pumps the pools that share the endpoint.
@@ -130,11 +205,20 @@
 	if r.Leaving {
 		d.hooks.Leaving(s.Endpoint.Name)
 	}
+	if r.Missing && d.hooks.Missing != nil {
+		d.hooks.Missing(s.Endpoint.Name, s.pool.name)
+	}
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s.gate.settle(r, now)
 	s.pool.running--
+	if s.pool.runningAt[s.Endpoint.Name]--; s.pool.runningAt[s.Endpoint.Name] <= 0 {
+		delete(s.pool.runningAt, s.Endpoint.Name)
+	}
+	if r.Missing {
+		s.pool.remove(s.gate)
+	}
 	if r.Err == nil && !r.Full && !r.NotBegun {
 		s.pool.model.Serve.Observe(now.Sub(s.at))
 	}
@@ -180,7 +264,7 @@
 // has room.
 func (d *Dispatcher) grantNext(p *pool, now time.Time) bool {
 	w := p.queue.Peek().Value.(*waiter)
-	pl, ok := p.pick(now, d.hall, w.avoid)
+	pl, ok := p.pick(now, d.hall, &w.ask)
 	if !ok {
 		d.openLater(p, now)
 		return false
@@ -215,7 +299,7 @@
 func (d *Dispatcher) pool(name string) *pool {
 	p := d.pools[name]
 	if p == nil {
-		p = &pool{name: name, queue: queue.New(d.limits), budget: retry.NewBudget()}
+		p = &pool{name: name, queue: queue.New(d.limits), runningAt: make(map[string]int)}
 		d.pools[name] = p
 		p.update(d.view, d.places(d.view, name), d.clock.Now())
 	}
@@ -239,6 +323,7 @@
 	}
 	for name, p := range d.pools {
 		p.loadingSince = v.LoadingSince[name]
+		p.readyAt = v.ReadyAt[name]
 	}
 	for name, g := range d.gates {
 		if len(g.pools) == 0 && g.running == 0 {
@@ -306,6 +391,37 @@
 	return t
 }
 
+// Usage is a pool's work as the placement of models wants to know it.
+type Usage struct {
+	Pool     string
+	Waiting  int
+	Arrivals int
+	// Urgent is the time by which the first of the waiting wants its place; zero
+	// if none waits.
+	Urgent time.Time
+	// RunningAt counts the running requests by endpoint.
+	RunningAt map[string]int
+}
+
+// Usage returns the work of every pool that has or had any since the last call.
+func (d *Dispatcher) Usage() []Usage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Usage
+	for _, p := range d.pools {
+		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 {
+			continue
+		}
+		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, RunningAt: maps.Clone(p.runningAt)}
+		if at, ok := p.queue.Earliest(); ok {
+			u.Urgent = at
+		}
+		p.arrivals = 0
+		out = append(out, u)
+	}
+	return out
+}
+
 // Load returns the work of one pool.
 func (d *Dispatcher) Load(name string) (waiting, running int) {
 	d.mu.Lock()
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -1,8 +1,11 @@
 package traffic
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"olivetiller/core/admit"
 	"olivetiller/core/choose"
 	"olivetiller/core/demand"
@@ -20,10 +23,15 @@
 	endpoints []place
 	// loadingSince is when the load in progress was first seen; zero if none.
 	loadingSince time.Time
-	model        admit.Model
-	budget       *retry.Budget
-	running      int
-	arrivals     int
+	// readyAt is when the first endpoint is expected; zero if that is not known.
+	readyAt time.Time
+	model   admit.Model
+	running int
+	// runningAt counts the running requests by endpoint.
+	runningAt map[string]int
+	// turn counts the picks, so that equal endpoints take turns.
+	turn     int
+	arrivals int
 	// reported is the last demand report.
 	reported demand.Report
 	// coldSince is when requests began to wait without any endpoint.
@@ -38,22 +46,22 @@
 
 // waiter is a request in a queue.
 type waiter struct {
-	item  *queue.Item
-	avoid string
+	item *queue.Item
+	ask  Ask
 	// granted carries the place.
 	granted chan place
 }
 
 // admit refuses what cannot make its deadline.
-func (p *pool) admit(a Ask, now time.Time) error {
-	p.arrivals++
+func (p *pool) admit(a Ask, budget *retry.Budget, now time.Time) error {
 	if a.Retry {
-		if !p.budget.Spend() {
+		if !budget.Spend() {
 			return refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p.name)
 		}
 		return nil
 	}
-	p.budget.Earn()
+	p.arrivals++
+	budget.Earn()
 	least := p.model.AtLeast(admit.Wait{
 		Ready: len(p.endpoints) > 0, Ahead: p.queue.Len(), Capacity: p.capacity(), LoadElapsed: p.loadElapsed(now),
 	})
@@ -81,21 +89,48 @@
 }
 
 // pick chooses a place with room; ok is false when there is none.
-func (p *pool) pick(now time.Time, hall, avoid string) (place, bool) {
-	if len(p.endpoints) == 0 {
+func (p *pool) pick(now time.Time, hall string, a *Ask) (place, bool) {
+	n := len(p.endpoints)
+	if n == 0 {
 		return place{}, false
 	}
-	replicas := make([]choose.Replica, 0, len(p.endpoints))
-	for _, pl := range p.endpoints {
+	p.turn++
+	home := p.home(a.Affinity)
+	replicas := make([]choose.Replica, 0, n)
+	for i := range n {
+		pl := p.endpoints[(i+p.turn)%n]
 		r := pl.gate.replica(hall)
-		r.Avoid = pl.Name == avoid && len(p.endpoints) > 1
+		r.Avoid = n > 1 && slices.Contains(a.Avoid, pl.Name)
+		r.Home = pl.Name == home
 		replicas = append(replicas, r)
 	}
 	i := choose.Pick(replicas, now)
 	if i < 0 {
 		return place{}, false
 	}
-	return p.endpoints[i], true
+	return p.endpoints[(i+p.turn)%n], true
+}
+
+// home returns the endpoint that most likely keeps the beginning of a prompt.
+func (p *pool) home(affinity uint64) string {
+	if affinity == 0 {
+		return ""
+	}
+	home, best := "", uint64(0)
+	for _, pl := range p.endpoints {
+		if h := xxhash.Sum64String(pl.Name) ^ affinity; home == "" || mix(h) > best {
+			home, best = pl.Name, mix(h)
+		}
+	}
+	return home
+}
+
+// mix spreads the bits of a hash (the finalizer of splitmix64), so that the
+// homes of different prompts do not depend on each other.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
 }
 
 // update takes the endpoints of a view over.
@@ -114,6 +149,7 @@
 		pl.gate.pools[p] = true
 	}
 	p.loadingSince = v.LoadingSince[p.name]
+	p.readyAt = v.ReadyAt[p.name]
 }
 
 // remove takes an endpoint out at once, without waiting for the view.
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -15,10 +15,29 @@
 	Bytes int64
 	// Cost is what serving it takes; at least 1.
 	Cost float64
-	// Avoid names an endpoint that just failed the request.
-	Avoid string
+	// Avoid names the endpoints that failed the request.
+	Avoid []string
 	// Retry marks a second attempt, which the retry budget must allow.
 	Retry bool
+	// Budget names the retry budget; "" takes that of the pool.
+	Budget string
+	// Objective is the time from now within which an answer is in time; 0 for
+	// none. Among waiting requests the one whose time ends first goes first.
+	Objective time.Duration
+	// Returns is true when the caller comes back at the time that a refusal
+	// tells, if it is refused soon.
+	Returns bool
+	// Affinity is equal for requests that share the beginning of their prompts; 0
+	// for none.
+	Affinity uint64
+}
+
+// urgent is the time by which the request wants its place.
+func (a *Ask) urgent(now time.Time) time.Time {
+	if at := now.Add(a.Objective); a.Objective > 0 && at.Before(a.Deadline) {
+		return at
+	}
+	return a.Deadline
 }
 
 // Slot is a place at an endpoint.
@@ -43,6 +62,8 @@
 	Full bool
 	// NotBegun is true when the endpoint is well but did not take the request.
 	NotBegun bool
+	// Missing is true when the engine does not hold what the request is for.
+	Missing bool
 	// Running is the load the endpoint reported; negative if none.
 	Running int
 	// Leaving is true when the endpoint said that it takes no new work.
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -28,16 +29,23 @@
 // dispatch sends the request to an endpoint and its answer back.
 func (s *Server) dispatch(ctx context.Context, x *Exchange) error {
 	switch {
-	case x.Target.OnceOnly:
+	case x.Target.OnceOnly && x.Target.Keyed:
 		return s.dispatchOnce(ctx, x)
 	case x.Target.Stream:
 		return s.stream(ctx, x)
 	}
-	answer, err := s.whole(ctx, x)
+	a, err := s.whole(ctx, x)
 	if err != nil {
 		return err
 	}
-	return writeAnswer(x, answer)
+	return writeAnswer(x, s.protocol(), a)
+}
+
+// answer is a whole answer of an endpoint.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
 }
 
 // dispatchOnce runs a request that may not be repeated.
@@ -46,13 +54,21 @@
 	if err != nil {
 		return err
 	}
-	answer, err := s.Once.Do(ctx, key, digest(x), x.Deadline, func(ctx context.Context) (*once.Answer, error) {
-		return s.whole(ctx, x)
+	kept, err := s.Once.Do(ctx, key, digest(x), x.Deadline, func(ctx context.Context) (*once.Answer, error) {
+		a, err := s.whole(ctx, x)
+		if err != nil {
+			return nil, err
+		}
+		return &once.Answer{Status: a.status, ContentType: a.header.Get("Content-Type"), Body: a.body}, nil
 	})
 	if err != nil {
 		return err
 	}
-	return writeAnswer(x, answer)
+	h := make(http.Header, 1)
+	if kept.ContentType != "" {
+		h.Set("Content-Type", kept.ContentType)
+	}
+	return writeAnswer(x, s.protocol(), &answer{status: kept.Status, header: h, body: kept.Body})
 }
 
 // digest tells a repeat of a request from another one with the same key.
@@ -65,23 +81,23 @@
 	return d
 }
 
-func writeAnswer(x *Exchange, a *once.Answer) error {
-	if a.ContentType != "" {
-		x.W.Header().Set("Content-Type", a.ContentType)
-	}
+func writeAnswer(x *Exchange, p Protocol, a *answer) error {
+	p.Head(x.W.Header(), a.header)
 	x.Began = true
-	x.W.WriteHeader(a.Status)
+	x.Trail.Status = a.status
+	x.W.WriteHeader(a.status)
 	// A failed write means that the caller is gone; there is nobody to tell.
-	_, _ = x.W.Write(a.Body)
+	_, _ = x.W.Write(a.body)
 	return nil
 }
 
 // whole gets a whole answer, from another endpoint if the first one fails and
 // the request allows it.
-func (s *Server) whole(ctx context.Context, x *Exchange) (*once.Answer, error) {
-	var answer *once.Answer
+func (s *Server) whole(ctx context.Context, x *Exchange) (*answer, error) {
+	// got is the latest whole answer, be it a failure.
+	var got *answer
 	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error) {
-		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, 0))
+		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, ""))
 		if err != nil {
 			return failed(err), err
 		}
@@ -94,10 +110,26 @@
 			err = &endpoint.Error{Outcome: retry.Ran, Cause: err}
 			return failed(err), err
 		}
-		answer = &once.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}
+		got = &answer{status: resp.StatusCode, header: resp.Header, body: body}
+		if err := failedAnswer(x, got); err != nil {
+			return failed(err), err
+		}
 		return traffic.Result{Running: resp.Running, Leaving: resp.Leaving}, nil
 	})
-	return answer, err
+	if got != nil {
+		// An endpoint's own failure tells the caller more than ours would.
+		return got, nil
+	}
+	return nil, err
+}
+
+// failedAnswer returns an error for an endpoint's failure that another endpoint
+// may do better.
+func failedAnswer(x *Exchange, a *answer) error {
+	if x.Target.OnceOnly || !x.Target.RetryFailures || a.status < http.StatusInternalServerError {
+		return nil
+	}
+	return &endpoint.Error{Outcome: retry.Ran, Cause: fmt.Errorf("status %d", a.status)}
 }
 
 // try sends the request to the endpoint of a slot.
@@ -106,35 +138,53 @@
 // attempts tries endpoints until one answers, or the rules of repetition, the
 // retry budget or the deadline forbid another attempt.
 func (s *Server) attempts(ctx context.Context, x *Exchange, do try) error {
-	ask := traffic.Ask{Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost}
-	tried := 0
+	ask := traffic.Ask{
+		Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost,
+		Budget: x.Target.Budget, Objective: x.Target.Objective, Returns: x.Target.Returns, Affinity: x.Target.Affinity,
+	}
+	ran, sent := 0, 0
 	for {
 		slot, err := s.Dispatcher.Acquire(ctx, x.Target.Pool, ask)
 		if err != nil {
-			return err
+			if sent > ran || ran == 0 {
+				return err
+			}
+			return endOf(retry.Ran, x, err)
 		}
 		s.noteSlot(x, slot)
+		sent++
 		result, err := do(ctx, slot)
 		slot.Release(result)
+		s.noteAttempt(x, slot, sent, err)
 		if err == nil {
 			return nil
 		}
 		outcome := outcomeOf(err)
 		if outcome != retry.NotSent {
-			tried++
+			ran++
 		}
-		if ctx.Err() != nil || !retry.MayRepeat(outcome, x.Target.OnceOnly) || tried >= maxAttempts || s.Clock.Now().After(x.Deadline) {
+		if ctx.Err() != nil || !retry.MayRepeat(outcome, x.Target.OnceOnly) || ran >= x.Target.attempts() || s.Clock.Now().After(x.Deadline) {
 			return endOf(outcome, x, err)
 		}
 		s.Metrics.Retries.Add(outcome.String(), 1)
-		ask.Avoid = slot.Endpoint.Name
-		ask.Retry = outcome != retry.NotSent
+		ask.Avoid = append(ask.Avoid, slot.Endpoint.Name)
+		ask.Retry = outcome != retry.NotSent || x.Target.Budget != ""
 		if outcome == retry.NotSent && !result.Full {
 			s.Clock.Sleep(unsentPause)
 		}
 	}
 }
 
+// noteAttempt logs what became of one attempt.
+func (s *Server) noteAttempt(x *Exchange, slot *traffic.Slot, n int, err error) {
+	x.Trail.Sent, x.Trail.Endpoint = n, slot.Endpoint.Name
+	if err == nil {
+		return
+	}
+	s.Logger.Info("attempt failed", "requestId", x.ID, "attempt", n, "endpoint", slot.Endpoint.Name, "address", slot.Endpoint.Address,
+		"pool", x.Target.Pool, "waitedMs", slot.Waited.Milliseconds(), "outcome", outcomeOf(err).String(), "error", err.Error())
+}
+
 // endOf turns the last failure into a refusal that says the truth about running.
 func endOf(o retry.Outcome, x *Exchange, err error) error {
 	switch {
@@ -158,7 +208,7 @@
 	r := traffic.Result{Err: err, Running: -1}
 	var e *endpoint.Error
 	if errors.As(err, &e) {
-		r.Full = e.Full
+		r.Full, r.Missing, r.Leaving = e.Full, e.Missing, e.Gone
 		if e.Outcome == retry.NotSent && e.Refused {
 			// The endpoint is well; it only did not begin this request.
 			r.Err = nil
@@ -169,42 +219,15 @@
 }
 
 func (s *Server) noteSlot(x *Exchange, slot *traffic.Slot) {
+	x.Trail.Waited += slot.Waited
+	x.Trail.Cold = x.Trail.Cold || slot.Cold
 	if slot.Cold {
 		s.Metrics.ColdStart.Record(slot.Waited.Milliseconds())
 	}
 	s.Metrics.Wait.Record(slot.Waited.Milliseconds())
 }
 
-// request builds the request to an endpoint, resuming a stream from a token.
-func (s *Server) request(x *Exchange, slot *traffic.Slot, from int) *endpoint.Request {
-	r := &endpoint.Request{
-		Address: slot.Endpoint.Address, Method: x.R.Method, Path: x.Target.Path,
-		Header: forwarded(x), Body: x.Body, OnceOnly: x.Target.OnceOnly,
-	}
-	r.Header.Set(endpoint.HeaderRequestID, x.ID)
-	if x.Target.OnceOnly {
-		r.Header.Set(endpoint.HeaderRequestKey, x.R.Header.Get(HeaderRequestKey))
-	}
-	if x.Target.Model {
-		r.Header.Set(endpoint.HeaderVersion, slot.Endpoint.Version)
-		setFrom(r.Header, from)
-	}
-	if p := x.R.Header.Get(HeaderPriority); p != "" {
-		r.Header.Set(endpoint.HeaderPriority, p)
-	}
-	return r
-}
-
-// forwardedHeaders are the callers' headers that reach an endpoint. All others,
-// those of the engines' own protocol above all, stay here.
-var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "Traceparent"}
-
-func forwarded(x *Exchange) http.Header {
-	h := make(http.Header, len(forwardedHeaders)+4)
-	for _, name := range forwardedHeaders {
-		if v := x.R.Header.Get(name); v != "" {
-			h.Set(name, v)
-		}
-	}
-	return h
+// request builds the request to an endpoint, going on with a stream at a position.
+func (s *Server) request(x *Exchange, slot *traffic.Slot, position string) *endpoint.Request {
+	return s.protocol().Request(x, slot.Endpoint, x.Deadline.Sub(s.Clock.Now()), position)
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -38,6 +38,8 @@
 	View *view.View
 	// Caller is set by identify.
 	Caller *pb.Caller
+	// Allowed is the time that the caller itself allows; 0 if it did not say.
+	Allowed time.Duration
 	// Deadline is when the caller must have its answer or refusal.
 	Deadline time.Time
 	// Body is set by readBody and bounded by the settings.
@@ -46,6 +48,23 @@
 	Target Target
 	// Began is true once something of an answer was written.
 	Began bool
+	// Trail is what became of it so far, for logs.
+	Trail Trail
+}
+
+// Trail is a request's way so far.
+type Trail struct {
+	// Sent counts the attempts; Endpoint is that of the latest.
+	Sent     int
+	Endpoint string
+	// Waited is the time spent waiting for places.
+	Waited time.Duration
+	// Cold is true when no endpoint was ready on arrival.
+	Cold bool
+	// Status is what the endpoint answered; 0 for none.
+	Status int
+	// FirstEvent is the time to the first event of a stream.
+	FirstEvent time.Duration
 }
 
 // Target is what a request is for.
@@ -60,10 +79,43 @@
 	Stream bool
 	// OnceOnly requests run at most once.
 	OnceOnly bool
+	// Keyed requests carry the key under which a repeat gets the same answer.
+	Keyed bool
+	// RetryFailures allows another endpoint's answer in place of a failure.
+	RetryFailures bool
+	// Attempts bounds the attempts that may have run; 0 takes maxAttempts.
+	Attempts int
+	// Objective is the time from the start within which an answer is in time; 0
+	// for none.
+	Objective time.Duration
+	// Returns is true when a caller that is refused at once, with the time at
+	// which to come back, will do so.
+	Returns bool
+	// Budget names the retry budget; "" takes that of the pool.
+	Budget string
+	// Affinity is equal for requests that share the beginning of their prompts; 0
+	// for none.
+	Affinity uint64
+	// Route names what the request was matched by, and Version the configuration.
+	Route   string
+	Version int64
+	// Priority is the rank among requests; 0 is the most urgent.
+	Priority int
+	// TokensIn is the length of the prompt and TokensOut the most that is made
+	// of it; 0 where the caller did not say.
+	TokensIn, TokensOut int
 	// Cost is the share of an endpoint that the request takes; at least 1.
 	Cost float64
 }
 
+// attempts is the bound on attempts that may have run.
+func (t *Target) attempts() int {
+	if t.Attempts > 0 {
+		return t.Attempts
+	}
+	return maxAttempts
+}
+
 // Handler answers an exchange, or returns why it did not.
 type Handler func(ctx context.Context, x *Exchange) error
 
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -43,21 +43,27 @@
 		took := s.Clock.Now().Sub(x.Start)
 		if err == nil {
 			s.Metrics.Answered.Add(1)
-			s.Logger.Debug("answered", "requestId", x.ID, "pool", x.Target.Pool, "tookMs", took.Milliseconds())
+			s.Logger.Info("answered", append(x.logArgs(), "tookMs", took.Milliseconds())...)
 			return nil
 		}
 		e := refusal.As(err)
 		s.Metrics.Refused.Add(string(e.Kind), 1)
-		s.Logger.Info("refused", "requestId", x.ID, "kind", string(e.Kind), "detail", e.Detail, "pool", x.Target.Pool, "tookMs", took.Milliseconds())
-		if x.Began {
-			writeErrorEvent(x, e)
-			return nil
-		}
-		writeProblem(x.W, e, x.ID)
+		s.Logger.Info("refused", append(x.logArgs(), "kind", string(e.Kind), "detail", e.Detail, "notRun", e.NotRun(),
+			"retryAfterMs", e.Hint().Milliseconds(), "began", x.Began, "allowedMs", x.Allowed.Milliseconds(), "tookMs", took.Milliseconds())...)
+		s.protocol().Refuse(x, e)
 		return nil
 	}
 }
 
+// logArgs is what every line about the end of a request says.
+func (x *Exchange) logArgs() []any {
+	t := &x.Trail
+	return []any{
+		"requestId", x.ID, "route", x.Target.Route, "version", x.Target.Version, "pool", x.Target.Pool, "attempts", t.Sent,
+		"endpoint", t.Endpoint, "status", t.Status, "cold", t.Cold, "waitedMs", t.Waited.Milliseconds(), "firstEventMs", t.FirstEvent.Milliseconds(),
+	}
+}
+
 func writeProblem(w http.ResponseWriter, e *refusal.Error, id string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
--- a/io/caller/resolve.go
+++ b/io/caller/resolve.go
@@ -62,7 +62,7 @@
 		}
 		x.Target = Target{
 			Pool: u.Name, Path: x.R.URL.Path, Model: true, Stream: c.Stream,
-			OnceOnly: onceAsked(x.R), Cost: 1 + float64(c.MaxTokens)/costTokens,
+			OnceOnly: onceAsked(x.R), Keyed: true, Cost: 1 + float64(c.MaxTokens)/costTokens,
 		}
 		return next(ctx, x)
 	}
@@ -80,7 +80,7 @@
 		if q := x.R.URL.RawQuery; q != "" {
 			path += "?" + q
 		}
-		x.Target = Target{Pool: view.ServicePool(name), Path: path, OnceOnly: svc.GetOnceOnly() || onceAsked(x.R), Cost: 1}
+		x.Target = Target{Pool: view.ServicePool(name), Path: path, OnceOnly: svc.GetOnceOnly() || onceAsked(x.R), Keyed: true, Cost: 1}
 		return next(ctx, x)
 	}
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -50,8 +50,12 @@
 	Stopping func() bool
 	// TLS is set to serve over TLS.
 	TLS *tls.Config
+	// Protocol is set to serve callers that speak another form than the
+	// product's own.
+	Protocol Protocol
 
 	callers *callerLimits
+	first   firstAttempts
 	http    *http.Server
 	active  atomic.Int64
 }
@@ -94,6 +98,9 @@
 	if s.callers == nil {
 		s.callers = newCallerLimits()
 	}
+	if s.Protocol != nil {
+		return s.serve(Chain(s.dispatch, s.refuse, s.ready, s.accept, s.readBody))
+	}
 	common := []Filter{s.refuse, s.ready, s.identify, s.limit, s.deadline, s.readBody}
 	models := Chain(s.dispatch, append(common[:len(common):len(common)], s.resolveModel)...)
 	services := Chain(s.dispatch, append(common[:len(common):len(common)], s.resolveService)...)
@@ -113,7 +120,9 @@
 		s.active.Add(1)
 		defer s.active.Add(-1)
 		x := &Exchange{W: w, R: r, ID: requestID(), Start: s.Clock.Now(), View: s.View()}
-		w.Header().Set(HeaderRequestID, x.ID)
+		if s.Protocol == nil {
+			w.Header().Set(HeaderRequestID, x.ID)
+		}
 		if s.Stopping() {
 			w.Header().Set("Connection", "close")
 		}
@@ -121,6 +130,28 @@
 	}
 }
 
+// protocol returns the form in which callers speak.
+func (s *Server) protocol() Protocol {
+	if s.Protocol != nil {
+		return s.Protocol
+	}
+	return ownProtocol{}
+}
+
+// accept lets a foreign protocol read the head, and bounds all that follows by
+// the deadline that it found.
+func (s *Server) accept(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) error {
+		if err := s.protocol().Accept(x); err != nil {
+			return err
+		}
+		x.Target.Returns = s.first.note(x.Target.Route, x.Allowed)
+		ctx, cancel := clockwork.WithDeadline(ctx, s.Clock, x.Deadline)
+		defer cancel()
+		return next(ctx, x)
+	}
+}
+
 // requestID returns a new name for a request; a caller's own is not trusted,
 // since names of two callers could clash.
 func requestID() string { return uuid.NewString() }
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -6,7 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
+	"time"
 
 	"olivetiller/core/retry"
 	"olivetiller/internal/traffic"
@@ -20,14 +20,16 @@
 	maxEvent = 1 << 20
 )
 
-var (
-	eventEnd   = []byte("\n\n")
-	dataPrefix = []byte("data: ")
-	doneMarker = []byte("data: [DONE]")
+var eventEnd = []byte("\n\n")
+
+// Events of the product's own streams.
+const (
+	dataPrefix = "data: "
+	doneMarker = "data: [DONE]"
 )
 
-// errBroken ends a stream that stopped before its final marker.
-var errBroken = errors.New("the stream ended before its final marker")
+// errBroken ends a stream that stopped before its last event.
+var errBroken = errors.New("the stream ended before its last event")
 
 // relay passes whole events on and counts the tokens that the caller has. It
 // keeps one buffer for the stream, so that no token costs an allocation.
@@ -36,20 +38,28 @@
 	flush *http.ResponseController
 	buf   []byte
 	// held is how many bytes of buf belong to an event that is not whole yet.
-	held int
-	// tokens is how many token events were passed on.
-	tokens int
+	held   int
+	events EventReader
+	// passed is how many events were passed on.
+	passed int
 	done   bool
-	s      *Server
-	// lastAt is when the latest token was passed on, in the server's clock.
+	// head is the header of the answer being relayed; spare a failure to be
+	// passed on if no other endpoint answers.
+	head  http.Header
+	spare *answer
+	s     *Server
+	// last is when the latest event was passed on, in the server's clock.
 	last int64
 }
 
 // stream relays a stream and moves it to another endpoint when one breaks off.
 func (s *Server) stream(ctx context.Context, x *Exchange) error {
-	r := &relay{x: x, flush: http.NewResponseController(x.W), buf: make([]byte, relayBuffer), s: s}
-	return s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error) {
-		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, r.tokens))
+	r := &relay{x: x, flush: http.NewResponseController(x.W), buf: make([]byte, relayBuffer), events: s.protocol().Events(x), s: s}
+	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error) {
+		ctx, cancel := context.WithCancel(ctx)
+		// Closing the connection ends the run there before another one begins.
+		defer cancel()
+		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, r.events.Position()))
 		if err != nil {
 			return failed(err), err
 		}
@@ -58,9 +68,10 @@
 		if resp.StatusCode != http.StatusOK {
 			return r.passError(resp, result)
 		}
-		if r.tokens > 0 {
+		if r.passed > 0 {
 			s.Metrics.Resumed.Add(1)
 		}
+		r.head = resp.Header
 		if err := r.copy(ctx, resp.Body); err != nil {
 			err = &endpoint.Error{Outcome: retry.Ran, Cause: err}
 			if ctx.Err() != nil {
@@ -71,9 +82,14 @@
 		}
 		return result, nil
 	})
+	if err != nil && r.spare != nil && !x.Began {
+		return writeAnswer(x, s.protocol(), r.spare)
+	}
+	return err
 }
 
-// passError passes an answer that is not a stream on, if none has begun.
+// passError passes an answer that is not a stream on, if none has begun and no
+// other endpoint may be asked instead.
 func (r *relay) passError(resp *endpoint.Response, result traffic.Result) (traffic.Result, error) {
 	if r.x.Began {
 		err := &endpoint.Error{Outcome: retry.Ran, Cause: errBroken}
@@ -84,11 +100,12 @@
 		err = &endpoint.Error{Outcome: retry.Ran, Cause: err}
 		return failed(err), err
 	}
-	r.x.Began = true
-	r.x.W.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
-	r.x.W.WriteHeader(resp.StatusCode)
-	_, _ = r.x.W.Write(body)
-	return result, nil
+	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
+	if err := failedAnswer(r.x, a); err != nil {
+		r.spare = a
+		return failed(err), err
+	}
+	return result, writeAnswer(r.x, r.s.protocol(), a)
 }
 
 func (r *relay) begin() {
@@ -99,6 +116,8 @@
 	h := r.x.W.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
+	r.s.protocol().Head(h, r.head)
+	r.x.Trail.Status = http.StatusOK
 	r.x.W.WriteHeader(http.StatusOK)
 }
 
@@ -121,10 +140,14 @@
 			}
 		}
 		if err != nil && !r.done {
-			if ctx.Err() == nil && errors.Is(err, io.EOF) {
+			if ctx.Err() != nil || !errors.Is(err, io.EOF) {
+				return err
+			}
+			if !r.events.EndsWithBody() || r.held > 0 {
 				return errBroken
 			}
-			return err
+			r.begin()
+			r.done = true
 		}
 	}
 	return nil
@@ -149,36 +172,30 @@
 	return nil
 }
 
-// count notes the tokens and the final marker among whole events.
+// count notes the whole events.
 func (r *relay) count(events []byte) {
 	now := r.s.Clock.Now().UnixNano()
 	for len(events) > 0 {
 		end := bytes.Index(events, eventEnd)
 		event := events[:end]
 		events = events[end+len(eventEnd):]
-		switch {
-		case bytes.Equal(event, doneMarker):
+		if r.events.Note(event) {
 			r.done = true
-		case bytes.HasPrefix(event, dataPrefix):
-			r.timeToken(now)
-			r.tokens++
+			continue
 		}
+		r.time(now)
+		r.passed++
 	}
 }
 
 const nanosPerMilli = 1e6
 
-func (r *relay) timeToken(now int64) {
-	if r.tokens == 0 {
+func (r *relay) time(now int64) {
+	if r.passed == 0 {
+		r.x.Trail.FirstEvent = time.Duration(now - r.x.Start.UnixNano())
 		r.s.Metrics.FirstToken.Record((now - r.x.Start.UnixNano()) / nanosPerMilli)
 	} else {
 		r.s.Metrics.BetweenTokens.Record((now - r.last) / nanosPerMilli)
 	}
 	r.last = now
 }
-
-func setFrom(h http.Header, from int) {
-	if from > 0 {
-		h.Set(endpoint.HeaderResumeFrom, strconv.Itoa(from))
-	}
-}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -47,7 +47,9 @@
 	Address string
 	Method  string
 	// Path begins with a slash and may hold a query.
-	Path   string
+	Path string
+	// Host is the host that the endpoint is told; "" takes the address.
+	Host   string
 	Header http.Header
 	Body   []byte
 	// OnceOnly requests are written at most once.
@@ -61,6 +63,10 @@
 	Refused bool
 	// Full is true when the endpoint refused for want of room.
 	Full bool
+	// Missing is true when the engine does not hold what the request is for.
+	Missing bool
+	// Gone is true when the address belongs to another endpoint by now.
+	Gone bool
 	// Cause is what happened.
 	Cause error
 }
@@ -80,16 +86,52 @@
 	Leaving bool
 }
 
+// Verdict is what an answer's head says beside its status.
+type Verdict struct {
+	// NotBegun is true when the endpoint states that it did not begin the request.
+	NotBegun bool
+	// Full, Missing and Gone are as in Error.
+	Full, Missing, Gone bool
+	// Foreign answers belong to another request.
+	Foreign bool
+	// Running is the load that the endpoint reported; -1 if it did not.
+	Running int
+	// Leaving is true when the endpoint said that it takes no more work.
+	Leaving bool
+}
+
+// Judge reads a verdict from the head of an answer.
+type Judge func(r *Request, resp *http.Response) Verdict
+
+// Options are what a client is made of.
+type Options struct {
+	// Judge reads the answers; nil takes the product's own protocol.
+	Judge Judge
+	// Dialer opens connections; nil takes one with a time limit.
+	Dialer *net.Dialer
+}
+
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
+	judge  Judge
 	pooled *http.Transport
 	once   *http.Transport
 }
 
-// NewClient returns a client.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// NewClient returns a client of the product's own protocol.
+func NewClient() *Client { return NewClientWith(Options{}) }
+
+// NewClientWith returns a client.
+func NewClientWith(o Options) *Client {
+	dialer := o.Dialer
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: dialTimeout}
+	}
+	if o.Judge == nil {
+		o.Judge = judgeOwn
+	}
 	return &Client{
+		judge: o.Judge,
 		pooled: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
@@ -104,11 +146,19 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Address+r.Path, bytes.NewReader(r.Body))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Address+"/", bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, &Error{Outcome: retry.NotSent, Cause: eris.Wrap(err, "build request")}
 	}
+	// The path goes out byte for byte as it came.
+	req.URL.Opaque = r.Path
 	req.Header = r.Header
+	if r.Host != "" {
+		req.Host = r.Host
+	}
+	if len(r.Body) == 0 {
+		req.Body, req.ContentLength = nil, 0
+	}
 	transport := c.pooled
 	if r.OnceOnly {
 		transport = c.once
@@ -118,7 +168,7 @@
 	if err != nil {
 		return nil, &Error{Outcome: outcomeOf(sent.Load()), Cause: err}
 	}
-	return answered(resp)
+	return c.answered(r, resp)
 }
 
 // makeUnrepeatable takes from a request all that lets net/http repeat it.
@@ -136,21 +186,42 @@
 	return retry.NotSent
 }
 
+// errForeign is the cause when an answer belongs to another request: what became
+// of this one is not known.
+var errForeign = eris.New("the answer belongs to another request")
+
+// maxReason bounds what is read of a refusal's text.
+const maxReason = 256
+
 // answered turns a refusal to begin into an error; anything else is an answer.
-func answered(resp *http.Response) (*Response, error) {
-	if resp.Header.Get(HeaderNotRun) == "true" {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
+func (c *Client) answered(req *Request, resp *http.Response) (*Response, error) {
+	v := c.judge(req, resp)
+	switch {
+	case v.Foreign:
+		resp.Body.Close()
+		return nil, &Error{Outcome: retry.MaybeRun, Cause: errForeign}
+	case v.NotBegun:
+		text, err := io.ReadAll(io.LimitReader(resp.Body, maxReason))
+		if err != nil {
+			text = []byte(err.Error())
+		}
 		resp.Body.Close()
 		return nil, &Error{
-			Outcome: retry.NotSent,
-			Refused: true,
-			Full:    resp.StatusCode == http.StatusTooManyRequests,
-			Cause:   eris.Errorf("the endpoint did not begin: %s", bytes.TrimSpace(text)),
+			Outcome: retry.NotSent, Refused: true, Full: v.Full, Missing: v.Missing, Gone: v.Gone,
+			Cause: eris.Errorf("the endpoint did not begin (%d): %s", resp.StatusCode, bytes.TrimSpace(text)),
 		}
 	}
-	r := &Response{Response: resp, Running: -1, Leaving: resp.Header.Get(HeaderLeaving) == "true"}
+	return &Response{Response: resp, Running: v.Running, Leaving: v.Leaving}, nil
+}
+
+// judgeOwn reads the product's own protocol.
+func judgeOwn(_ *Request, resp *http.Response) Verdict {
+	v := Verdict{
+		NotBegun: resp.Header.Get(HeaderNotRun) == "true", Full: resp.StatusCode == http.StatusTooManyRequests,
+		Running: -1, Leaving: resp.Header.Get(HeaderLeaving) == "true",
+	}
 	if n, err := strconv.Atoi(resp.Header.Get(HeaderRunning)); err == nil {
-		r.Running = n
+		v.Running = n
 	}
-	return r, nil
+	return v
 }
--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,187 @@
+// Package peer carries what nodes tell the holder of the lease, and what it tells
+// them, over HTTP.
+//
+// The problem: the holder must hear within milliseconds that a request waits for
+// a model, and all nodes must hear as soon that the model is there, while a
+// lapse of either costs time only, never a promise. The model: a node posts a
+// [Report] of its use, and asks for a [Snapshot] of what changed since the one
+// that it has; the holder answers that when something changed, or after
+// [WatchTime] with nothing, which shows that it lives.
+//
+// The platform hands out no keys, so these messages are not authenticated; the
+// addresses are reached from the system's own machines only.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Times of the protocol.
+const (
+	// WatchTime is how long the holder keeps a question open.
+	WatchTime = 500 * time.Millisecond
+	// callTime is added to it for the way there and back; nodes are a few
+	// milliseconds apart.
+	callTime = 700 * time.Millisecond
+	// maxMessage bounds a message.
+	maxMessage = 4 << 20
+)
+
+// ErrNotHolder is returned when the node asked does not hold the lease.
+var ErrNotHolder = errors.New("the node does not hold the lease; ask the holder that the log names")
+
+// Use is a node's use of one unit, named by its pool.
+type Use struct {
+	Pool     string `json:"pool"`
+	Waiting  int    `json:"waiting,omitempty"`
+	Arrivals int    `json:"arrivals,omitempty"`
+	// UrgentInMs is the time left until the first of the waiting wants its place.
+	UrgentInMs int64          `json:"urgentInMs,omitempty"`
+	RunningAt  map[string]int `json:"runningAt,omitempty"`
+}
+
+// Miss says that an engine did not hold a unit.
+type Miss struct {
+	Engine string `json:"engine"`
+	Pool   string `json:"pool"`
+}
+
+// Report is what a node tells the holder.
+type Report struct {
+	Node   string `json:"node"`
+	Use    []Use  `json:"use"`
+	Misses []Miss `json:"misses,omitempty"`
+}
+
+// Snapshot is what the holder tells the nodes.
+type Snapshot struct {
+	// Life tells one holder from the next; Version rises within a life.
+	Life    string `json:"life"`
+	Fence   uint64 `json:"fence"`
+	Version uint64 `json:"version"`
+	// Nodes is how many nodes the holder hears of, itself included.
+	Nodes int `json:"nodes"`
+	// Whole is true when Serving names every engine, not only the changed ones.
+	Whole bool `json:"whole,omitempty"`
+	// Serving holds the pools that each engine can serve.
+	Serving map[string][]string `json:"serving,omitempty"`
+	// Gone names the engines that the holder no longer knows.
+	Gone []string `json:"gone,omitempty"`
+	// ReadyInMs holds when units that no engine serves are expected, by pool.
+	ReadyInMs map[string]int64 `json:"readyInMs,omitempty"`
+}
+
+// Holder answers nodes.
+type Holder interface {
+	// Reported takes a report in.
+	Reported(r *Report) error
+	// Watch returns what changed since a version, waiting until something has.
+	Watch(ctx context.Context, life string, after uint64) (*Snapshot, error)
+}
+
+const (
+	pathReport = "/peer/report"
+	pathWatch  = "/peer/watch"
+)
+
+// Handler serves a holder.
+func Handler(h Holder) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathReport, func(w http.ResponseWriter, r *http.Request) {
+		var report Report
+		if err := json.NewDecoder(io.LimitReader(r.Body, maxMessage)).Decode(&report); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := h.Reported(&report); err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET "+pathWatch, func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s, err := h.Watch(r.Context(), r.URL.Query().Get("life"), after)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the node is gone.
+		_ = json.NewEncoder(w).Encode(s)
+	})
+	return mux
+}
+
+// Client speaks to the holder. It is safe for concurrent use.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client.
+func NewClient(d *net.Dialer) *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 3, DisableCompression: true}}}
+}
+
+// Report posts a report to the holder at an address.
+func (c *Client) Report(ctx context.Context, address string, r *Report) error {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathReport, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return c.do(req, nil)
+}
+
+// Watch asks the holder at an address for what changed since a version.
+func (c *Client) Watch(ctx context.Context, address, life string, after uint64) (*Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, WatchTime+callTime)
+	defer cancel()
+	q := url.Values{"life": {life}, "after": {strconv.FormatUint(after, 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathWatch+"?"+q.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	var s Snapshot
+	if err := c.do(req, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (c *Client) do(req *http.Request, answer any) error {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode == http.StatusConflict:
+		return ErrNotHolder
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return fmt.Errorf("peer: status %d: %s", resp.StatusCode, raw)
+	case answer == nil:
+		return nil
+	}
+	return json.Unmarshal(raw, answer)
+}
