--- /dev/null
+++ b/core/directory/directory_test.go
@@ -0,0 +1,93 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at returns a moment some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func there(id string) Record {
+	return Record{ID: id, Instance: &Instance{ID: id, Service: "s", Address: "a:1"}}
+}
+
+func leaving(id string) Record {
+	return Record{ID: id, Instance: &Instance{ID: id, Service: "s", Address: "a:1", Draining: true}}
+}
+
+// TestLive checks which endpoints are believed in, and which may get work.
+func TestLive(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(d *Directory)
+		now  time.Time
+		// want holds the live ids; a minus marks one that takes no new work.
+		want []string
+	}{
+		{"recorded", func(d *Directory) { d.Apply(there("a"), at(0)) }, at(9000), []string{"a"}},
+		{"gone while the store was well", func(d *Directory) {
+			d.Apply(there("a"), at(0))
+			d.Apply(Record{ID: "a"}, at(100))
+		}, at(100), nil},
+		{"vanished after the store was away", func(d *Directory) {
+			d.Apply(there("a"), at(0))
+			d.StoreAway(at(5000))
+			d.Apply(Record{ID: "a"}, at(5100))
+		}, at(7400), []string{"a"}},
+		{"vanished and still missing later", func(d *Directory) {
+			d.Apply(there("a"), at(0))
+			d.StoreAway(at(5000))
+			d.Apply(Record{ID: "a"}, at(5100))
+		}, at(7500), nil},
+		{"vanished and back", func(d *Directory) {
+			d.Apply(there("a"), at(0))
+			d.StoreAway(at(5000))
+			d.Apply(Record{ID: "a"}, at(5100))
+			d.Apply(there("a"), at(6500))
+		}, at(9000), []string{"a"}},
+		{"leaving and recorded as ready by an older record", func(d *Directory) {
+			d.Apply(leaving("a"), at(0))
+			d.Apply(there("a"), at(10))
+		}, at(20), []string{"a-"}},
+		{"said itself that it leaves", func(d *Directory) {
+			d.Apply(there("a"), at(0))
+			d.Drain("a")
+			d.Apply(there("a"), at(10))
+		}, at(20), []string{"a-"}},
+		{"missing on a whole list", func(d *Directory) {
+			d.Apply(there("a"), at(0))
+			d.Replace([]Record{there("b")}, at(10))
+		}, at(10), []string{"b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New()
+			tt.do(d)
+			var got []string
+			for _, e := range d.Live(tt.now) {
+				id := e.ID
+				if e.Draining {
+					id += "-"
+				}
+				got = append(got, id)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("Live (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestApplyReportsChanges checks that a heartbeat alone is no news.
+func TestApplyReportsChanges(t *testing.T) {
+	d := New()
+	got := []bool{d.Apply(there("a"), at(0)), d.Apply(there("a"), at(1)), d.Apply(leaving("a"), at(2)), d.Apply(Record{ID: "a"}, at(3)), d.Apply(Record{ID: "a"}, at(4))}
+	if diff := cmp.Diff([]bool{true, false, true, true, false}, got); diff != "" {
+		t.Errorf("Apply (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,212 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at returns a moment some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func rec(node string) Record { return Record{Holder: node, Life: node + "-1"} }
+
+// TestTakeover walks through the life of a lease, step by step, as node b sees it.
+func TestTakeover(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(l *Lease)
+		now  time.Time
+		want bool
+	}{
+		{"nothing read", func(*Lease) {}, at(0), false},
+		{"read to its end and free", func(l *Lease) { l.CaughtUp(0) }, at(0), true},
+		{"another node holds it", func(l *Lease) { l.Fold(0, rec("a"), at(0)); l.CaughtUp(1) }, at(2400), false},
+		{"the other is silent", func(l *Lease) { l.Fold(0, rec("a"), at(0)); l.CaughtUp(1) }, at(2500), true},
+		{"the other renewed", func(l *Lease) {
+			l.Fold(0, rec("a"), at(0))
+			l.Fold(1, rec("a"), at(2000))
+			l.CaughtUp(2)
+		}, at(4400), false},
+		{"the other gave it up", func(l *Lease) {
+			l.Fold(0, rec("a"), at(0))
+			l.Fold(1, Record{Holder: "a", Life: "a-1", Release: true}, at(100))
+			l.CaughtUp(2)
+		}, at(100), true},
+		{"a former holder gave it up late", func(l *Lease) {
+			l.Fold(0, rec("a"), at(0))
+			l.Fold(1, rec("c"), at(3000))
+			l.Fold(2, Record{Holder: "a", Life: "a-1", Release: true}, at(3100))
+			l.CaughtUp(3)
+		}, at(3200), false},
+		{"an append is in flight", func(l *Lease) { l.CaughtUp(0); l.Begin(at(0)) }, at(5000), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New(rec("b"))
+			tt.do(l)
+			if got := l.Wants(tt.now); got != tt.want {
+				t.Errorf("Wants(%v) = %t, want %t", tt.now.Sub(start), got, tt.want)
+			}
+		})
+	}
+}
+
+// TestHeld checks how long a holder may order: from before it sent, and only by
+// an acknowledged append of this life.
+func TestHeld(t *testing.T) {
+	l := New(rec("a"))
+	l.CaughtUp(7)
+	l.Begin(at(0))
+	l.Appended(7, at(400))
+	type held struct {
+		Fence uint64
+		OK    bool
+	}
+	look := func(ms int) held {
+		f, ok := l.Held(at(ms))
+		return held{f, ok}
+	}
+	got := []held{look(400), look(1799), look(1800)}
+	want := []held{{8, true}, {8, true}, {8, false}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("Held (-want +got):\n%s", diff)
+	}
+	// An append without an answer that is read back gives no right by itself.
+	l.Begin(at(1500))
+	l.Failed()
+	l.Fold(8, rec("a"), at(6000))
+	if _, ok := l.Held(at(6000)); ok {
+		t.Error("a renewal read back late gave the right to order")
+	}
+	// A former life of this node is another holder.
+	l.Fold(9, Record{Holder: "a", Life: "a-0"}, at(6100))
+	if _, ok := l.Held(at(6100)); ok {
+		t.Error("the former life's record gave this life the right to order")
+	}
+}
+
+// pendingAppend is an append on its way to the log of the model below.
+type pendingAppend struct {
+	node, at int
+	rec      Record
+	// arrives is when the log carries it out; answer says whether it tells.
+	arrives time.Time
+	answer  bool
+}
+
+// world is a log with three nodes that may lose answers, be frozen and be late.
+type world struct {
+	log     []Record
+	nodes   []*Lease
+	read    []int
+	frozen  []time.Time
+	pending []pendingAppend
+	now     time.Time
+}
+
+// TestOneHolder plays random schedules of reads, appends that are late or whose
+// answers are lost, freezes and restarts, and expects that no two nodes may order
+// at one moment, and that fences only rise.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 3
+		w := &world{now: start}
+		for i := range n {
+			w.nodes = append(w.nodes, New(Record{Holder: fmt.Sprint(i), Life: "0"}))
+			w.read = append(w.read, 0)
+			w.frozen = append(w.frozen, time.Time{})
+		}
+		var highest uint64
+		for step := range 200 {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			w.arrive()
+			i := rapid.IntRange(0, n-1).Draw(t, "node")
+			if w.now.Before(w.frozen[i]) {
+				continue
+			}
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				w.frozen[i] = w.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "freeze")) * time.Millisecond)
+			case 1:
+				w.nodes[i] = New(Record{Holder: fmt.Sprint(i), Life: fmt.Sprint(step)})
+				w.read[i] = 0
+			case 2, 3, 4, 5:
+				w.catchUp(i)
+			default:
+				w.appendIfWanted(t, i)
+			}
+			highest = w.check(t, highest)
+		}
+	})
+}
+
+// arrive carries out the appends that are due.
+func (w *world) arrive() {
+	var later []pendingAppend
+	for _, p := range w.pending {
+		if w.now.Before(p.arrives) {
+			later = append(later, p)
+			continue
+		}
+		ok := p.at == len(w.log)
+		if ok {
+			w.log = append(w.log, p.rec)
+		}
+		l := w.nodes[p.node]
+		switch {
+		case l.self != p.rec:
+			// The process that sent it is no more.
+		case ok && p.answer && !w.now.Before(w.frozen[p.node]):
+			l.Appended(uint64(p.at), w.now)
+		default:
+			l.Failed()
+		}
+	}
+	w.pending = later
+}
+
+func (w *world) catchUp(i int) {
+	for ; w.read[i] < len(w.log); w.read[i]++ {
+		w.nodes[i].Fold(uint64(w.read[i]), w.log[w.read[i]], w.now)
+	}
+	w.nodes[i].CaughtUp(uint64(len(w.log)))
+}
+
+func (w *world) appendIfWanted(t *rapid.T, i int) {
+	l := w.nodes[i]
+	if !l.Wants(w.now) {
+		return
+	}
+	rec := l.Begin(w.now)
+	late := time.Duration(rapid.SampledFrom([]int{4, 4, 4, 300, 3000, 6000}).Draw(t, "late")) * time.Millisecond
+	answer := rapid.IntRange(0, 3).Draw(t, "answer") > 0
+	w.pending = append(w.pending, pendingAppend{i, int(l.End()), rec, w.now.Add(late), answer})
+	if late > 1500*time.Millisecond || !answer {
+		// The node gives up on the answer.
+		l.Failed()
+		w.pending[len(w.pending)-1].answer = false
+	}
+}
+
+func (w *world) check(t *rapid.T, highest uint64) uint64 {
+	holders := 0
+	for _, l := range w.nodes {
+		if fence, ok := l.Held(w.now); ok {
+			holders++
+			if fence < highest {
+				t.Fatalf("fence %d after %d", fence, highest)
+			}
+			highest = fence
+		}
+	}
+	if holders > 1 {
+		t.Fatalf("%d nodes may order at one moment", holders)
+	}
+	return highest
+}
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,219 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/route"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at returns a moment some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// fataler is what testTable needs of a test or a property.
+type fataler interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+// models named m0 and on; engines hold two of them and four adapters.
+func testTable(t fataler, models int) *route.Table {
+	t.Helper()
+	e := &route.Engine{Slots: 8, WeightsMB: 210, AdapterSlots: 4, LoadsPerSecond: 3}
+	for i := range models {
+		e.Models = append(e.Models, route.Model{
+			Name: fmt.Sprintf("m%d", i), WeightsMB: 100, Load: 6 * time.Second, Warm: 400 * time.Millisecond,
+			Disk: 800 * time.Millisecond, Adapters: 9, AdapterMB: 1,
+		})
+	}
+	table, err := route.New(&route.Config{Version: 1, Services: []route.Service{{Name: "s", Engine: e}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// entry describes an engine.
+func entry(id string) *directory.Entry {
+	return &directory.Entry{Instance: directory.Instance{ID: id, Service: "s", Address: id + ":1", Slots: 8}}
+}
+
+func unit(model string) Unit { return Unit{Service: "s", Model: model} }
+
+// testPlanner returns a planner whose engines reported at time 0 what they hold;
+// the value lists the models, after a colon those on disk.
+func testPlanner(t *testing.T, models int, engines map[string]Report) *Planner {
+	t.Helper()
+	p := New(Limits{Window: 5 * time.Second, Overage: 1.1})
+	p.SetTable(testTable(t, models))
+	var entries []*directory.Entry
+	for id := range engines {
+		entries = append(entries, entry(id))
+	}
+	p.SetEngines(entries, at(0))
+	p.Plan(at(0), 1)
+	for id, r := range engines {
+		p.Reported(id, &r, at(0), at(1))
+	}
+	return p
+}
+
+func holds(models ...string) []directory.Held {
+	var out []directory.Held
+	for _, m := range models {
+		out = append(out, directory.Held{Model: m})
+	}
+	return out
+}
+
+// told is an order as the tests compare it.
+type told struct {
+	Engine, Unit string
+	Unload       bool
+	FromStore    bool
+}
+
+func orders(actions []Action) []told {
+	var out []told
+	for _, a := range actions {
+		if a.Order != nil {
+			out = append(out, told{a.Order.Engine, a.Order.Unit.Pool(), a.Order.Unload, a.Order.FromStore})
+		}
+	}
+	return out
+}
+
+func waits(u Unit, ms int) Use { return Use{Unit: u, Waiting: 1, Arrivals: 1, Urgent: at(ms)} }
+
+// TestPlan checks what is ordered for requests that wait.
+func TestPlan(t *testing.T) {
+	everything := []string{"m0", "m1", "m2", "m3", "m4"}
+	a3 := Unit{Service: "s", Model: "m0", Adapter: "a3"}
+	full := Report{Holdings: directory.Holdings{Models: []directory.Held{{Model: "m0", Adapters: []string{"a1", "a2", "a4", "a5"}}}}}
+	tests := []struct {
+		name    string
+		engines map[string]Report
+		use     []Use
+		want    []told
+	}{
+		{
+			"from the disk that keeps a copy, not from the store",
+			map[string]Report{
+				"e1": {Holdings: directory.Holdings{Models: holds("m0", "m2"), OnDisk: []string{"m1"}}},
+				"e2": {Holdings: directory.Holdings{Models: holds("m3", "m4")}},
+			},
+			[]Use{waits(unit("m1"), 500)},
+			[]told{{"e1", "unit/s/m0", true, false}},
+		},
+		{
+			"from memory before disk",
+			map[string]Report{
+				"e1": {Holdings: directory.Holdings{OnDisk: everything}},
+				"e2": {Holdings: directory.Holdings{Warm: []string{"m1"}}},
+			},
+			[]Use{waits(unit("m1"), 500)},
+			[]told{{"e2", "unit/s/m1", false, false}},
+		},
+		{
+			"nothing while a replica serves",
+			map[string]Report{"e1": {Holdings: directory.Holdings{Models: holds("m1"), OnDisk: everything}}},
+			[]Use{waits(unit("m1"), 500)},
+			nil,
+		},
+		{
+			"an adapter at the engine that holds its model",
+			map[string]Report{
+				"e1": {Holdings: directory.Holdings{Models: holds("m0", "m2")}},
+				"e2": {Holdings: directory.Holdings{Models: holds("m1", "m2"), OnDisk: []string{"m3", "m4"}}},
+			},
+			[]Use{waits(a3, 500)},
+			[]told{{"e1", "unit/s/m0/a3", false, false}},
+		},
+		{
+			"an adapter makes way",
+			map[string]Report{"e1": full},
+			[]Use{waits(a3, 500)},
+			[]told{{"e1", "unit/s/m0/a1", true, false}},
+		},
+		{
+			"no order to an engine that did not report",
+			map[string]Report{},
+			[]Use{waits(unit("m1"), 500)},
+			nil,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := testPlanner(t, 5, tt.engines)
+			p.Use("n", tt.use, at(10))
+			if diff := cmp.Diff(tt.want, orders(p.Plan(at(10), 1))); diff != "" {
+				t.Errorf("orders (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLostOrder checks that an engine whose reply was lost gets no order until it
+// reported a later moment, and that the next order names what it then had taken.
+func TestLostOrder(t *testing.T) {
+	p := testPlanner(t, 2, map[string]Report{"e1": {Taken: 4, Holdings: directory.Holdings{OnDisk: []string{"m0", "m1"}}}})
+	p.Use("n", []Use{waits(unit("m1"), 500)}, at(10))
+	sent := p.Plan(at(10), 1)
+	if len(sent) != 1 || sent[0].Order == nil || sent[0].Order.Taken != 4 {
+		t.Fatalf("Plan = %v, want one order after 4 taken", sent)
+	}
+	p.Replied(sent[0].Order, Lost, at(1010))
+	if got := orders(p.Plan(at(1020), 1)); got != nil {
+		t.Errorf("orders to an engine in doubt: %v", got)
+	}
+	p.Reported("e1", &Report{Taken: 4}, at(900), at(1030))
+	if got := orders(p.Plan(at(1040), 1)); got != nil {
+		t.Errorf("orders after a report of a moment before the doubt: %v", got)
+	}
+	p.Reported("e1", &Report{Taken: 5, Holdings: directory.Holdings{Models: holds("m1")}}, at(1450), at(1460))
+	if diff := cmp.Diff(map[string][]Unit{"e1": {unit("m1")}}, p.Serving(at(1470))); diff != "" {
+		t.Errorf("Serving (-want +got):\n%s", diff)
+	}
+}
+
+// TestStaleReport checks that a report of a moment before the latest order does
+// not end the order's work.
+func TestStaleReport(t *testing.T) {
+	p := testPlanner(t, 2, map[string]Report{"e1": {Holdings: directory.Holdings{OnDisk: []string{"m0", "m1"}}}})
+	p.Use("n", []Use{waits(unit("m1"), 500)}, at(10))
+	sent := p.Plan(at(10), 1)
+	p.Replied(sent[0].Order, Accepted, at(12))
+	p.Reported("e1", &Report{Taken: 0}, at(13), at(15))
+	if p.ReadyAt(); len(orders(p.Plan(at(20), 1))) != 0 {
+		t.Error("a second order while the first is in progress")
+	}
+	if got := p.ReadyAt()[unit("m1")]; !got.Equal(at(812)) {
+		t.Errorf("ReadyAt = %v after the start, want 812ms", got.Sub(start))
+	}
+}
+
+// TestReset checks that a new holder trusts nothing that it knew, and that the
+// loads of the one before count against the ceiling.
+func TestReset(t *testing.T) {
+	p := testPlanner(t, 30, map[string]Report{"e1": {}, "e2": {}})
+	p.Reset(at(100))
+	p.Use("n", []Use{waits(unit("m1"), 500), waits(unit("m2"), 500)}, at(110))
+	if got := orders(p.Plan(at(110), 2)); got != nil {
+		t.Errorf("orders before any report: %v", got)
+	}
+	for _, id := range []string{"e1", "e2"} {
+		p.Reported(id, &Report{}, at(110), at(120))
+	}
+	if got := len(orders(p.Plan(at(130), 2))); got != 1 {
+		t.Errorf("%d loads from the store right after a change of holder, want 1", got)
+	}
+	if got := len(orders(p.Plan(at(5200), 2))); got != 1 {
+		t.Errorf("%d loads from the store a window later, want 1 more", got)
+	}
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"errors"
+	"strconv"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func config() *Config {
+	s := []Share{{Service: "s", Weight: 1}}
+	return &Config{
+		Version:  1,
+		Services: []Service{{Name: "s"}, {Name: "t"}},
+		Routes: []Route{
+			{Name: "short", Host: "h", Prefix: "/a/", Services: s},
+			{Name: "long", Host: "h", Prefix: "/a/b/", Services: s},
+			{Name: "other", Host: "i", Prefix: "/", Services: s},
+			{Name: "split", Host: "j", Prefix: "/", Services: []Share{{"s", 90}, {"t", 10}}},
+		},
+	}
+}
+
+// TestMatch checks that the longest prefix of the host wins.
+func TestMatch(t *testing.T) {
+	table, err := New(config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ host, path, want string }{
+		{"h", "/a/x", "short"},
+		{"h", "/a/b/x", "long"},
+		{"h", "/a/b", "short"},
+		{"h", "/a", ""},
+		{"h", "/", ""},
+		{"i", "/a/b/", "other"},
+		{"k", "/a/", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := table.Match(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("Match(%q, %q) = %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+// TestPick checks the shares of a split route, and that an id keeps its side.
+func TestPick(t *testing.T) {
+	table, err := New(config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := table.Match("j", "/")
+	n := 0
+	for i := range 10000 {
+		id := strconv.Itoa(i)
+		if r.Pick(id) != r.Pick(id) {
+			t.Fatalf("Pick(%s) changed", id)
+		}
+		if r.Pick(id) == "t" {
+			n++
+		}
+	}
+	if n < 800 || n > 1200 {
+		t.Errorf("%d of 10000 went to the tenth", n)
+	}
+}
+
+// TestFaults checks that a bad configuration is refused with the place.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(c *Config)
+		want   Fault
+	}{
+		{"no service", func(c *Config) { c.Routes[0].Services = nil }, Fault{"short", "the route names no service"}},
+		{"unknown service", func(c *Config) { c.Routes[1].Services = []Share{{"x", 1}} }, Fault{"long", `there is no service "x"`}},
+		{"prefix", func(c *Config) { c.Routes[2].Prefix = "a/" }, Fault{"other", `the prefix "a/" does not begin and end with a slash`}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := config()
+			tt.change(c)
+			_, err := New(c)
+			var got Fault
+			if !errors.As(err, &got) {
+				t.Fatalf("New = %v, want a fault", err)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("fault (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
