placer, traffic: the holder relays the store; who waits is refused before a stop ends

Change: what the holder reads (configuration, endpoints, the lease's latest record) rides on its answers to the nodes; they read for themselves when that is over a second old. Dispatcher.StopWaiting refuses, truthfully, what waits 1.5 s before the end. Ruled out: relaying vanished entries as they come: an entry that lapsed while the store was away would be believed gone by the others; only what the holder itself believes is relayed.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -41,8 +41,23 @@
 	ID string
 	// Instance is nil when the entry is gone.
 	Instance *Instance
+	// Relayed records come from another node and do not tell the holdings.
+	Relayed bool
 }
 
+// Change says what a record changed.
+type Change uint8
+
+// The changes.
+const (
+	// Unchanged: a heartbeat.
+	Unchanged Change = iota
+	// Holding: only what an engine holds.
+	Holding
+	// Place: whether or where the endpoint is, or takes work.
+	Place
+)
+
 // Entry is an instance with what this node knows of its entry.
 type Entry struct {
 	Instance
@@ -69,22 +84,28 @@
 // StoreAway notes that the store did not answer just now.
 func (d *Directory) StoreAway(now time.Time) { d.trustAt = now.Add(lapseGrace) }
 
-// Apply folds one record in and reports whether anything but its age changed.
-func (d *Directory) Apply(r Record, now time.Time) bool {
+// Apply folds one record in and says what changed.
+func (d *Directory) Apply(r Record, now time.Time) Change {
 	e := d.entries[r.ID]
 	if r.Instance == nil {
 		return d.vanish(e, now)
 	}
 	if e == nil {
 		d.entries[r.ID] = &Entry{Instance: *r.Instance, SeenAt: now}
-		return true
+		return Place
+	}
+	next := *r.Instance
+	if r.Relayed {
+		next.Holdings = e.Holdings
+	}
+	change := changeOf(&e.Instance, &next)
+	if !e.GoneAt.IsZero() {
+		change = Place
 	}
-	changed := !e.GoneAt.IsZero() || !sameInstance(&e.Instance, r.Instance)
-	draining := e.Draining
-	e.Instance, e.SeenAt, e.GoneAt = *r.Instance, now, time.Time{}
 	// An endpoint that leaves does not come back in the same life.
-	e.Draining = e.Draining || draining
-	return changed
+	next.Draining = next.Draining || e.Draining
+	e.Instance, e.SeenAt, e.GoneAt = next, now, time.Time{}
+	return change
 }
 
 // Replace takes a whole list over: what is not on it has vanished.
@@ -101,15 +122,15 @@
 	}
 }
 
-func (d *Directory) vanish(e *Entry, now time.Time) bool {
+func (d *Directory) vanish(e *Entry, now time.Time) Change {
 	if e == nil || !e.GoneAt.IsZero() {
-		return false
+		return Unchanged
 	}
 	e.GoneAt = now
 	if d.trustAt.After(now) {
 		e.GoneAt = d.trustAt
 	}
-	return true
+	return Place
 }
 
 // Drain notes that an endpoint said itself that it leaves.
@@ -151,9 +172,32 @@
 	return at, ok
 }
 
-func sameInstance(a, b *Instance) bool {
+// Records returns the live entries as records to be relayed, ordered by id.
+func (d *Directory) Records(now time.Time) []Record {
+	live := d.Live(now)
+	out := make([]Record, 0, len(live))
+	for _, e := range live {
+		in := e.Instance
+		in.Holdings = Holdings{}
+		out = append(out, Record{ID: e.ID, Instance: &in, Relayed: true})
+	}
+	return out
+}
+
+func changeOf(a, b *Instance) Change {
+	switch {
+	case !SamePlace(a, b):
+		return Place
+	case !SameHoldings(a.Holdings, b.Holdings):
+		return Holding
+	}
+	return Unchanged
+}
+
+// SamePlace reports whether two entries are equal but for what an engine holds.
+func SamePlace(a, b *Instance) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Hall == b.Hall && a.Slots == b.Slots &&
-		a.Draining == b.Draining && a.Remaining == b.Remaining && SameHoldings(a.Holdings, b.Holdings)
+		a.Draining == b.Draining && a.Remaining == b.Remaining
 }
 
 // SameHoldings reports whether two holdings are equal.
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -83,11 +83,30 @@
 	}
 }
 
+// TestRelayed checks that a record of another node keeps what is known of the
+// holdings.
+func TestRelayed(t *testing.T) {
+	d := New()
+	whole := there("a")
+	whole.Instance.Holdings = Holdings{Models: []Held{{Model: "m"}}}
+	d.Apply(whole, at(0))
+	relayed := leaving("a")
+	relayed.Relayed = true
+	if got := d.Apply(relayed, at(1)); got != Place {
+		t.Errorf("Apply = %v, want Place", got)
+	}
+	want := *whole.Instance
+	want.Draining = true
+	if diff := cmp.Diff(want, d.Live(at(2))[0].Instance); diff != "" {
+		t.Errorf("instance (-want +got):\n%s", diff)
+	}
+}
+
 // TestApplyReportsChanges checks that a heartbeat alone is no news.
 func TestApplyReportsChanges(t *testing.T) {
 	d := New()
-	got := []bool{d.Apply(there("a"), at(0)), d.Apply(there("a"), at(1)), d.Apply(leaving("a"), at(2)), d.Apply(Record{ID: "a"}, at(3)), d.Apply(Record{ID: "a"}, at(4))}
-	if diff := cmp.Diff([]bool{true, false, true, true, false}, got); diff != "" {
+	got := []Change{d.Apply(there("a"), at(0)), d.Apply(there("a"), at(1)), d.Apply(leaving("a"), at(2)), d.Apply(Record{ID: "a"}, at(3)), d.Apply(Record{ID: "a"}, at(4))}
+	if diff := cmp.Diff([]Change{Place, Unchanged, Place, Place, Unchanged}, got); diff != "" {
 		t.Errorf("Apply (-want +got):\n%s", diff)
 	}
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -77,8 +77,13 @@
 	// balancerLag is how long after it was told the balancer may still send: it
 	// asks every second and gives up on a node after two misses.
 	balancerLag = 2500 * time.Millisecond
-	// stopReserve is kept of the time to stop for the end itself.
+	// stopReserve is kept of the time to stop for the end itself; cutReserve is
+	// what is left when requests in progress are given up, and waitReserve when
+	// those that still wait for a place are sent elsewhere.
 	stopReserve = 300 * time.Millisecond
+	cutReserve  = 600 * time.Millisecond
+	waitReserve = 1500 * time.Millisecond
+	drainPoll   = 10 * time.Millisecond
 	// retryShare is the part of the platform's retry bound that nodes use, since
 	// each knows its own part only.
 	retryShare = 0.7
@@ -206,20 +211,34 @@
 // are taken while the balancer may still send, and all that were taken are
 // answered as far as the time to stop allows.
 func (n *Node) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), n.s.StopTimeout-stopReserve)
+	begun := n.clock.Now()
+	ctx, cancel := clockwork.WithTimeout(context.Background(), n.clock, n.s.StopTimeout-cutReserve)
 	defer cancel()
 	n.logger.Info("stopping", "active", n.caller.Active())
 	n.control.Stop(ctx)
+	waits := n.clock.AfterFunc(n.s.StopTimeout-waitReserve, n.traffic.StopWaiting)
+	defer waits.Stop()
 	select {
 	case <-n.clock.After(balancerLag):
 	case <-ctx.Done():
 	}
 	err := n.caller.Shutdown(ctx)
-	n.logger.Info("stopped", "cutOff", n.caller.Active())
+	if err != nil {
+		n.caller.CutOff()
+		n.drain(begun.Add(n.s.StopTimeout - stopReserve))
+	}
+	n.logger.Info("stopped", "cutOff", n.caller.Active(), "tookMs", n.clock.Now().Sub(begun).Milliseconds())
 	n.Kill()
 	return err
 }
 
+// drain waits until no request is in progress, or a moment has come.
+func (n *Node) drain(until time.Time) {
+	for n.caller.Active() > 0 && n.clock.Now().Before(until) {
+		n.clock.Sleep(drainPoll)
+	}
+}
+
 // Kill ends the node at once.
 func (n *Node) Kill() {
 	n.cancel()
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"olivetiller/core/directory"
 	"olivetiller/core/lease"
 	"olivetiller/core/placement"
+	"olivetiller/core/route"
 	"olivetiller/io/peer"
 )
 
@@ -24,7 +26,29 @@
 	// goneAt holds the version at which an engine was dropped.
 	goneAt  map[string]uint64
 	readyAt map[string]time.Time
-	changed chan struct{}
+	// readyVersion is the version at which readyAt changed.
+	readyVersion uint64
+	// interest holds the pools that requests of a node wait for.
+	interest map[string]map[string]bool
+	feed     feed
+	changed  chan struct{}
+}
+
+// feed is what the holder read of the store.
+type feed struct {
+	config     *route.Config
+	configNext uint64
+	instances  map[string]shownInstance
+	// configAt and instancesAt are when the topics were last read to their end.
+	configAt, instancesAt time.Time
+	lease                 lease.Record
+	leaseOffset           uint64
+}
+
+// shownInstance is one endpoint's entry, and the version at which it changed.
+type shownInstance struct {
+	record  directory.Record
+	version uint64
 }
 
 // shown is what one engine serves, and the version at which that changed.
@@ -41,6 +65,7 @@
 	defer b.mu.Unlock()
 	b.life, b.fence, b.nodes = life, fence, 1
 	b.serving, b.goneAt, b.readyAt = make(map[string]shown), make(map[string]uint64), nil
+	b.interest, b.feed.instances = make(map[string]map[string]bool), make(map[string]shownInstance)
 	b.wake()
 }
 
@@ -97,7 +122,10 @@
 			news = true
 		}
 	}
-	news = b.expect(p.ReadyAt()) || news
+	if b.expect(p.ReadyAt()) {
+		b.readyVersion = next
+		news = true
+	}
 	b.nodes = nodes
 	if news {
 		b.wake()
@@ -137,22 +165,37 @@
 	return true
 }
 
-// snapshot returns what changed since a version of a life; ok is false when this
-// node is no holder.
-func (b *board) snapshot(life string, after uint64, now time.Time) (s *peer.Snapshot, changed <-chan struct{}, ok bool) {
+// snapshot returns what changed since the snapshot that a node has; ok is false
+// when this node is no holder. urgent is true when the node should hear at once:
+// of what its requests wait for, of a configuration, or of endpoints that come
+// and go.
+func (b *board) snapshot(q peer.Question, now time.Time) (s *peer.Snapshot, urgent bool, changed <-chan struct{}, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.life == "" {
-		return nil, b.changed, false
+		return nil, false, b.changed, false
 	}
-	s = &peer.Snapshot{Life: b.life, Fence: b.fence, Version: b.version, Nodes: b.nodes, Whole: life != b.life}
+	s = &peer.Snapshot{Life: b.life, Fence: b.fence, Version: b.version, Nodes: b.nodes, Whole: q.Life != b.life}
+	after := q.Version
 	if s.Whole {
 		after = 0
 	}
+	urgent = b.addServing(s, after, b.interest[q.Node], now)
+	urgent = b.addFeed(s, q, after, now) || urgent || s.Whole
+	return s, urgent, b.changed, true
+}
+
+// addServing adds what the engines serve, and reports whether a pool of interest
+// is concerned.
+func (b *board) addServing(s *peer.Snapshot, after uint64, interest map[string]bool, now time.Time) (urgent bool) {
 	s.Serving = make(map[string][]string)
 	for id, sh := range b.serving {
-		if sh.version > after {
-			s.Serving[id] = sh.pools
+		if sh.version <= after {
+			continue
+		}
+		s.Serving[id] = sh.pools
+		for _, pool := range sh.pools {
+			urgent = urgent || interest[pool]
 		}
 	}
 	for id, v := range b.goneAt {
@@ -163,8 +206,95 @@
 	s.ReadyInMs = make(map[string]int64, len(b.readyAt))
 	for pool, at := range b.readyAt {
 		s.ReadyInMs[pool] = max(0, at.Sub(now).Milliseconds())
+		urgent = urgent || b.readyVersion > after && interest[pool]
+	}
+	return urgent
+}
+
+// addFeed adds what was read of the store, and reports whether it is news.
+func (b *board) addFeed(s *peer.Snapshot, q peer.Question, after uint64, now time.Time) (urgent bool) {
+	f := &b.feed
+	s.AgeMs = max(now.Sub(f.configAt), now.Sub(f.instancesAt)).Milliseconds()
+	s.Lease, s.LeaseOffset, s.ConfigNext = f.lease, f.leaseOffset, f.configNext
+	if f.config != nil && f.config.Version > q.Config {
+		s.Config = f.config
+		urgent = true
+	}
+	for _, in := range f.instances {
+		if in.version > after && (in.record.Instance != nil || !s.Whole) {
+			s.Instances = append(s.Instances, in.record)
+			urgent = true
+		}
+	}
+	return urgent
+}
+
+// showInstances shows the live endpoints.
+func (b *board) showInstances(records []directory.Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next, news := b.version+1, false
+	live := make(map[string]bool, len(records))
+	for _, r := range records {
+		live[r.ID] = true
+		old, ok := b.feed.instances[r.ID]
+		if !ok || old.record.Instance == nil || !directory.SamePlace(old.record.Instance, r.Instance) {
+			b.feed.instances[r.ID] = shownInstance{r, next}
+			news = true
+		}
+	}
+	for id, in := range b.feed.instances {
+		if !live[id] && in.record.Instance != nil {
+			b.feed.instances[id] = shownInstance{directory.Record{ID: id, Relayed: true}, next}
+			news = true
+		}
+	}
+	if news {
+		b.wake()
+	}
+}
+
+// showConfig shows the configuration in force.
+func (b *board) showConfig(c *route.Config) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.feed.config = c
+	b.wake()
+}
+
+// configRead and instancesRead note that a topic was read to its end.
+func (b *board) configRead(next uint64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.feed.configNext, b.feed.configAt = next, now
+}
+
+func (b *board) instancesRead(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.feed.instancesAt = now
+}
+
+// showLease shows the latest record of the lease.
+func (b *board) showLease(rec lease.Record, offset uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.feed.lease, b.feed.leaseOffset = rec, offset
+}
+
+// setInterest notes which pools a node's requests wait for.
+func (b *board) setInterest(node string, uses []peer.Use) {
+	pools := make(map[string]bool)
+	for _, u := range uses {
+		if u.Waiting > 0 {
+			pools[u.Pool] = true
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.life != "" {
+		b.interest[node] = pools
 	}
-	return s, b.changed, true
 }
 
 // Reported implements peer.Holder.
@@ -172,6 +302,7 @@
 	if c.lifeShown() == "" {
 		return peer.ErrNotHolder
 	}
+	c.holder.setInterest(r.Node, r.Use)
 	select {
 	case c.inbox <- nodeReport{r}:
 	case <-c.ended:
@@ -185,19 +316,27 @@
 	return c.holder.life
 }
 
+// lazyPush is how long news that is not urgent for a node may wait, so that many
+// changes cost one message.
+const lazyPush = 150 * time.Millisecond
+
 // Watch implements peer.Holder.
-func (c *Controller) Watch(ctx context.Context, life string, after uint64) (*peer.Snapshot, error) {
+func (c *Controller) Watch(ctx context.Context, q peer.Question) (*peer.Snapshot, error) {
 	timeout := c.o.Clock.After(peer.WatchTime)
+	lazy := c.o.Clock.After(lazyPush)
+	due := false
 	for {
-		s, changed, ok := c.holder.snapshot(life, after, c.o.Clock.Now())
+		s, urgent, changed, ok := c.holder.snapshot(q, c.o.Clock.Now())
 		switch {
 		case !ok:
 			return nil, peer.ErrNotHolder
-		case s.Whole || s.Version > after:
+		case urgent, due && s.Version > q.Version:
 			return s, nil
 		}
 		select {
 		case <-changed:
+		case <-lazy:
+			due = true
 		case <-timeout:
 			return s, nil
 		case <-ctx.Done():
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -38,7 +38,7 @@
 // Peers speaks to the holder of the lease.
 type Peers interface {
 	Report(ctx context.Context, address string, r *peer.Report) error
-	Watch(ctx context.Context, address, life string, after uint64) (*peer.Snapshot, error)
+	Watch(ctx context.Context, address string, q peer.Question) (*peer.Snapshot, error)
 }
 
 // Options are what a controller is made of.
@@ -87,7 +87,12 @@
 	table    atomic.Pointer[route.Table]
 	stopping atomic.Bool
 	holder   board
-	ended    chan struct{}
+	// fed is what the holder relayed last; nil if it never did.
+	fed atomic.Pointer[fedMark]
+	// leading and leaseDoubt tell the reader of the lease whether to read: a
+	// holder need not, until an append of its own fails.
+	leading, leaseDoubt atomic.Bool
+	ended               chan struct{}
 
 	lease     *lease.Lease
 	planner   *placement.Planner
@@ -118,6 +123,7 @@
 		misses: make(map[missKey]time.Time), nodes: make(map[string]time.Time),
 	}
 	c.holder.init()
+	c.leaseDoubt.Store(true)
 	c.view.Store(&view.View{})
 	return c
 }
@@ -232,11 +238,16 @@
 		return
 	}
 	c.held = held
+	c.leading.Store(held)
 	holder, _ := c.lease.Holder()
 	if held {
 		c.o.Logger.Info("lease gained", "fence", fence)
 		c.planner.Reset(now)
 		c.holder.begin(c.o.Self.Life, fence)
+		c.holder.showLease(c.o.Self, c.lease.End()-1)
+		if t := c.table.Load(); t != nil {
+			c.holder.showConfig(t.Config)
+		}
 	} else {
 		c.o.Logger.Info("lease lost", "holder", holder.Holder, "fence", fence)
 		c.holder.end()
@@ -262,13 +273,17 @@
 
 type leaseAppended struct{ offset uint64 }
 
-func (m leaseAppended) handle(c *Controller) { c.lease.Appended(m.offset, c.o.Clock.Now()) }
+func (m leaseAppended) handle(c *Controller) {
+	c.lease.Appended(m.offset, c.o.Clock.Now())
+	c.holder.showLease(c.o.Self, m.offset)
+}
 
 type leaseFailed struct{ err error }
 
 func (m leaseFailed) handle(c *Controller) {
 	c.o.Logger.Debug("append to the lease failed", "error", m.err.Error())
 	c.lease.Failed()
+	c.leaseDoubt.Store(true)
 }
 
 // orders sends what the planner finds due.
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -26,6 +26,9 @@
 	for _, eps := range v.Endpoints {
 		sort.Slice(eps, func(i, j int) bool { return eps[i].Name < eps[j].Name })
 	}
+	if c.held {
+		c.holder.showInstances(c.directory.Records(now))
+	}
 	c.view.Store(v)
 	c.o.Dispatcher.Update(v, nil)
 }
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -16,7 +16,7 @@
 const (
 	// readWait is how long the store keeps a read open. It bounds how long a
 	// reader is blind when its connection died without a sign.
-	readWait = time.Second
+	readWait = 500 * time.Millisecond
 	// readSlack is added to it for the answer.
 	readSlack = 700 * time.Millisecond
 	// instancesEvery is the least time between two reads of the list: engines
@@ -36,20 +36,23 @@
 	// apply makes the message for the owner; whole is true for a page that holds
 	// all there is.
 	apply func(page logstore.Page[T], whole bool) message
+	// idle reports whether the topic need not be read now.
+	idle func() bool
 }
 
 func (c *Controller) startReaders(ctx context.Context) {
 	s := c.o.Store
 	go follow(ctx, c, reader[logstore.Config]{
-		name: "configuration", newest: s.NewestConfig, read: s.Configs,
+		name: "configuration", newest: s.NewestConfig, read: s.Configs, idle: c.isFed,
 		apply: func(p logstore.Page[logstore.Config], _ bool) message { return configs{p} },
 	})
 	go follow(ctx, c, reader[logstore.Instance]{
-		name: "endpoints", every: instancesEvery, newest: s.NewestInstances, read: s.Instances,
+		name: "endpoints", every: instancesEvery, newest: s.NewestInstances, read: s.Instances, idle: c.isFed,
 		apply: func(p logstore.Page[logstore.Instance], whole bool) message { return instances{p, whole} },
 	})
 	go follow(ctx, c, reader[[]byte]{
 		name: "lease", read: s.Lease,
+		idle:  func() bool { return c.isFed() || c.leading.Load() && !c.leaseDoubt.Load() },
 		apply: func(p logstore.Page[[]byte], _ bool) message { return leases{p} },
 	})
 	go c.watch(ctx)
@@ -62,6 +65,12 @@
 	var next uint64
 	whole, well := r.newest != nil, true
 	for ctx.Err() == nil {
+		if r.idle() {
+			// What was missed meanwhile is read anew, with what engines hold.
+			whole = r.newest != nil
+			c.pause(ctx, tickEvery)
+			continue
+		}
 		started := c.o.Clock.Now()
 		page, err := readOnce(ctx, r, next, whole)
 		var failed *logstore.Error
@@ -125,6 +134,7 @@
 	for _, r := range m.page.Records {
 		c.configure(r.Value.Table)
 	}
+	c.holder.configRead(m.page.Next, c.o.Clock.Now())
 }
 
 // configure puts a configuration in force unless a newer one is.
@@ -135,6 +145,9 @@
 	c.table.Store(t)
 	c.planner.SetTable(t)
 	c.planner.SetEngines(c.directory.Live(c.o.Clock.Now()), c.o.Clock.Now())
+	if c.held {
+		c.holder.showConfig(t.Config)
+	}
 	c.o.Logger.Info("configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes), "services", len(t.Config.Services))
 	c.stale = true
 }
@@ -156,12 +169,13 @@
 		c.listed = true
 	} else {
 		for _, r := range m.page.Records {
-			if c.directory.Apply(r.Value, now) {
+			if change := c.directory.Apply(r.Value, now); change != directory.Unchanged {
 				changed = true
-				c.noteInstance(r.Value, r.Offset)
+				c.noteInstance(r.Value, change, r.Offset)
 			}
 		}
 	}
+	c.holder.instancesRead(now)
 	if changed {
 		c.planner.SetEngines(c.directory.Live(now), now)
 		c.stale = true
@@ -169,16 +183,17 @@
 }
 
 // noteInstance logs a change of the list.
-func (c *Controller) noteInstance(r directory.Record, offset uint64) {
-	if r.Instance == nil {
-		c.o.Logger.Info("endpoint's entry gone", "endpoint", r.ID, "offset", offset)
-		return
-	}
-	if r.Instance.Draining {
-		c.o.Logger.Info("endpoint leaves", "endpoint", r.ID, "service", r.Instance.Service, "remainingMs", r.Instance.Remaining.Milliseconds(), "offset", offset)
-		return
+func (c *Controller) noteInstance(r directory.Record, change directory.Change, offset uint64) {
+	in := r.Instance
+	switch {
+	case in == nil:
+		c.o.Logger.Info("endpoint's entry gone", "endpoint", r.ID, "offset", offset, "relayed", r.Relayed)
+	case change == directory.Holding:
+		c.o.Logger.Debug("engine holds others", "endpoint", r.ID, "models", len(in.Models), "offset", offset)
+	default:
+		c.o.Logger.Info("endpoint changed", "endpoint", r.ID, "service", in.Service, "address", in.Address, "draining", in.Draining,
+			"remainingMs", in.Remaining.Milliseconds(), "offset", offset, "relayed", r.Relayed)
 	}
-	c.o.Logger.Debug("endpoint changed", "endpoint", r.ID, "service", r.Instance.Service, "models", len(r.Instance.Models), "offset", offset)
 }
 
 type leases struct{ page logstore.Page[[]byte] }
@@ -195,6 +210,7 @@
 		c.lease.Fold(r.Offset, rec, now)
 	}
 	c.lease.CaughtUp(m.page.Next)
+	c.leaseDoubt.Store(false)
 	if holder, fence := c.lease.Holder(); holder != before {
 		c.o.Logger.Info("holder of the lease", "holder", holder.Holder, "address", holder.Address, "fence", fence)
 		c.remote.follow(holder)
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"olivetiller/core/directory"
 	"olivetiller/core/lease"
 	"olivetiller/core/placement"
+	"olivetiller/core/route"
 	"olivetiller/io/peer"
 )
 
@@ -58,7 +60,12 @@
 			c.pause(ctx, tickEvery)
 			continue
 		}
-		s, err := c.o.Peers.Watch(ctx, h.Address, life, version)
+		q := peer.Question{Node: c.o.Self.Holder, Life: life, Version: version}
+		if t := c.table.Load(); t != nil {
+			q.Config = t.Config.Version
+		}
+		asked := c.o.Clock.Now()
+		s, err := c.o.Peers.Watch(ctx, h.Address, q)
 		if err != nil {
 			if heard {
 				c.o.Logger.Info("holder lost", "holder", h.Holder, "address", h.Address, "error", err.Error())
@@ -72,6 +79,7 @@
 		}
 		heard = true
 		life, version = s.Life, s.Version
+		c.o.Logger.Trace("heard", "version", s.Version, "tookMs", c.o.Clock.Now().Sub(asked).Milliseconds())
 		if !c.send(ctx, heardFrom{s}) {
 			return
 		}
@@ -102,6 +110,52 @@
 		r.readyAt[pool] = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	c.setNodes(s.Nodes)
+	c.feed(s, now)
+}
+
+// fedMark says how fresh the relayed word of the store is.
+type fedMark struct {
+	// at is when the holder had read the store to its end.
+	at time.Time
+}
+
+// feedFresh is how old the relayed word of the store may be before a node reads
+// for itself: the platform bounds how late a configuration or a leaving endpoint
+// is heeded to 2 s, and a read of one's own takes some milliseconds.
+const feedFresh = time.Second
+
+// isFed reports whether the holder relays the store well enough.
+func (c *Controller) isFed() bool {
+	m := c.fed.Load()
+	return m != nil && !c.leading.Load() && c.o.Clock.Now().Sub(m.at) <= feedFresh
+}
+
+// feed takes over what the holder read of the store.
+func (c *Controller) feed(s *peer.Snapshot, now time.Time) {
+	if s.Lease.Holder != "" {
+		// That the record is on the log is what counts; its age is taken from now,
+		// which can only delay a takeover.
+		c.lease.Fold(s.LeaseOffset, s.Lease, now)
+	}
+	if s.Config != nil {
+		if t, err := route.New(s.Config); err != nil {
+			c.o.Logger.Error("relayed configuration passed over", "error", err.Error())
+		} else {
+			c.configure(t)
+		}
+	}
+	changed := false
+	for _, r := range s.Instances {
+		if change := c.directory.Apply(r, now); change != directory.Unchanged {
+			changed = true
+			c.noteInstance(r, change, 0)
+		}
+	}
+	if changed {
+		c.planner.SetEngines(c.directory.Live(now), now)
+		c.stale = true
+	}
+	c.fed.Store(&fedMark{at: now.Add(-time.Duration(s.AgeMs) * time.Millisecond)})
 }
 
 func (c *Controller) setNodes(n int) {
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -41,6 +41,8 @@
 	budgets map[string]*retry.Budget
 	// newBudget makes a retry budget.
 	newBudget func() *retry.Budget
+	// stopped is closed when nobody may wait any longer.
+	stopped chan struct{}
 }
 
 // New returns a dispatcher for a node in a data hall.
@@ -49,6 +51,19 @@
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
 		view: &view.View{}, pools: make(map[string]*pool), gates: make(map[string]*gate),
 		budgets: make(map[string]*retry.Budget), newBudget: retry.NewBudget,
+		stopped: make(chan struct{}),
+	}
+}
+
+// StopWaiting refuses all requests that wait, and from here on those that would:
+// the process is about to end, and another node can still serve them.
+func (d *Dispatcher) StopWaiting() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.stopped:
+	default:
+		close(d.stopped)
 	}
 }
 
@@ -131,6 +146,9 @@
 				continue
 			}
 			pl, granted = d.leave(p, w)
+		case <-d.stopped:
+			refused = refusal.New(refusal.Stopping, "this node ends; %s is not served here in time", p.name)
+			pl, granted = d.leave(p, w)
 		case <-timer.Chan():
 			pl, granted = d.leave(p, w)
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/traffic/dispatcher_test.go
@@ -0,0 +1,125 @@
+package traffic
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/queue"
+	"olivetiller/core/refusal"
+	"olivetiller/core/retry"
+	"olivetiller/core/view"
+)
+
+func newDispatcher(clock clockwork.Clock) *Dispatcher {
+	return New(clock, "h", queue.Limits{Items: 10, Bytes: 1000}, Hooks{Waiting: func() {}, Leaving: func(string) {}})
+}
+
+// acquire asks for a place on a goroutine of its own.
+func acquire(d *Dispatcher, pool string, a Ask) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := d.Acquire(context.Background(), pool, a)
+		done <- err
+	}()
+	return done
+}
+
+// kindOf is the kind of a refusal and when to come back.
+type kindOf struct {
+	Kind  refusal.Kind
+	After time.Duration
+}
+
+func kind(err error) kindOf {
+	var e *refusal.Error
+	if !errors.As(err, &e) {
+		return kindOf{}
+	}
+	return kindOf{e.Kind, e.Hint()}
+}
+
+// TestStopWaiting checks that a request that waits for a cold model when the
+// process is about to end is told that it has not run, instead of being cut off.
+// Found by the own day roll_term: LOST at 14.708 s, a label-batch request that
+// waited through the whole grace of a SIGTERM.
+func TestStopWaiting(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDispatcher(clock)
+	done := acquire(d, "unit/s/m", Ask{Deadline: clock.Now().Add(time.Minute)})
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	d.StopWaiting()
+	if diff := cmp.Diff(kindOf{refusal.Stopping, 100 * time.Millisecond}, kind(<-done)); diff != "" {
+		t.Errorf("waiting request (-want +got):\n%s", diff)
+	}
+	late := acquire(d, "unit/s/m", Ask{Deadline: clock.Now().Add(time.Minute)})
+	if diff := cmp.Diff(kindOf{refusal.Stopping, 100 * time.Millisecond}, kind(<-late)); diff != "" {
+		t.Errorf("request after the stop (-want +got):\n%s", diff)
+	}
+	if !refusal.As(refusal.New(refusal.Stopping, "")).NotRun() {
+		t.Error("the refusal does not promise that the request has not run")
+	}
+}
+
+// TestReconsider checks which waiting requests are told to come back when their
+// model is there: those that would be late and may come back in time.
+func TestReconsider(t *testing.T) {
+	tests := []struct {
+		name    string
+		readyIn time.Duration
+		returns bool
+		want    kindOf
+	}{
+		{"late, and worth coming back", 6 * time.Second, true, kindOf{refusal.CannotMakeDeadline, 6*time.Second - 500*time.Millisecond + returnMargin}},
+		{"in time", 2 * time.Second, true, kindOf{}},
+		{"a repeat waits on", 6 * time.Second, false, kindOf{}},
+		{"later than a caller stays away", 9 * time.Second, true, kindOf{}},
+		{"not known", 0, true, kindOf{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			d := newDispatcher(clock)
+			v := &view.View{ReadyAt: make(map[string]time.Time)}
+			if tt.readyIn > 0 {
+				v.ReadyAt["unit/s/m"] = clock.Now().Add(tt.readyIn)
+			}
+			d.Update(v, nil)
+			done := acquire(d, "unit/s/m", Ask{Deadline: clock.Now().Add(25 * time.Second), Objective: 2500 * time.Millisecond, Returns: tt.returns})
+			if err := clock.BlockUntilContext(t.Context(), 2); err != nil {
+				t.Fatal(err)
+			}
+			clock.Advance(500 * time.Millisecond)
+			if tt.want == (kindOf{}) {
+				// It waits on, until an endpoint appears.
+				d.Update(&view.View{Endpoints: map[string][]view.Endpoint{"unit/s/m": {{Name: "e", Concurrency: 1}}}}, nil)
+			}
+			if diff := cmp.Diff(tt.want, kind(<-done)); diff != "" {
+				t.Errorf("refusal (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSharedBudget checks that pools of one service draw on one retry budget.
+func TestSharedBudget(t *testing.T) {
+	d := newDispatcher(clockwork.NewFakeClock())
+	d.LimitRetries(func() *retry.Budget { return retry.NewBudgetOf(0, 2) })
+	d.Update(&view.View{Endpoints: map[string][]view.Endpoint{
+		"a": {{Name: "e", Concurrency: 9}}, "b": {{Name: "f", Concurrency: 9}},
+	}}, nil)
+	var got []refusal.Kind
+	for _, pool := range []string{"a", "b", "a"} {
+		_, err := d.Acquire(context.Background(), pool, Ask{Deadline: d.clock.Now().Add(time.Second), Retry: true, Budget: "s"})
+		got = append(got, kind(err).Kind)
+	}
+	if diff := cmp.Diff([]refusal.Kind{"", "", refusal.NoEndpoint}, got); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -56,7 +56,9 @@
 
 	callers *callerLimits
 	first   firstAttempts
-	http    *http.Server
+	// cutOff ends the contexts of all requests.
+	cutOff context.CancelFunc
+	http   *http.Server
 	active  atomic.Int64
 }
 
@@ -64,7 +66,10 @@
 // wait long for a model; readBody sets a deadline of its own.
 func (s *Server) init() {
 	s.callers = newCallerLimits()
+	base, cutOff := context.WithCancel(context.Background())
+	s.cutOff = cutOff
 	s.http = &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return base },
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: s.Limits.ReadTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
@@ -90,6 +95,14 @@
 // Shutdown closes the listener and waits until every request has ended.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// CutOff gives every request up that is in progress: those whose answer has not
+// begun are told so.
+func (s *Server) CutOff() {
+	if s.cutOff != nil {
+		s.cutOff()
+	}
+}
+
 // Close ends every connection at once.
 func (s *Server) Close() error { return s.http.Close() }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -24,6 +24,10 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/lease"
+	"olivetiller/core/route"
 )
 
 // Times of the protocol.
@@ -79,14 +83,41 @@
 	Gone []string `json:"gone,omitempty"`
 	// ReadyInMs holds when units that no engine serves are expected, by pool.
 	ReadyInMs map[string]int64 `json:"readyInMs,omitempty"`
+	Feed
+}
+
+// Feed is what the holder read of the store, so that the others need not.
+type Feed struct {
+	// AgeMs is how long ago the holder last read the store to its end.
+	AgeMs int64 `json:"feedAgeMs"`
+	// Lease is the latest record of the lease's topic, at LeaseOffset.
+	Lease       lease.Record `json:"lease"`
+	LeaseOffset uint64       `json:"leaseOffset"`
+	// Config is the configuration in force, if the asker has an older one.
+	Config *route.Config `json:"config,omitempty"`
+	// ConfigNext is the offset after the configurations read.
+	ConfigNext uint64 `json:"configNext"`
+	// Instances are the entries of endpoints that changed, or all of them in a
+	// whole snapshot. What engines hold is left out.
+	Instances []directory.Record `json:"instances,omitempty"`
+}
+
+// Question is what a node asks the holder.
+type Question struct {
+	Node string
+	// Life and Version are those of the latest snapshot that the node has.
+	Life    string
+	Version uint64
+	// Config is the version of the configuration that the node has.
+	Config int64
 }
 
 // Holder answers nodes.
 type Holder interface {
 	// Reported takes a report in.
 	Reported(r *Report) error
-	// Watch returns what changed since a version, waiting until something has.
-	Watch(ctx context.Context, life string, after uint64) (*Snapshot, error)
+	// Watch returns what changed since a snapshot, waiting until something has.
+	Watch(ctx context.Context, q Question) (*Snapshot, error)
 }
 
 const (
@@ -110,12 +141,12 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("GET "+pathWatch, func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		q, err := parseQuestion(r.URL.Query())
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		s, err := h.Watch(r.Context(), r.URL.Query().Get("life"), after)
+		s, err := h.Watch(r.Context(), q)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
@@ -127,6 +158,24 @@
 	return mux
 }
 
+func (q Question) values() url.Values {
+	return url.Values{
+		"node": {q.Node}, "life": {q.Life}, "version": {strconv.FormatUint(q.Version, 10)}, "config": {strconv.FormatInt(q.Config, 10)},
+	}
+}
+
+func parseQuestion(v url.Values) (Question, error) {
+	version, err := strconv.ParseUint(v.Get("version"), 10, 64)
+	if err != nil {
+		return Question{}, fmt.Errorf("version: %w", err)
+	}
+	config, err := strconv.ParseInt(v.Get("config"), 10, 64)
+	if err != nil {
+		return Question{}, fmt.Errorf("config: %w", err)
+	}
+	return Question{Node: v.Get("node"), Life: v.Get("life"), Version: version, Config: config}, nil
+}
+
 // Client speaks to the holder. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
@@ -150,12 +199,11 @@
 	return c.do(req, nil)
 }
 
-// Watch asks the holder at an address for what changed since a version.
-func (c *Client) Watch(ctx context.Context, address, life string, after uint64) (*Snapshot, error) {
+// Watch asks the holder at an address for what changed since a snapshot.
+func (c *Client) Watch(ctx context.Context, address string, q Question) (*Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, WatchTime+callTime)
 	defer cancel()
-	q := url.Values{"life": {life}, "after": {strconv.FormatUint(after, 10)}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathWatch+"?"+q.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathWatch+"?"+q.values().Encode(), nil)
 	if err != nil {
 		return nil, err
 	}
