placer, lease: bound the holder's work; strong machines take the lease first

Change: a change wakes only the nodes whose requests wait for it, the others after a pause that grows with their number; reports likewise; the planner rests eight times as long as it took; a machine waits up to 0.4 s longer before it takes the lease the less processor time it has.

--- a/cmd/olivetiller/hosted.go
+++ b/cmd/olivetiller/hosted.go
@@ -85,7 +85,7 @@
 	return hosted.Settings{
 		Name: s.Name, Hall: s.Hall, CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
 		MetricsAddress: s.MetricsAddress, StopTimeout: s.StopTimeout, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		RetryWindow: s.RetryWindow, Loads: placement.Limits{Window: s.LoadWindow, Overage: s.LoadOverage},
+		RetryWindow: s.RetryWindow, Cores: s.Cores, Loads: placement.Limits{Window: s.LoadWindow, Overage: s.LoadOverage},
 	}
 }
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -32,7 +32,10 @@
 
 // Lease is one node's knowledge of the lease. It is not safe for concurrent use.
 type Lease struct {
-	self Record
+	self  Record
+	delay time.Duration
+	// freeSince is when the topic was first read to its end without a holder.
+	freeSince time.Time
 	// end is the offset after the latest record read.
 	end uint64
 	// holder is the latest holder; zero when the lease is free.
@@ -49,8 +52,9 @@
 	caughtUp bool
 }
 
-// New returns the knowledge of a node that has read nothing.
-func New(self Record) *Lease { return &Lease{self: self} }
+// New returns the knowledge of a node that has read nothing. The node waits for
+// delay longer than it must before it takes over.
+func New(self Record, delay time.Duration) *Lease { return &Lease{self: self, delay: delay} }
 
 // Fold takes one record in. Records at offsets already folded are passed over.
 func (l *Lease) Fold(offset uint64, r Record, now time.Time) {
@@ -110,7 +114,14 @@
 	case l.mine():
 		return now.Sub(l.seenAt) >= RenewEvery
 	}
-	return l.holder.Holder == "" || now.Sub(l.seenAt) >= TTL
+	if l.holder.Holder == "" {
+		if l.freeSince.IsZero() {
+			l.freeSince = now
+		}
+		return now.Sub(l.freeSince) >= l.delay
+	}
+	l.freeSince = time.Time{}
+	return now.Sub(l.seenAt) >= TTL+l.delay
 }
 
 // Begin notes that an append is being sent at the end known, and returns the
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -48,7 +48,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			l := New(rec("b"))
+			l := New(rec("b"), 0)
 			tt.do(l)
 			if got := l.Wants(tt.now); got != tt.want {
 				t.Errorf("Wants(%v) = %t, want %t", tt.now.Sub(start), got, tt.want)
@@ -60,7 +60,7 @@
 // TestHeld checks how long a holder may order: from before it sent, and only by
 // an acknowledged append of this life.
 func TestHeld(t *testing.T) {
-	l := New(rec("a"))
+	l := New(rec("a"), 0)
 	l.CaughtUp(7)
 	l.Begin(at(0))
 	l.Appended(7, at(400))
@@ -118,7 +118,7 @@
 		const n = 3
 		w := &world{now: start}
 		for i := range n {
-			w.nodes = append(w.nodes, New(Record{Holder: fmt.Sprint(i), Life: "0"}))
+			w.nodes = append(w.nodes, New(Record{Holder: fmt.Sprint(i), Life: "0"}, time.Duration(i)*100*time.Millisecond))
 			w.read = append(w.read, 0)
 			w.frozen = append(w.frozen, time.Time{})
 		}
@@ -134,7 +134,7 @@
 			case 0:
 				w.frozen[i] = w.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "freeze")) * time.Millisecond)
 			case 1:
-				w.nodes[i] = New(Record{Holder: fmt.Sprint(i), Life: fmt.Sprint(step)})
+				w.nodes[i] = New(Record{Holder: fmt.Sprint(i), Life: fmt.Sprint(step)}, time.Duration(i)*100*time.Millisecond)
 				w.read[i] = 0
 			case 2, 3, 4, 5:
 				w.catchUp(i)
--- a/core/placement/use.go
+++ b/core/placement/use.go
@@ -9,7 +9,7 @@
 const (
 	// useLife is how long a node's report counts unless renewed: a few of the
 	// intervals at which nodes report.
-	useLife = 2 * time.Second
+	useLife = 3 * time.Second
 	// rateTime is the time constant of the rate of requests: long enough to
 	// smooth a rare model's requests, short enough to follow a shift of demand
 	// within seconds.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -58,10 +58,11 @@
 	n := 0
 	for i := range 10000 {
 		id := strconv.Itoa(i)
-		if r.Pick(id) != r.Pick(id) {
-			t.Fatalf("Pick(%s) changed", id)
+		side := r.Pick(id)
+		if again := r.Pick(id); again != side {
+			t.Fatalf("Pick(%s) = %s, then %s", id, side, again)
 		}
-		if r.Pick(id) == "t" {
+		if side == "t" {
 			n++
 		}
 	}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -43,6 +43,8 @@
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
 	Loads                  placement.Limits
+	// Cores is the processor time that the machine gives, in cores.
+	Cores float64
 }
 
 // Platform is what speaks to the platform.
@@ -149,6 +151,7 @@
 		Self:  lease.Record{Holder: s.Name, Life: life, Address: s.PeerAddress},
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
 		Peers: peer.NewClient(p.Dialer(dialTimeout)), Dispatcher: n.traffic, Limits: s.Loads, Nodes: n.limitRetries,
+		TakeoverDelay: takeoverDelay(s.Cores),
 	})
 	n.caller = &caller.Server{
 		Clock: n.clock, Logger: n.logger.Named("caller"), Dispatcher: n.traffic,
@@ -160,6 +163,14 @@
 	}
 }
 
+// weakDelay is how much longer the weakest machine waits before it takes the lease
+// than one with a whole core: the holder works for all nodes.
+const weakDelay = 400 * time.Millisecond
+
+func takeoverDelay(cores float64) time.Duration {
+	return time.Duration(max(0, 1-cores) * float64(weakDelay))
+}
+
 // limitRetries gives this node its part of what all may send again.
 func (n *Node) limitRetries(nodes int) {
 	part := n.s.RetrySlack * retryShare / float64(nodes)
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -31,7 +31,25 @@
 	// interest holds the pools that requests of a node wait for.
 	interest map[string]map[string]bool
 	feed     feed
-	changed  chan struct{}
+	// watchers are the questions kept open.
+	watchers map[*watcher]bool
+}
+
+// watcher is one node's question while it is kept open.
+type watcher struct {
+	node string
+	// due is set once news of any kind ends the wait.
+	due bool
+	// news holds at most one sign that there is something to tell.
+	news chan struct{}
+}
+
+// wakeUp tells the watcher that there is something to tell.
+func (w *watcher) wakeUp() {
+	select {
+	case w.news <- struct{}{}:
+	default:
+	}
 }
 
 // feed is what the holder read of the store.
@@ -57,7 +75,7 @@
 	version uint64
 }
 
-func (b *board) init() { b.changed = make(chan struct{}) }
+func (b *board) init() { b.watchers = make(map[*watcher]bool) }
 
 // begin shows a new holder's board, which is empty.
 func (b *board) begin(life string, fence uint64) {
@@ -66,7 +84,7 @@
 	b.life, b.fence, b.nodes = life, fence, 1
 	b.serving, b.goneAt, b.readyAt = make(map[string]shown), make(map[string]uint64), nil
 	b.interest, b.feed.instances = make(map[string]map[string]bool), make(map[string]shownInstance)
-	b.wake()
+	b.wakeAll()
 }
 
 // end takes the board down.
@@ -74,13 +92,62 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.life, b.until = "", time.Time{}
-	b.wake()
+	b.wakeAll()
+}
+
+// wakeAll makes a new version that every node should hear of at once.
+func (b *board) wakeAll() {
+	b.version++
+	for w := range b.watchers {
+		w.wakeUp()
+	}
 }
 
-func (b *board) wake() {
+// wake makes a new version that the nodes should hear of at once whose requests
+// wait for one of the pools, and the others when they are due.
+func (b *board) wake(pools map[string]bool) {
 	b.version++
-	close(b.changed)
-	b.changed = make(chan struct{})
+	for w := range b.watchers {
+		if w.due || intersect(b.interest[w.node], pools) {
+			w.wakeUp()
+		}
+	}
+}
+
+func intersect(a, b map[string]bool) bool {
+	if len(a) > len(b) {
+		a, b = b, a
+	}
+	for k := range a {
+		if b[k] {
+			return true
+		}
+	}
+	return false
+}
+
+// open keeps a node's question open until close.
+func (b *board) open(node string) *watcher {
+	w := &watcher{node: node, news: make(chan struct{}, 1)}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watchers[w] = true
+	return w
+}
+
+func (b *board) close(w *watcher) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.watchers, w)
+}
+
+// lazy marks a watcher as due for any news, and reports whether there is some
+// since a version.
+func (b *board) lazy(w *watcher, since uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.due = true
+	return b.version > since
 }
 
 // extend sets until when orders may be sent.
@@ -102,7 +169,8 @@
 	serving := p.Serving(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	news := false
+	news := make(map[string]bool)
+	changed := false
 	next := b.version + 1
 	for id, units := range serving {
 		pools := make([]string, 0, len(units))
@@ -112,25 +180,31 @@
 		if old, ok := b.serving[id]; !ok || !equal(old.pools, pools) {
 			b.serving[id] = shown{pools, next}
 			delete(b.goneAt, id)
-			news = true
+			changed = true
+			for _, pool := range pools {
+				news[pool] = true
+			}
 		}
 	}
 	for id := range b.serving {
 		if _, ok := serving[id]; !ok {
 			delete(b.serving, id)
 			b.goneAt[id] = next
-			news = true
+			changed = true
 		}
 	}
 	if b.expect(p.ReadyAt()) {
 		b.readyVersion = next
-		news = true
+		changed = true
+		for pool := range b.readyAt {
+			news[pool] = true
+		}
 	}
 	b.nodes = nodes
-	if news {
-		b.wake()
+	if changed {
+		b.wake(news)
 	}
-	return news
+	return changed
 }
 
 // readySlack is by how much an expected time must move to be news.
@@ -169,11 +243,11 @@
 // when this node is no holder. urgent is true when the node should hear at once:
 // of what its requests wait for, of a configuration, or of endpoints that come
 // and go.
-func (b *board) snapshot(q peer.Question, now time.Time) (s *peer.Snapshot, urgent bool, changed <-chan struct{}, ok bool) {
+func (b *board) snapshot(q peer.Question, now time.Time) (s *peer.Snapshot, urgent, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.life == "" {
-		return nil, false, b.changed, false
+		return nil, false, false
 	}
 	s = &peer.Snapshot{Life: b.life, Fence: b.fence, Version: b.version, Nodes: b.nodes, Whole: q.Life != b.life}
 	after := q.Version
@@ -182,7 +256,7 @@
 	}
 	urgent = b.addServing(s, after, b.interest[q.Node], now)
 	urgent = b.addFeed(s, q, after, now) || urgent || s.Whole
-	return s, urgent, b.changed, true
+	return s, urgent, true
 }
 
 // addServing adds what the engines serve, and reports whether a pool of interest
@@ -250,7 +324,7 @@
 		}
 	}
 	if news {
-		b.wake()
+		b.wakeAll()
 	}
 }
 
@@ -259,7 +333,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.feed.config = c
-	b.wake()
+	b.wakeAll()
 }
 
 // configRead and instancesRead note that a topic was read to its end.
@@ -316,33 +390,44 @@
 	return c.holder.life
 }
 
-// lazyPush is how long news that is not urgent for a node may wait, so that many
-// changes cost one message.
-const lazyPush = 150 * time.Millisecond
+// News that is not urgent for a node may wait, so that many changes cost one
+// message: lazyPush, and lazyPushPerNode for each node that the holder serves, so
+// that its work stays bounded.
+const (
+	lazyPush        = 100 * time.Millisecond
+	lazyPushPerNode = 4 * time.Millisecond
+)
 
 // Watch implements peer.Holder.
 func (c *Controller) Watch(ctx context.Context, q peer.Question) (*peer.Snapshot, error) {
+	w := c.holder.open(q.Node)
+	defer c.holder.close(w)
+	s, urgent, ok := c.holder.snapshot(q, c.o.Clock.Now())
+	if !ok {
+		return nil, peer.ErrNotHolder
+	}
+	if urgent {
+		return s, nil
+	}
 	timeout := c.o.Clock.After(peer.WatchTime)
-	lazy := c.o.Clock.After(lazyPush)
-	due := false
-	for {
-		s, urgent, changed, ok := c.holder.snapshot(q, c.o.Clock.Now())
-		switch {
-		case !ok:
-			return nil, peer.ErrNotHolder
-		case urgent, due && s.Version > q.Version:
-			return s, nil
-		}
+	lazy := c.o.Clock.After(min(peer.WatchTime, lazyPush+time.Duration(s.Nodes)*lazyPushPerNode))
+	for waiting := true; waiting; {
 		select {
-		case <-changed:
+		case <-w.news:
+			waiting = false
 		case <-lazy:
-			due = true
+			waiting = !c.holder.lazy(w, q.Version)
 		case <-timeout:
-			return s, nil
+			waiting = false
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
+	s, _, ok = c.holder.snapshot(q, c.o.Clock.Now())
+	if !ok {
+		return nil, peer.ErrNotHolder
+	}
+	return s, nil
 }
 
 type nodeReport struct{ r *peer.Report }
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -52,6 +52,9 @@
 	Peers      Peers
 	Dispatcher *traffic.Dispatcher
 	Limits     placement.Limits
+	// TakeoverDelay is how much longer than others this node waits before it takes
+	// the lease; weak machines wait longer.
+	TakeoverDelay time.Duration
 	// Nodes is called when the number of nodes that share the traffic changes.
 	Nodes func(n int)
 }
@@ -60,8 +63,12 @@
 const (
 	// tickEvery is the time between two looks at what is due by time alone.
 	tickEvery = 100 * time.Millisecond
-	// reportEvery is the time between two reports while nothing waits.
-	reportEvery = 250 * time.Millisecond
+	// reportEvery is the time between two reports while nothing waits, with
+	// reportPerNode for each node, so that the holder's work stays bounded, up to
+	// reportAtMost.
+	reportEvery   = 200 * time.Millisecond
+	reportPerNode = 8 * time.Millisecond
+	reportAtMost  = time.Second
 	// holderFresh is how long the holder's word on the engines counts.
 	holderFresh = 2 * time.Second
 	// missLife is how long an engine's word that it lacks a unit counts: until
@@ -111,6 +118,11 @@
 	reportedAt       time.Time
 	nodes            map[string]time.Time
 	stale            bool
+	// planAt is when the next plan may be made; planDue asks for one then.
+	planAt  time.Time
+	planDue bool
+	// peers is how many nodes share the traffic, as far as is known.
+	peers int
 }
 
 type missKey struct{ engine, pool string }
@@ -119,7 +131,7 @@
 func New(o Options) *Controller {
 	c := &Controller{
 		o: o, inbox: make(chan message, inboxSize), ended: make(chan struct{}),
-		lease: lease.New(o.Self), planner: placement.New(o.Limits), directory: directory.New(),
+		lease: lease.New(o.Self, o.TakeoverDelay), planner: placement.New(o.Limits), directory: directory.New(),
 		misses: make(map[missKey]time.Time), nodes: make(map[string]time.Time),
 	}
 	c.holder.init()
@@ -160,12 +172,24 @@
 		case <-wake.Chan():
 		}
 		c.step(ctx)
-		if at := c.planner.WakeAt(); c.held && !at.IsZero() {
+		if at, ok := c.wakeAt(); ok {
 			wake.Reset(max(time.Millisecond, at.Sub(c.o.Clock.Now())))
 		}
 	}
 }
 
+// wakeAt returns when the planner has something due.
+func (c *Controller) wakeAt() (at time.Time, ok bool) {
+	switch {
+	case !c.held:
+		return time.Time{}, false
+	case c.planDue:
+		return c.planAt, true
+	}
+	at = c.planner.WakeAt()
+	return at, !at.IsZero()
+}
+
 // drain handles what else waits, so that one step serves all of it.
 func (c *Controller) drain() {
 	for range inboxSize {
@@ -286,8 +310,20 @@
 	c.leaseDoubt.Store(true)
 }
 
+// planShare bounds the holder's processor time for planning: it rests that many
+// times as long as the last plan took.
+const planShare = 8
+
 // orders sends what the planner finds due.
 func (c *Controller) orders(ctx context.Context, now time.Time) {
+	if now.Before(c.planAt) {
+		c.planDue = true
+		return
+	}
+	defer func() {
+		end := c.o.Clock.Now()
+		c.planDue, c.planAt = false, end.Add(planShare*end.Sub(now))
+	}()
 	fence, ok := c.lease.Held(now)
 	if !ok {
 		return
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -159,6 +159,10 @@
 }
 
 func (c *Controller) setNodes(n int) {
+	if n == c.peers {
+		return
+	}
+	c.peers = n
 	if c.o.Nodes != nil && n > 0 {
 		c.o.Nodes(n)
 	}
@@ -221,7 +225,7 @@
 
 // report tells the holder of this node's use, at once when requests wait.
 func (c *Controller) report(ctx context.Context, now time.Time) {
-	due := now.Sub(c.reportedAt) >= reportEvery
+	due := now.Sub(c.reportedAt) >= min(reportAtMost, reportEvery+time.Duration(c.peers)*reportPerNode)
 	if !c.dirty && !due || c.reporting {
 		return
 	}
