--- a/cmd/olivetiller/hosted.go
+++ b/cmd/olivetiller/hosted.go
@@ -1,21 +1,16 @@
 package main
 
 import (
-	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
-	"olivetiller/core/placement"
-	"olivetiller/core/route"
 	"olivetiller/internal/hosted"
 	"olivetiller/internal/logout"
-	"olivetiller/io/caller"
 	"olivetiller/platform"
 )
 
@@ -41,7 +36,7 @@
 	logger := hclog.New(&hclog.LoggerOptions{Name: "olivetiller", Level: hclog.Info, JSONFormat: true, Output: out})
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	n, err := hosted.Start(hostedSettings(s), hostedPlatform(s), clockwork.NewRealClock(), logger)
+	n, err := hosted.Start(platform.NodeSettings(s), platform.Plug(s), clockwork.NewRealClock(), logger)
 	if err != nil {
 		logger.Error("not started", "error", err.Error())
 		return usageError{err}
@@ -80,19 +75,3 @@
 	}
 	logger.Info("settings read anew; they count from the next start")
 }
-
-func hostedSettings(s platform.Settings) hosted.Settings {
-	return hosted.Settings{
-		Name: s.Name, Hall: s.Hall, CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, PeerAddress: s.PeerAddress,
-		MetricsAddress: s.MetricsAddress, StopTimeout: s.StopTimeout, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		RetryWindow: s.RetryWindow, Cores: s.Cores, Loads: placement.Limits{Window: s.LoadWindow, Overage: s.LoadOverage},
-	}
-}
-
-func hostedPlatform(s platform.Settings) hosted.Platform {
-	return hosted.Platform{
-		Store: platform.NewStore(s.StoreAddress), Engines: platform.NewEngines(s.Name), Judge: platform.Judge,
-		Protocol: func(table func() *route.Table) caller.Protocol { return &platform.Front{Table: table} },
-		Dialer:   func(timeout time.Duration) *net.Dialer { return platform.Dialer(timeout) },
-	}
-}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -59,7 +59,7 @@
 	// cutOff ends the contexts of all requests.
 	cutOff context.CancelFunc
 	http   *http.Server
-	active  atomic.Int64
+	active atomic.Int64
 }
 
 // init makes the HTTP server. It has no ReadTimeout: that would end requests that
