lease, placer, placement: a holder outlasts the store's outages; room is reserved; calls rest

Making way for one model unloaded one on each of nine engines. Change: an append rests after a failure, a takeover wants a fresh read; where engines check fences, a holder whose store is away goes on while half of its nodes still report to it, until an engine refuses its fence; a former life of the same machine is no other holder; room is reserved for the model it was made for; loads from the store are for second replicas and full ones; a conflict on an adapter while the engine loads puts nothing in doubt; prompts not yet read weigh in the choice of an engine.

--- a/cmd/olivetiller/hosted.go
+++ b/cmd/olivetiller/hosted.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -34,6 +35,9 @@
 	out := logout.New(os.Stdout)
 	defer out.Close()
 	logger := hclog.New(&hclog.LoggerOptions{Name: "olivetiller", Level: hclog.Info, JSONFormat: true, Output: out})
+	// Libraries write to the standard logger; their lines belong among the others.
+	log.SetFlags(0)
+	log.SetOutput(logger.Named("library").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	n, err := hosted.Start(platform.NodeSettings(s), platform.Plug(s), clockwork.NewRealClock(), logger)
--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -20,6 +20,9 @@
 	SameHall bool
 	// Running is the node's own outstanding work there.
 	Running int
+	// Prompts is the length of the node's own prompts there that were not read yet,
+	// in tokens.
+	Prompts int
 	// Reported is the load that the engine last told, all nodes' work together.
 	Reported int
 	// ReportedAt is when it told it; zero if never.
@@ -41,6 +44,11 @@
 // busier: its extra latency is worth about one request in progress.
 const hallPenalty = 1
 
+// promptTokens is the length of an unread prompt that weighs as much as a request
+// in progress: reading delays every stream of the engine, while a further stream
+// hardly does.
+const promptTokens = 150
+
 // homeBonus is the load by which a replica that keeps the beginning of the prompt
 // may be busier than another.
 const homeBonus = 2
@@ -73,6 +81,7 @@
 	if !r.SameHall {
 		load += hallPenalty
 	}
+	load += r.Prompts / promptTokens
 	if r.Home {
 		load -= homeBonus
 	}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -16,8 +16,20 @@
 	Margin = 700 * time.Millisecond
 	// RenewEvery is the time between two renewals.
 	RenewEvery = 600 * time.Millisecond
+	// RetryEvery is the pause after an append that failed: every call has its
+	// price, refused ones too.
+	RetryEvery = 400 * time.Millisecond
+	// ReadFresh is how old the latest read of the topic may be for a takeover.
+	ReadFresh = 1500 * time.Millisecond
+	// AwayLimit is how long after its lease ran out a holder may go on, if the store
+	// is away and engines check fences: longer than the outages known, which last up
+	// to nine seconds.
+	AwayLimit = 15 * time.Second
 )
 
+// FirstFence is the fencing number of the first holder ever.
+const FirstFence = 1
+
 // Record is one record of the lease's topic.
 type Record struct {
 	// Holder is the node's name.
@@ -48,8 +60,13 @@
 	until time.Time
 	// sentAt is when the append in flight was sent; zero when there is none.
 	sentAt time.Time
-	// caughtUp is set once the topic was read to its end.
-	caughtUp bool
+	// readAt is when the topic was last read to its end; zero if it never was.
+	readAt time.Time
+	// retryAt is when the next append may be sent after one that failed.
+	retryAt time.Time
+	// heldUntil is until as it was when the lease was last renewed; zero once
+	// another holder is known, or an engine refused the fence.
+	heldUntil time.Time
 }
 
 // New returns the knowledge of a node that has read nothing. The node waits for
@@ -74,15 +91,15 @@
 		l.holder, l.fence, l.seenAt = r, offset+1, now
 	}
 	if !l.mine() {
-		l.until = time.Time{}
+		l.until, l.heldUntil = time.Time{}, time.Time{}
 	}
 }
 
 // CaughtUp notes that the topic was read up to its end. Records may be missing
 // before it where the platform dropped its history.
-func (l *Lease) CaughtUp(end uint64) {
+func (l *Lease) CaughtUp(end uint64, now time.Time) {
 	l.end = max(l.end, end)
-	l.caughtUp = true
+	l.readAt = now
 }
 
 // End returns the offset to read from, and to append at.
@@ -109,10 +126,12 @@
 // or a takeover of a free or silent one.
 func (l *Lease) Wants(now time.Time) bool {
 	switch {
-	case !l.caughtUp || !l.sentAt.IsZero():
+	case l.readAt.IsZero() || !l.sentAt.IsZero() || now.Before(l.retryAt):
 		return false
 	case l.mine():
 		return now.Sub(l.seenAt) >= RenewEvery
+	case now.Sub(l.readAt) > ReadFresh:
+		return false
 	}
 	if l.holder.Holder == "" {
 		if l.freeSince.IsZero() {
@@ -121,6 +140,10 @@
 		return now.Sub(l.freeSince) >= l.delay
 	}
 	l.freeSince = time.Time{}
+	if l.holder.Holder == l.self.Holder {
+		// A former life of this very process's machine holds it: it is no more.
+		return true
+	}
 	return now.Sub(l.seenAt) >= TTL+l.delay
 }
 
@@ -138,13 +161,27 @@
 	l.Fold(offset, l.self, now)
 	if l.mine() {
 		l.until = sent.Add(TTL - Margin)
+		l.heldUntil = l.until
 	}
 }
 
 // Failed notes that the append in flight was refused, or that no answer came. It
 // may still be carried out: the record is then read like any other, and gives no
 // right to order until a renewal is acknowledged.
-func (l *Lease) Failed() { l.sentAt = time.Time{} }
+func (l *Lease) Failed(now time.Time) {
+	l.sentAt = time.Time{}
+	l.retryAt = now.Add(RetryEvery)
+}
+
+// Outlasts reports whether a holder whose lease ran out may go on ordering engines
+// that check fences, because the store is away and nothing speaks of another
+// holder. Engines refuse it once they have seen another's fence.
+func (l *Lease) Outlasts(now time.Time) bool {
+	return l.mine() && !l.heldUntil.IsZero() && now.Before(l.heldUntil.Add(AwayLimit))
+}
+
+// Deposed notes that an engine has seen a higher fence than this node's.
+func (l *Lease) Deposed() { l.until, l.heldUntil = time.Time{}, time.Time{} }
 
 // Releasing returns the record that gives the lease up; ok is false when this
 // node does not hold it. From here on it does not order any more.
@@ -152,7 +189,7 @@
 	if !l.mine() {
 		return Record{}, false
 	}
-	l.until = time.Time{}
+	l.until, l.heldUntil = time.Time{}, time.Time{}
 	r = l.self
 	r.Release = true
 	return r, true
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -20,36 +20,49 @@
 func TestTakeover(t *testing.T) {
 	tests := []struct {
 		name string
-		do   func(l *Lease)
+		do   func(l *Lease, now time.Time)
 		now  time.Time
 		want bool
 	}{
-		{"nothing read", func(*Lease) {}, at(0), false},
-		{"read to its end and free", func(l *Lease) { l.CaughtUp(0) }, at(0), true},
-		{"another node holds it", func(l *Lease) { l.Fold(0, rec("a"), at(0)); l.CaughtUp(1) }, at(2400), false},
-		{"the other is silent", func(l *Lease) { l.Fold(0, rec("a"), at(0)); l.CaughtUp(1) }, at(2500), true},
-		{"the other renewed", func(l *Lease) {
+		{"nothing read", func(*Lease, time.Time) {}, at(0), false},
+		{"read to its end and free", func(l *Lease, now time.Time) { l.CaughtUp(0, now) }, at(0), true},
+		{"another node holds it", func(l *Lease, now time.Time) { l.Fold(0, rec("a"), at(0)); l.CaughtUp(1, now) }, at(2400), false},
+		{"the other is silent", func(l *Lease, now time.Time) { l.Fold(0, rec("a"), at(0)); l.CaughtUp(1, now) }, at(2500), true},
+		{"the other renewed", func(l *Lease, now time.Time) {
 			l.Fold(0, rec("a"), at(0))
 			l.Fold(1, rec("a"), at(2000))
-			l.CaughtUp(2)
+			l.CaughtUp(2, now)
 		}, at(4400), false},
-		{"the other gave it up", func(l *Lease) {
+		{"the other gave it up", func(l *Lease, now time.Time) {
 			l.Fold(0, rec("a"), at(0))
 			l.Fold(1, Record{Holder: "a", Life: "a-1", Release: true}, at(100))
-			l.CaughtUp(2)
+			l.CaughtUp(2, now)
 		}, at(100), true},
-		{"a former holder gave it up late", func(l *Lease) {
+		{"a former holder gave it up late", func(l *Lease, now time.Time) {
 			l.Fold(0, rec("a"), at(0))
 			l.Fold(1, rec("c"), at(3000))
 			l.Fold(2, Record{Holder: "a", Life: "a-1", Release: true}, at(3100))
-			l.CaughtUp(3)
+			l.CaughtUp(3, now)
 		}, at(3200), false},
-		{"an append is in flight", func(l *Lease) { l.CaughtUp(0); l.Begin(at(0)) }, at(5000), false},
+		{"a former life of this node holds it", func(l *Lease, now time.Time) {
+			l.Fold(0, Record{Holder: "b", Life: "b-0"}, at(0))
+			l.CaughtUp(1, now)
+		}, at(10), true},
+		{"silent, but the topic was not read lately", func(l *Lease, _ time.Time) {
+			l.Fold(0, rec("a"), at(0))
+			l.CaughtUp(1, at(1000))
+		}, at(2600), false},
+		{"an append has just failed", func(l *Lease, now time.Time) {
+			l.CaughtUp(0, now)
+			l.Begin(at(0))
+			l.Failed(at(10))
+		}, at(400), false},
+		{"an append is in flight", func(l *Lease, now time.Time) { l.CaughtUp(0, now); l.Begin(at(0)) }, at(5000), false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			l := New(rec("b"), 0)
-			tt.do(l)
+			tt.do(l, tt.now)
 			if got := l.Wants(tt.now); got != tt.want {
 				t.Errorf("Wants(%v) = %t, want %t", tt.now.Sub(start), got, tt.want)
 			}
@@ -61,7 +74,7 @@
 // an acknowledged append of this life.
 func TestHeld(t *testing.T) {
 	l := New(rec("a"), 0)
-	l.CaughtUp(7)
+	l.CaughtUp(7, at(0))
 	l.Begin(at(0))
 	l.Appended(7, at(400))
 	type held struct {
@@ -79,7 +92,7 @@
 	}
 	// An append without an answer that is read back gives no right by itself.
 	l.Begin(at(1500))
-	l.Failed()
+	l.Failed(at(1600))
 	l.Fold(8, rec("a"), at(6000))
 	if _, ok := l.Held(at(6000)); ok {
 		t.Error("a renewal read back late gave the right to order")
@@ -91,6 +104,40 @@
 	}
 }
 
+// TestOutlasts checks how long a holder may go on while the store is away, and
+// that word of another holder ends it.
+func TestOutlasts(t *testing.T) {
+	held := func() *Lease {
+		l := New(rec("a"), 0)
+		l.CaughtUp(0, at(0))
+		l.Begin(at(0))
+		l.Appended(0, at(4))
+		return l
+	}
+	tests := []struct {
+		name string
+		do   func(l *Lease)
+		ms   int
+		want bool
+	}{
+		{"never held", func(l *Lease) { *l = *New(rec("a"), 0) }, 10, false},
+		{"ran out", func(*Lease) {}, 10000, true},
+		{"ran out long ago", func(*Lease) {}, 16800, false},
+		{"another holder is known", func(l *Lease) { l.Fold(1, rec("b"), at(3000)) }, 3001, false},
+		{"an engine has seen a higher fence", func(l *Lease) { l.Deposed() }, 3001, false},
+		{"given up", func(l *Lease) { l.Releasing() }, 10, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := held()
+			tt.do(l)
+			if got := l.Outlasts(at(tt.ms)); got != tt.want {
+				t.Errorf("Outlasts after %d ms = %t, want %t", tt.ms, got, tt.want)
+			}
+		})
+	}
+}
+
 // pendingAppend is an append on its way to the log of the model below.
 type pendingAppend struct {
 	node, at int
@@ -165,7 +212,7 @@
 		case ok && p.answer && !w.now.Before(w.frozen[p.node]):
 			l.Appended(uint64(p.at), w.now)
 		default:
-			l.Failed()
+			l.Failed(w.now)
 		}
 	}
 	w.pending = later
@@ -175,7 +222,7 @@
 	for ; w.read[i] < len(w.log); w.read[i]++ {
 		w.nodes[i].Fold(uint64(w.read[i]), w.log[w.read[i]], w.now)
 	}
-	w.nodes[i].CaughtUp(uint64(len(w.log)))
+	w.nodes[i].CaughtUp(uint64(len(w.log)), w.now)
 }
 
 func (w *world) appendIfWanted(t *rapid.T, i int) {
@@ -189,7 +236,7 @@
 	w.pending = append(w.pending, pendingAppend{i, int(l.End()), rec, w.now.Add(late), answer})
 	if late > 1500*time.Millisecond || !answer {
 		// The node gives up on the answer.
-		l.Failed()
+		l.Failed(w.now)
 		w.pending[len(w.pending)-1].answer = false
 	}
 }
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -28,6 +28,9 @@
 	sent *Order
 	// work is the load or unload of a model in progress.
 	work *work
+	// reserved is the model that another one makes way for; its Model is "" when
+	// there is none.
+	reserved Unit
 	// probing is set while a report is awaited; nextProbe is when to ask again.
 	probing   bool
 	nextProbe time.Time
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -202,7 +202,7 @@
 // loads of the one before count against the ceiling.
 func TestReset(t *testing.T) {
 	p := testPlanner(t, 30, map[string]Report{"e1": {}, "e2": {}})
-	p.Reset(at(100))
+	p.Reset(false, at(100))
 	p.Use("n", []Use{waits(unit("m1"), 500), waits(unit("m2"), 500)}, at(110))
 	if got := orders(p.Plan(at(110), 2)); got != nil {
 		t.Errorf("orders before any report: %v", got)
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -49,6 +49,7 @@
 	g.count()
 	g.probes()
 	g.adapters()
+	g.reservations()
 	for _, m := range g.wanted() {
 		g.place(m)
 	}
@@ -94,6 +95,9 @@
 		if w := e.work; w != nil && !w.unload && e.models[w.unit.Model] == nil {
 			g.loaders[w.unit]++
 			g.expect(w.unit, w.expected)
+		} else if u := e.reserved; u.Model != "" {
+			g.loaders[u]++
+			g.expect(u, g.freeAt(e).Add(g.reservedLoad(e)))
 		} else if o := e.sent; o != nil && !o.Unload && o.Unit.Adapter == "" {
 			g.loaders[o.Unit]++
 			g.expect(o.Unit, g.now.Add(o.Expected))
@@ -101,6 +105,48 @@
 	}
 }
 
+// reservedLoad is how long an engine will load the model that it has room reserved
+// for.
+func (g *planning) reservedLoad(e *engine) time.Duration {
+	m := g.table.Model(e.reserved.Service, e.reserved.Model)
+	if m == nil {
+		return 0
+	}
+	d, _ := loadTime(e, m)
+	return d
+}
+
+// loadTime is how long an engine takes to load a model, and whether it comes from
+// the weight store.
+func loadTime(e *engine, m *route.Model) (d time.Duration, fromStore bool) {
+	switch {
+	case e.warm[m.Name] && m.Warm > 0:
+		return m.Warm, false
+	case e.onDisk[m.Name] && m.Disk > 0:
+		return m.Disk, false
+	}
+	return m.Load, true
+}
+
+// reservations loads the models that another one made way for.
+func (g *planning) reservations() {
+	for _, e := range g.order {
+		u := e.reserved
+		if u.Model == "" || !e.idle(g.now) {
+			continue
+		}
+		e.reserved = Unit{}
+		g.loaders[u]--
+		model := g.table.Model(u.Service, u.Model)
+		if model == nil || e.models[u.Model] != nil {
+			continue
+		}
+		if s := g.site(e, u, model, true); s != nil && s.victim == "" {
+			g.load(s, u, "room was made")
+		}
+	}
+}
+
 // expect notes when a model is expected to be served.
 func (g *planning) expect(u Unit, at time.Time) {
 	if old, ok := g.readyAt[u]; !ok || at.Before(old) {
@@ -210,6 +256,8 @@
 // load orders a model at a site, or makes way for it first.
 func (g *planning) load(s *site, unit Unit, why string) {
 	if s.victim != "" {
+		s.engine.reserved = unit
+		g.loaders[unit]++
 		g.send(s.engine, &Order{
 			Unit: Unit{Service: unit.Service, Model: s.victim}, Unload: true, Expected: firstProbe, Why: "makes way for " + unit.Model,
 		})
@@ -223,18 +271,11 @@
 	if e.service != unit.Service || e.draining || e.shape == nil || !e.known || e.unknownWeights(g.table) {
 		return nil
 	}
-	if e.models[unit.Model] != nil || e.loads(unit.Model) {
+	if e.models[unit.Model] != nil || e.loads(unit.Model) || e.reserved.Model != "" {
 		return nil
 	}
 	s := &site{engine: e, start: g.now}
-	switch {
-	case e.warm[unit.Model] && model.Warm > 0:
-		s.load = model.Warm
-	case e.onDisk[unit.Model] && model.Disk > 0:
-		s.load = model.Disk
-	default:
-		s.load, s.fromStore = model.Load, true
-	}
+	s.load, s.fromStore = loadTime(e, model)
 	if s.fromStore {
 		if !g.mayLoadFromStore(urgent, g.now) {
 			return nil
@@ -247,7 +288,6 @@
 		if s.victim == "" {
 			return nil
 		}
-		s.start = s.start.Add(0)
 	}
 	s.ready = s.start.Add(s.load)
 	if s.victim != "" {
@@ -367,14 +407,25 @@
 		return busy[i].unit.Pool() < busy[j].unit.Pool()
 	})
 	for _, m := range busy {
-		gain := m.rate / float64(g.holders[m.unit]+g.loaders[m.unit]+1)
-		g.spread(m.unit, gain/gainFactor, "more replicas for a busy model")
+		n := g.holders[m.unit] + g.loaders[m.unit]
+		gain := m.rate / float64(n+1)
+		// The store's loads block an engine for long: they are for a second replica,
+		// or for replicas that are half full.
+		fromStore := n < 2 || m.waiting+m.running > n*g.slots(m.unit.Service)/2
+		g.spread(m.unit, gain/gainFactor, fromStore, "more replicas for a busy model")
+	}
+}
+
+func (g *planning) slots(service string) int {
+	if s := g.shape(service); s != nil {
+		return s.Slots
 	}
+	return 0
 }
 
 // spread loads one more replica of a model at the idle engine where it is ready
 // first, if what makes way is worth less than the limit.
-func (g *planning) spread(unit Unit, limit float64, why string) bool {
+func (g *planning) spread(unit Unit, limit float64, fromStore bool, why string) bool {
 	model := g.table.Model(unit.Service, unit.Model)
 	var best *site
 	for _, e := range g.order {
@@ -382,7 +433,7 @@
 			continue
 		}
 		s := g.site(e, unit, model, false)
-		if s == nil || s.loss > limit {
+		if s == nil || s.loss > limit || s.fromStore && !fromStore {
 			continue
 		}
 		if best == nil || s.ready.Before(best.ready) || s.ready.Equal(best.ready) && s.loss < best.loss {
@@ -410,12 +461,12 @@
 		}
 		kept := g.kept(s.Name)
 		for j := range s.Engine.Models {
-			if g.loading() >= storeLoadsAtOnce-1 {
+			if g.loading()+g.reservedFromStore() >= g.copiesAtOnce() {
 				return
 			}
 			unit := Unit{Service: s.Name, Model: s.Engine.Models[j].Name}
 			if !kept[unit.Model] && g.loaders[unit] == 0 && g.holders[unit] == 0 {
-				if !g.spread(unit, copyLimit, "no engine keeps a copy") {
+				if !g.spread(unit, copyLimit, true, "no engine keeps a copy") {
 					break
 				}
 			}
@@ -423,6 +474,29 @@
 	}
 }
 
+// copiesAtOnce is how many such loads may be in progress: all that the store gives
+// while nobody asks for anything, and half of that otherwise, since an engine that
+// loads cannot load for requests.
+func (g *planning) copiesAtOnce() int {
+	for _, m := range g.models {
+		if g.now.Sub(m.lastUse) < rateTime {
+			return storeLoadsAtOnce / 2
+		}
+	}
+	return storeLoadsAtOnce
+}
+
+// reservedFromStore counts the engines that make way for a load from the store.
+func (g *planning) reservedFromStore() int {
+	n := 0
+	for _, e := range g.order {
+		if u := e.reserved; u.Model != "" && !e.warm[u.Model] && !e.onDisk[u.Model] {
+			n++
+		}
+	}
+	return n
+}
+
 // kept returns the models that an engine of a service holds or keeps a copy of.
 // It is empty while the state of an engine is in doubt for lack of any report.
 func (g *planning) kept(service string) map[string]bool {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -54,6 +54,8 @@
 	storeLoads []time.Time
 	readyAt    map[Unit]time.Time
 	fence      uint64
+	// fenced is set once an engine has seen a higher fence.
+	fenced bool
 	// version rises whenever the holdings or the expected times change.
 	version uint64
 	wakeAt  time.Time
@@ -68,14 +70,18 @@
 }
 
 // Reset puts every engine in doubt: another node may have given orders since.
-func (p *Planner) Reset(now time.Time) {
+// first is true when there never was another.
+func (p *Planner) Reset(first bool, now time.Time) {
 	for _, e := range p.order {
-		e.sent, e.work, e.probing = nil, nil, false
+		e.sent, e.work, e.probing, e.reserved = nil, nil, false, Unit{}
 		e.doubt(now, 0)
 	}
+	p.storeLoads, p.fenced = nil, false
+	if first {
+		return
+	}
 	// What the former holder loaded within the window is not known: as much as
 	// is allowed is taken to have begun just now, but for one load.
-	p.storeLoads = nil
 	for range max(0, p.allowedLoads()-1) {
 		p.storeLoads = append(p.storeLoads, now)
 	}
@@ -189,13 +195,22 @@
 		p.done(e, o, now)
 	case Conflict:
 		e.restUntil = now.Add(refusedRest)
+		if o.Unit.Adapter != "" && e.work != nil {
+			// The engine is busy with a model, and may well have taken no other order.
+			return
+		}
 		e.doubt(now, reportLag)
 	default:
+		p.fenced = p.fenced || r == Fenced
 		e.doubt(now, reportLag)
 		e.restUntil = now.Add(refusedRest)
 	}
 }
 
+// Fenced reports whether an engine has seen a higher fence since the last Reset:
+// another node is the holder.
+func (p *Planner) Fenced() bool { return p.fenced }
+
 // began notes that an engine carries an order out.
 func (p *Planner) began(e *engine, o *Order, now time.Time) {
 	name := o.Unit.Model
--- a/core/placement/property_test.go
+++ b/core/placement/property_test.go
@@ -67,7 +67,7 @@
 				f.replace(step)
 			}
 			if rapid.IntRange(0, 80).Draw(t, "newHolder") == 0 {
-				f.p.Reset(f.now)
+				f.p.Reset(false, f.now)
 			}
 			for _, a := range f.p.Plan(f.now, 1) {
 				f.carryOut(a)
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
@@ -45,6 +46,8 @@
 	Loads                  placement.Limits
 	// Cores is the processor time that the machine gives, in cores.
 	Cores float64
+	// Fenced is true where engines check fences.
+	Fenced bool
 }
 
 // Platform is what speaks to the platform.
@@ -151,7 +154,7 @@
 		Self:  lease.Record{Holder: s.Name, Life: life, Address: s.PeerAddress},
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
 		Peers: peer.NewClient(p.Dialer(dialTimeout)), Dispatcher: n.traffic, Limits: s.Loads, Nodes: n.limitRetries,
-		TakeoverDelay: takeoverDelay(s.Cores),
+		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Fenced: s.Fenced,
 	})
 	n.caller = &caller.Server{
 		Clock: n.clock, Logger: n.logger.Named("caller"), Dispatcher: n.traffic,
@@ -167,8 +170,13 @@
 // than one with a whole core: the holder works for all nodes.
 const weakDelay = 400 * time.Millisecond
 
-func takeoverDelay(cores float64) time.Duration {
-	return time.Duration(max(0, 1-cores) * float64(weakDelay))
+// spreadDelay keeps equal machines from trying at once: all but the first would
+// pay for an append that is refused.
+const spreadDelay = 300 * time.Millisecond
+
+func takeoverDelay(name string, cores float64) time.Duration {
+	spread := time.Duration(xxhash.Sum64String(name) % uint64(spreadDelay))
+	return time.Duration(max(0, 1-cores)*float64(weakDelay)) + spread
 }
 
 // limitRetries gives this node its part of what all may send again.
@@ -218,6 +226,9 @@
 	})
 }
 
+// Holds reports whether this node orders the engines now.
+func (n *Node) Holds() bool { return n.control.Holds() }
+
 // Stop is the planned stop: the balancer is told, the lease is given up, requests
 // are taken while the balancer may still send, and all that were taken are
 // answered as far as the time to stop allows.
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -55,6 +55,8 @@
 	// TakeoverDelay is how much longer than others this node waits before it takes
 	// the lease; weak machines wait longer.
 	TakeoverDelay time.Duration
+	// Fenced is true where engines check fences.
+	Fenced bool
 	// Nodes is called when the number of nodes that share the traffic changes.
 	Nodes func(n int)
 }
@@ -99,7 +101,9 @@
 	// leading and leaseDoubt tell the reader of the lease whether to read: a
 	// holder need not, until an append of its own fails.
 	leading, leaseDoubt atomic.Bool
-	ended               chan struct{}
+	// away is set while the reader of the lease gets no answer of the store.
+	away  atomic.Bool
+	ended chan struct{}
 
 	lease     *lease.Lease
 	planner   *placement.Planner
@@ -118,6 +122,10 @@
 	reportedAt       time.Time
 	nodes            map[string]time.Time
 	stale            bool
+	// storeAway is when a read or an append last failed.
+	storeAway time.Time
+	// heardHeld is how many nodes reported when the lease was last held.
+	heardHeld int
 	// planAt is when the next plan may be made; planDue asks for one then.
 	planAt  time.Time
 	planDue bool
@@ -152,6 +160,9 @@
 // Ready reports whether the balancer may send callers here.
 func (c *Controller) Ready() bool { return c.View().Ready && !c.Stopping() }
 
+// Holds reports whether this node orders the engines now.
+func (c *Controller) Holds() bool { return c.leading.Load() }
+
 // Run owns the state until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.ended)
@@ -250,13 +261,20 @@
 
 // keepLease renews or takes the lease, and notes when it is gained or lost.
 func (c *Controller) keepLease(ctx context.Context, now time.Time) {
-	if c.lease.Wants(now) && !c.stopping.Load() && c.listed {
+	if c.lease.Wants(now) && !c.stopping.Load() && c.listed && !c.holderKept(now) {
 		rec := c.lease.Begin(now)
 		go c.append(ctx, c.lease.End(), rec)
 	}
+	if c.planner.Fenced() {
+		c.lease.Deposed()
+	}
 	fence, held := c.lease.Held(now)
 	if held {
 		c.holder.extend(c.lease.Until())
+		c.heardHeld = len(c.nodes)
+	} else if c.held && c.outlasts(now) {
+		held = true
+		c.holder.extend(now.Add(awayStep))
 	}
 	if held == c.held {
 		return
@@ -266,7 +284,7 @@
 	holder, _ := c.lease.Holder()
 	if held {
 		c.o.Logger.Info("lease gained", "fence", fence)
-		c.planner.Reset(now)
+		c.planner.Reset(fence == lease.FirstFence, now)
 		c.holder.begin(c.o.Self.Life, fence)
 		c.holder.showLease(c.o.Self, c.lease.End()-1)
 		if t := c.table.Load(); t != nil {
@@ -279,6 +297,38 @@
 	c.stale = true
 }
 
+const (
+	// awayStep is how far ahead a holder without a lease allows itself orders.
+	awayStep = 300 * time.Millisecond
+	// awayFresh is how lately a node must have reported to count as following.
+	awayFresh = 1500 * time.Millisecond
+	// awayKept is how long after the store was away here a holder that is heard of
+	// is not challenged.
+	awayKept = 2 * time.Second
+)
+
+// outlasts reports whether this node goes on as the holder although its lease ran
+// out: the store is away, engines check fences, and at least half of the nodes
+// that followed still do. They would follow another holder if they knew of one.
+func (c *Controller) outlasts(now time.Time) bool {
+	if !c.o.Fenced || !c.lease.Outlasts(now) || now.Sub(c.storeAway) > awayKept {
+		return false
+	}
+	n := 0
+	for _, at := range c.nodes {
+		if now.Sub(at) <= awayFresh {
+			n++
+		}
+	}
+	return 2*n >= c.heardHeld
+}
+
+// holderKept reports whether a holder that could not renew is left in place: it is
+// heard of, and the store was away from here too.
+func (c *Controller) holderKept(now time.Time) bool {
+	return !c.held && c.remote.fresh && now.Sub(c.storeAway) <= awayKept
+}
+
 // append appends a record of the lease and tells the owner what became of it.
 func (c *Controller) append(ctx context.Context, at uint64, rec lease.Record) {
 	raw, err := json.Marshal(rec)
@@ -306,7 +356,7 @@
 
 func (m leaseFailed) handle(c *Controller) {
 	c.o.Logger.Debug("append to the lease failed", "error", m.err.Error())
-	c.lease.Failed()
+	c.lease.Failed(c.o.Clock.Now())
 	c.leaseDoubt.Store(true)
 }
 
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -14,23 +14,33 @@
 
 // Times of the readers.
 const (
-	// readWait is how long the store keeps a read open. It bounds how long a
-	// reader is blind when its connection died without a sign.
-	readWait = 500 * time.Millisecond
+	// holderWait is how long the store keeps a read of the holder open, and
+	// ownWait that of a node that reads for itself. The holder's is short, so that
+	// what it relays is known to be fresh; both bound how long a reader is blind
+	// when its connection died without a sign.
+	holderWait = 250 * time.Millisecond
+	ownWait    = time.Second
 	// readSlack is added to it for the answer.
 	readSlack = 700 * time.Millisecond
-	// instancesEvery is the least time between two reads of the list: engines
-	// record themselves all the time, and the list lags by more than that.
-	instancesEvery = 300 * time.Millisecond
-	// retryPause is the pause after a failed read.
-	retryPause = 250 * time.Millisecond
+	// instancesEvery is the least time between two reads of the list by the holder,
+	// and ownInstancesEvery by a node that reads for itself: engines record
+	// themselves all the time, and the list lags by more than that.
+	instancesEvery    = 300 * time.Millisecond
+	ownInstancesEvery = 600 * time.Millisecond
+	// retryPause is the pause after a failed read. It doubles up to retryAtMost:
+	// every call has its price, refused ones too, and the platform's bounds run
+	// from seconds after its return.
+	retryPause  = 250 * time.Millisecond
+	retryAtMost = time.Second
 )
 
 // reader follows one topic.
 type reader[T any] struct {
 	name string
-	// every is the least time between two reads.
-	every  time.Duration
+	// every is the least time between two reads of the holder, ownEvery of others.
+	every, ownEvery time.Duration
+	// scout readers go on trying while the store is away; the others wait for them.
+	scout  bool
 	newest func(context.Context) (logstore.Page[T], error)
 	read   func(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[T], error)
 	// apply makes the message for the owner; whole is true for a page that holds
@@ -47,11 +57,11 @@
 		apply: func(p logstore.Page[logstore.Config], _ bool) message { return configs{p} },
 	})
 	go follow(ctx, c, reader[logstore.Instance]{
-		name: "endpoints", every: instancesEvery, newest: s.NewestInstances, read: s.Instances, idle: c.isFed,
+		name: "endpoints", every: instancesEvery, ownEvery: ownInstancesEvery, newest: s.NewestInstances, read: s.Instances, idle: c.isFed,
 		apply: func(p logstore.Page[logstore.Instance], whole bool) message { return instances{p, whole} },
 	})
 	go follow(ctx, c, reader[[]byte]{
-		name: "lease", read: s.Lease,
+		name: "lease", read: s.Lease, scout: true,
 		idle:  func() bool { return c.isFed() || c.leading.Load() && !c.leaseDoubt.Load() },
 		apply: func(p logstore.Page[[]byte], _ bool) message { return leases{p} },
 	})
@@ -63,23 +73,26 @@
 // for, it begins anew.
 func follow[T any](ctx context.Context, c *Controller, r reader[T]) {
 	var next uint64
-	whole, well := r.newest != nil, true
+	whole, well, pause := r.newest != nil, true, retryPause
 	for ctx.Err() == nil {
-		if r.idle() {
+		if r.idle() || !r.scout && c.away.Load() {
 			// What was missed meanwhile is read anew, with what engines hold.
 			whole = r.newest != nil
 			c.pause(ctx, tickEvery)
 			continue
 		}
 		started := c.o.Clock.Now()
-		page, err := readOnce(ctx, r, next, whole)
+		page, err := readOnce(ctx, r, next, whole, c.readWait())
 		var failed *logstore.Error
 		switch {
 		case err == nil:
 			if !well {
 				c.o.Logger.Info("store regained", "topic", r.name, "next", page.Next)
 			}
-			well = true
+			well, pause = true, retryPause
+			if r.scout {
+				c.away.Store(false)
+			}
 			for _, damage := range page.Damaged {
 				c.o.Logger.Error("record passed over", "topic", r.name, "error", damage.Error())
 			}
@@ -96,23 +109,39 @@
 				c.o.Logger.Warn("store lost", "topic", r.name, "error", err.Error())
 			}
 			well = false
+			if r.scout {
+				c.away.Store(true)
+			}
 			c.send(ctx, storeAway{})
-			c.pause(ctx, retryPause)
+			c.pause(ctx, pause)
+			pause = min(2*pause, retryAtMost)
 			continue
 		}
-		if left := r.every - c.o.Clock.Now().Sub(started); left > 0 {
+		every := r.ownEvery
+		if c.leading.Load() {
+			every = r.every
+		}
+		if left := every - c.o.Clock.Now().Sub(started); left > 0 {
 			c.pause(ctx, left)
 		}
 	}
 }
 
-func readOnce[T any](ctx context.Context, r reader[T], next uint64, whole bool) (logstore.Page[T], error) {
-	ctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
+func readOnce[T any](ctx context.Context, r reader[T], next uint64, whole bool, wait time.Duration) (logstore.Page[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
 	if whole {
 		return r.newest(ctx)
 	}
-	return r.read(ctx, next, readWait)
+	return r.read(ctx, next, wait)
+}
+
+// readWait is how long the store is to keep a read open.
+func (c *Controller) readWait() time.Duration {
+	if c.leading.Load() {
+		return holderWait
+	}
+	return ownWait
 }
 
 func (c *Controller) pause(ctx context.Context, d time.Duration) {
@@ -124,7 +153,10 @@
 
 type storeAway struct{}
 
-func (storeAway) handle(c *Controller) { c.directory.StoreAway(c.o.Clock.Now()) }
+func (storeAway) handle(c *Controller) {
+	c.storeAway = c.o.Clock.Now()
+	c.directory.StoreAway(c.storeAway)
+}
 
 type configs struct {
 	page logstore.Page[logstore.Config]
@@ -209,7 +241,7 @@
 		}
 		c.lease.Fold(r.Offset, rec, now)
 	}
-	c.lease.CaughtUp(m.page.Next)
+	c.lease.CaughtUp(m.page.Next, now)
 	c.leaseDoubt.Store(false)
 	if holder, fence := c.lease.Holder(); holder != before {
 		c.o.Logger.Info("holder of the lease", "holder", holder.Holder, "address", holder.Address, "fence", fence)
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -120,9 +120,10 @@
 }
 
 // feedFresh is how old the relayed word of the store may be before a node reads
-// for itself: the platform bounds how late a configuration or a leaving endpoint
-// is heeded to 2 s, and a read of one's own takes some milliseconds.
-const feedFresh = time.Second
+// for itself: more than the holder's reads and the pauses of its answers take
+// together, and less than the 2 s within which the platform wants a configuration
+// or a leaving endpoint heeded, by a read of one's own.
+const feedFresh = 1300 * time.Millisecond
 
 // isFed reports whether the holder relays the store well enough.
 func (c *Controller) isFed() bool {
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -100,9 +100,9 @@
 	cold := len(p.endpoints) == 0
 	if p.queue.Len() == 0 {
 		if pl, ok := p.pick(start, d.hall, &a); ok {
-			p.occupy(pl)
+			p.occupy(pl, &a)
 			d.mu.Unlock()
-			return d.slot(p, pl, start, start, cold), nil
+			return d.slot(p, pl, &a, start, start, cold), nil
 		}
 	}
 	w := &waiter{ask: a, granted: make(chan place, 1)}
@@ -157,7 +157,7 @@
 		now := d.clock.Now()
 		switch {
 		case granted:
-			return d.slot(p, pl, start, now, cold), nil
+			return d.slot(p, pl, &a, start, now, cold), nil
 		case refused != nil:
 			return nil, refused
 		}
@@ -204,16 +204,25 @@
 	return <-w.granted, true
 }
 
-func (d *Dispatcher) slot(p *pool, pl place, start, now time.Time, cold bool) *Slot {
+func (d *Dispatcher) slot(p *pool, pl place, a *Ask, start, now time.Time, cold bool) *Slot {
 	return &Slot{
 		Endpoint: pl.Endpoint, Waited: now.Sub(start), Cold: cold,
-		dispatcher: d, pool: p, gate: pl.gate, at: now,
+		dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt,
 	}
 }
 
+// began counts a prompt as read.
+func (d *Dispatcher) began(s *Slot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.gate.prompts -= s.prompt
+	s.prompt = 0
+}
+
 // occupy counts a request in.
-func (p *pool) occupy(pl place) {
+func (p *pool) occupy(pl place, a *Ask) {
 	pl.gate.running++
+	pl.gate.prompts += a.Prompt
 	p.running++
 	p.runningAt[pl.Name]++
 }
@@ -229,6 +238,8 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	s.gate.prompts -= s.prompt
+	s.prompt = 0
 	s.gate.settle(r, now)
 	s.pool.running--
 	if s.pool.runningAt[s.Endpoint.Name]--; s.pool.runningAt[s.Endpoint.Name] <= 0 {
@@ -288,7 +299,7 @@
 		return false
 	}
 	p.queue.Pop()
-	p.occupy(pl)
+	p.occupy(pl, &w.ask)
 	w.granted <- pl
 	return true
 }
--- a/internal/traffic/gate.go
+++ b/internal/traffic/gate.go
@@ -14,7 +14,10 @@
 	incarnation uint64
 	hall        string
 	// running counts this node's requests there.
-	running    int
+	running int
+	// prompts is the length of this node's prompts there that were not read yet,
+	// in tokens.
+	prompts    int
 	window     *choose.Window
 	health     choose.Health
 	reported   int
@@ -35,7 +38,7 @@
 // replica describes the gate to the chooser.
 func (g *gate) replica(hall string) choose.Replica {
 	return choose.Replica{
-		Engine: g.name, SameHall: g.hall == hall, Running: g.running,
+		Engine: g.name, SameHall: g.hall == hall, Running: g.running, Prompts: g.prompts,
 		Reported: g.reported, ReportedAt: g.reportedAt, Window: g.window, Health: &g.health,
 	}
 }
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -30,6 +30,8 @@
 	// Affinity is equal for requests that share the beginning of their prompts; 0
 	// for none.
 	Affinity uint64
+	// Prompt is the length of the prompt in tokens; 0 where there is none.
+	Prompt int
 }
 
 // urgent is the time by which the request wants its place.
@@ -52,6 +54,8 @@
 	pool       *pool
 	gate       *gate
 	at         time.Time
+	// prompt is the length of the prompt until it has been read.
+	prompt int
 }
 
 // Result is what became of a request at its endpoint.
@@ -70,5 +74,8 @@
 	Leaving bool
 }
 
+// Began notes that the answer has begun: the prompt has been read.
+func (s *Slot) Began() { s.dispatcher.began(s) }
+
 // Release gives the slot back and lets the next request in.
 func (s *Slot) Release(r Result) { s.dispatcher.release(s, r) }
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -141,6 +141,7 @@
 	ask := traffic.Ask{
 		Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost,
 		Budget: x.Target.Budget, Objective: x.Target.Objective, Returns: x.Target.Returns, Affinity: x.Target.Affinity,
+		Prompt: x.Target.TokensIn,
 	}
 	ran, sent := 0, 0
 	for {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -63,8 +63,9 @@
 	Cold bool
 	// Status is what the endpoint answered; 0 for none.
 	Status int
-	// FirstEvent is the time to the first event of a stream.
-	FirstEvent time.Duration
+	// FirstEvent is the time to the first event of a stream, and LongestPause the
+	// longest between two of its events.
+	FirstEvent, LongestPause time.Duration
 }
 
 // Target is what a request is for.
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -61,6 +61,7 @@
 	return []any{
 		"requestId", x.ID, "route", x.Target.Route, "version", x.Target.Version, "pool", x.Target.Pool, "attempts", t.Sent,
 		"endpoint", t.Endpoint, "status", t.Status, "cold", t.Cold, "waitedMs", t.Waited.Milliseconds(), "firstEventMs", t.FirstEvent.Milliseconds(),
+		"longestPauseMs", t.LongestPause.Milliseconds(),
 	}
 }
 
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -47,7 +47,9 @@
 	// passed on if no other endpoint answers.
 	head  http.Header
 	spare *answer
-	s     *Server
+	// slot is the place of the attempt whose answer is being relayed.
+	slot *traffic.Slot
+	s    *Server
 	// last is when the latest event was passed on, in the server's clock.
 	last int64
 }
@@ -71,7 +73,7 @@
 		if r.passed > 0 {
 			s.Metrics.Resumed.Add(1)
 		}
-		r.head = resp.Header
+		r.head, r.slot = resp.Header, slot
 		if err := r.copy(ctx, resp.Body); err != nil {
 			err = &endpoint.Error{Outcome: retry.Ran, Cause: err}
 			if ctx.Err() != nil {
@@ -183,6 +185,10 @@
 			r.done = true
 			continue
 		}
+		if r.slot != nil {
+			r.slot.Began()
+			r.slot = nil
+		}
 		r.time(now)
 		r.passed++
 	}
@@ -195,6 +201,7 @@
 		r.x.Trail.FirstEvent = time.Duration(now - r.x.Start.UnixNano())
 		r.s.Metrics.FirstToken.Record((now - r.x.Start.UnixNano()) / nanosPerMilli)
 	} else {
+		r.x.Trail.LongestPause = max(r.x.Trail.LongestPause, time.Duration(now-r.last))
 		r.s.Metrics.BetweenTokens.Record((now - r.last) / nanosPerMilli)
 	}
 	r.last = now
