placer: order under the outlasting lease too

Change: orders go out under the fence of the latest takeover; mayOrder checks right before each write whether they still may.

--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -374,10 +374,7 @@
 		end := c.o.Clock.Now()
 		c.planDue, c.planAt = false, end.Add(planShare*end.Sub(now))
 	}()
-	fence, ok := c.lease.Held(now)
-	if !ok {
-		return
-	}
+	_, fence := c.lease.Holder()
 	for _, a := range c.planner.Plan(now, fence) {
 		switch {
 		case a.Order != nil:
