caller, choose: leave a silent engine for another; eject unreached endpoints at once

Three failures in a row were needed before an endpoint that answers nothing was avoided. Change: a repeatable request that hears nothing for twice its objective (whole answers: 0.65 of it; between events: three of the pauses that are in time) is sent on to another endpoint, if there is one, attempts and the retry budget allow it; silence and unreached endpoints eject at once. Ruled out: the same for what may run once: nothing may follow there.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -184,6 +184,14 @@
 // Succeeded notes an answer.
 func (h *Health) Succeeded() { h.failures = 0 }
 
+// Silent notes that the replica gave no sign within the time that an answer may
+// take, or could not be reached. One such failure ejects: the next request would
+// wait as long.
+func (h *Health) Silent(now time.Time) {
+	h.failures = max(h.failures, ejectAfter-1)
+	h.Failed(now)
+}
+
 // Failed notes a failure and ejects after several in a row, longer each time.
 func (h *Health) Failed(now time.Time) {
 	h.failures++
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -62,6 +62,9 @@
 // Earn notes a first attempt.
 func (b *Budget) Earn() { b.left = min(b.reserve, b.left+b.share) }
 
+// Left returns how many retries may be made now.
+func (b *Budget) Left() float64 { return b.left }
+
 // Spend takes one retry, or reports false when the budget is used up.
 func (b *Budget) Spend() bool {
 	if b.left < spendable {
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -207,10 +207,17 @@
 func (d *Dispatcher) slot(p *pool, pl place, a *Ask, start, now time.Time, cold bool) *Slot {
 	return &Slot{
 		Endpoint: pl.Endpoint, Waited: now.Sub(start), Cold: cold,
-		dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt,
+		Others: max(0, len(p.endpoints)-1), dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt,
 	}
 }
 
+// MayRetry reports whether a retry budget allows another attempt now.
+func (d *Dispatcher) MayRetry(s *Slot, budget string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(s.pool, budget).Left() >= 1
+}
+
 // began counts a prompt as read.
 func (d *Dispatcher) began(s *Slot) {
 	d.mu.Lock()
--- a/internal/traffic/gate.go
+++ b/internal/traffic/gate.go
@@ -52,6 +52,8 @@
 	case r.Full:
 		g.window.Full(now)
 	case r.NotBegun:
+	case r.Silent:
+		g.health.Silent(now)
 	case r.Err != nil:
 		g.health.Failed(now)
 	default:
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -49,6 +49,8 @@
 	Waited time.Duration
 	// Cold is true when no endpoint was ready on arrival.
 	Cold bool
+	// Others is how many other endpoints the pool had then.
+	Others int
 
 	dispatcher *Dispatcher
 	pool       *pool
@@ -66,6 +68,8 @@
 	Full bool
 	// NotBegun is true when the endpoint is well but did not take the request.
 	NotBegun bool
+	// Silent is true when the endpoint gave no sign in time or was not reached.
+	Silent bool
 	// Missing is true when the engine does not hold what the request is for.
 	Missing bool
 	// Running is the load the endpoint reported; negative if none.
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -97,8 +97,10 @@
 	// got is the latest whole answer, be it a failure.
 	var got *answer
 	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error) {
+		ctx, st := s.watchStall(ctx, x, slot)
+		defer st.end()
 		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, ""))
-		if err != nil {
+		if err = st.explain(err); err != nil {
 			return failed(err), err
 		}
 		defer resp.Body.Close()
@@ -107,7 +109,7 @@
 			err = errors.New("the answer is longer than limits.answerBytes")
 		}
 		if err != nil {
-			err = &endpoint.Error{Outcome: retry.Ran, Cause: err}
+			err = st.explain(&endpoint.Error{Outcome: retry.Ran, Cause: err})
 			return failed(err), err
 		}
 		got = &answer{status: resp.StatusCode, header: resp.Header, body: body}
@@ -164,6 +166,9 @@
 		if outcome != retry.NotSent {
 			ran++
 		}
+		if s.Clock.Now().After(x.Deadline) && outcome != retry.NotSent {
+			return refusal.New(refusal.TimedOut, "%s did not answer in time: %v", slot.Endpoint.Name, err)
+		}
 		if ctx.Err() != nil || !retry.MayRepeat(outcome, x.Target.OnceOnly) || ran >= x.Target.attempts() || s.Clock.Now().After(x.Deadline) {
 			return endOf(outcome, x, err)
 		}
@@ -210,6 +215,7 @@
 	var e *endpoint.Error
 	if errors.As(err, &e) {
 		r.Full, r.Missing, r.Leaving = e.Full, e.Missing, e.Gone
+		r.Silent = e.Unreached || errors.Is(e.Cause, errStalled)
 		if e.Outcome == retry.NotSent && e.Refused {
 			// The endpoint is well; it only did not begin this request.
 			r.Err = nil
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -89,6 +89,9 @@
 	// Objective is the time from the start within which an answer is in time; 0
 	// for none.
 	Objective time.Duration
+	// Pause is the longest pause between two events of a stream that is in time; 0
+	// for none.
+	Pause time.Duration
 	// Returns is true when a caller that is refused at once, with the time at
 	// which to come back, will do so.
 	Returns bool
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -49,7 +49,9 @@
 	spare *answer
 	// slot is the place of the attempt whose answer is being relayed.
 	slot *traffic.Slot
-	s    *Server
+	// stall watches the attempt.
+	stall *stall
+	s     *Server
 	// last is when the latest event was passed on, in the server's clock.
 	last int64
 }
@@ -58,11 +60,13 @@
 func (s *Server) stream(ctx context.Context, x *Exchange) error {
 	r := &relay{x: x, flush: http.NewResponseController(x.W), buf: make([]byte, relayBuffer), events: s.protocol().Events(x), s: s}
 	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error) {
-		ctx, cancel := context.WithCancel(ctx)
+		whole := ctx
+		ctx, st := s.watchStall(ctx, x, slot)
 		// Closing the connection ends the run there before another one begins.
-		defer cancel()
+		defer st.end()
+		r.stall = st
 		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, r.events.Position()))
-		if err != nil {
+		if err = st.explain(err); err != nil {
 			return failed(err), err
 		}
 		defer resp.Body.Close()
@@ -75,8 +79,8 @@
 		}
 		r.head, r.slot = resp.Header, slot
 		if err := r.copy(ctx, resp.Body); err != nil {
-			err = &endpoint.Error{Outcome: retry.Ran, Cause: err}
-			if ctx.Err() != nil {
+			err = st.explain(&endpoint.Error{Outcome: retry.Ran, Cause: err})
+			if whole.Err() != nil {
 				// The caller went away; that is no fault of the endpoint.
 				return result, err
 			}
@@ -185,6 +189,7 @@
 			r.done = true
 			continue
 		}
+		r.stall.progress()
 		if r.slot != nil {
 			r.slot.Began()
 			r.slot = nil
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -65,6 +65,8 @@
 	Full bool
 	// Missing is true when the engine does not hold what the request is for.
 	Missing bool
+	// Unreached is true when no connection came about.
+	Unreached bool
 	// Gone is true when the address belongs to another endpoint by now.
 	Gone bool
 	// Cause is what happened.
@@ -166,7 +168,7 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, &Error{Outcome: outcomeOf(sent.Load()), Cause: err}
+		return nil, &Error{Outcome: outcomeOf(sent.Load()), Unreached: !sent.Load(), Cause: err}
 	}
 	return c.answered(r, resp)
 }
