placement: weigh busy engines whole; adapters wait for idle engines; ask reports when they can tell

Engines answer 409 to adapters while they carry an order out. Change: an engine with room reserved counts with the time until it is free again; adapters are ordered at idle engines only; reports are asked for when they can tell of the work's end.

--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -48,7 +48,9 @@
 		if o := e.sent; o != nil && !o.Unload && o.Unit == unit {
 			return
 		}
-		if !e.takesAdapters(g.now) || e.coming(g.now) >= adaptersComing {
+		if !e.idle(g.now) || e.coming(g.now) >= adaptersComing {
+			// Engines refuse adapters, too, while they carry an order out.
+			g.expect(unit, g.freeAt(e).Add(adapterTime))
 			continue
 		}
 		load := g.runningAt(unit.Base(), e.id)
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -22,8 +22,9 @@
 	// gainFactor is by how much a further replica must be worth more than what
 	// makes way for it.
 	gainFactor = 2
-	// swapTime is what making way adds to a load.
-	swapTime = 60 * time.Millisecond
+	// swapTime is what making way adds to a load: the unload, and the report that
+	// tells of it.
+	swapTime = unloadTime + reportAge + probeEvery
 )
 
 // planning is the state of one call of Plan.
@@ -165,8 +166,9 @@
 			if e.work == nil {
 				continue
 			}
-			if e.work.expected.After(due) {
-				due = e.work.expected
+			// Earlier reports tell of a moment before the work's end.
+			if seen := e.work.expected.Add(reportAge); seen.After(due) {
+				due = seen
 			}
 		}
 		switch {
@@ -259,7 +261,7 @@
 		s.engine.reserved = unit
 		g.loaders[unit]++
 		g.send(s.engine, &Order{
-			Unit: Unit{Service: unit.Service, Model: s.victim}, Unload: true, Expected: firstProbe, Why: "makes way for " + unit.Model,
+			Unit: Unit{Service: unit.Service, Model: s.victim}, Unload: true, Expected: unloadTime, Why: "makes way for " + unit.Model,
 		})
 		return
 	}
@@ -271,7 +273,7 @@
 	if e.service != unit.Service || e.draining || e.shape == nil || !e.known || e.unknownWeights(g.table) {
 		return nil
 	}
-	if e.models[unit.Model] != nil || e.loads(unit.Model) || e.reserved.Model != "" {
+	if e.models[unit.Model] != nil || e.loads(unit.Model) || e.reserved == unit {
 		return nil
 	}
 	s := &site{engine: e, start: g.now}
@@ -283,7 +285,12 @@
 		s.load = s.load * time.Duration(max(storeLoadsAtOnce, g.loading()+1)) / storeLoadsAtOnce
 	}
 	s.start = g.freeAt(e)
-	if e.freeMB(g.table) < model.WeightsMB {
+	free := e.freeMB(g.table)
+	if m := g.table.Model(e.reserved.Service, e.reserved.Model); m != nil {
+		s.start = s.start.Add(g.reservedLoad(e) + probeEvery)
+		free -= m.WeightsMB
+	}
+	if free < model.WeightsMB {
 		s.victim, s.loss = g.victim(e, urgent)
 		if s.victim == "" {
 			return nil
@@ -429,7 +436,7 @@
 	model := g.table.Model(unit.Service, unit.Model)
 	var best *site
 	for _, e := range g.order {
-		if !e.idle(g.now) {
+		if !e.idle(g.now) || e.reserved.Model != "" {
 			continue
 		}
 		s := g.site(e, unit, model, false)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -10,13 +10,15 @@
 
 // Times and limits of the planner.
 const (
-	// probeEvery is the time between two reports of an engine that is awaited; the
-	// reports themselves are some hundred milliseconds old.
-	probeEvery = 100 * time.Millisecond
-	// reportLag is the age that a report may have.
+	// probeEvery is the time between two reports of an engine that is awaited.
+	probeEvery = 70 * time.Millisecond
+	// reportAge is the usual age of a report, "some hundred milliseconds" by the
+	// platform's word and 200 on the deployments known; reportLag is the most that
+	// is reckoned with.
+	reportAge = 190 * time.Millisecond
 	reportLag = 400 * time.Millisecond
-	// firstProbe is when the first report after an unload is asked for.
-	firstProbe = 100 * time.Millisecond
+	// unloadTime is how long an unload takes when nothing runs.
+	unloadTime = 70 * time.Millisecond
 	// adapterTime is how long an adapter takes to come; the platform says "some
 	// milliseconds".
 	adapterTime = 12 * time.Millisecond
