placement, traffic: full models first; the hopeless refused early; loads for callers sent away

Requests for models that queue for the store had no expected time and were held to the end. An adapter dropped at once counts as an order taken: every next order met a conflict. Change: models whose engines are full, or that have one replica, are placed before models that a request waits for; what queues for the store gets an expected time, and what cannot be served in time is refused at the decision point; a model is loaded for callers that were sent away.

--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -81,6 +81,8 @@
 	Waiting int
 	// Arrivals counts the requests since the node's report before.
 	Arrivals int
+	// SentAway counts the callers told to come back since then.
+	SentAway int
 	// Urgent is the time by which the first of the waiting wants its place; zero
 	// if none waits.
 	Urgent time.Time
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -159,6 +159,49 @@
 	}
 }
 
+// TestFullReplicas checks that a busy model whose only engine is full gets another
+// replica before a model that one request waits for. Found by scpw-router trouble-1,
+// seed 1073965640535: two busy models shared one engine with 64 of 64 slots taken
+// for 15 s, while all loads that the store allows went to models with one request.
+func TestFullReplicas(t *testing.T) {
+	p := testPlanner(t, 9, map[string]Report{
+		"e1": {Holdings: directory.Holdings{Models: holds("m0", "m1")}},
+		"e2": {}, "e3": {}, "e4": {}, "e5": {}, "e6": {}, "e7": {}, "e8": {},
+	})
+	use := []Use{
+		{Unit: unit("m0"), Arrivals: 60, RunningAt: map[string]int{"e1": 4}},
+		{Unit: unit("m1"), Arrivals: 50, RunningAt: map[string]int{"e1": 4}},
+	}
+	for i := 2; i < 9; i++ {
+		use = append(use, waits(unit(fmt.Sprintf("m%d", i)), 10))
+	}
+	p.Use("n", use, at(10))
+	got := orders(p.Plan(at(10), 1))
+	if len(got) < 2 {
+		t.Fatalf("orders: %v", got)
+	}
+	if diff := cmp.Diff([]string{"unit/s/m0", "unit/s/m1"}, []string{got[0].Unit, got[1].Unit}); diff != "" {
+		t.Errorf("first orders (-want +got):\n%s", diff)
+	}
+}
+
+// TestSentAway checks that a model is loaded for callers that were sent away and
+// will be back, and that what must queue for the store has an expected time.
+func TestSentAway(t *testing.T) {
+	p := testPlanner(t, 30, map[string]Report{"e1": {}})
+	p.Use("n", []Use{waits(unit("m7"), 10), waits(unit("m8"), 20)}, at(10))
+	p.Plan(at(10), 1)
+	if got := p.ReadyAt()[unit("m8")]; !got.After(at(6000)) {
+		t.Errorf("m8 is expected after %v, want more than the load before it", got.Sub(start))
+	}
+	q := testPlanner(t, 30, map[string]Report{"e1": {Holdings: directory.Holdings{OnDisk: []string{"m8"}}}})
+	q.Use("n", []Use{{Unit: unit("m8"), Arrivals: 1, SentAway: 1}, {Unit: unit("m9"), Arrivals: 1}}, at(10))
+	q.Use("n", nil, at(11))
+	if diff := cmp.Diff([]told{{"e1", "unit/s/m8", false, false}}, orders(q.Plan(at(12), 1))); diff != "" {
+		t.Errorf("orders for a caller that was sent away (-want +got):\n%s", diff)
+	}
+}
+
 // TestLostOrder checks that an engine whose reply was lost gets no order until it
 // reported a later moment, and that the next order names what it then had taken.
 func TestLostOrder(t *testing.T) {
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -22,6 +22,9 @@
 	// gainFactor is by how much a further replica must be worth more than what
 	// makes way for it.
 	gainFactor = 2
+	// returnTime is how long a model is loaded for requests that were sent away: as
+	// long as their callers stay away at most, a third of the longest deadlines known.
+	returnTime = 8 * time.Second
 	// swapTime is what making way adds to a load: the unload, and the report that
 	// tells of it.
 	swapTime = unloadTime + reportAge + probeEvery
@@ -36,6 +39,8 @@
 	// holders and loaders count the engines that serve a model, or will.
 	holders map[Unit]int
 	loaders map[Unit]int
+	// queued counts the models for which no engine can begin a load.
+	queued int
 }
 
 // Plan returns the orders and probes that are due, given under a fence.
@@ -51,8 +56,11 @@
 	g.probes()
 	g.adapters()
 	g.reservations()
+	for _, m := range g.short() {
+		g.place(m, "its replicas are full")
+	}
 	for _, m := range g.wanted() {
-		g.place(m)
+		g.place(m, "requests wait")
 	}
 	g.replicas()
 	g.copies()
@@ -73,6 +81,9 @@
 			if u.lastUse.After(m.lastUse) {
 				m.lastUse = u.lastUse
 			}
+			if u.sentAwayAt.After(m.sentAwayAt) {
+				m.sentAwayAt = u.sentAwayAt
+			}
 			if waiting > 0 && (m.urgent.IsZero() || urgent.Before(m.urgent)) {
 				m.urgent = urgent
 			}
@@ -200,17 +211,22 @@
 	g.actions = append(g.actions, Action{Order: o})
 }
 
-// wanted returns the models that requests wait for and no engine serves or loads,
-// the most urgent first.
+// wanted returns the models that requests wait for, or were sent away for lately,
+// and no engine serves or loads: those with requests waiting first, the most urgent
+// first.
 func (g *planning) wanted() []*modelUse {
 	var out []*modelUse
 	for unit, m := range g.models {
-		if m.waiting > 0 && g.holders[unit] == 0 && g.loaders[unit] == 0 && g.table.Model(unit.Service, unit.Model) != nil {
+		asked := m.waiting > 0 || !m.sentAwayAt.IsZero() && g.now.Sub(m.sentAwayAt) < returnTime
+		if asked && g.holders[unit] == 0 && g.loaders[unit] == 0 && g.table.Model(unit.Service, unit.Model) != nil {
 			out = append(out, m)
 		}
 	}
 	sort.Slice(out, func(i, j int) bool {
 		a, b := out[i], out[j]
+		if (a.waiting > 0) != (b.waiting > 0) {
+			return a.waiting > 0
+		}
 		if !a.urgent.Equal(b.urgent) {
 			return a.urgent.Before(b.urgent)
 		}
@@ -231,8 +247,64 @@
 	loss   float64
 }
 
-// place loads a model that requests wait for where it is ready first.
-func (g *planning) place(m *modelUse) {
+// short returns the busy models whose few replicas are full, or that have but one,
+// the busiest first. They go before models that a single request waits for: they
+// serve many, and are late for all of them.
+func (g *planning) short() []*modelUse {
+	var out []*modelUse
+	for unit, m := range g.models {
+		n := g.holders[unit] + g.loaders[unit]
+		if n == 0 || n >= g.want(m) || g.table.Model(unit.Service, unit.Model) == nil {
+			continue
+		}
+		if n < 2 || g.full(unit, m) {
+			out = append(out, m)
+		}
+	}
+	sortByRate(out)
+	return out
+}
+
+// fullShare is the part of an engine's slots from which it counts as full.
+const fullShare = 0.6
+
+// full reports whether all engines that serve a model are full, by the requests
+// for all models that they run.
+func (g *planning) full(unit Unit, m *modelUse) bool {
+	if g.loaders[unit] > 0 {
+		return false
+	}
+	for _, e := range g.order {
+		if e.service != unit.Service || e.draining || !e.serves(unit.Model) {
+			continue
+		}
+		if float64(g.running(e)) < fullShare*float64(e.shape.Slots) {
+			return false
+		}
+	}
+	return true
+}
+
+// running is how many requests an engine runs, by the nodes' reports.
+func (g *planning) running(e *engine) int {
+	n := 0
+	for name := range e.models {
+		n += g.runningAt(Unit{Service: e.service, Model: name}, e.id)
+	}
+	return n
+}
+
+func sortByRate(models []*modelUse) {
+	sort.Slice(models, func(i, j int) bool {
+		if models[i].rate != models[j].rate {
+			return models[i].rate > models[j].rate
+		}
+		return models[i].unit.Pool() < models[j].unit.Pool()
+	})
+}
+
+// place loads a model where it is ready first.
+func (g *planning) place(m *modelUse, why string) {
 	model := g.table.Model(m.unit.Service, m.unit.Model)
 	var best *site
 	for _, e := range g.order {
@@ -245,6 +317,10 @@
 		}
 	}
 	if best == nil {
+		// It has to wait for a load from the store like the others before it.
+		g.queued++
+		rounds := 1 + g.queued/storeLoadsAtOnce
+		g.expect(m.unit, g.now.Add(time.Duration(1+rounds)*model.Load))
 		return
 	}
 	g.expect(m.unit, best.ready)
@@ -252,7 +328,7 @@
 		g.wake(best.start)
 		return
 	}
-	g.load(best, m.unit, "requests wait")
+	g.load(best, m.unit, why)
 }
 
 // load orders a model at a site, or makes way for it first.
@@ -407,27 +483,14 @@
 			busy = append(busy, m)
 		}
 	}
-	sort.Slice(busy, func(i, j int) bool {
-		if busy[i].rate != busy[j].rate {
-			return busy[i].rate > busy[j].rate
-		}
-		return busy[i].unit.Pool() < busy[j].unit.Pool()
-	})
+	sortByRate(busy)
 	for _, m := range busy {
 		n := g.holders[m.unit] + g.loaders[m.unit]
 		gain := m.rate / float64(n+1)
-		// The store's loads block an engine for long: they are for a second replica,
-		// or for replicas that are half full.
-		fromStore := n < 2 || m.waiting+m.running > n*g.slots(m.unit.Service)/2
-		g.spread(m.unit, gain/gainFactor, fromStore, "more replicas for a busy model")
-	}
-}
-
-func (g *planning) slots(service string) int {
-	if s := g.shape(service); s != nil {
-		return s.Slots
+		// The store's loads block an engine for long: they are for models that are
+		// short of replicas.
+		g.spread(m.unit, gain/gainFactor, false, "more replicas for a busy model")
 	}
-	return 0
 }
 
 // spread loads one more replica of a model at the idle engine where it is ready
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -194,6 +194,11 @@
 		e.taken++
 		p.began(e, o, now)
 	case Holds:
+		if o.Unload && o.Unit.Adapter != "" {
+			// An adapter that nothing uses is dropped at once, and that counts as an
+			// order taken.
+			e.taken++
+		}
 		p.done(e, o, now)
 	case Conflict:
 		e.restUntil = now.Add(refusedRest)
--- a/core/placement/use.go
+++ b/core/placement/use.go
@@ -23,6 +23,8 @@
 	rate    float64
 	rateAt  time.Time
 	lastUse time.Time
+	// sentAwayAt is when a caller was last told to come back.
+	sentAwayAt time.Time
 }
 
 // nodeUse is one node's latest report.
@@ -38,6 +40,9 @@
 	if r.Arrivals > 0 || r.Waiting > 0 {
 		u.lastUse = now
 	}
+	if r.SentAway > 0 {
+		u.sentAwayAt = now
+	}
 }
 
 func (u *use) rateNow(now time.Time) float64 {
@@ -79,4 +84,5 @@
 	waiting, running int
 	rate             float64
 	lastUse, urgent  time.Time
+	sentAwayAt       time.Time
 }
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -265,7 +265,7 @@
 		if !ok {
 			continue
 		}
-		out = append(out, placement.Use{Unit: unit, Waiting: u.Waiting, Arrivals: u.Arrivals, Urgent: u.Urgent, RunningAt: u.RunningAt})
+		out = append(out, placement.Use{Unit: unit, Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, Urgent: u.Urgent, RunningAt: u.RunningAt})
 	}
 	return out
 }
@@ -273,7 +273,7 @@
 func (c *Controller) wireUses(now time.Time) []peer.Use {
 	var out []peer.Use
 	for _, u := range c.uses(now) {
-		w := peer.Use{Pool: u.Unit.Pool(), Waiting: u.Waiting, Arrivals: u.Arrivals, RunningAt: u.RunningAt}
+		w := peer.Use{Pool: u.Unit.Pool(), Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, RunningAt: u.RunningAt}
 		if !u.Urgent.IsZero() {
 			w.UrgentInMs = u.Urgent.Sub(now).Milliseconds()
 		}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -183,14 +183,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	if len(p.endpoints) > 0 || !w.ask.Returns || p.readyAt.IsZero() {
+	if len(p.endpoints) > 0 || p.readyAt.IsZero() {
 		return nil
 	}
-	least := p.readyAt.Sub(now)
-	if now.Add(least).Before(start.Add(w.ask.Objective)) || (least+returnMargin)*returnShare > w.ask.Deadline.Sub(now) {
+	least, left := p.readyAt.Sub(now), w.ask.Deadline.Sub(now)
+	switch {
+	case least > left:
+		// Waiting would only keep its caller from asking again.
+		least = min(least, left/returnShare)
+	case now.Add(least).Before(start.Add(w.ask.Objective)), !w.ask.Returns, (least+returnMargin)*returnShare > left:
 		return nil
 	}
-	return refusal.New(refusal.CannotMakeDeadline, "%s is ready in %s, later than the objective", p.name, least.Round(time.Millisecond)).After(least + returnMargin)
+	p.sentAway++
+	return refusal.New(refusal.CannotMakeDeadline, "%s is ready in %s, later than the objective", p.name, p.readyAt.Sub(now).Round(time.Millisecond)).After(least + returnMargin)
 }
 
 // leave takes a waiter out of the queue. If it was granted a place in the same
@@ -432,6 +437,8 @@
 	Pool     string
 	Waiting  int
 	Arrivals int
+	// SentAway counts the callers told to come back since the last call.
+	SentAway int
 	// Urgent is the time by which the first of the waiting wants its place; zero
 	// if none waits.
 	Urgent time.Time
@@ -445,14 +452,14 @@
 	defer d.mu.Unlock()
 	var out []Usage
 	for _, p := range d.pools {
-		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 {
+		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.sentAway == 0 {
 			continue
 		}
-		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, RunningAt: maps.Clone(p.runningAt)}
+		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, SentAway: p.sentAway, RunningAt: maps.Clone(p.runningAt)}
 		if at, ok := p.queue.Earliest(); ok {
 			u.Urgent = at
 		}
-		p.arrivals = 0
+		p.arrivals, p.sentAway = 0, 0
 		out = append(out, u)
 	}
 	return out
--- a/internal/traffic/dispatcher_test.go
+++ b/internal/traffic/dispatcher_test.go
@@ -79,6 +79,7 @@
 		{"late, and worth coming back", 6 * time.Second, true, kindOf{refusal.CannotMakeDeadline, 6*time.Second - 500*time.Millisecond + returnMargin}},
 		{"in time", 2 * time.Second, true, kindOf{}},
 		{"a repeat waits on", 6 * time.Second, false, kindOf{}},
+		{"later than the deadline", 30 * time.Second, false, kindOf{refusal.CannotMakeDeadline, (25*time.Second-500*time.Millisecond)/3 + returnMargin}},
 		{"later than a caller stays away", 9 * time.Second, true, kindOf{}},
 		{"not known", 0, true, kindOf{}},
 	}
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -32,6 +32,8 @@
 	// turn counts the picks, so that equal endpoints take turns.
 	turn     int
 	arrivals int
+	// sentAway counts the callers told to come back.
+	sentAway int
 	// reported is the last demand report.
 	reported demand.Report
 	// coldSince is when requests began to wait without any endpoint.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -49,6 +49,7 @@
 	Pool     string `json:"pool"`
 	Waiting  int    `json:"waiting,omitempty"`
 	Arrivals int    `json:"arrivals,omitempty"`
+	SentAway int    `json:"sentAway,omitempty"`
 	// UrgentInMs is the time left until the first of the waiting wants its place.
 	UrgentInMs int64          `json:"urgentInMs,omitempty"`
 	RunningAt  map[string]int `json:"runningAt,omitempty"`
