--- /dev/null
+++ b/cmd/olivebench/days.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"olivetiller/platform/days"
+)
+
+// daysCmd writes days of disruptions for the users' bench.
+type daysCmd struct {
+	Site string `required:"" type:"existingfile" help:"The deployment's site file."`
+	Out  string `required:"" type:"path" help:"The folder to write the day files to."`
+	Mode string `default:"single" enum:"single,mix" help:"single: each kind and variant alone, early and late. mix: several drawn together."`
+	Seed uint64 `default:"1" help:"Seeds the days."`
+	Days int    `default:"40" help:"How many days a mix has."`
+}
+
+// Run implements the command.
+func (c *daysCmd) Run() error {
+	services, traffic, err := days.ReadSite(c.Site)
+	if err != nil {
+		return err
+	}
+	list := days.Single(services, traffic, c.Seed)
+	if c.Mode == "mix" {
+		list = days.Mix(services, traffic, c.Seed, c.Days)
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	for i := range list {
+		path := filepath.Join(c.Out, list[i].Name+".toml")
+		if err := os.WriteFile(path, []byte(list[i].String()), 0o644); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d days in %s\n", len(list), c.Out)
+	return nil
+}
--- /dev/null
+++ b/cmd/olivebench/soak.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"olivetiller/platform/soak"
+)
+
+// soakCmd runs the real program under faults.
+type soakCmd struct {
+	Program string        `required:"" type:"existingfile" help:"The olivetiller program to run."`
+	Dir     string        `required:"" type:"path" help:"The folder for settings and logs; those of seeds that find nothing are removed."`
+	Seed    uint64        `default:"1" help:"The first seed."`
+	Seeds   int           `default:"1" help:"How many seeds to run, one after another."`
+	Nodes   int           `default:"3" help:"How many nodes run."`
+	For     time.Duration `default:"8s" help:"How long faults are injected."`
+}
+
+// Run implements the command.
+func (c *soakCmd) Run() error {
+	found := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
+		dir := filepath.Join(c.Dir, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return err
+		}
+		r, err := soak.Run(soak.Options{Program: c.Program, Dir: dir, Seed: seed, Nodes: c.Nodes, For: c.For})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: answers %v, faults %v, violations %v\n", seed, r.Answers, r.Faults, r.Violations)
+		if len(r.Violations) > 0 {
+			found++
+			fmt.Println("  logs:", soak.Logs(dir))
+			continue
+		}
+		if err := soak.Remove(dir); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d seeds, %d with violations\n", c.Seeds, found)
+	if found > 0 {
+		return errViolations
+	}
+	return nil
+}
--- a/internal/logout/logout.go
+++ b/internal/logout/logout.go
@@ -16,22 +16,32 @@
 // maxLines bounds the lines that wait: at some 300 bytes a line, about 0.6 MB.
 const maxLines = 2048
 
-// Writer is an io.Writer that never blocks.
+// Writer is an io.Writer that never blocks. It is safe for concurrent use.
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	done    sync.WaitGroup
+	// ending is closed when no more lines are taken.
+	ending    chan struct{}
+	closeOnce sync.Once
+	done      sync.WaitGroup
 }
 
 // New returns a writer to w. Close ends it.
 func New(w io.Writer) *Writer {
-	o := &Writer{lines: make(chan []byte, maxLines)}
+	o := &Writer{lines: make(chan []byte, maxLines), ending: make(chan struct{})}
 	o.done.Go(func() { o.run(w) })
 	return o
 }
 
-// Write implements io.Writer. It keeps a copy of one line, or drops it.
+// Write implements io.Writer. It keeps a copy of one line, or drops it: for want of
+// room, or because the writer was closed.
 func (o *Writer) Write(p []byte) (int, error) {
+	select {
+	case <-o.ending:
+		o.dropped.Add(1)
+		return len(p), nil
+	default:
+	}
 	select {
 	case o.lines <- append([]byte(nil), p...):
 	default:
@@ -43,18 +53,35 @@
 // Dropped returns how many lines were dropped and not told yet.
 func (o *Writer) Dropped() int64 { return o.dropped.Load() }
 
-// Close writes what waits and ends the writer. Nothing may be written after.
+// Close writes what waits and ends the writer. Goroutines that still log may go
+// on: their lines are dropped.
 func (o *Writer) Close() {
-	close(o.lines)
+	o.closeOnce.Do(func() { close(o.ending) })
 	o.done.Wait()
 }
 
 func (o *Writer) run(w io.Writer) {
-	for line := range o.lines {
-		if n := o.dropped.Swap(0); n > 0 {
-			line = fmt.Appendf(line, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"count\":%d}\n", n)
+	for {
+		select {
+		case line := <-o.lines:
+			o.write(w, line)
+		case <-o.ending:
+			for {
+				select {
+				case line := <-o.lines:
+					o.write(w, line)
+				default:
+					return
+				}
+			}
 		}
-		// Nobody is left to tell that standard output is gone.
-		_, _ = w.Write(line)
 	}
 }
+
+func (o *Writer) write(w io.Writer, line []byte) {
+	if n := o.dropped.Swap(0); n > 0 {
+		line = fmt.Appendf(line, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"count\":%d}\n", n)
+	}
+	// Nobody is left to tell that standard output is gone.
+	_, _ = w.Write(line)
+}
