placement, traffic: split the large files by matter

Change: sites, wants and copies of models, and waiting and usage, have files of their own; nothing else.

--- /dev/null
+++ b/core/placement/site.go
@@ -0,0 +1,213 @@
+package placement
+
+import (
+	"time"
+
+	"olivetiller/core/route"
+)
+
+// reservedLoad is how long an engine will load the model that it has room reserved
+// for.
+func (g *planning) reservedLoad(e *engine) time.Duration {
+	m := g.table.Model(e.reserved.Service, e.reserved.Model)
+	if m == nil {
+		return 0
+	}
+	d, _ := loadTime(e, m)
+	return d
+}
+
+// loadTime is how long an engine takes to load a model, and whether it comes from
+// the weight store.
+func loadTime(e *engine, m *route.Model) (d time.Duration, fromStore bool) {
+	switch {
+	case e.warm[m.Name] && m.Warm > 0:
+		return m.Warm, false
+	case e.onDisk[m.Name] && m.Disk > 0:
+		return m.Disk, false
+	}
+	return m.Load, true
+}
+
+// reservations loads the models that another one made way for.
+func (g *planning) reservations() {
+	for _, e := range g.order {
+		u := e.reserved
+		if u.Model == "" || !e.idle(g.now) {
+			continue
+		}
+		e.reserved = Unit{}
+		g.loaders[u]--
+		model := g.table.Model(u.Service, u.Model)
+		if model == nil || e.models[u.Model] != nil {
+			continue
+		}
+		if s := g.site(e, u, model, true); s != nil && s.victim == "" {
+			g.load(s, u, "room was made")
+		}
+	}
+}
+
+// site is one way to load a model.
+type site struct {
+	engine *engine
+	// start is when the engine can begin; ready when the model is there.
+	start, ready time.Time
+	fromStore    bool
+	load         time.Duration
+	// victim is the model that makes way; "" for none.
+	victim string
+	loss   float64
+}
+
+// place loads a model where it is ready first.
+func (g *planning) place(m *modelUse, why string) {
+	model := g.table.Model(m.unit.Service, m.unit.Model)
+	var best *site
+	for _, e := range g.order {
+		s := g.site(e, m.unit, model, true)
+		if s == nil {
+			continue
+		}
+		if best == nil || s.ready.Before(best.ready) || s.ready.Equal(best.ready) && s.loss < best.loss {
+			best = s
+		}
+	}
+	if best == nil {
+		// It has to wait for a load from the store like the others before it.
+		g.queued++
+		rounds := 1 + g.queued/storeLoadsAtOnce
+		g.expect(m.unit, g.now.Add(time.Duration(1+rounds)*model.Load))
+		return
+	}
+	g.expect(m.unit, best.ready)
+	if best.start.After(g.now) {
+		g.wake(best.start)
+		return
+	}
+	g.load(best, m.unit, why)
+}
+
+// load orders a model at a site, or makes way for it first.
+func (g *planning) load(s *site, unit Unit, why string) {
+	if s.victim != "" {
+		s.engine.reserved = unit
+		g.loaders[unit]++
+		g.send(s.engine, &Order{
+			Unit: Unit{Service: unit.Service, Model: s.victim}, Unload: true, Expected: unloadTime, Why: "makes way for " + unit.Model,
+		})
+		return
+	}
+	g.send(s.engine, &Order{Unit: unit, FromStore: s.fromStore, Expected: s.load, Why: why})
+}
+
+// site returns how an engine could load a model; nil if it could not.
+func (g *planning) site(e *engine, unit Unit, model *route.Model, urgent bool) *site {
+	if e.service != unit.Service || e.draining || e.shape == nil || !e.known || e.unknownWeights(g.table) {
+		return nil
+	}
+	if e.models[unit.Model] != nil || e.loads(unit.Model) || e.reserved == unit {
+		return nil
+	}
+	s := &site{engine: e, start: g.now}
+	s.load, s.fromStore = loadTime(e, model)
+	if s.fromStore {
+		if !g.mayLoadFromStore(urgent, g.now) {
+			return nil
+		}
+		s.load = s.load * time.Duration(max(storeLoadsAtOnce, g.loading()+1)) / storeLoadsAtOnce
+	}
+	s.start = g.freeAt(e)
+	free := e.freeMB(g.table)
+	if m := g.table.Model(e.reserved.Service, e.reserved.Model); m != nil {
+		s.start = s.start.Add(g.reservedLoad(e) + probeEvery)
+		free -= m.WeightsMB
+	}
+	if free < model.WeightsMB {
+		s.victim, s.loss = g.victim(e, urgent)
+		if s.victim == "" {
+			return nil
+		}
+	}
+	s.ready = s.start.Add(s.load)
+	if s.victim != "" {
+		s.ready = s.ready.Add(swapTime)
+	}
+	return s
+}
+
+// freeAt returns when an engine takes the next order for a model.
+func (g *planning) freeAt(e *engine) time.Time {
+	at := g.now
+	if e.restUntil.After(at) {
+		at = e.restUntil
+	}
+	if e.sent != nil {
+		at = at.Add(probeEvery)
+		if !e.sent.Unload && e.sent.Unit.Adapter == "" {
+			at = g.now.Add(e.sent.Expected + probeEvery)
+		}
+	}
+	if e.work != nil {
+		if end := e.work.expected.Add(probeEvery); end.After(at) {
+			at = end
+		}
+		if !at.After(g.now) {
+			at = g.now.Add(probeEvery)
+		}
+	}
+	return at
+}
+
+// victim returns the model that an engine can best do without, and the loss in
+// requests a second; "" if there is none.
+func (g *planning) victim(e *engine, urgent bool) (name string, loss float64) {
+	for candidate, h := range e.models {
+		unit := Unit{Service: e.service, Model: candidate}
+		if e.leaves(candidate) {
+			return "", 0
+		}
+		l := g.loss(e, unit, h)
+		if l < 0 || (!urgent && g.runningAt(unit, e.id) > 0) {
+			continue
+		}
+		if name == "" || l < loss || l == loss && candidate < name {
+			name, loss = candidate, l
+		}
+	}
+	return name, loss
+}
+
+// loss is what the requests lose when an engine drops a model, in requests a
+// second that meet a load; below 0 if it must stay.
+func (g *planning) loss(e *engine, unit Unit, h *held) float64 {
+	m := g.models[unit]
+	if m == nil {
+		return 0
+	}
+	holders := g.holders[unit]
+	last := holders <= 1
+	switch {
+	case last && m.waiting > 0, g.now.Sub(h.since) < stayFor && m.waiting+m.running > 0:
+		return -1
+	case last && m.rate >= busyRate:
+		return -1
+	}
+	loss := m.rate / float64(max(1, holders))
+	if holders > g.want(m) {
+		loss /= gainFactor * gainFactor
+	}
+	if n := g.runningAt(unit, e.id); n > 0 {
+		// The unload waits for these to end, and the engine with it.
+		loss += float64(n)
+	}
+	return loss
+}
+
+func (g *planning) runningAt(base Unit, engine string) int {
+	n := 0
+	for unit := range g.Planner.models[base] {
+		n += g.uses[unit].runningAt(engine, g.now)
+	}
+	return n
+}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
-	"olivetiller/core/demand"
 	"olivetiller/core/queue"
 	"olivetiller/core/refusal"
 	"olivetiller/core/retry"
@@ -55,18 +53,6 @@
 	}
 }
 
-// StopWaiting refuses all requests that wait, and from here on those that would:
-// the process is about to end, and another node can still serve them.
-func (d *Dispatcher) StopWaiting() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	select {
-	case <-d.stopped:
-	default:
-		close(d.stopped)
-	}
-}
-
 // LimitRetries sets what the retry budgets made from here on allow.
 func (d *Dispatcher) LimitRetries(newBudget func() *retry.Budget) {
 	d.mu.Lock()
@@ -125,90 +111,6 @@
 	return d.wait(ctx, p, w, a, start, cold)
 }
 
-// wait blocks until the waiter is granted a place, its time is up, or it is
-// better told to come back later.
-func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiter, a Ask, start time.Time, cold bool) (*Slot, error) {
-	timer := d.clock.NewTimer(a.Deadline.Sub(start))
-	defer timer.Stop()
-	var decide <-chan time.Time
-	if a.Objective > 0 {
-		decide = d.clock.After(a.Objective / decideShare)
-	}
-	var pl place
-	for {
-		granted := true
-		var refused error
-		select {
-		case pl = <-w.granted:
-		case <-decide:
-			decide = nil
-			if refused = d.reconsider(p, w, start); refused == nil {
-				continue
-			}
-			pl, granted = d.leave(p, w)
-		case <-d.stopped:
-			refused = refusal.New(refusal.Stopping, "this node ends; %s is not served here in time", p.name)
-			pl, granted = d.leave(p, w)
-		case <-timer.Chan():
-			pl, granted = d.leave(p, w)
-		case <-ctx.Done():
-			pl, granted = d.leave(p, w)
-		}
-		now := d.clock.Now()
-		switch {
-		case granted:
-			return d.slot(p, pl, &a, start, now, cold), nil
-		case refused != nil:
-			return nil, refused
-		}
-		return nil, refusal.New(refusal.WaitedTooLong, "no place at %s came free within %s", p.name, now.Sub(start).Round(time.Millisecond))
-	}
-}
-
-const (
-	// decideShare is the part of a request's objective after which it is decided
-	// whether it waits on: by then the home has answered, and a caller that is
-	// sent away within a quarter of its objective loses little.
-	decideShare = 5
-	// returnShare is the part of its remaining time that a caller is at most
-	// willing to stay away.
-	returnShare = 3
-	// returnMargin is added to the time at which a model is expected.
-	returnMargin = 150 * time.Millisecond
-)
-
-// reconsider returns why a waiting request is better refused now: its model will
-// come too late for its objective, and the caller can come back when it is there.
-func (d *Dispatcher) reconsider(p *pool, w *waiter, start time.Time) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	if len(p.endpoints) > 0 || p.readyAt.IsZero() {
-		return nil
-	}
-	least, left := p.readyAt.Sub(now), w.ask.Deadline.Sub(now)
-	switch {
-	case least > left:
-		// Waiting would only keep its caller from asking again.
-		least = min(least, left/returnShare)
-	case now.Add(least).Before(start.Add(w.ask.Objective)), !w.ask.Returns, (least+returnMargin)*returnShare > left:
-		return nil
-	}
-	p.sentAway++
-	return refusal.New(refusal.CannotMakeDeadline, "%s is ready in %s, later than the objective", p.name, p.readyAt.Sub(now).Round(time.Millisecond)).After(least + returnMargin)
-}
-
-// leave takes a waiter out of the queue. If it was granted a place in the same
-// moment it keeps the place: giving up then would waste it.
-func (d *Dispatcher) leave(p *pool, w *waiter) (place, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if p.queue.Remove(w.item) {
-		return place{}, false
-	}
-	return <-w.granted, true
-}
-
 func (d *Dispatcher) slot(p *pool, pl place, a *Ask, start, now time.Time, cold bool) *Slot {
 	return &Slot{
 		Endpoint: pl.Endpoint, Waited: now.Sub(start), Cold: cold,
@@ -397,81 +299,3 @@
 	}
 	return out
 }
-
-// Reports returns the demand of the pools that changed since the last call, and
-// with all set of every pool that has work.
-func (d *Dispatcher) Reports(all bool) []demand.Report {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []demand.Report
-	for _, p := range d.pools {
-		if r, changed := p.report(); changed || (all && (r.Waiting > 0 || r.Running > 0)) {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// Totals is the work of all pools.
-type Totals struct {
-	Waiting      int   `json:"waiting"`
-	Running      int   `json:"running"`
-	WaitingBytes int64 `json:"waitingBytes"`
-}
-
-// Totals returns the work of all pools.
-func (d *Dispatcher) Totals() Totals {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var t Totals
-	for _, p := range d.pools {
-		t.Waiting += p.queue.Len()
-		t.Running += p.running
-		t.WaitingBytes += p.queue.Bytes()
-	}
-	return t
-}
-
-// Usage is a pool's work as the placement of models wants to know it.
-type Usage struct {
-	Pool     string
-	Waiting  int
-	Arrivals int
-	// SentAway counts the callers told to come back since the last call.
-	SentAway int
-	// Urgent is the time by which the first of the waiting wants its place; zero
-	// if none waits.
-	Urgent time.Time
-	// RunningAt counts the running requests by endpoint.
-	RunningAt map[string]int
-}
-
-// Usage returns the work of every pool that has or had any since the last call.
-func (d *Dispatcher) Usage() []Usage {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []Usage
-	for _, p := range d.pools {
-		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.sentAway == 0 {
-			continue
-		}
-		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, SentAway: p.sentAway, RunningAt: maps.Clone(p.runningAt)}
-		if at, ok := p.queue.Earliest(); ok {
-			u.Urgent = at
-		}
-		p.arrivals, p.sentAway = 0, 0
-		out = append(out, u)
-	}
-	return out
-}
-
-// Load returns the work of one pool.
-func (d *Dispatcher) Load(name string) (waiting, running int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := d.pools[name]
-	if p == nil {
-		return 0, 0
-	}
-	return p.queue.Len(), p.running
-}
--- /dev/null
+++ b/internal/traffic/usage.go
@@ -0,0 +1,86 @@
+package traffic
+
+import (
+	"maps"
+	"time"
+
+	"olivetiller/core/demand"
+)
+
+// Reports returns the demand of the pools that changed since the last call, and
+// with all set of every pool that has work.
+func (d *Dispatcher) Reports(all bool) []demand.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []demand.Report
+	for _, p := range d.pools {
+		if r, changed := p.report(); changed || (all && (r.Waiting > 0 || r.Running > 0)) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Totals is the work of all pools.
+type Totals struct {
+	Waiting      int   `json:"waiting"`
+	Running      int   `json:"running"`
+	WaitingBytes int64 `json:"waitingBytes"`
+}
+
+// Totals returns the work of all pools.
+func (d *Dispatcher) Totals() Totals {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var t Totals
+	for _, p := range d.pools {
+		t.Waiting += p.queue.Len()
+		t.Running += p.running
+		t.WaitingBytes += p.queue.Bytes()
+	}
+	return t
+}
+
+// Usage is a pool's work as the placement of models wants to know it.
+type Usage struct {
+	Pool     string
+	Waiting  int
+	Arrivals int
+	// SentAway counts the callers told to come back since the last call.
+	SentAway int
+	// Urgent is the time by which the first of the waiting wants its place; zero
+	// if none waits.
+	Urgent time.Time
+	// RunningAt counts the running requests by endpoint.
+	RunningAt map[string]int
+}
+
+// Usage returns the work of every pool that has or had any since the last call.
+func (d *Dispatcher) Usage() []Usage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Usage
+	for _, p := range d.pools {
+		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.sentAway == 0 {
+			continue
+		}
+		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, SentAway: p.sentAway, RunningAt: maps.Clone(p.runningAt)}
+		if at, ok := p.queue.Earliest(); ok {
+			u.Urgent = at
+		}
+		p.arrivals, p.sentAway = 0, 0
+		out = append(out, u)
+	}
+	return out
+}
+
+// Load returns the work of one pool.
+func (d *Dispatcher) Load(name string) (waiting, running int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[name]
+	if p == nil {
+		return 0, 0
+	}
+	return p.queue.Len(), p.running
+}
