traffic, caller, hosted, soak: a race, bounds of bodies and connections, soak's own faults

Cause: reading the diff before the landing: a slot counted the pool's endpoints without the lock; the configuration's bound on bodies and the machine's bound on descriptors were not heeded; a SIGHUP in the first moments would end the process.

--- a/cmd/olivebench/soak.go
+++ b/cmd/olivebench/soak.go
@@ -17,12 +17,23 @@
 	Seeds   int           `default:"1" help:"How many seeds to run, one after another."`
 	Nodes   int           `default:"3" help:"How many nodes run."`
 	For     time.Duration `default:"8s" help:"How long faults are injected."`
+	// Regressions adds the seeds that ever failed.
+	Regressions bool `help:"Also run the seeds that ever failed."`
 }
 
 // Run implements the command.
 func (c *soakCmd) Run() error {
+	var seeds []uint64
+	for i := range c.Seeds {
+		seeds = append(seeds, c.Seed+uint64(i))
+	}
+	if c.Regressions {
+		for _, r := range soak.Regressions {
+			seeds = append(seeds, r.Seed)
+		}
+	}
 	found := 0
-	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
+	for _, seed := range seeds {
 		dir := filepath.Join(c.Dir, fmt.Sprintf("seed-%d", seed))
 		if err := os.MkdirAll(dir, 0o755); err != nil {
 			return err
@@ -41,7 +52,7 @@
 			return err
 		}
 	}
-	fmt.Printf("%d seeds, %d with violations\n", c.Seeds, found)
+	fmt.Printf("%d seeds, %d with violations\n", len(seeds), found)
 	if found > 0 {
 		return errViolations
 	}
--- a/cmd/olivetiller/hosted.go
+++ b/cmd/olivetiller/hosted.go
@@ -26,6 +26,9 @@
 
 // runHosted runs a node on the users' platform until a signal ends it.
 func runHosted() error {
+	// First of all: a SIGHUP that nobody waits for would end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return usageError{err}
@@ -38,8 +41,6 @@
 	// Libraries write to the standard logger; their lines belong among the others.
 	log.SetFlags(0)
 	log.SetOutput(logger.Named("library").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	n, err := hosted.Start(platform.NodeSettings(s), platform.Plug(s), clockwork.NewRealClock(), logger)
 	if err != nil {
 		logger.Error("not started", "error", err.Error())
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -48,6 +48,8 @@
 	Cores float64
 	// Fenced is true where engines check fences.
 	Fenced bool
+	// Descriptors bounds open files and connections; 0 for no bound.
+	Descriptors int
 }
 
 // Platform is what speaks to the platform.
@@ -74,6 +76,9 @@
 	// idleTimeout closes connections at rest. It is above what the configurations
 	// of the platform tell, since callers use connections up to four fifths of that.
 	idleTimeout = 2 * time.Minute
+	// callerShare is the part of the descriptors, in hundredths, that callers'
+	// connections may take: each request in progress needs another to an endpoint.
+	callerShare = 50
 	// queueItems and queueBytes bound what waits for one unit.
 	queueItems = 2000
 	queueBytes = 32 << 20
@@ -160,6 +165,7 @@
 		Clock: n.clock, Logger: n.logger.Named("caller"), Dispatcher: n.traffic,
 		Limits: caller.Limits{
 			BodyBytes: bodyBytes, AnswerBytes: answerBytes, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+			Connections: s.Descriptors * callerShare / 100,
 		},
 		Endpoints: endpoint.NewClientWith(endpoint.Options{Judge: p.Judge, Dialer: p.Dialer(dialTimeout)}),
 		Metrics:   caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control.Table),
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -114,7 +114,7 @@
 func (d *Dispatcher) slot(p *pool, pl place, a *Ask, start, now time.Time, cold bool) *Slot {
 	return &Slot{
 		Endpoint: pl.Endpoint, Waited: now.Sub(start), Cold: cold,
-		Others: max(0, len(p.endpoints)-1), dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt,
+		Others: pl.others, dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt,
 	}
 }
 
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -44,6 +44,8 @@
 type place struct {
 	view.Endpoint
 	gate *gate
+	// others is how many other endpoints the pool had when the place was picked.
+	others int
 }
 
 // waiter is a request in a queue.
@@ -110,7 +112,9 @@
 	if i < 0 {
 		return place{}, false
 	}
-	return p.endpoints[(i+p.turn)%n], true
+	pl := p.endpoints[(i+p.turn)%n]
+	pl.others = n - 1
+	return pl, true
 }
 
 // home returns the endpoint that most likely keeps the beginning of a prompt.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -42,6 +42,8 @@
 	Allowed time.Duration
 	// Deadline is when the caller must have its answer or refusal.
 	Deadline time.Time
+	// BodyLimit bounds the body below the server's own limit; 0 for none.
+	BodyLimit int64
 	// Body is set by readBody and bounded by the settings.
 	Body []byte
 	// Target is set by resolve.
--- a/io/caller/resolve.go
+++ b/io/caller/resolve.go
@@ -19,7 +19,11 @@
 	return func(ctx context.Context, x *Exchange) error {
 		conn := http.NewResponseController(x.W)
 		_ = conn.SetReadDeadline(time.Now().Add(s.Limits.ReadTimeout))
-		body, err := io.ReadAll(http.MaxBytesReader(x.W, x.R.Body, s.Limits.BodyBytes))
+		limit := s.Limits.BodyBytes
+		if x.BodyLimit > 0 {
+			limit = min(limit, x.BodyLimit)
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(x.W, x.R.Body, limit))
 		if err != nil {
 			var tooLarge *http.MaxBytesError
 			if errors.As(err, &tooLarge) {
