--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -146,6 +146,10 @@
 		}
 	}
 	changed := false
+	if s.Whole && !c.listed {
+		// A holder has read the list; a node that cannot needs no more.
+		c.listed, changed = true, true
+	}
 	for _, r := range s.Instances {
 		if change := c.directory.Apply(r, now); change != directory.Unchanged {
 			changed = true
