platform, placement: drop settings and fields that nobody reads

Cause: reading the diff: the retry window, the order lease, a planner's version and an entry's age were set and never read; adapters were noted in two copies. No behaviour changes.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -61,8 +61,6 @@
 // Entry is an instance with what this node knows of its entry.
 type Entry struct {
 	Instance
-	// SeenAt is when this node last read the entry.
-	SeenAt time.Time
 	// GoneAt is when the entry is to be believed gone; zero while it is there.
 	GoneAt time.Time
 }
@@ -91,7 +89,7 @@
 		return d.vanish(e, now)
 	}
 	if e == nil {
-		d.entries[r.ID] = &Entry{Instance: *r.Instance, SeenAt: now}
+		d.entries[r.ID] = &Entry{Instance: *r.Instance}
 		return Place
 	}
 	next := *r.Instance
@@ -104,7 +102,7 @@
 	}
 	// An endpoint that leaves does not come back in the same life.
 	next.Draining = next.Draining || e.Draining
-	e.Instance, e.SeenAt, e.GoneAt = next, now, time.Time{}
+	e.Instance, e.GoneAt = next, time.Time{}
 	return change
 }
 
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -56,7 +56,6 @@
 	unit      Unit
 	unload    bool
 	fromStore bool
-	began     time.Time
 	expected  time.Time
 }
 
@@ -67,6 +66,20 @@
 	}
 }
 
+// setAdapter notes an adapter that the engine holds from a moment on.
+func (e *engine) setAdapter(u Unit, readyAt, now time.Time) {
+	if h := e.models[u.Model]; h != nil {
+		h.adapters[u.Adapter] = &adapter{readyAt: readyAt, lastUse: now}
+	}
+}
+
+// dropAdapter notes that the engine no longer holds an adapter.
+func (e *engine) dropAdapter(u Unit) {
+	if h := e.models[u.Model]; h != nil {
+		delete(h.adapters, u.Adapter)
+	}
+}
+
 // idle reports whether the engine can take an order for a model now.
 func (e *engine) idle(now time.Time) bool {
 	return e.takesAdapters(now) && e.work == nil
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -162,6 +162,5 @@
 	if o.Unload && o.Unit.Adapter == "" {
 		g.holders[o.Unit]--
 	}
-	g.version++
 	g.actions = append(g.actions, Action{Order: o})
 }
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -58,9 +58,7 @@
 	fence      uint64
 	// fenced is set once an engine has seen a higher fence.
 	fenced bool
-	// version rises whenever the holdings or the expected times change.
-	version uint64
-	wakeAt  time.Time
+	wakeAt time.Time
 }
 
 // New returns a planner that knows no engine.
@@ -120,7 +118,6 @@
 		if e == nil {
 			e = newEngine(en, now)
 			p.engines[en.ID] = e
-			p.version++
 		}
 		e.address, e.draining, e.shape = en.Address, en.Draining, shape
 	}
@@ -128,7 +125,6 @@
 	for id, e := range p.engines {
 		if !listed[id] {
 			delete(p.engines, id)
-			p.version++
 			continue
 		}
 		p.order = append(p.order, e)
@@ -188,7 +184,6 @@
 		return
 	}
 	e.sent = nil
-	p.version++
 	switch r {
 	case Accepted:
 		e.taken++
@@ -220,18 +215,13 @@
 
 // began notes that an engine carries an order out.
 func (p *Planner) began(e *engine, o *Order, now time.Time) {
-	name := o.Unit.Model
 	switch {
-	case o.Unit.Adapter != "" && o.Unload:
-		if h := e.models[name]; h != nil {
-			delete(h.adapters, o.Unit.Adapter)
-		}
-	case o.Unit.Adapter != "":
-		if h := e.models[name]; h != nil {
-			h.adapters[o.Unit.Adapter] = &adapter{readyAt: now.Add(adapterTime), lastUse: now}
-		}
+	case o.Unit.Adapter == "":
+		e.work = &work{unit: o.Unit, unload: o.Unload, fromStore: o.FromStore, expected: now.Add(o.Expected)}
+	case o.Unload:
+		e.dropAdapter(o.Unit)
 	default:
-		e.work = &work{unit: o.Unit, unload: o.Unload, fromStore: o.FromStore, began: now, expected: now.Add(o.Expected)}
+		e.setAdapter(o.Unit, now.Add(adapterTime), now)
 	}
 }
 
@@ -240,13 +230,9 @@
 	name := o.Unit.Model
 	switch {
 	case o.Unit.Adapter != "" && o.Unload:
-		if h := e.models[name]; h != nil {
-			delete(h.adapters, o.Unit.Adapter)
-		}
+		e.dropAdapter(o.Unit)
 	case o.Unit.Adapter != "":
-		if h := e.models[name]; h != nil {
-			h.adapters[o.Unit.Adapter] = &adapter{readyAt: now, lastUse: now}
-		}
+		e.setAdapter(o.Unit, now, now)
 	case o.Unload:
 		delete(e.models, name)
 		e.work = nil
@@ -286,7 +272,6 @@
 
 // resume takes a report over as the engine's state.
 func (p *Planner) resume(e *engine, r *Report, now time.Time) {
-	p.version++
 	e.adopt(r, now)
 	switch {
 	case !r.Busy:
@@ -305,9 +290,6 @@
 	}
 }
 
-// Version rises whenever what Serving or ReadyAt return may have changed.
-func (p *Planner) Version() uint64 { return p.version }
-
 // Serving returns the units that each engine whose state is known can serve now.
 func (p *Planner) Serving(now time.Time) map[string][]Unit {
 	out := make(map[string][]Unit, len(p.order))
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -39,10 +39,9 @@
 	CallerAddress, ReadyAddress, PeerAddress, MetricsAddress string
 	// StopTimeout is how long after a stop signal the process may live.
 	StopTimeout time.Duration
-	// RetryRatio, RetrySlack and RetryWindow bound what all nodes together may
-	// send again: a part of the requests, and a number, in a window.
+	// RetryRatio and RetrySlack bound what all nodes together may send again in the
+	// platform's window: a part of the requests, and a number.
 	RetryRatio, RetrySlack float64
-	RetryWindow            time.Duration
 	Loads                  placement.Limits
 	// Cores is the processor time that the machine gives, in cores.
 	Cores float64
