traffic, retry: retry budgets in use follow the number of nodes

Cause: reading the diff: LimitRetries changed only the budgets made later, and a node that was not told yet assumed eight nodes: on a site of 69 each could spend an eighth of the bound that all share. Change: budgets in use are limited too; until the holder tells, a hundred nodes are assumed. Figures: TestBudgetFollowsNodes; traffic, platform, io green.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -59,6 +59,13 @@
 	return &Budget{left: reserve, share: share, reserve: reserve}
 }
 
+// Limit changes what the budget allows; what is left beyond a smaller reserve is
+// gone.
+func (b *Budget) Limit(share, reserve float64) {
+	b.share, b.reserve = share, reserve
+	b.left = min(b.left, reserve)
+}
+
 // Earn notes a first attempt.
 func (b *Budget) Earn() { b.left = min(b.reserve, b.left+b.share) }
 
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -22,7 +22,6 @@
 	"olivetiller/core/lease"
 	"olivetiller/core/placement"
 	"olivetiller/core/queue"
-	"olivetiller/core/retry"
 	"olivetiller/core/route"
 	"olivetiller/internal/placer"
 	"olivetiller/internal/traffic"
@@ -96,8 +95,9 @@
 	// retryShare is the part of the platform's retry bound that nodes use, since
 	// each knows its own part only.
 	retryShare = 0.7
-	// assumedNodes is how many nodes share the retry bound until the holder tells.
-	assumedNodes = 8
+	// assumedNodes is how many nodes share the retry bound until the holder tells:
+	// more than on the deployments known, since all of them may start at once.
+	assumedNodes = 100
 )
 
 // Node is one running node.
@@ -187,7 +187,7 @@
 // limitRetries gives this node its part of what all may send again.
 func (n *Node) limitRetries(nodes int) {
 	part := n.s.RetrySlack * retryShare / float64(nodes)
-	n.traffic.LimitRetries(func() *retry.Budget { return retry.NewBudgetOf(n.s.RetryRatio*retryShare, max(1, part)) })
+	n.traffic.LimitRetries(n.s.RetryRatio*retryShare, max(1, part))
 }
 
 // serve answers HTTP at an address.
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -53,11 +53,15 @@
 	}
 }
 
-// LimitRetries sets what the retry budgets made from here on allow.
-func (d *Dispatcher) LimitRetries(newBudget func() *retry.Budget) {
+// LimitRetries sets what the retry budgets allow, those in use included: a share of
+// the requests and a reserve beyond.
+func (d *Dispatcher) LimitRetries(share, reserve float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.newBudget = newBudget
+	d.newBudget = func() *retry.Budget { return retry.NewBudgetOf(share, reserve) }
+	for _, b := range d.budgets {
+		b.Limit(share, reserve)
+	}
 }
 
 // budget returns the retry budget for a request of a pool.
--- a/internal/traffic/dispatcher_test.go
+++ b/internal/traffic/dispatcher_test.go
@@ -11,7 +11,6 @@
 
 	"olivetiller/core/queue"
 	"olivetiller/core/refusal"
-	"olivetiller/core/retry"
 	"olivetiller/core/view"
 )
 
@@ -111,7 +110,7 @@
 // TestSharedBudget checks that pools of one service draw on one retry budget.
 func TestSharedBudget(t *testing.T) {
 	d := newDispatcher(clockwork.NewFakeClock())
-	d.LimitRetries(func() *retry.Budget { return retry.NewBudgetOf(0, 2) })
+	d.LimitRetries(0, 2)
 	d.Update(&view.View{Endpoints: map[string][]view.Endpoint{
 		"a": {{Name: "e", Concurrency: 9}}, "b": {{Name: "f", Concurrency: 9}},
 	}}, nil)
@@ -124,3 +123,22 @@
 		t.Errorf("refusals (-want +got):\n%s", diff)
 	}
 }
+
+// TestBudgetFollowsNodes checks that budgets in use shrink when more nodes turn out
+// to share the platform's bound. Found by reading: a budget made while the node
+// assumed eight kept an eighth of the bound on a site of 69.
+func TestBudgetFollowsNodes(t *testing.T) {
+	d := newDispatcher(clockwork.NewFakeClock())
+	d.Update(&view.View{Endpoints: map[string][]view.Endpoint{"a": {{Name: "e", Concurrency: 9}}}}, nil)
+	retryOnce := func() refusal.Kind {
+		_, err := d.Acquire(context.Background(), "a", Ask{Deadline: d.clock.Now().Add(time.Second), Retry: true, Budget: "s"})
+		return kind(err).Kind
+	}
+	d.LimitRetries(0, 6)
+	got := []refusal.Kind{retryOnce()}
+	d.LimitRetries(0, 1)
+	got = append(got, retryOnce(), retryOnce())
+	if diff := cmp.Diff([]refusal.Kind{"", "", refusal.NoEndpoint}, got); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+}
