caller: a refusal after a run is no promise that nothing ran

The platform's rule speaks of requests that may run once, which never get there; the promise is ours for all. Change: what is told at the end speaks of all attempts: 502 once one may have run. Ruled out: requests that may run once: nothing follows an attempt that may have run.

--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -149,10 +149,11 @@
 	for {
 		slot, err := s.Dispatcher.Acquire(ctx, x.Target.Pool, ask)
 		if err != nil {
-			if sent > ran || ran == 0 {
+			if ran == 0 {
 				return err
 			}
-			return endOf(retry.Ran, x, err)
+			// An earlier attempt may have run: that no place is left is no promise.
+			return endOf(retry.MaybeRun, x, err)
 		}
 		s.noteSlot(x, slot)
 		sent++
@@ -169,6 +170,10 @@
 		if s.Clock.Now().After(x.Deadline) && outcome != retry.NotSent {
 			return refusal.New(refusal.TimedOut, "%s did not answer in time: %v", slot.Endpoint.Name, err)
 		}
+		if outcome == retry.NotSent && ran > 0 {
+			// What is told at the end speaks of all attempts.
+			outcome = retry.MaybeRun
+		}
 		if ctx.Err() != nil || !retry.MayRepeat(outcome, x.Target.OnceOnly) || ran >= x.Target.attempts() || s.Clock.Now().After(x.Deadline) {
 			return endOf(outcome, x, err)
 		}
