caller: attempts that did not begin stay free of the retry budget

Its change turned 'not begun' into 'may have run' before the decision about the next attempt, so that attempts which did not begin drew on the retry budget and did not pause. Ruled out: load: the test alone was red 3 of 3 times without this change. Change: only what is told at the end speaks of all attempts. Figures: the test green 3 of 3 times, TestRefusalAfterRun green.

--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -170,11 +170,11 @@
 		if s.Clock.Now().After(x.Deadline) && outcome != retry.NotSent {
 			return refusal.New(refusal.TimedOut, "%s did not answer in time: %v", slot.Endpoint.Name, err)
 		}
-		if outcome == retry.NotSent && ran > 0 {
-			// What is told at the end speaks of all attempts.
-			outcome = retry.MaybeRun
-		}
 		if ctx.Err() != nil || !retry.MayRepeat(outcome, x.Target.OnceOnly) || ran >= x.Target.attempts() || s.Clock.Now().After(x.Deadline) {
+			if ran > 0 && outcome == retry.NotSent {
+				// What is told at the end speaks of all attempts.
+				outcome = retry.MaybeRun
+			}
 			return endOf(outcome, x, err)
 		}
 		s.Metrics.Retries.Add(outcome.String(), 1)
