placer, placement: slices.Equal for a copy of it; an unread field; a comment that was no longer true

Cause: reading the whole change once more. Change: board.go had a slice comparison of its own; engine.hall was set and never read; copies() said that one load is left for requests, which copiesAtOnce decides now. No behaviour changes, no test touched.

--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -5,7 +5,7 @@
 const copyLimit = 0.3
 
 // copies loads models that no engine keeps a copy of, so that the first request
-// for them does not wait for the weight store. One load is left for requests.
+// for them does not wait for the weight store.
 func (g *planning) copies() {
 	for i := range g.table.Config.Services {
 		s := &g.table.Config.Services[i]
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -10,9 +10,9 @@
 
 // engine is what the holder knows of one engine.
 type engine struct {
-	id, address, hall, service string
-	draining                   bool
-	shape                      *route.Engine
+	id, address, service string
+	draining             bool
+	shape                *route.Engine
 	// known is false while the engine's state is in doubt: it gets no orders
 	// until it has reported.
 	known bool
@@ -61,7 +61,7 @@
 
 func newEngine(e *directory.Entry, now time.Time) *engine {
 	return &engine{
-		id: e.ID, address: e.Address, hall: e.Hall, service: e.Service, doubtSince: now,
+		id: e.ID, address: e.Address, service: e.Service, doubtSince: now,
 		models: make(map[string]*held), warm: make(map[string]bool), onDisk: make(map[string]bool),
 	}
 }
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -177,7 +178,7 @@
 		for _, u := range units {
 			pools = append(pools, u.Pool())
 		}
-		if old, ok := b.serving[id]; !ok || !equal(old.pools, pools) {
+		if old, ok := b.serving[id]; !ok || !slices.Equal(old.pools, pools) {
 			b.serving[id] = shown{pools, next}
 			delete(b.goneAt, id)
 			changed = true
@@ -227,18 +228,6 @@
 	return news
 }
 
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // snapshot returns what changed since the snapshot that a node has; ok is false
 // when this node is no holder. urgent is true when the node should hear at once:
 // of what its requests wait for, of a configuration, or of endpoints that come
