placement, caller: what can still be in time first; no wait beyond the caller's own

Cause: models were loaded in the order in which their requests had come. And waits went on until the callers had left: they give a stream up after 4 objectives, 10 s of 25 allowed for ballot proofs.

Change: a report tells the next time at which a waiting request wants its place and the last one; models for which a request can be in time, and busy ones, go first; engines' time is claimed within a plan, so that the expected times told to nodes are honest; a wait ends when the caller would leave, and is refused early if the model comes later.

--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -16,8 +16,8 @@
 		if unit.Adapter == "" {
 			continue
 		}
-		if waiting, _, urgent := u.sums(g.now); waiting > 0 {
-			wishes = append(wishes, wish{unit, urgent})
+		if s := u.sums(g.now); s.waiting > 0 {
+			wishes = append(wishes, wish{unit, s.urgent})
 		}
 	}
 	sort.Slice(wishes, func(i, j int) bool {
@@ -109,6 +109,5 @@
 	if u == nil {
 		return false
 	}
-	waiting, _, _ := u.sums(g.now)
-	return waiting > 0 || u.runningAt(engine, g.now) > 0
+	return u.sums(g.now).waiting > 0 || u.runningAt(engine, g.now) > 0
 }
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -83,9 +83,9 @@
 	Arrivals int
 	// SentAway counts the callers told to come back since then.
 	SentAway int
-	// Urgent is the time by which the first of the waiting wants its place; zero
-	// if none waits.
-	Urgent time.Time
+	// Urgent is the next time by which one of the waiting wants its place, a past
+	// one if all are late; Last is when the last of them does. Zero if none waits.
+	Urgent, Last time.Time
 	// RunningAt counts the running requests by engine.
 	RunningAt map[string]int
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -89,7 +89,9 @@
 	return out
 }
 
-func waits(u Unit, ms int) Use { return Use{Unit: u, Waiting: 1, Arrivals: 1, Urgent: at(ms)} }
+func waits(u Unit, ms int) Use {
+	return Use{Unit: u, Waiting: 1, Arrivals: 1, Urgent: at(ms), Last: at(ms)}
+}
 
 // TestPlan checks what is ordered for requests that wait.
 func TestPlan(t *testing.T) {
@@ -185,6 +187,36 @@
 	}
 }
 
+// TestInTimeFirst checks that a model whose requests can still be in time goes before
+// those whose requests are late already, and a busy model before both. Found by
+// scpw-router trouble-1: after a burst the models were loaded in the order in which
+// their requests had come, and for 15 s every ballot proof was late.
+func TestInTimeFirst(t *testing.T) {
+	tests := []struct {
+		name string
+		use  []Use
+		want string
+	}{
+		{"in time first", []Use{waits(unit("m1"), 100), waits(unit("m2"), 2500)}, "unit/s/m2"},
+		{"one of two can be in time", []Use{{Unit: unit("m1"), Waiting: 2, Arrivals: 2, Urgent: at(100), Last: at(2400)}, waits(unit("m2"), 2500)}, "unit/s/m1"},
+		{"all late, in their order", []Use{waits(unit("m1"), 200), waits(unit("m2"), 100)}, "unit/s/m2"},
+		{"busy first", []Use{{Unit: unit("m1"), Waiting: 9, Arrivals: 9, Urgent: at(100), Last: at(400)}, waits(unit("m2"), 2500)}, "unit/s/m1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := testPlanner(t, 5, map[string]Report{"e1": {Holdings: directory.Holdings{Models: holds("m0"), OnDisk: []string{"m1", "m2"}}}})
+			p.Use("n", tt.use, at(10))
+			got := orders(p.Plan(at(10), 1))
+			if diff := cmp.Diff([]told{{"e1", tt.want, false, false}}, got); diff != "" {
+				t.Errorf("orders (-want +got):\n%s", diff)
+			}
+			if len(p.ReadyAt()) != 2 {
+				t.Errorf("ReadyAt = %v, want a time for both", p.ReadyAt())
+			}
+		})
+	}
+}
+
 // TestSentAway checks that a model is loaded for callers that were sent away and
 // will be back, and that what must queue for the store has an expected time.
 func TestSentAway(t *testing.T) {
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -38,6 +38,8 @@
 	// holders and loaders count the engines that serve a model, or will.
 	holders map[Unit]int
 	loaders map[Unit]int
+	// claimed is until when an engine's time is planned for models that wait.
+	claimed map[*engine]time.Time
 	// queued counts the models for which no engine can begin a load.
 	queued int
 }
@@ -50,7 +52,7 @@
 	p.fence = fence
 	p.wakeAt = time.Time{}
 	p.endWork(now)
-	g := &planning{Planner: p, now: now, models: p.modelUses(now), holders: make(map[Unit]int), loaders: make(map[Unit]int)}
+	g := &planning{Planner: p, now: now, models: p.modelUses(now), holders: make(map[Unit]int), loaders: make(map[Unit]int), claimed: make(map[*engine]time.Time)}
 	clear(p.readyAt)
 	g.count()
 	g.probes()
@@ -59,9 +61,7 @@
 	for _, m := range g.short() {
 		g.place(m, "its replicas are full")
 	}
-	for _, m := range g.wanted() {
-		g.place(m, "requests wait")
-	}
+	g.serve(g.wanted())
 	g.replicas()
 	g.copies()
 	return g.actions
@@ -74,9 +74,12 @@
 		m := &modelUse{unit: base}
 		for unit := range units {
 			u := p.uses[unit]
-			waiting, running, urgent := u.sums(now)
-			m.waiting += waiting
-			m.running += running
+			s := u.sums(now)
+			m.waiting += s.waiting
+			m.running += s.running
+			if s.waiting > 0 {
+				m.add(s.due, now)
+			}
 			m.rate += u.rateNow(now)
 			if u.lastUse.After(m.lastUse) {
 				m.lastUse = u.lastUse
@@ -84,9 +87,6 @@
 			if u.sentAwayAt.After(m.sentAwayAt) {
 				m.sentAwayAt = u.sentAwayAt
 			}
-			if waiting > 0 && (m.urgent.IsZero() || urgent.Before(m.urgent)) {
-				m.urgent = urgent
-			}
 		}
 		out[base] = m
 	}
--- a/core/placement/property_test.go
+++ b/core/placement/property_test.go
@@ -145,10 +145,10 @@
 	for i := range 7 {
 		switch rapid.IntRange(0, 12).Draw(f.t, "use") {
 		case 0:
-			uses = append(uses, Use{Unit: unit(fmt.Sprintf("m%d", i)), Waiting: 1, Arrivals: 1, Urgent: f.now.Add(time.Second)})
+			uses = append(uses, Use{Unit: unit(fmt.Sprintf("m%d", i)), Waiting: 1, Arrivals: 1, Urgent: f.now.Add(time.Second), Last: f.now.Add(time.Second)})
 		case 1:
 			u := Unit{Service: "s", Model: fmt.Sprintf("m%d", i), Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(f.t, "adapter"))}
-			uses = append(uses, Use{Unit: u, Waiting: 1, Arrivals: 1, Urgent: f.now.Add(time.Second)})
+			uses = append(uses, Use{Unit: u, Waiting: 1, Arrivals: 1, Urgent: f.now.Add(time.Second), Last: f.now.Add(time.Second)})
 		}
 	}
 	f.p.Use("n", uses, f.now)
--- a/core/placement/site.go
+++ b/core/placement/site.go
@@ -61,7 +61,10 @@
 }
 
 // place loads a model where it is ready first.
-func (g *planning) place(m *modelUse, why string) {
+func (g *planning) place(m *modelUse, why string) { g.settle(m, g.best(m), why) }
+
+// best returns where a model is ready first; nil if it can be loaded nowhere.
+func (g *planning) best(m *modelUse) *site {
 	model := g.table.Model(m.unit.Service, m.unit.Model)
 	var best *site
 	for _, e := range g.order {
@@ -73,19 +76,26 @@
 			best = s
 		}
 	}
-	if best == nil {
+	return best
+}
+
+// settle loads a model at a site, or claims the engine's time for it.
+func (g *planning) settle(m *modelUse, s *site, why string) {
+	if s == nil {
+		model := g.table.Model(m.unit.Service, m.unit.Model)
 		// It has to wait for a load from the store like the others before it.
 		g.queued++
 		rounds := 1 + g.queued/storeLoadsAtOnce
 		g.expect(m.unit, g.now.Add(time.Duration(1+rounds)*model.Load))
 		return
 	}
-	g.expect(m.unit, best.ready)
-	if best.start.After(g.now) {
-		g.wake(best.start)
+	g.expect(m.unit, s.ready)
+	if s.start.After(g.now) {
+		g.wake(s.start)
+		g.claimed[s.engine] = s.ready
 		return
 	}
-	g.load(best, m.unit, why)
+	g.load(s, m.unit, why)
 }
 
 // load orders a model at a site, or makes way for it first.
@@ -146,6 +156,9 @@
 	if e.restUntil.After(at) {
 		at = e.restUntil
 	}
+	if c := g.claimed[e]; c.After(at) {
+		at = c
+	}
 	if e.sent != nil {
 		at = at.Add(probeEvery)
 		if !e.sent.Unload && e.sent.Unit.Adapter == "" {
--- a/core/placement/use.go
+++ b/core/placement/use.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"olivetiller/core/queue"
 )
 
 // Times of the reports of use.
@@ -49,22 +51,43 @@
 	return u.rate * math.Exp(-now.Sub(u.rateAt).Seconds()/rateTime.Seconds())
 }
 
-// sums returns the waiting and running requests of all nodes, and when the first
-// of the waiting wants its place.
-func (u *use) sums(now time.Time) (waiting, running int, urgent time.Time) {
+// sums is the use of a unit over all nodes.
+type sums struct {
+	waiting, running int
+	// due is when the waiting want their places.
+	due
+}
+
+// due is when waiting requests want their places: the next time, a past one if all
+// are late, and the last. Both are zero if none waits.
+type due struct{ urgent, last time.Time }
+
+// add takes other waiting requests in.
+func (d *due) add(o due, now time.Time) {
+	if d.urgent.IsZero() || queue.Sooner(o.urgent, d.urgent, now) {
+		d.urgent = o.urgent
+	}
+	if o.last.After(d.last) {
+		d.last = o.last
+	}
+}
+
+// sums adds the nodes' reports up.
+func (u *use) sums(now time.Time) sums {
+	var s sums
 	for _, n := range u.nodes {
 		if now.Sub(n.at) > useLife {
 			continue
 		}
-		waiting += n.Waiting
+		s.waiting += n.Waiting
 		for _, k := range n.RunningAt {
-			running += k
+			s.running += k
 		}
-		if n.Waiting > 0 && (urgent.IsZero() || n.Urgent.Before(urgent)) {
-			urgent = n.Urgent
+		if n.Waiting > 0 {
+			s.add(due{n.Urgent, n.Last}, now)
 		}
 	}
-	return waiting, running, urgent
+	return s
 }
 
 // runningAt returns the running requests at one engine.
@@ -80,9 +103,8 @@
 
 // modelUse is the use of a model with all its adapters.
 type modelUse struct {
-	unit             Unit
-	waiting, running int
-	rate             float64
-	lastUse, urgent  time.Time
-	sentAwayAt       time.Time
+	unit Unit
+	sums
+	rate                float64
+	lastUse, sentAwayAt time.Time
 }
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -28,6 +28,24 @@
 	return out
 }
 
+// serve places models that requests wait for. Those for which a request can still be
+// in time go first, and so do busy ones, of which later requests have the use: when
+// the engines cannot keep up, to serve the late ones first would make all late.
+func (g *planning) serve(models []*modelUse) {
+	var late []*modelUse
+	for _, m := range models {
+		s := g.best(m)
+		if m.waiting > 0 && m.rate < busyRate && (s == nil || s.ready.After(m.last)) {
+			late = append(late, m)
+			continue
+		}
+		g.settle(m, s, "requests wait")
+	}
+	for _, m := range late {
+		g.place(m, "late requests wait")
+	}
+}
+
 // short returns the busy models whose few replicas are full, or that have but one,
 // the busiest first. They go before models that a single request waits for: they
 // serve many, and are late for all of them.
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -132,6 +132,32 @@
 	return deadline, ok
 }
 
+// Due returns the first deadline after now, or the earliest one if all are past, and
+// the last deadline; ok is false when none waits.
+func (q *Queue) Due(now time.Time) (next, last time.Time, ok bool) {
+	for _, f := range q.active {
+		for _, it := range f.items {
+			d := it.Deadline
+			if !ok || Sooner(d, next, now) {
+				next = d
+			}
+			if d.After(last) {
+				last = d
+			}
+			ok = true
+		}
+	}
+	return next, last, ok
+}
+
+// Sooner reports whether deadline a goes before b: those that are not past go first.
+func Sooner(a, b, now time.Time) bool {
+	if past := !a.After(now); past != !b.After(now) {
+		return !past
+	}
+	return a.Before(b)
+}
+
 // take removes the item from its flow and the flow from the queue if idle.
 func (q *Queue) take(it *Item) {
 	f := it.flow
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -437,6 +437,7 @@
 		u := placement.Use{Unit: unit, Waiting: w.Waiting, Arrivals: w.Arrivals, SentAway: w.SentAway, RunningAt: w.RunningAt}
 		if w.Waiting > 0 {
 			u.Urgent = now.Add(time.Duration(w.UrgentInMs) * time.Millisecond)
+			u.Last = now.Add(time.Duration(w.LastInMs) * time.Millisecond)
 		}
 		uses = append(uses, u)
 	}
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -269,7 +269,7 @@
 		if !ok {
 			continue
 		}
-		out = append(out, placement.Use{Unit: unit, Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, Urgent: u.Urgent, RunningAt: u.RunningAt})
+		out = append(out, placement.Use{Unit: unit, Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, Urgent: u.Urgent, Last: u.Last, RunningAt: u.RunningAt})
 	}
 	return out
 }
@@ -279,7 +279,7 @@
 	for _, u := range c.uses(now) {
 		w := peer.Use{Pool: u.Unit.Pool(), Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, RunningAt: u.RunningAt}
 		if !u.Urgent.IsZero() {
-			w.UrgentInMs = u.Urgent.Sub(now).Milliseconds()
+			w.UrgentInMs, w.LastInMs = u.Urgent.Sub(now).Milliseconds(), u.Last.Sub(now).Milliseconds()
 		}
 		out = append(out, w)
 	}
--- a/internal/traffic/dispatcher_test.go
+++ b/internal/traffic/dispatcher_test.go
@@ -81,6 +81,7 @@
 		{"later than the deadline", 30 * time.Second, false, kindOf{refusal.CannotMakeDeadline, (25*time.Second-500*time.Millisecond)/3 + returnMargin}},
 		{"later than a caller stays away", 9 * time.Second, true, kindOf{}},
 		{"not known", 0, true, kindOf{}},
+		{"later than a repeat's caller waits", 11 * time.Second, false, kindOf{refusal.CannotMakeDeadline, (25*time.Second-500*time.Millisecond)/3 + returnMargin}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -91,7 +92,9 @@
 				v.ReadyAt["unit/s/m"] = clock.Now().Add(tt.readyIn)
 			}
 			d.Update(v, nil)
-			done := acquire(d, "unit/s/m", Ask{Deadline: clock.Now().Add(25 * time.Second), Objective: 2500 * time.Millisecond, Returns: tt.returns})
+			done := acquire(d, "unit/s/m", Ask{
+				Deadline: clock.Now().Add(25 * time.Second), Leaves: clock.Now().Add(10 * time.Second), Objective: 2500 * time.Millisecond, Returns: tt.returns,
+			})
 			if err := clock.BlockUntilContext(t.Context(), 2); err != nil {
 				t.Fatal(err)
 			}
@@ -107,6 +110,22 @@
 	}
 }
 
+// TestLeaves checks that a waiting request is refused when its caller would leave:
+// found by scpw-router trouble-1, where 13 ballot proofs of 258 waited until their
+// callers had left after 10 s, of 25 s allowed.
+func TestLeaves(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDispatcher(clock)
+	done := acquire(d, "unit/s/m", Ask{Deadline: clock.Now().Add(25 * time.Second), Leaves: clock.Now().Add(10 * time.Second)})
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(10 * time.Second)
+	if got := kind(<-done).Kind; got != refusal.WaitedTooLong {
+		t.Errorf("kind %q, want %q", got, refusal.WaitedTooLong)
+	}
+}
+
 // TestSharedBudget checks that pools of one service draw on one retry budget.
 func TestSharedBudget(t *testing.T) {
 	d := newDispatcher(clockwork.NewFakeClock())
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -24,6 +24,9 @@
 	// Objective is the time from now within which an answer is in time; 0 for
 	// none. Among waiting requests the one whose time ends first goes first.
 	Objective time.Duration
+	// Leaves is when the caller leaves if nothing of an answer came; zero where it
+	// stays until the deadline.
+	Leaves time.Time
 	// Returns is true when the caller comes back at the time that a refusal
 	// tells, if it is refused soon.
 	Returns bool
@@ -42,6 +45,15 @@
 	return a.Deadline
 }
 
+// until is when the request stops waiting: to wait on would only keep its caller from
+// asking again.
+func (a *Ask) until() time.Time {
+	if !a.Leaves.IsZero() && a.Leaves.Before(a.Deadline) {
+		return a.Leaves
+	}
+	return a.Deadline
+}
+
 // Slot is a place at an endpoint.
 type Slot struct {
 	Endpoint view.Endpoint
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -48,9 +48,9 @@
 	Arrivals int
 	// SentAway counts the callers told to come back since the last call.
 	SentAway int
-	// Urgent is the time by which the first of the waiting wants its place; zero
-	// if none waits.
-	Urgent time.Time
+	// Urgent is the next time by which one of the waiting wants its place, a past
+	// one if all are late; Last is when the last of them does. Zero if none waits.
+	Urgent, Last time.Time
 	// RunningAt counts the running requests by endpoint.
 	RunningAt map[string]int
 }
@@ -59,15 +59,14 @@
 func (d *Dispatcher) Usage() []Usage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.clock.Now()
 	var out []Usage
 	for _, p := range d.pools {
 		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.sentAway == 0 {
 			continue
 		}
 		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, SentAway: p.sentAway, RunningAt: maps.Clone(p.runningAt)}
-		if at, ok := p.queue.Earliest(); ok {
-			u.Urgent = at
-		}
+		u.Urgent, u.Last, _ = p.queue.Due(now)
 		p.arrivals, p.sentAway = 0, 0
 		out = append(out, u)
 	}
--- a/internal/traffic/wait.go
+++ b/internal/traffic/wait.go
@@ -34,7 +34,7 @@
 // wait blocks until the waiter is granted a place, its time is up, or it is
 // better told to come back later.
 func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiter, a Ask, start time.Time, cold bool) (*Slot, error) {
-	timer := d.clock.NewTimer(a.Deadline.Sub(start))
+	timer := d.clock.NewTimer(a.until().Sub(start))
 	defer timer.Stop()
 	var decide <-chan time.Time
 	if a.Objective > 0 {
@@ -82,7 +82,7 @@
 	}
 	least, left := p.readyAt.Sub(now), w.ask.Deadline.Sub(now)
 	switch {
-	case least > left:
+	case p.readyAt.After(w.ask.until()):
 		// Waiting would only keep its caller from asking again.
 		least = min(least, left/returnShare)
 	case now.Add(least).Before(start.Add(w.ask.Objective)), !w.ask.Returns, (least+returnMargin)*returnShare > left:
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -147,6 +147,7 @@
 	}
 	ran, sent := 0, 0
 	for {
+		ask.Leaves = s.leaves(x)
 		slot, err := s.Dispatcher.Acquire(ctx, x.Target.Pool, ask)
 		if err != nil {
 			if ran == 0 {
@@ -186,6 +187,18 @@
 	}
 }
 
+// leaves is when the caller leaves if no event comes; zero where it stays until its
+// deadline.
+func (s *Server) leaves(x *Exchange) time.Time {
+	switch {
+	case x.Target.Patience <= 0:
+		return time.Time{}
+	case x.Began:
+		return s.Clock.Now().Add(x.Target.Patience)
+	}
+	return x.Start.Add(x.Target.Patience)
+}
+
 // noteAttempt logs what became of one attempt.
 func (s *Server) noteAttempt(x *Exchange, slot *traffic.Slot, n int, err error) {
 	x.Trail.Sent, x.Trail.Endpoint = n, slot.Endpoint.Name
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -94,6 +94,9 @@
 	// Pause is the longest pause between two events of a stream that is in time; 0
 	// for none.
 	Pause time.Duration
+	// Patience is how long the caller of a stream waits for its first event; 0 where
+	// it stays until its deadline.
+	Patience time.Duration
 	// Returns is true when a caller that is refused at once, with the time at
 	// which to come back, will do so.
 	Returns bool
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -50,8 +50,10 @@
 	Waiting  int    `json:"waiting,omitempty"`
 	Arrivals int    `json:"arrivals,omitempty"`
 	SentAway int    `json:"sentAway,omitempty"`
-	// UrgentInMs is the time left until the first of the waiting wants its place.
+	// UrgentInMs is the time left until the next of the waiting wants its place,
+	// LastInMs until the last one does; negative when it is past.
 	UrgentInMs int64          `json:"urgentInMs,omitempty"`
+	LastInMs   int64          `json:"lastInMs,omitempty"`
 	RunningAt  map[string]int `json:"runningAt,omitempty"`
 }
 
