placement: adapters of a model on its way out count until that is confirmed

Change: adapters and weights of the leaving model count for further adapters until a model's order was accepted, or a report confirms the end; an accepted adapter confirms nothing.

--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -80,8 +80,12 @@
 	if e.adapters() >= e.shape.AdapterSlots {
 		return true
 	}
+	free := e.freeMB(g.table)
+	if h := e.leaving(); h != nil {
+		free -= e.sizeMB(g.table, e.ended.unit.Model, h)
+	}
 	m := g.table.Model(unit.Service, unit.Model)
-	return m != nil && e.freeMB(g.table) < m.AdapterMB
+	return m != nil && free < m.AdapterMB
 }
 
 // adapterVictim returns the adapter that was used least lately and that nothing
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -110,15 +110,28 @@
 	return e.sent != nil && !e.sent.Unload && e.sent.Unit.Adapter == "" && e.sent.Unit.Model == model
 }
 
-// adapters returns how many adapters the engine holds or gets.
+// adapters returns how many adapters the engine holds or gets, those of a model
+// included whose unload may still go on: engines take adapters meanwhile.
 func (e *engine) adapters() int {
 	n := 0
 	for _, h := range e.models {
 		n += len(h.adapters)
 	}
+	if h := e.leaving(); h != nil {
+		n += len(h.adapters)
+	}
 	return n
 }
 
+// leaving returns what an unload drops that was taken as ended and is not confirmed;
+// nil if there is none.
+func (e *engine) leaving() *held {
+	if e.ended == nil || !e.ended.unload {
+		return nil
+	}
+	return e.ended.held
+}
+
 // coming returns how many adapters are on their way.
 func (e *engine) coming(now time.Time) int {
 	n := 0
@@ -136,9 +149,7 @@
 func (e *engine) freeMB(t *route.Table) float64 {
 	free := e.shape.WeightsMB
 	for name, h := range e.models {
-		if m := t.Model(e.service, name); m != nil {
-			free -= m.WeightsMB + float64(len(h.adapters))*m.AdapterMB
-		}
+		free -= e.sizeMB(t, name, h)
 	}
 	if e.work != nil && !e.work.unload && e.models[e.work.unit.Model] == nil {
 		if m := t.Model(e.service, e.work.unit.Model); m != nil {
@@ -148,6 +159,15 @@
 	return free
 }
 
+// sizeMB is the memory that a model takes with its adapters.
+func (e *engine) sizeMB(t *route.Table, name string, h *held) float64 {
+	m := t.Model(e.service, name)
+	if m == nil {
+		return 0
+	}
+	return m.WeightsMB + float64(len(h.adapters))*m.AdapterMB
+}
+
 // unknownWeights reports whether the engine holds a model whose size the
 // configuration does not tell.
 func (e *engine) unknownWeights(t *route.Table) bool {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -185,7 +185,10 @@
 	switch r {
 	case Accepted:
 		e.taken++
-		e.ended = nil
+		if o.Unit.Adapter == "" {
+			// The engine carries out one order for a model at a time.
+			e.ended = nil
+		}
 		p.began(e, o, now)
 	case Holds:
 		if o.Unload && o.Unit.Adapter != "" {
--- a/core/placement/property_test.go
+++ b/core/placement/property_test.go
@@ -143,10 +143,10 @@
 func (f *fakeFleet) demand() {
 	var uses []Use
 	for i := range 7 {
-		switch rapid.IntRange(0, 12).Draw(f.t, "use") {
+		switch rapid.IntRange(0, 8).Draw(f.t, "use") {
 		case 0:
 			uses = append(uses, Use{Unit: unit(fmt.Sprintf("m%d", i)), Waiting: 1, Arrivals: 1, Urgent: f.now.Add(time.Second), Last: f.now.Add(time.Second)})
-		case 1:
+		case 1, 2:
 			u := Unit{Service: "s", Model: fmt.Sprintf("m%d", i), Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(f.t, "adapter"))}
 			uses = append(uses, Use{Unit: u, Waiting: 1, Arrivals: 1, Urgent: f.now.Add(time.Second), Last: f.now.Add(time.Second)})
 		}
--- a/core/placement/work_test.go
+++ b/core/placement/work_test.go
@@ -106,3 +106,23 @@
 		t.Errorf("orders before a report: %v", got)
 	}
 }
+
+// TestAdaptersWhileUnloading checks that the adapters of a model that is on its way out
+// count until that is confirmed: engines take adapters meanwhile. Found by
+// krautwerk-hq trouble-2, seed 11 (LIMIT, once in nine runs), and by TestOrdersFit.
+func TestAdaptersWhileUnloading(t *testing.T) {
+	full := []directory.Held{{Model: "m0", Adapters: []string{"a1", "a2", "a4", "a5"}}, {Model: "m1"}}
+	p := testPlanner(t, 3, map[string]Report{"e1": {Holdings: directory.Holdings{Models: full, OnDisk: []string{"m0", "m1", "m2"}}}})
+	p.Use("n", []Use{waits(unit("m2"), 500), {Unit: unit("m1"), Arrivals: 60}}, at(10))
+	unload := p.Plan(at(10), 1)
+	if diff := cmp.Diff([]told{{"e1", "unit/s/m0", true, false}}, orders(unload)); diff != "" {
+		t.Fatalf("orders (-want +got):\n%s", diff)
+	}
+	p.Replied(unload[0].Order, Accepted, at(12))
+	p.Use("n", []Use{waits(Unit{Service: "s", Model: "m1", Adapter: "a3"}, 500)}, at(13))
+	for _, a := range p.Plan(at(12).Add(unloadTime+endSlack), 1) {
+		if a.Order != nil && a.Order.Unit.Adapter != "" {
+			t.Errorf("order for a fifth adapter: %v", orders([]Action{a}))
+		}
+	}
+}
