placement: unloads that wait for runs end with them, and how long is learned

Change: refused orders are tried again with a growing pause, eight times; a waiting unload counts as ended when no node reports a run any more; its duration is learned, and sites are compared with it.

--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -24,9 +24,6 @@
 	returnTime = 8 * time.Second
 	// swapTime is what making way adds to a load: the unload.
 	swapTime = unloadTime
-	// swapTimeBusy is the same for a model that runs requests: the unload waits for
-	// them, and a report tells of its end.
-	swapTimeBusy = unloadTime + reportAge + probeEvery
 )
 
 // planning is the state of one call of Plan.
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"olivetiller/core/admit"
 	"olivetiller/core/directory"
 	"olivetiller/core/route"
 )
@@ -53,7 +54,9 @@
 	// storeLoads holds when loads from the weight store began, within the window.
 	storeLoads []time.Time
 	readyAt    map[Unit]time.Time
-	fence      uint64
+	// runs follows how long unloads wait for running requests.
+	runs  admit.Estimate
+	fence uint64
 	// fenced is set once an engine has seen a higher fence.
 	fenced bool
 	wakeAt time.Time
@@ -187,7 +190,7 @@
 		e.taken++
 		if o.Unit.Adapter == "" {
 			// The engine carries out one order for a model at a time.
-			e.ended = nil
+			p.confirm(e, now)
 		}
 		p.began(e, o, now)
 	case Holds:
@@ -286,6 +289,9 @@
 	e.adopt(r, now)
 	switch {
 	case !r.Busy:
+		if e.work != nil && e.work.unload {
+			p.waited(e.work, now.Add(-reportAge))
+		}
 		e.work = nil
 	case e.work == nil:
 		// An order of somebody else is in progress; what it is for is not told.
--- a/core/placement/site.go
+++ b/core/placement/site.go
@@ -143,7 +143,7 @@
 	switch {
 	case s.victim == "":
 	case g.runningAt(Unit{Service: e.service, Model: s.victim}, e.id, g.now) > 0:
-		s.ready = s.ready.Add(swapTimeBusy)
+		s.ready = s.ready.Add(swapTime + g.runs.Mean(runTime))
 	default:
 		s.ready = s.ready.Add(swapTime)
 	}
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -12,10 +12,15 @@
 	// arrived, but its clock and ours tick differently.
 	endSlack = 10 * time.Millisecond
 	// retryAfter is the pause before the next order to an engine that refused one
-	// because its work went on for longer than known.
-	retryAfter = 60 * time.Millisecond
-	// endTries is how many orders may be refused before a report is awaited.
-	endTries = 3
+	// because its work went on for longer than known. It doubles up to retryAtMost.
+	retryAfter  = 60 * time.Millisecond
+	retryAtMost = 250 * time.Millisecond
+	// endTries is how many orders may be refused before a report is awaited: some
+	// 1.5 s, in which most requests end that an unload may wait for.
+	endTries = 8
+	// runTime is how long an unload waits for running requests before one was seen
+	// to: about half of a stream of some seconds.
+	runTime = time.Second
 )
 
 // work is an order in progress at an engine.
@@ -33,15 +38,20 @@
 	refused int
 	// held is what an unload dropped, to be restored if the work goes on.
 	held *held
+	// began is when the order was taken; waits is true for an unload that waits for
+	// running requests.
+	began time.Time
+	waits bool
 }
 
 // begin notes that an engine carries out an order for a model.
 func (p *Planner) begin(e *engine, o *Order, now time.Time) {
-	w := &work{unit: o.Unit, unload: o.Unload, fromStore: o.FromStore, expected: now.Add(o.Expected)}
+	w := &work{unit: o.Unit, unload: o.Unload, fromStore: o.FromStore, began: now, expected: now.Add(o.Expected)}
 	switch {
 	case o.Unload:
 		// The unload waits for the model's runs, whose end is not known.
-		w.timed = p.runningAt(o.Unit, e.id, now) == 0
+		w.waits = p.runningAt(o.Unit, e.id, now) > 0
+		w.timed = !w.waits
 	default:
 		// The store slows its loads down when many run.
 		w.timed = !o.FromStore
@@ -53,7 +63,14 @@
 func (p *Planner) endWork(now time.Time) {
 	for _, e := range p.order {
 		w := e.work
-		if w == nil || !w.timed || !e.known {
+		if w == nil || !e.known {
+			continue
+		}
+		if w.waits && p.runningAt(w.unit, e.id, now) == 0 {
+			// The nodes' reports are fresher than the engine's.
+			w.waits, w.timed = false, true
+		}
+		if !w.timed {
 			continue
 		}
 		if end := w.expected.Add(endSlack); now.Before(end) {
@@ -78,12 +95,27 @@
 	}
 }
 
+// confirm notes that the work taken as ended has, at the latest now.
+func (p *Planner) confirm(e *engine, now time.Time) {
+	if e.ended != nil && e.ended.unload {
+		p.waited(e.ended, now)
+	}
+	e.ended = nil
+}
+
+// waited learns from an unload how long runs hold one up.
+func (p *Planner) waited(w *work, end time.Time) {
+	if d := end.Sub(w.began) - unloadTime; d > retryAfter {
+		p.runs.Observe(d)
+	}
+}
+
 // reopen notes that the work taken as ended goes on; timed tells whether its end
 // may be guessed once more.
 func (e *engine) reopen(timed bool, now time.Time) {
 	w := e.ended
 	e.work, e.ended = w, nil
-	w.timed, w.expected = timed, now.Add(retryAfter)
+	w.timed, w.expected = timed, now.Add(min(retryAtMost, retryAfter<<max(0, w.refused-1)))
 	switch {
 	case !w.unload:
 		delete(e.models, w.unit.Model)
