--- a/core/placement/kept_test.go
+++ b/core/placement/kept_test.go
@@ -57,16 +57,16 @@
 		"e4": {Holdings: directory.Holdings{Models: holds("m3", "m4")}},
 	})
 	for _, e := range p.order[:2] {
-		// Their second places are taken by models that must stay.
-		e.models["m1"] = newHeld(at(10))
+		// Their second places are taken by a model that must stay.
+		e.models["m1"] = newHeld(at(3000))
 	}
 	p.Use("n", []Use{
-		{Unit: unit("m0"), Arrivals: 60, RunningAt: map[string]int{"e1": 6, "e2": 6}},
+		{Unit: unit("m0"), Arrivals: 60, RunningAt: map[string]int{"e2": 9}},
 		{Unit: unit("m1"), Arrivals: 1, RunningAt: map[string]int{"e1": 1, "e2": 1}},
-		waits(unit("m2"), 2500),
-	}, at(10))
+		waits(unit("m2"), 5500),
+	}, at(3000))
 	want := []told{{"e3", "unit/s/m3", true, false}}
-	if diff := cmp.Diff(want, orders(p.Plan(at(10), 1))); diff != "" {
+	if diff := cmp.Diff(want, orders(p.Plan(at(3000), 1))); diff != "" {
 		t.Errorf("orders (-want +got):\n%s", diff)
 	}
 }
