placement: a load taken as going on again keeps its adapters

After a load was taken as ended, engines took adapters; a refused order of any cause reopened the load and forgot them, and nothing counted them again when a model's order confirmed the end: a ninth adapter.

Change: what a reopened load brought is restored when it ends; an accepted adapter confirms the end of a load.

--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -188,8 +188,9 @@
 	switch r {
 	case Accepted:
 		e.taken++
-		if o.Unit.Adapter == "" {
-			// The engine carries out one order for a model at a time.
+		if o.Unit.Adapter == "" || e.ended != nil && !e.ended.unload {
+			// The engine carries out one order for a model at a time, and takes no
+			// adapter while it loads one.
 			p.confirm(e, now)
 		}
 		p.began(e, o, now)
--- a/core/placement/property_test.go
+++ b/core/placement/property_test.go
@@ -224,6 +224,8 @@
 	switch {
 	case !held:
 		return Gone
+	case e.work != nil && !e.work.Unload:
+		return Conflict
 	case adapters[o.Unit.Adapter] != o.Unload:
 		return Holds
 	}
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -36,7 +36,8 @@
 	// refused counts the orders that the engine refused since the work was taken
 	// as ended.
 	refused int
-	// held is what an unload dropped, to be restored if the work goes on.
+	// held is what an unload dropped, or a load brought, to be restored if the work
+	// goes on or ends after all.
 	held *held
 	// began is when the order was taken; waits is true for an unload that waits for
 	// running requests.
@@ -91,7 +92,11 @@
 		return
 	}
 	e.keep(p.table, w.unit.Model, now)
-	if e.models[w.unit.Model] == nil {
+	switch {
+	case e.models[w.unit.Model] != nil:
+	case w.held != nil:
+		e.models[w.unit.Model] = w.held
+	default:
 		e.models[w.unit.Model] = newHeld(now)
 	}
 }
@@ -119,6 +124,7 @@
 	w.timed, w.expected = timed, now.Add(min(retryAtMost, retryAfter<<max(0, w.refused-1)))
 	switch {
 	case !w.unload:
+		w.held = e.models[w.unit.Model]
 		delete(e.models, w.unit.Model)
 	case w.held != nil:
 		e.models[w.unit.Model] = w.held
--- a/core/placement/work_test.go
+++ b/core/placement/work_test.go
@@ -157,3 +157,33 @@
 		t.Errorf("learned wait %v, want %v", got, want)
 	}
 }
+
+// TestReopenKeepsAdapters checks that a load that is taken as going on again, because
+// the engine refused an order for whatever reason, does not lose the adapters that the
+// engine took meanwhile. Traced from krautwerk-hq scale-1, seed 44 (LIMIT, once in
+// eleven runs, with orders carried out late).
+func TestReopenKeepsAdapters(t *testing.T) {
+	p := testPlanner(t, 3, map[string]Report{"e1": {Holdings: directory.Holdings{Models: holds("m1"), OnDisk: []string{"m0"}}}})
+	adapter := func(name string) Unit { return Unit{Service: "s", Model: "m0", Adapter: name} }
+	p.Use("n", []Use{waits(unit("m0"), 500)}, at(10))
+	load := p.Plan(at(10), 1)
+	p.Replied(load[0].Order, Accepted, at(12))
+	there := at(12).Add(800*time.Millisecond + endSlack)
+	p.Use("n", []Use{waits(adapter("a1"), 900)}, there)
+	first := p.Plan(there, 1)
+	if diff := cmp.Diff([]told{{"e1", "unit/s/m0/a1", false, false}}, orders(first)); diff != "" {
+		t.Fatalf("orders (-want +got):\n%s", diff)
+	}
+	p.Replied(first[len(first)-1].Order, Accepted, there)
+	p.Use("n", []Use{waits(adapter("a2"), 900)}, there)
+	second := p.Plan(there.Add(adapterTime), 1)
+	if diff := cmp.Diff([]told{{"e1", "unit/s/m0/a2", false, false}}, orders(second)); diff != "" {
+		t.Fatalf("orders (-want +got):\n%s", diff)
+	}
+	p.Replied(second[len(second)-1].Order, Conflict, there.Add(adapterTime))
+	later := there.Add(time.Second)
+	p.Plan(later, 1)
+	if got := p.engines["e1"].adapters(); got == 0 {
+		t.Error("the adapter that the engine took is forgotten")
+	}
+}
