--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -73,6 +73,9 @@
 // delay longer than it must before it takes over.
 func New(self Record, delay time.Duration) *Lease { return &Lease{self: self, delay: delay} }
 
+// Delay sets how much longer than it must this node waits before it takes over.
+func (l *Lease) Delay(d time.Duration) { l.delay = d }
+
 // Fold takes one record in. Records at offsets already folded are passed over.
 func (l *Lease) Fold(offset uint64, r Record, now time.Time) {
 	if offset < l.end {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -42,8 +42,12 @@
 	// platform's window: a part of the requests, and a number.
 	RetryRatio, RetrySlack float64
 	Loads                  placement.Limits
-	// Cores is the processor time that the machine gives, in cores.
-	Cores float64
+	// Cores is the processor time that the machine gives, in cores; LinkMbps what its
+	// link carries.
+	Cores, LinkMbps float64
+	// Bound is the shortest time within which the platform wants a changed
+	// configuration, or an endpoint that leaves, heeded; 0 where it tells none.
+	Bound time.Duration
 	// Fenced is true where engines check fences.
 	Fenced bool
 	// Descriptors bounds open files and connections; 0 for no bound.
@@ -158,7 +162,7 @@
 		Self:  lease.Record{Holder: s.Name, Life: life, Address: s.PeerAddress},
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
 		Peers: peer.NewClient(p.Dialer(dialTimeout)), Dispatcher: n.traffic, Limits: s.Loads, Nodes: n.limitRetries,
-		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Fenced: s.Fenced,
+		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Strength: s.Cores * s.LinkMbps, Bound: s.Bound, Fenced: s.Fenced,
 	})
 	n.caller = &caller.Server{
 		Clock: n.clock, Logger: n.logger.Named("caller"), Dispatcher: n.traffic,
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -21,6 +21,8 @@
 	fence   uint64
 	version uint64
 	nodes   int
+	// successor is the node that is to take the lease after this one.
+	successor string
 	// until is when the right to order ends; zero when this node is no holder.
 	until   time.Time
 	serving map[string]shown
@@ -238,7 +240,7 @@
 	if b.life == "" {
 		return nil, false, false
 	}
-	s = &peer.Snapshot{Life: b.life, Fence: b.fence, Version: b.version, Nodes: b.nodes, Whole: q.Life != b.life}
+	s = &peer.Snapshot{Life: b.life, Fence: b.fence, Version: b.version, Nodes: b.nodes, Successor: b.successor, Whole: q.Life != b.life}
 	after := q.Version
 	if s.Whole {
 		after = 0
@@ -345,6 +347,13 @@
 	b.feed.lease, b.feed.leaseOffset = rec, offset
 }
 
+// setSuccessor sets which node is to take the lease after this one.
+func (b *board) setSuccessor(node string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.successor = node
+}
+
 // setInterest notes which pools a node's requests wait for.
 func (b *board) setInterest(node string, uses []peer.Use) {
 	pools := make(map[string]bool)
@@ -389,17 +398,18 @@
 
 // Watch implements peer.Holder.
 func (c *Controller) Watch(ctx context.Context, q peer.Question) (*peer.Snapshot, error) {
+	asked := c.o.Clock.Now()
 	w := c.holder.open(q.Node)
 	defer c.holder.close(w)
-	s, urgent, ok := c.holder.snapshot(q, c.o.Clock.Now())
+	s, urgent, ok := c.holder.snapshot(q, asked)
 	if !ok {
 		return nil, peer.ErrNotHolder
 	}
 	if urgent {
 		return s, nil
 	}
-	timeout := c.o.Clock.After(peer.WatchTime)
-	lazy := c.o.Clock.After(min(peer.WatchTime, lazyPush+time.Duration(s.Nodes)*lazyPushPerNode))
+	timeout := c.o.Clock.After(q.Wait)
+	lazy := c.o.Clock.After(min(q.Wait, lazyPush+time.Duration(s.Nodes)*lazyPushPerNode))
 	for waiting := true; waiting; {
 		select {
 		case <-w.news:
@@ -412,10 +422,12 @@
 			return nil, ctx.Err()
 		}
 	}
-	s, _, ok = c.holder.snapshot(q, c.o.Clock.Now())
+	now := c.o.Clock.Now()
+	s, _, ok = c.holder.snapshot(q, now)
 	if !ok {
 		return nil, peer.ErrNotHolder
 	}
+	s.HeldMs = now.Sub(asked).Milliseconds()
 	return s, nil
 }
 
@@ -426,7 +438,7 @@
 		return
 	}
 	now := c.o.Clock.Now()
-	c.nodes[m.r.Node] = now
+	c.nodes[m.r.Node] = follower{now, m.r.Strength}
 	uses := make([]placement.Use, 0, len(m.r.Use))
 	for _, w := range m.r.Use {
 		unit, ok := placement.ParsePool(w.Pool)
@@ -449,10 +461,11 @@
 
 // forgetNodes drops the nodes that are no longer heard of.
 func (c *Controller) forgetNodes(now time.Time) {
-	for n, at := range c.nodes {
-		if now.Sub(at) > lease.TTL {
+	for n, f := range c.nodes {
+		if now.Sub(f.heardAt) > lease.TTL {
 			delete(c.nodes, n)
 		}
 	}
 	c.setNodes(len(c.nodes) + 1)
+	c.holder.setSuccessor(c.successor(now))
 }
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -55,6 +55,11 @@
 	// TakeoverDelay is how much longer than others this node waits before it takes
 	// the lease; weak machines wait longer.
 	TakeoverDelay time.Duration
+	// Strength tells strong machines from weak ones: the holder works for all nodes.
+	Strength float64
+	// Bound is the shortest time within which the platform wants a change heeded; 0
+	// where it tells none.
+	Bound time.Duration
 	// Fenced is true where engines check fences.
 	Fenced bool
 	// Nodes is called when the number of nodes that share the traffic changes.
@@ -91,6 +96,7 @@
 // the goroutine of Run.
 type Controller struct {
 	o        Options
+	pace     pace
 	inbox    chan message
 	view     atomic.Pointer[view.View]
 	table    atomic.Pointer[route.Table]
@@ -120,7 +126,7 @@
 	// reporting is true while a report is on its way; dirty asks for another.
 	reporting, dirty bool
 	reportedAt       time.Time
-	nodes            map[string]time.Time
+	nodes            map[string]follower
 	stale            bool
 	// storeAway is when a read or an append last failed.
 	storeAway time.Time
@@ -140,7 +146,7 @@
 	c := &Controller{
 		o: o, inbox: make(chan message, inboxSize), ended: make(chan struct{}),
 		lease: lease.New(o.Self, o.TakeoverDelay), planner: placement.New(o.Limits), directory: directory.New(),
-		misses: make(map[missKey]time.Time), nodes: make(map[string]time.Time),
+		misses: make(map[missKey]time.Time), nodes: make(map[string]follower), pace: paceOf(o.Bound),
 	}
 	c.holder.init()
 	c.leaseDoubt.Store(true)
@@ -315,8 +321,8 @@
 		return false
 	}
 	n := 0
-	for _, at := range c.nodes {
-		if now.Sub(at) <= awayFresh {
+	for _, f := range c.nodes {
+		if now.Sub(f.heardAt) <= awayFresh {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,119 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/lease"
+	"olivetiller/core/queue"
+	"olivetiller/internal/traffic"
+	"olivetiller/io/peer"
+)
+
+// newController returns a controller that runs nothing.
+func newController(clock clockwork.Clock) *Controller {
+	return New(Options{
+		Self: lease.Record{Holder: "a", Life: "a-1"}, Clock: clock, Logger: hclog.NewNullLogger(),
+		Dispatcher: traffic.New(clock, "h", queue.Limits{Items: 9, Bytes: 999}, traffic.Hooks{}), TakeoverDelay: 100 * time.Millisecond,
+	})
+}
+
+// TestSuccessor checks that the strongest node that was heard lately is named.
+func TestSuccessor(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	now := clock.Now()
+	old := now.Add(-awayFresh - time.Millisecond)
+	tests := []struct {
+		name  string
+		nodes map[string]follower
+		want  string
+	}{
+		{"nobody", nil, ""},
+		{"the strongest", map[string]follower{"b": {now, 2}, "c": {now, 160}, "d": {now, 2}}, "c"},
+		{"silent nodes do not count", map[string]follower{"b": {now, 2}, "c": {old, 160}}, "b"},
+		{"equal ones by name", map[string]follower{"d": {now, 2}, "b": {now, 2}}, "b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newController(clock)
+			c.nodes = tt.nodes
+			if got := c.successor(now); got != tt.want {
+				t.Errorf("successor = %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestSuccessorTakesOver checks that the node that the holder named wants the lease
+// before the others do. Found by krautwerk-hq-grown trouble-2: when the holder froze,
+// one of 63 weak machines took over before any of the five strong ones, and could not
+// keep up: 80 nodes lost it and found it again for six seconds.
+func TestSuccessorTakesOver(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	wants := func(successor string) time.Duration {
+		c := newController(clock)
+		now := clock.Now()
+		c.lease.Fold(0, lease.Record{Holder: "b", Life: "b-1"}, now)
+		c.succeed(successor)
+		for d := time.Duration(0); ; d += 10 * time.Millisecond {
+			c.lease.CaughtUp(1, now.Add(d))
+			if c.lease.Wants(now.Add(d)) {
+				return d
+			}
+		}
+	}
+	got := []time.Duration{wants("a"), wants(""), wants("c")}
+	want := []time.Duration{lease.TTL, lease.TTL + 100*time.Millisecond, lease.TTL + 100*time.Millisecond + successorLead}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("times of the takeover (-want +got):\n%s", diff)
+	}
+}
+
+// TestSlowSnapshot checks that what a snapshot was on its way counts to the age of
+// what it relays. Found by krautwerk-hq-grown trouble-2 (DRAIN): with the holder's link
+// full, answers arrived more than a second late, and nodes that took them for fresh did
+// not read for themselves.
+func TestSlowSnapshot(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tests := []struct {
+		name     string
+		ageMs    int64
+		onTheWay time.Duration
+		want     bool
+	}{
+		{"fresh", 300, 10 * time.Millisecond, true},
+		{"old", 1400, 0, false},
+		{"slow", 300, 1100 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newController(clock)
+			heardFrom{&peer.Snapshot{Life: "b-1", Version: 1, Feed: peer.Feed{AgeMs: tt.ageMs}}, tt.onTheWay}.handle(c)
+			if got := c.isFed(); got != tt.want {
+				t.Errorf("isFed = %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestPace checks that the times follow the bound, and that what a node may believe
+// of the holder and a read of its own fit into it.
+func TestPace(t *testing.T) {
+	for _, bound := range []time.Duration{0, time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, time.Minute} {
+		p := paceOf(bound)
+		limit := max(leastBound, min(bound, mostBound))
+		if bound == 0 {
+			limit = defaultBound
+		}
+		if got := p.feedFresh + p.ownInstancesEvery; got > limit {
+			t.Errorf("bound %v: believed and read within %v, want at most %v", bound, got, limit)
+		}
+		if steady := p.holderWait + p.watch; steady >= p.feedFresh {
+			t.Errorf("bound %v: the relayed word is up to %v old, and counts for %v", bound, steady, p.feedFresh)
+		}
+	}
+}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -14,24 +14,12 @@
 
 // Times of the readers.
 const (
-	// holderWait is how long the store keeps a read of the holder open, and
-	// ownWait that of a node that reads for itself. The holder's is short, so that
-	// what it relays is known to be fresh; both bound how long a reader is blind
-	// when its connection died without a sign.
-	holderWait = 250 * time.Millisecond
-	ownWait    = time.Second
-	// readSlack is added to it for the answer.
+	// readSlack is added to the time that the store keeps a read open, for the answer.
 	readSlack = 700 * time.Millisecond
-	// instancesEvery is the least time between two reads of the list by the holder,
-	// and ownInstancesEvery by a node that reads for itself: engines record
-	// themselves all the time, and the list lags by more than that.
-	instancesEvery    = 300 * time.Millisecond
-	ownInstancesEvery = 600 * time.Millisecond
-	// retryPause is the pause after a failed read. It doubles up to retryAtMost:
+	// retryPause is the pause after a failed read. It doubles up to pace.retryAtMost:
 	// every call has its price, refused ones too, and the platform's bounds run
 	// from seconds after its return.
-	retryPause  = 250 * time.Millisecond
-	retryAtMost = time.Second
+	retryPause = 250 * time.Millisecond
 )
 
 // reader follows one topic.
@@ -57,7 +45,7 @@
 		apply: func(p logstore.Page[logstore.Config], _ bool) message { return configs{p} },
 	})
 	go follow(ctx, c, reader[logstore.Instance]{
-		name: "endpoints", every: instancesEvery, ownEvery: ownInstancesEvery, newest: s.NewestInstances, read: s.Instances, idle: c.isFed,
+		name: "endpoints", every: c.pace.instancesEvery, ownEvery: c.pace.ownInstancesEvery, newest: s.NewestInstances, read: s.Instances, idle: c.isFed,
 		apply: func(p logstore.Page[logstore.Instance], whole bool) message { return instances{p, whole} },
 	})
 	go follow(ctx, c, reader[[]byte]{
@@ -114,7 +102,7 @@
 			}
 			c.send(ctx, storeAway{})
 			c.pause(ctx, pause)
-			pause = min(2*pause, retryAtMost)
+			pause = min(2*pause, c.pace.retryAtMost)
 			continue
 		}
 		every := r.ownEvery
@@ -139,9 +127,9 @@
 // readWait is how long the store is to keep a read open.
 func (c *Controller) readWait() time.Duration {
 	if c.leading.Load() {
-		return holderWait
+		return c.pace.holderWait
 	}
-	return ownWait
+	return c.pace.ownWait
 }
 
 func (c *Controller) pause(ctx context.Context, d time.Duration) {
@@ -207,11 +195,15 @@
 			}
 		}
 	}
-	c.holder.instancesRead(now)
 	if changed {
 		c.planner.SetEngines(c.directory.Live(now), now)
 		c.stale = true
+		if c.held {
+			// Before the age of the list is told: what is new must be in it.
+			c.holder.showInstances(c.directory.Records(now))
+		}
 	}
+	c.holder.instancesRead(now)
 }
 
 // noteInstance logs a change of the list.
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -60,7 +60,7 @@
 			c.pause(ctx, tickEvery)
 			continue
 		}
-		q := peer.Question{Node: c.o.Self.Holder, Life: life, Version: version}
+		q := peer.Question{Node: c.o.Self.Holder, Life: life, Version: version, Wait: c.pace.watch}
 		if t := c.table.Load(); t != nil {
 			q.Config = t.Config.Version
 		}
@@ -79,15 +79,22 @@
 		}
 		heard = true
 		life, version = s.Life, s.Version
-		c.o.Logger.Trace("heard", "version", s.Version, "tookMs", c.o.Clock.Now().Sub(asked).Milliseconds())
-		if !c.send(ctx, heardFrom{s}) {
+		took := c.o.Clock.Now().Sub(asked)
+		c.o.Logger.Trace("heard", "version", s.Version, "tookMs", took.Milliseconds())
+		// What the way here took is not known; the way there counts with it.
+		onTheWay := max(0, took-time.Duration(s.HeldMs)*time.Millisecond)
+		if !c.send(ctx, heardFrom{s, onTheWay}) {
 			return
 		}
 	}
 }
 
 // heardFrom is the holder's answer.
-type heardFrom struct{ s *peer.Snapshot }
+type heardFrom struct {
+	s *peer.Snapshot
+	// onTheWay is how much older the snapshot may be than it says.
+	onTheWay time.Duration
+}
 
 func (m heardFrom) handle(c *Controller) {
 	r, s, now := &c.remote, m.s, c.o.Clock.Now()
@@ -110,7 +117,8 @@
 		r.readyAt[pool] = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	c.setNodes(s.Nodes)
-	c.feed(s, now)
+	c.succeed(s.Successor)
+	c.feed(s, now, m.onTheWay)
 }
 
 // fedMark says how fresh the relayed word of the store is.
@@ -119,20 +127,14 @@
 	at time.Time
 }
 
-// feedFresh is how old the relayed word of the store may be before a node reads
-// for itself: more than the holder's reads and the pauses of its answers take
-// together, and less than the 2 s within which the platform wants a configuration
-// or a leaving endpoint heeded, by a read of one's own.
-const feedFresh = 1300 * time.Millisecond
-
 // isFed reports whether the holder relays the store well enough.
 func (c *Controller) isFed() bool {
 	m := c.fed.Load()
-	return m != nil && !c.leading.Load() && c.o.Clock.Now().Sub(m.at) <= feedFresh
+	return m != nil && !c.leading.Load() && c.o.Clock.Now().Sub(m.at) <= c.pace.feedFresh
 }
 
 // feed takes over what the holder read of the store.
-func (c *Controller) feed(s *peer.Snapshot, now time.Time) {
+func (c *Controller) feed(s *peer.Snapshot, now time.Time, onTheWay time.Duration) {
 	if s.Lease.Holder != "" {
 		// That the record is on the log is what counts; its age is taken from now,
 		// which can only delay a takeover.
@@ -160,7 +162,7 @@
 		c.planner.SetEngines(c.directory.Live(now), now)
 		c.stale = true
 	}
-	c.fed.Store(&fedMark{at: now.Add(-time.Duration(s.AgeMs) * time.Millisecond)})
+	c.fed.Store(&fedMark{at: now.Add(-onTheWay - time.Duration(s.AgeMs)*time.Millisecond)})
 }
 
 func (c *Controller) setNodes(n int) {
@@ -244,7 +246,7 @@
 		return
 	}
 	c.dirty, c.reportedAt, c.reporting = false, now, true
-	r := &peer.Report{Node: c.o.Self.Holder, Use: c.wireUses(now), Misses: c.newMiss}
+	r := &peer.Report{Node: c.o.Self.Holder, Strength: c.o.Strength, Use: c.wireUses(now), Misses: c.newMiss}
 	c.newMiss = nil
 	go func() {
 		err := c.o.Peers.Report(ctx, h.Address, r)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -6,7 +6,7 @@
 // lapse of either costs time only, never a promise. The model: a node posts a
 // [Report] of its use, and asks for a [Snapshot] of what changed since the one
 // that it has; the holder answers that when something changed, or after
-// [WatchTime] with nothing, which shows that it lives.
+// [Question.Wait] with nothing, which shows that it lives.
 //
 // The platform hands out no keys, so these messages are not authenticated; the
 // addresses are reached from the system's own machines only.
@@ -14,6 +14,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,6 +24,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"olivetiller/core/directory"
@@ -32,9 +35,9 @@
 
 // Times of the protocol.
 const (
-	// WatchTime is how long the holder keeps a question open.
-	WatchTime = 500 * time.Millisecond
-	// callTime is added to it for the way there and back; nodes are a few
+	// maxWait bounds how long the holder keeps a question open.
+	maxWait = 5 * time.Second
+	// callTime is added to that time for the way there and back; nodes are a few
 	// milliseconds apart.
 	callTime = 700 * time.Millisecond
 	// maxMessage bounds a message.
@@ -65,9 +68,11 @@
 
 // Report is what a node tells the holder.
 type Report struct {
-	Node   string `json:"node"`
-	Use    []Use  `json:"use"`
-	Misses []Miss `json:"misses,omitempty"`
+	Node string `json:"node"`
+	// Strength tells strong machines from weak ones.
+	Strength float64 `json:"strength"`
+	Use      []Use   `json:"use"`
+	Misses   []Miss  `json:"misses,omitempty"`
 }
 
 // Snapshot is what the holder tells the nodes.
@@ -78,6 +83,10 @@
 	Version uint64 `json:"version"`
 	// Nodes is how many nodes the holder hears of, itself included.
 	Nodes int `json:"nodes"`
+	// Successor is the node that takes the lease when the holder is silent.
+	Successor string `json:"successor,omitempty"`
+	// HeldMs is how long the question was kept open.
+	HeldMs int64 `json:"heldMs"`
 	// Whole is true when Serving names every engine, not only the changed ones.
 	Whole bool `json:"whole,omitempty"`
 	// Serving holds the pools that each engine can serve.
@@ -113,6 +122,8 @@
 	Version uint64
 	// Config is the version of the configuration that the node has.
 	Config int64
+	// Wait is how long the holder may keep the question open.
+	Wait time.Duration
 }
 
 // Holder answers nodes.
@@ -154,16 +165,57 @@
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		// A failed write means that the node is gone.
-		_ = json.NewEncoder(w).Encode(s)
+		writeJSON(w, r, s)
 	})
 	return mux
 }
 
+// gzipFrom is the length in bytes from which an answer is compressed: a whole
+// snapshot of 90 engines has some 40 KB, and all nodes ask for one when a new holder
+// begins, behind a link that may carry but 10 Mbit/s.
+const gzipFrom = 2 << 10
+
+// writeJSON answers with a message.
+func writeJSON(w http.ResponseWriter, r *http.Request, message any) {
+	raw, err := json.Marshal(message)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the node is gone.
+	if len(raw) < gzipFrom || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(raw)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	_, _ = w.Write(compress(raw))
+}
+
+// compressors holds gzip writers: each takes most of a megabyte.
+var compressors = sync.Pool{New: func() any {
+	// The level is valid, so that there is no error.
+	z, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+	return z
+}}
+
+// compress returns a message compressed. It does not write to the connection, which
+// may block: the writer is free for the next message.
+func compress(raw []byte) []byte {
+	z := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(z)
+	var out bytes.Buffer
+	z.Reset(&out)
+	// A buffer takes all there is.
+	_, _ = z.Write(raw)
+	_ = z.Close()
+	return out.Bytes()
+}
+
 func (q Question) values() url.Values {
 	return url.Values{
 		"node": {q.Node}, "life": {q.Life}, "version": {strconv.FormatUint(q.Version, 10)}, "config": {strconv.FormatInt(q.Config, 10)},
+		"waitMs": {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
 	}
 }
 
@@ -176,7 +228,14 @@
 	if err != nil {
 		return Question{}, fmt.Errorf("config: %w", err)
 	}
-	return Question{Node: v.Get("node"), Life: v.Get("life"), Version: version, Config: config}, nil
+	wait, err := strconv.ParseInt(v.Get("waitMs"), 10, 64)
+	if err != nil {
+		return Question{}, fmt.Errorf("waitMs: %w", err)
+	}
+	return Question{
+		Node: v.Get("node"), Life: v.Get("life"), Version: version, Config: config,
+		Wait: min(maxWait, time.Duration(wait)*time.Millisecond),
+	}, nil
 }
 
 // Client speaks to the holder. It is safe for concurrent use.
@@ -184,7 +243,7 @@
 
 // NewClient returns a client.
 func NewClient(d *net.Dialer) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 3, DisableCompression: true}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 3}}}
 }
 
 // Report posts a report to the holder at an address.
@@ -204,7 +263,7 @@
 
 // Watch asks the holder at an address for what changed since a snapshot.
 func (c *Client) Watch(ctx context.Context, address string, q Question) (*Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, WatchTime+callTime)
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+callTime)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathWatch+"?"+q.values().Encode(), nil)
 	if err != nil {
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,62 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// fakeHolder answers with what it was given.
+type fakeHolder struct {
+	snapshot *Snapshot
+	question Question
+	report   Report
+}
+
+func (h *fakeHolder) Reported(r *Report) error { h.report = *r; return nil }
+
+func (h *fakeHolder) Watch(_ context.Context, q Question) (*Snapshot, error) {
+	h.question = q
+	return h.snapshot, nil
+}
+
+// TestRoundTrip checks that messages arrive as they were sent, short ones and those
+// that are compressed on the way.
+func TestRoundTrip(t *testing.T) {
+	long := &Snapshot{Life: "a-1", Version: 3, Successor: "b", Whole: true, Serving: make(map[string][]string)}
+	for i := range 200 {
+		long.Serving[fmt.Sprint("engine", i)] = []string{"unit/s/m", "unit/s/m/a1"}
+	}
+	h := &fakeHolder{}
+	srv := httptest.NewServer(Handler(h))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	c := NewClient(&net.Dialer{Timeout: time.Second})
+	question := Question{Node: "n", Life: "a-1", Version: 2, Config: 7, Wait: 250 * time.Millisecond}
+	for _, want := range []*Snapshot{{Life: "a-1", Version: 3}, long} {
+		h.snapshot = want
+		got, err := c.Watch(t.Context(), address, question)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("snapshot (-want +got):\n%s", diff)
+		}
+	}
+	if diff := cmp.Diff(question, h.question); diff != "" {
+		t.Errorf("question (-want +got):\n%s", diff)
+	}
+	report := Report{Node: "n", Strength: 4, Use: []Use{{Pool: "unit/s/m", Waiting: 1, UrgentInMs: -3, LastInMs: 40}}}
+	if err := c.Report(t.Context(), address, &report); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(report, h.report); diff != "" {
+		t.Errorf("report (-want +got):\n%s", diff)
+	}
+}
