lease: the named successor takes over by its first append, without a fresh read

Change: the successor's first append needs no fresh read: it names the end that the holder relayed, and is refused if anybody wrote since. After a refusal a read is needed as before.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -46,6 +46,11 @@
 type Lease struct {
 	self  Record
 	delay time.Duration
+	// named is true for the successor: its first append needs no fresh read, since
+	// nobody else tries then, and the append itself is refused where the holder lives.
+	named bool
+	// refused is set when an append failed since the latest record read.
+	refused bool
 	// freeSince is when the topic was first read to its end without a holder.
 	freeSince time.Time
 	// end is the offset after the latest record read.
@@ -73,15 +78,16 @@
 // delay longer than it must before it takes over.
 func New(self Record, delay time.Duration) *Lease { return &Lease{self: self, delay: delay} }
 
-// Delay sets how much longer than it must this node waits before it takes over.
-func (l *Lease) Delay(d time.Duration) { l.delay = d }
+// Succession sets how much longer than it must this node waits before it takes over,
+// and whether the holder has named it as its successor.
+func (l *Lease) Succession(named bool, delay time.Duration) { l.named, l.delay = named, delay }
 
 // Fold takes one record in. Records at offsets already folded are passed over.
 func (l *Lease) Fold(offset uint64, r Record, now time.Time) {
 	if offset < l.end {
 		return
 	}
-	l.end = offset + 1
+	l.end, l.refused = offset+1, false
 	same := r.Holder == l.holder.Holder && r.Life == l.holder.Life
 	switch {
 	case r.Release && same:
@@ -128,12 +134,14 @@
 // Wants reports whether this node should append now: a renewal of its own lease
 // or a takeover of a free or silent one.
 func (l *Lease) Wants(now time.Time) bool {
+	// What was relayed to a successor is enough for its first append.
+	told := l.named && !l.refused && l.end > 0
 	switch {
-	case l.readAt.IsZero() || !l.sentAt.IsZero() || now.Before(l.retryAt):
+	case l.readAt.IsZero() && !told || !l.sentAt.IsZero() || now.Before(l.retryAt):
 		return false
 	case l.mine():
 		return now.Sub(l.seenAt) >= RenewEvery
-	case now.Sub(l.readAt) > ReadFresh:
+	case now.Sub(l.readAt) > ReadFresh && !told:
 		return false
 	}
 	if l.holder.Holder == "" {
@@ -172,7 +180,7 @@
 // may still be carried out: the record is then read like any other, and gives no
 // right to order until a renewal is acknowledged.
 func (l *Lease) Failed(now time.Time) {
-	l.sentAt = time.Time{}
+	l.sentAt, l.refused = time.Time{}, true
 	l.retryAt = now.Add(RetryEvery)
 }
 
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -52,6 +52,23 @@
 			l.Fold(0, rec("a"), at(0))
 			l.CaughtUp(1, at(1000))
 		}, at(2600), false},
+		{"named and told, silent, not read at all", func(l *Lease, _ time.Time) {
+			l.Succession(true, 0)
+			l.Fold(4, rec("a"), at(0))
+		}, at(2500), true},
+		{"named, and refused once", func(l *Lease, _ time.Time) {
+			l.Succession(true, 0)
+			l.Fold(4, rec("a"), at(0))
+			l.Begin(at(2500))
+			l.Failed(at(2510))
+		}, at(3500), false},
+		{"named, refused once, and read", func(l *Lease, now time.Time) {
+			l.Succession(true, 0)
+			l.Fold(4, rec("a"), at(0))
+			l.Begin(at(2500))
+			l.Failed(at(2510))
+			l.CaughtUp(5, now)
+		}, at(3500), true},
 		{"an append has just failed", func(l *Lease, now time.Time) {
 			l.CaughtUp(0, now)
 			l.Begin(at(0))
--- a/internal/placer/succession.go
+++ b/internal/placer/succession.go
@@ -32,10 +32,10 @@
 func (c *Controller) succeed(successor string) {
 	switch successor {
 	case "":
-		c.lease.Delay(c.o.TakeoverDelay)
+		c.lease.Succession(false, c.o.TakeoverDelay)
 	case c.o.Self.Holder:
-		c.lease.Delay(0)
+		c.lease.Succession(true, 0)
 	default:
-		c.lease.Delay(c.o.TakeoverDelay + successorLead)
+		c.lease.Succession(false, c.o.TakeoverDelay+successorLead)
 	}
 }
