--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -39,6 +39,10 @@
 // Record is one record of the list of endpoints.
 type Record struct {
 	ID string
+	// Version orders the records of the list: 1 + the offset in the store; 0 where
+	// it is not known. A relayed record that says that an entry is gone has the
+	// version up to which the list was read.
+	Version uint64
 	// Instance is nil when the entry is gone.
 	Instance *Instance
 	// Relayed records come from another node and do not tell the holdings.
@@ -61,6 +65,8 @@
 // Entry is an instance with what this node knows of its entry.
 type Entry struct {
 	Instance
+	// Version is that of the latest record; older ones change nothing.
+	Version uint64
 	// GoneAt is when the entry is to be believed gone; zero while it is there.
 	GoneAt time.Time
 }
@@ -85,13 +91,21 @@
 // Apply folds one record in and says what changed.
 func (d *Directory) Apply(r Record, now time.Time) Change {
 	e := d.entries[r.ID]
+	switch {
+	case e == nil && r.Instance == nil:
+		// Remembered, so that an older record does not bring it.
+		d.entries[r.ID] = &Entry{Instance: Instance{ID: r.ID}, Version: r.Version, GoneAt: now}
+		return Unchanged
+	case e == nil:
+		d.entries[r.ID] = &Entry{Instance: *r.Instance, Version: r.Version}
+		return Place
+	case e.newerThan(r):
+		return Unchanged
+	}
+	e.Version = r.Version
 	if r.Instance == nil {
 		return d.vanish(e, now)
 	}
-	if e == nil {
-		d.entries[r.ID] = &Entry{Instance: *r.Instance}
-		return Place
-	}
 	next := *r.Instance
 	if r.Relayed {
 		next.Holdings = e.Holdings
@@ -106,16 +120,35 @@
 	return change
 }
 
-// Replace takes a whole list over: what is not on it has vanished.
-func (d *Directory) Replace(list []Record, now time.Time) {
+// newerThan reports whether the entry is of a later record than r. An entry that is
+// gone stays so by the record that said it.
+func (e *Entry) newerThan(r Record) bool {
+	switch {
+	case r.Version == 0:
+		return false
+	case r.Version == e.Version:
+		return !e.GoneAt.IsZero() && r.Instance != nil
+	}
+	return r.Version < e.Version
+}
+
+// Replace takes a whole list over that was read up to a version: what is not on it,
+// and was not recorded later, has vanished. It calls note for each change.
+func (d *Directory) Replace(list []Record, upTo uint64, now time.Time, note func(Record, Change)) {
 	listed := make(map[string]bool, len(list))
 	for _, r := range list {
 		listed[r.ID] = true
-		d.Apply(r, now)
+		if change := d.Apply(r, now); change != Unchanged {
+			note(r, change)
+		}
 	}
 	for id, e := range d.entries {
-		if !listed[id] {
-			d.vanish(e, now)
+		if listed[id] || upTo != 0 && e.Version > upTo {
+			continue
+		}
+		e.Version = upTo
+		if change := d.vanish(e, now); change != Unchanged {
+			note(Record{ID: id, Version: upTo}, change)
 		}
 	}
 }
@@ -177,7 +210,7 @@
 	for _, e := range live {
 		in := e.Instance
 		in.Holdings = Holdings{}
-		out = append(out, Record{ID: e.ID, Instance: &in, Relayed: true})
+		out = append(out, Record{ID: e.ID, Version: e.Version, Instance: &in, Relayed: true})
 	}
 	return out
 }
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -16,6 +16,12 @@
 	return Record{ID: id, Instance: &Instance{ID: id, Service: "s", Address: "a:1"}}
 }
 
+// version gives a record its place on the list.
+func version(v uint64, r Record) Record {
+	r.Version = v
+	return r
+}
+
 func leaving(id string) Record {
 	return Record{ID: id, Instance: &Instance{ID: id, Service: "s", Address: "a:1", Draining: true}}
 }
@@ -61,8 +67,29 @@
 		}, at(20), []string{"a-"}},
 		{"missing on a whole list", func(d *Directory) {
 			d.Apply(there("a"), at(0))
-			d.Replace([]Record{there("b")}, at(10))
+			d.Replace([]Record{there("b")}, 0, at(10), func(Record, Change) {})
 		}, at(10), []string{"b"}},
+		{"recorded after a whole list was read", func(d *Directory) {
+			d.Apply(version(7, there("a")), at(0))
+			d.Replace([]Record{version(3, there("b"))}, 5, at(10), func(Record, Change) {})
+		}, at(10), []string{"a", "b"}},
+		{"gone, and relayed by one that has not heard", func(d *Directory) {
+			d.Apply(version(3, there("a")), at(0))
+			d.Apply(version(7, Record{ID: "a"}), at(10))
+			d.Apply(version(3, there("a")), at(20))
+		}, at(20), nil},
+		{"gone, and relayed as trusted a little longer", func(d *Directory) {
+			d.Apply(version(7, Record{ID: "a"}), at(10))
+			d.Apply(version(7, there("a")), at(20))
+		}, at(20), nil},
+		{"gone, and back by a later record", func(d *Directory) {
+			d.Apply(version(7, Record{ID: "a"}), at(10))
+			d.Apply(version(9, there("a")), at(20))
+		}, at(20), []string{"a"}},
+		{"relayed as gone by one that has not heard of its return", func(d *Directory) {
+			d.Apply(version(9, there("a")), at(10))
+			d.Apply(version(7, Record{ID: "a"}), at(20))
+		}, at(20), []string{"a"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -62,8 +62,10 @@
 	instances  map[string]shownInstance
 	// configAt and instancesAt are when the topics were last read to their end.
 	configAt, instancesAt time.Time
-	lease                 lease.Record
-	leaseOffset           uint64
+	// listedTo is the version up to which the list was read.
+	listedTo    uint64
+	lease       lease.Record
+	leaseOffset uint64
 }
 
 // shownInstance is one endpoint's entry, and the version at which it changed.
@@ -80,13 +82,15 @@
 
 func (b *board) init() { b.watchers = make(map[*watcher]bool) }
 
-// begin shows a new holder's board, which is empty.
-func (b *board) begin(life string, fence uint64) {
+// begin shows a new holder's board, on which no engine serves anything yet.
+func (b *board) begin(life string, fence uint64, records []directory.Record, listedTo uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.life, b.fence, b.nodes = life, fence, 1
 	b.serving, b.goneAt, b.readyAt = make(map[string]shown), make(map[string]uint64), nil
 	b.interest, b.feed.instances = make(map[string]map[string]bool), make(map[string]shownInstance)
+	// At once: nodes take a whole snapshot's list for all there is.
+	b.setInstances(records, listedTo)
 	b.wakeAll()
 }
 
@@ -280,7 +284,7 @@
 func (b *board) addFeed(s *peer.Snapshot, q peer.Question, after uint64, now time.Time) (urgent bool) {
 	f := &b.feed
 	s.AgeMs = max(now.Sub(f.configAt), now.Sub(f.instancesAt)).Milliseconds()
-	s.Lease, s.LeaseOffset, s.ConfigNext = f.lease, f.leaseOffset, f.configNext
+	s.Lease, s.LeaseOffset, s.ConfigNext, s.ListedTo = f.lease, f.leaseOffset, f.configNext, f.listedTo
 	if f.config != nil && f.config.Version > q.Config {
 		s.Config = f.config
 		urgent = true
@@ -294,11 +298,16 @@
 	return urgent
 }
 
-// showInstances shows the live endpoints.
-func (b *board) showInstances(records []directory.Record) {
+// showInstances shows the live endpoints, by the list as read up to a version.
+func (b *board) showInstances(records []directory.Record, listedTo uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.setInstances(records, listedTo)
+}
+
+func (b *board) setInstances(records []directory.Record, listedTo uint64) {
 	next, news := b.version+1, false
+	b.feed.listedTo = max(b.feed.listedTo, listedTo)
 	live := make(map[string]bool, len(records))
 	for _, r := range records {
 		live[r.ID] = true
@@ -306,11 +315,14 @@
 		if !ok || old.record.Instance == nil || !directory.SamePlace(old.record.Instance, r.Instance) {
 			b.feed.instances[r.ID] = shownInstance{r, next}
 			news = true
+			continue
 		}
+		// A heartbeat: a node that asks for everything should know how new it is.
+		b.feed.instances[r.ID] = shownInstance{r, old.version}
 	}
 	for id, in := range b.feed.instances {
 		if !live[id] && in.record.Instance != nil {
-			b.feed.instances[id] = shownInstance{directory.Record{ID: id, Relayed: true}, next}
+			b.feed.instances[id] = shownInstance{directory.Record{ID: id, Version: listedTo, Relayed: true}, next}
 			news = true
 		}
 	}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -116,8 +116,10 @@
 	directory *directory.Directory
 	// held is true while this node orders engines under the lease.
 	held bool
-	// listed is set once the list of endpoints was read.
-	listed bool
+	// listed is set once the list of endpoints was read, and listedTo the version
+	// up to which it was.
+	listed   bool
+	listedTo uint64
 	// released is set once the lease was given up for a stop.
 	released bool
 	remote   remote
@@ -291,7 +293,7 @@
 	if held {
 		c.o.Logger.Info("lease gained", "fence", fence)
 		c.planner.Reset(fence == lease.FirstFence, now)
-		c.holder.begin(c.o.Self.Life, fence)
+		c.holder.begin(c.o.Self.Life, fence, c.directory.Records(now), c.listedTo)
 		c.holder.showLease(c.o.Self, c.lease.End()-1)
 		if t := c.table.Load(); t != nil {
 			c.holder.showConfig(t.Config)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"olivetiller/core/directory"
 	"olivetiller/core/lease"
 	"olivetiller/core/queue"
 	"olivetiller/internal/traffic"
@@ -117,3 +118,54 @@
 		}
 	}
 }
+
+func instance(id string) *directory.Instance {
+	return &directory.Instance{ID: id, Service: "s", Address: id + ":1"}
+}
+
+// live returns the ids of the live endpoints.
+func live(c *Controller) []string {
+	var ids []string
+	for _, e := range c.directory.Live(c.o.Clock.Now()) {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+// TestWholeSnapshot checks that a new holder's list replaces what a node has: what is
+// not on it is gone, unless the node knows by a later record that it is there. Found by
+// krautwerk-hq-grown trouble-2 (DRAIN): an engine's entry went between two holders, the
+// new one's list did not have it, and a node that had read it before sent it requests
+// for four seconds.
+func TestWholeSnapshot(t *testing.T) {
+	c := newController(clockwork.NewFakeClock())
+	for i, id := range []string{"stays", "went", "new"} {
+		c.directory.Apply(directory.Record{ID: id, Version: []uint64{3, 4, 20}[i], Instance: instance(id)}, c.o.Clock.Now())
+	}
+	s := &peer.Snapshot{Life: "b-1", Version: 1, Whole: true, Feed: peer.Feed{
+		ListedTo: 10, Instances: []directory.Record{{ID: "stays", Version: 9, Instance: instance("stays"), Relayed: true}},
+	}}
+	heardFrom{s, 0}.handle(c)
+	if diff := cmp.Diff([]string{"new", "stays"}, live(c)); diff != "" {
+		t.Errorf("live endpoints (-want +got):\n%s", diff)
+	}
+}
+
+// TestFirstSnapshot checks that a holder's very first snapshot has the whole list, and
+// that an entry that goes is told with the version at which it went.
+func TestFirstSnapshot(t *testing.T) {
+	now := clockwork.NewFakeClock().Now()
+	var b board
+	b.init()
+	b.begin("a-1", 5, []directory.Record{{ID: "e", Version: 3, Instance: instance("e")}}, 9)
+	s, urgent, ok := b.snapshot(peer.Question{Node: "n"}, now)
+	if !ok || !urgent || len(s.Instances) != 1 || s.ListedTo != 9 {
+		t.Fatalf("first snapshot = %+v, %t, %t; want the endpoint, urgent", s, urgent, ok)
+	}
+	b.showInstances(nil, 12)
+	s, urgent, _ = b.snapshot(peer.Question{Node: "n", Life: s.Life, Version: s.Version}, now)
+	want := []directory.Record{{ID: "e", Version: 12, Relayed: true}}
+	if diff := cmp.Diff(want, s.Instances); diff != "" || !urgent {
+		t.Errorf("urgent = %t; endpoints (-want +got):\n%s", urgent, diff)
+	}
+}
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -27,7 +27,7 @@
 		sort.Slice(eps, func(i, j int) bool { return eps[i].Name < eps[j].Name })
 	}
 	if c.held {
-		c.holder.showInstances(c.directory.Records(now))
+		c.holder.showInstances(c.directory.Records(now), c.listedTo)
 	}
 	c.view.Store(v)
 	c.o.Dispatcher.Update(v, nil)
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -183,40 +183,47 @@
 	if m.whole {
 		list := make([]directory.Record, 0, len(m.page.Records))
 		for _, r := range m.page.Records {
-			list = append(list, r.Value)
+			list = append(list, placed(r))
 		}
-		c.directory.Replace(list, now)
+		c.directory.Replace(list, m.page.Next, now, c.noteInstance)
 		c.listed = true
 	} else {
 		for _, r := range m.page.Records {
-			if change := c.directory.Apply(r.Value, now); change != directory.Unchanged {
+			if change := c.directory.Apply(placed(r), now); change != directory.Unchanged {
 				changed = true
-				c.noteInstance(r.Value, change, r.Offset)
+				c.noteInstance(placed(r), change)
 			}
 		}
 	}
+	c.listedTo = max(c.listedTo, m.page.Next)
 	if changed {
 		c.planner.SetEngines(c.directory.Live(now), now)
 		c.stale = true
 		if c.held {
 			// Before the age of the list is told: what is new must be in it.
-			c.holder.showInstances(c.directory.Records(now))
+			c.holder.showInstances(c.directory.Records(now), c.listedTo)
 		}
 	}
 	c.holder.instancesRead(now)
 }
 
+// placed returns a record of the list with its version.
+func placed(r logstore.Record[logstore.Instance]) directory.Record {
+	r.Value.Version = r.Offset + 1
+	return r.Value
+}
+
 // noteInstance logs a change of the list.
-func (c *Controller) noteInstance(r directory.Record, change directory.Change, offset uint64) {
+func (c *Controller) noteInstance(r directory.Record, change directory.Change) {
 	in := r.Instance
 	switch {
 	case in == nil:
-		c.o.Logger.Info("endpoint's entry gone", "endpoint", r.ID, "offset", offset, "relayed", r.Relayed)
+		c.o.Logger.Info("endpoint's entry gone", "endpoint", r.ID, "version", r.Version, "relayed", r.Relayed)
 	case change == directory.Holding:
-		c.o.Logger.Debug("engine holds others", "endpoint", r.ID, "models", len(in.Models), "offset", offset)
+		c.o.Logger.Debug("engine holds others", "endpoint", r.ID, "models", len(in.Models), "version", r.Version)
 	default:
 		c.o.Logger.Info("endpoint changed", "endpoint", r.ID, "service", in.Service, "address", in.Address, "draining", in.Draining,
-			"remainingMs", in.Remaining.Milliseconds(), "offset", offset, "relayed", r.Relayed)
+			"remainingMs", in.Remaining.Milliseconds(), "version", r.Version, "relayed", r.Relayed)
 	}
 }
 
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -152,12 +152,22 @@
 		// A holder has read the list; a node that cannot needs no more.
 		c.listed, changed = true, true
 	}
-	for _, r := range s.Instances {
-		if change := c.directory.Apply(r, now); change != directory.Unchanged {
-			changed = true
-			c.noteInstance(r, change, 0)
+	note := func(r directory.Record, change directory.Change) {
+		changed = true
+		r.Relayed = true
+		c.noteInstance(r, change)
+	}
+	if s.Whole {
+		// A holder's life begins with all there is: what is not in it has vanished.
+		c.directory.Replace(s.Instances, s.ListedTo, now, note)
+	} else {
+		for _, r := range s.Instances {
+			if change := c.directory.Apply(r, now); change != directory.Unchanged {
+				note(r, change)
+			}
 		}
 	}
+	c.listedTo = max(c.listedTo, s.ListedTo)
 	if changed {
 		c.planner.SetEngines(c.directory.Live(now), now)
 		c.stale = true
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -112,6 +112,8 @@
 	// Instances are the entries of endpoints that changed, or all of them in a
 	// whole snapshot. What engines hold is left out.
 	Instances []directory.Record `json:"instances,omitempty"`
+	// ListedTo is the version up to which the list of endpoints was read.
+	ListedTo uint64 `json:"listedTo"`
 }
 
 // Question is what a node asks the holder.
