--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -10,7 +10,7 @@
 // BenchmarkPlan plans for the engines, models and nodes of the grown sites.
 func BenchmarkPlan(b *testing.B) {
 	const engines, models, nodes = 90, 480, 70
-	p := New(Limits{Window: 5e9, Overage: 1.1})
+	p := New(Limits{Window: 5e9})
 	p.SetTable(testTable(b, models))
 	var entries []*directory.Entry
 	for i := range engines {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -50,7 +50,7 @@
 // the value lists the models, after a colon those on disk.
 func testPlanner(t *testing.T, models int, engines map[string]Report) *Planner {
 	t.Helper()
-	p := New(Limits{Window: 5 * time.Second, Overage: 1.1})
+	p := New(Limits{Window: 5 * time.Second})
 	p.SetTable(testTable(t, models))
 	var entries []*directory.Entry
 	for id := range engines {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -36,8 +36,6 @@
 type Limits struct {
 	// Window is the time over which loads are counted.
 	Window time.Duration
-	// Overage is the factor by which the rate may be exceeded within it.
-	Overage float64
 }
 
 // Planner is the holder's state. It is not safe for concurrent use.
--- a/core/placement/property_test.go
+++ b/core/placement/property_test.go
@@ -57,7 +57,7 @@
 func TestOrdersFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fakeFleet{t: t, table: testTable(t, 7), engines: make(map[string]*fakeEngine), now: start}
-		f.p = New(Limits{Window: 5 * time.Second, Overage: 1.1})
+		f.p = New(Limits{Window: 5 * time.Second})
 		f.p.SetTable(f.table)
 		for i := range 3 {
 			f.start(fmt.Sprintf("e%d", i))
