--- a/internal/control/ask.go
+++ b/internal/control/ask.go
@@ -17,7 +17,7 @@
 	// The channel has room, so that the control goroutine never waits for a
 	// caller that has gone.
 	reply := make(chan T, 1)
-	c.send(ctx, question[T]{answer: answer, reply: reply})
+	c.inbox.Send(ctx, question[T]{answer: answer, reply: reply})
 	select {
 	case got = <-reply:
 		return got, true
--- a/internal/control/boot.go
+++ b/internal/control/boot.go
@@ -25,7 +25,7 @@
 	for ctx.Err() == nil {
 		if s, target, ok := c.newestState(ctx); ok {
 			c.next.Store(s.NextOffset)
-			c.send(ctx, bootState{state: s, target: target})
+			c.inbox.Send(ctx, bootState{state: s, target: target})
 			break
 		}
 		c.Logger.Warn("no state to start from; trying again", "remedy", "the log service or a peer must be reachable")
@@ -155,7 +155,7 @@
 	ctx := context.Background()
 	for {
 		if s, target, ok := c.newestState(ctx); ok {
-			c.send(ctx, bootState{state: s, target: target})
+			c.inbox.Send(ctx, bootState{state: s, target: target})
 			return
 		}
 		c.pause(ctx, bootRetry)
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -18,6 +18,7 @@
 	"olivetiller/core/plan"
 	"olivetiller/core/policy"
 	"olivetiller/core/view"
+	"olivetiller/internal/inbox"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/engine"
 	"olivetiller/io/instancelist"
@@ -57,7 +58,7 @@
 // Controller owns the control state of a node.
 type Controller struct {
 	Options
-	inbox    chan message
+	inbox    *inbox.Inbox[message]
 	view     atomic.Pointer[view.View]
 	appender *logservice.Appender
 	// heard is when the log or a peer last said how far it is, in Unix nanoseconds.
@@ -116,7 +117,7 @@
 // New returns a controller that has not begun.
 func New(o Options) *Controller {
 	c := &Controller{
-		Options: o, inbox: make(chan message, inboxSize), Metrics: newMetrics(), demandWake: make(chan struct{}, 1),
+		Options: o, inbox: inbox.New[message](inboxSize), Metrics: newMetrics(), demandWake: make(chan struct{}, 1),
 		state: ledger.NewState(), members: membership.NewTable(o.Self), demand: demand.NewTable(),
 		engines: make(map[string]*plan.Engine), waiters: make(map[uint64]chan ledger.Outcome),
 		early: make(map[uint64][]byte), orders: make(map[ledger.Key]uint64),
@@ -158,25 +159,18 @@
 	wg.Wait()
 }
 
-// send hands a message to the control goroutine.
-func (c *Controller) send(ctx context.Context, m message) {
-	select {
-	case c.inbox <- m:
-	case <-ctx.Done():
-	}
-}
-
 // own is the control goroutine.
 func (c *Controller) own(ctx context.Context) {
+	defer c.inbox.End()
 	ticker := c.Clock.NewTicker(tick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-c.inbox:
+		case m := <-c.inbox.C:
 			m.handle(c)
-			c.drain()
+			c.inbox.Drain(func(m message) { m.handle(c) })
 		case <-ticker.Chan():
 			c.forgetOrders()
 			c.noticeLive()
@@ -203,18 +197,6 @@
 	}
 }
 
-// drain handles what else waits, so that one plan serves many messages.
-func (c *Controller) drain() {
-	for range inboxSize {
-		select {
-		case m := <-c.inbox:
-			m.handle(c)
-		default:
-			return
-		}
-	}
-}
-
 // step plans and publishes.
 func (c *Controller) step(ctx context.Context) {
 	now := c.Clock.Now()
@@ -334,7 +316,7 @@
 		return
 	}
 	c.Logger.Info("planned stop begins")
-	c.send(ctx, sayLeaving{})
+	c.inbox.Send(ctx, sayLeaving{})
 	if err := c.List.SayLeaving(ctx, c.Self.Node); err != nil {
 		c.Logger.Warn("the platform was not told of the stop", "error", err.Error())
 	}
@@ -390,5 +372,5 @@
 
 // Freeze holds the control goroutine for a time. Only experiments call it.
 func (c *Controller) Freeze(ctx context.Context, d time.Duration) {
-	c.send(ctx, freeze{until: c.Clock.After(d)})
+	c.inbox.Send(ctx, freeze{until: c.Clock.After(d)})
 }
--- a/internal/control/fold.go
+++ b/internal/control/fold.go
@@ -21,8 +21,8 @@
 	c.Metrics.Appends.Add(1)
 	c.heard.Store(c.Clock.Now().UnixNano())
 	e := []*pb.LogEntry{{Offset: offset, Data: data}}
-	c.send(context.Background(), entries{list: e})
-	c.send(context.Background(), pushed{list: e})
+	c.inbox.Send(context.Background(), entries{list: e})
+	c.inbox.Send(context.Background(), pushed{list: e})
 }
 
 // Next implements logservice.Reader.
@@ -43,12 +43,12 @@
 	if n := len(list); n > 0 {
 		c.next.Store(list[n-1].Offset + 1)
 	}
-	c.send(context.Background(), entries{list: list, target: p.Next})
+	c.inbox.Send(context.Background(), entries{list: list, target: p.Next})
 	if len(c.Members(context.Background())) > membership.SmallFleet {
-		c.send(context.Background(), pushed{list: list})
+		c.inbox.Send(context.Background(), pushed{list: list})
 	}
 	if p.Earliest > from && len(list) > 0 {
-		c.send(context.Background(), gap{earliest: p.Earliest})
+		c.inbox.Send(context.Background(), gap{earliest: p.Earliest})
 	}
 }
 
@@ -173,7 +173,7 @@
 func (c *Controller) Propose(ctx context.Context, r *pb.Record, late func(ledger.Outcome)) (ledger.Outcome, error) {
 	done := make(chan ledger.Outcome, 1)
 	seq := make(chan uint64, 1)
-	c.send(ctx, proposal{record: r, done: done, seq: seq})
+	c.inbox.Send(ctx, proposal{record: r, done: done, seq: seq})
 	var s uint64
 	select {
 	case s = <-seq:
--- a/internal/control/loops.go
+++ b/internal/control/loops.go
@@ -39,7 +39,7 @@
 		list, err := c.List.List(lctx)
 		cancel()
 		if err == nil {
-			c.send(ctx, listSeen{list: list})
+			c.inbox.Send(ctx, listSeen{list: list})
 		}
 		c.pause(ctx, listEvery)
 	}
@@ -154,7 +154,7 @@
 
 // EndpointLeaving notes that an endpoint told this node that it is leaving.
 func (c *Controller) EndpointLeaving(id string) {
-	c.send(context.Background(), leavingTold{ids: []string{id}})
+	c.inbox.Send(context.Background(), leavingTold{ids: []string{id}})
 }
 
 // engineLoop asks the engines for their status.
@@ -179,7 +179,7 @@
 				misses[results[i].id]++
 			}
 			results[i].lost = misses[results[i].id] >= engineMisses
-			c.send(ctx, results[i])
+			c.inbox.Send(ctx, results[i])
 		}
 		every := engineEvery
 		if len(targets) > manyOwnEngines {
@@ -282,7 +282,7 @@
 			last = now
 		}
 		if reports := c.Dispatcher.Reports(all); len(reports) > 0 {
-			c.send(ctx, ownDemand{reports: reports})
+			c.inbox.Send(ctx, ownDemand{reports: reports})
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -39,12 +39,12 @@
 	unsure := false
 	for {
 		if c.Clock.Now().After(o.LeaseEnd) {
-			c.send(ctx, orderEnd{order: o, err: errLapsed, unsure: unsure})
+			c.inbox.Send(ctx, orderEnd{order: o, err: errLapsed, unsure: unsure})
 			return
 		}
 		err := c.write(ctx, o)
 		if !errors.Is(err, engine.ErrUnknown) {
-			c.send(ctx, orderEnd{order: o, err: err, unsure: unsure})
+			c.inbox.Send(ctx, orderEnd{order: o, err: err, unsure: unsure})
 			return
 		}
 		if ctx.Err() != nil {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -32,7 +32,7 @@
 	defer cancel()
 	resp, err := c.Peers.Call(cctx, m.Node, m.Address, req)
 	if err == nil {
-		c.send(ctx, peerHeard{ref: ledger.NodeRef{Node: resp.GetNode(), Incarnation: resp.GetIncarnation()}})
+		c.inbox.Send(ctx, peerHeard{ref: ledger.NodeRef{Node: resp.GetNode(), Incarnation: resp.GetIncarnation()}})
 	}
 	return resp, err
 }
@@ -107,7 +107,7 @@
 	if err != nil || resp.GetAck() == nil {
 		return
 	}
-	c.send(ctx, acked{from: m, ack: resp.GetAck()})
+	c.inbox.Send(ctx, acked{from: m, ack: resp.GetAck()})
 }
 
 // acked is a peer's answer to a probe.
@@ -144,7 +144,7 @@
 	if n := len(list); n > 0 {
 		target = list[n-1].GetOffset() + 1
 	}
-	c.send(ctx, entries{list: list, target: target})
+	c.inbox.Send(ctx, entries{list: list, target: target})
 }
 
 // spread passes a request on to the peers it should reach next. The control
@@ -203,7 +203,7 @@
 	go func() {
 		ctx := context.Background()
 		if _, err := c.call(ctx, m, tellTimeout, req); err == nil {
-			c.send(ctx, homeAck{home: home})
+			c.inbox.Send(ctx, homeAck{home: home})
 		}
 	}()
 }
@@ -217,25 +217,25 @@
 // PeerHandler returns the handler of peers' requests.
 func (c *Controller) PeerHandler(answers Answers) node.Handler {
 	return func(ctx context.Context, from ledger.NodeRef, req *pb.PeerRequest) *pb.PeerResponse {
-		c.send(ctx, peerHeard{ref: from})
+		c.inbox.Send(ctx, peerHeard{ref: from})
 		switch b := req.GetBody().(type) {
 		case *pb.PeerRequest_Ping:
 			return c.answerPing(ctx, b.Ping)
 		case *pb.PeerRequest_Demand:
 			done := make(chan struct{})
-			c.send(ctx, peerDemand{node: from.Node, units: b.Demand.GetUnits(), done: done})
+			c.inbox.Send(ctx, peerDemand{node: from.Node, units: b.Demand.GetUnits(), done: done})
 			select {
 			case <-done:
 			case <-ctx.Done():
 			}
 		case *pb.PeerRequest_LogPush:
-			c.send(ctx, entries{list: b.LogPush.GetEntries()})
+			c.inbox.Send(ctx, entries{list: b.LogPush.GetEntries()})
 		case *pb.PeerRequest_LogFetch:
 			return &pb.PeerResponse{Body: &pb.PeerResponse_LogPush{LogPush: &pb.LogPush{Entries: c.recent(b.LogFetch.GetFrom())}}}
 		case *pb.PeerRequest_SnapshotFetch:
 			return &pb.PeerResponse{Body: &pb.PeerResponse_Snapshot{Snapshot: c.encodeState(ctx)}}
 		case *pb.PeerRequest_Leaving:
-			c.send(ctx, leavingTold{ids: b.Leaving.GetInstances()})
+			c.inbox.Send(ctx, leavingTold{ids: b.Leaving.GetInstances()})
 		case *pb.PeerRequest_AnswerFetch:
 			return &pb.PeerResponse{Body: &pb.PeerResponse_Answer{Answer: answers.Fetch(ctx, b.AnswerFetch)}}
 		}
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -387,10 +387,7 @@
 		return peer.ErrNotHolder
 	}
 	c.holder.setInterest(r.Node, r.Use)
-	select {
-	case c.inbox <- nodeReport{r}:
-	case <-c.ended:
-	}
+	c.inbox.Send(context.Background(), nodeReport{r})
 	return nil
 }
 
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -15,6 +15,7 @@
 	"olivetiller/core/placement"
 	"olivetiller/core/route"
 	"olivetiller/core/view"
+	"olivetiller/internal/inbox"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
 )
@@ -97,7 +98,7 @@
 type Controller struct {
 	o        Options
 	pace     pace
-	inbox    chan message
+	inbox    *inbox.Inbox[message]
 	view     atomic.Pointer[view.View]
 	table    atomic.Pointer[route.Table]
 	stopping atomic.Bool
@@ -108,8 +109,7 @@
 	// holder need not, until an append of its own fails.
 	leading, leaseDoubt atomic.Bool
 	// away is set while the reader of the lease gets no answer of the store.
-	away  atomic.Bool
-	ended chan struct{}
+	away atomic.Bool
 
 	lease     *lease.Lease
 	planner   *placement.Planner
@@ -146,7 +146,7 @@
 // New returns a controller; Run starts it.
 func New(o Options) *Controller {
 	c := &Controller{
-		o: o, inbox: make(chan message, inboxSize), ended: make(chan struct{}),
+		o: o, inbox: inbox.New[message](inboxSize),
 		lease: lease.New(o.Self, o.TakeoverDelay), planner: placement.New(o.Limits), directory: directory.New(),
 		misses: make(map[missKey]time.Time), nodes: make(map[string]follower), pace: paceOf(o.Bound),
 	}
@@ -173,7 +173,7 @@
 
 // Run owns the state until the context ends.
 func (c *Controller) Run(ctx context.Context) {
-	defer close(c.ended)
+	defer c.inbox.End()
 	c.startReaders(ctx)
 	tick := c.o.Clock.NewTicker(tickEvery)
 	defer tick.Stop()
@@ -183,9 +183,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-c.inbox:
+		case m := <-c.inbox.C:
 			m.handle(c)
-			c.drain()
+			c.inbox.Drain(func(m message) { m.handle(c) })
 		case <-tick.Chan():
 			c.tick()
 		case <-wake.Chan():
@@ -209,30 +209,6 @@
 	return at, !at.IsZero()
 }
 
-// drain handles what else waits, so that one step serves all of it.
-func (c *Controller) drain() {
-	for range inboxSize {
-		select {
-		case m := <-c.inbox:
-			m.handle(c)
-		default:
-			return
-		}
-	}
-}
-
-// send tells the owner something; it reports false when the owner has ended.
-func (c *Controller) send(ctx context.Context, m message) bool {
-	select {
-	case c.inbox <- m:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-c.ended:
-		return false
-	}
-}
-
 // tick does what is due by time alone.
 func (c *Controller) tick() {
 	now := c.o.Clock.Now()
@@ -346,11 +322,11 @@
 		var offset uint64
 		offset, err = c.o.Store.Append(actx, at, raw)
 		if err == nil {
-			c.send(ctx, leaseAppended{offset})
+			c.inbox.Send(ctx, leaseAppended{offset})
 			return
 		}
 	}
-	c.send(ctx, leaseFailed{err})
+	c.inbox.Send(ctx, leaseFailed{err})
 }
 
 type leaseAppended struct{ offset uint64 }
@@ -412,7 +388,7 @@
 		args = append(args, "error", err.Error())
 	}
 	c.o.Logger.Info("order", args...)
-	c.send(ctx, replied{o, reply})
+	c.inbox.Send(ctx, replied{o, reply})
 }
 
 type replied struct {
@@ -430,7 +406,7 @@
 	if err != nil {
 		c.o.Logger.Info("no report", "engine", p.Engine, "error", err.Error())
 	}
-	c.send(ctx, reported{p.Engine, r, err, asked})
+	c.inbox.Send(ctx, reported{p.Engine, r, err, asked})
 }
 
 type reported struct {
@@ -454,7 +430,7 @@
 // Stop begins a planned stop: no more orders, and the lease is given up.
 func (c *Controller) Stop(ctx context.Context) {
 	c.stopping.Store(true)
-	c.send(ctx, stop{ctx})
+	c.inbox.Send(ctx, stop{ctx})
 }
 
 type stop struct{ ctx context.Context }
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -84,7 +84,7 @@
 			for _, damage := range page.Damaged {
 				c.o.Logger.Error("record passed over", "topic", r.name, "error", damage.Error())
 			}
-			if !c.send(ctx, r.apply(page, whole)) {
+			if !c.inbox.Send(ctx, r.apply(page, whole)) {
 				return
 			}
 			next, whole = page.Next, false
@@ -100,7 +100,7 @@
 			if r.scout {
 				c.away.Store(true)
 			}
-			c.send(ctx, storeAway{})
+			c.inbox.Send(ctx, storeAway{})
 			c.pause(ctx, pause)
 			pause = min(2*pause, c.pace.retryAtMost)
 			continue
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -83,7 +83,7 @@
 		c.o.Logger.Trace("heard", "version", s.Version, "tookMs", took.Milliseconds())
 		// What the way here took is not known; the way there counts with it.
 		onTheWay := max(0, took-time.Duration(s.HeldMs)*time.Millisecond)
-		if !c.send(ctx, heardFrom{s, onTheWay}) {
+		if !c.inbox.Send(ctx, heardFrom{s, onTheWay}) {
 			return
 		}
 	}
@@ -187,11 +187,8 @@
 
 // WakeDemand asks for a report at once; it may be called from any goroutine.
 func (c *Controller) WakeDemand() {
-	select {
-	case c.inbox <- demandNow{}:
-	default:
-		// The owner is busy; the next tick reports.
-	}
+	// If the owner is busy, the next tick reports.
+	c.inbox.Offer(demandNow{})
 }
 
 type demandNow struct{}
@@ -201,10 +198,7 @@
 // EndpointLeaving notes that an endpoint says that it takes no new work, or that
 // its address is another's by now.
 func (c *Controller) EndpointLeaving(id string) {
-	select {
-	case c.inbox <- endpointLeaving{id}:
-	case <-c.ended:
-	}
+	c.inbox.Send(context.Background(), endpointLeaving{id})
 }
 
 type endpointLeaving struct{ id string }
@@ -220,10 +214,7 @@
 
 // EngineLacks notes that an engine says that it does not hold a pool's unit.
 func (c *Controller) EngineLacks(engine, pool string) {
-	select {
-	case c.inbox <- engineLacks{engine, pool}:
-	case <-c.ended:
-	}
+	c.inbox.Send(context.Background(), engineLacks{engine, pool})
 }
 
 type engineLacks struct{ engine, pool string }
@@ -260,7 +251,7 @@
 	c.newMiss = nil
 	go func() {
 		err := c.o.Peers.Report(ctx, h.Address, r)
-		c.send(ctx, reportSent{err})
+		c.inbox.Send(ctx, reportSent{err})
 	}()
 }
 
