caller, traffic: a silent endpoint is left only when another one takes the request

Budget and room were looked at when the attempt began, not when it was given up.

Ruled out: the configuration itself (idle routes only), the engine (it ran on).

Change: when its patience ends, a request gets its next place first (Dispatcher.Switch: another endpoint with room, nobody waiting, the budget paid), and the attempt in progress ends only then; else it goes on and is looked at again later.

--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,11 +123,24 @@
 	}
 }
 
-// MayRetry reports whether a retry budget allows another attempt now.
-func (d *Dispatcher) MayRetry(s *Slot, budget string) bool {
+// Switch gives a request that has a slot another one at another endpoint, if one has
+// room now, nobody waits for it, and the retry budget allows the attempt. The slot that
+// the request has stays its own until it is released.
+func (d *Dispatcher) Switch(s *Slot, a Ask) (*Slot, bool) {
+	now := d.clock.Now()
+	a.Avoid = append(slices.Clip(a.Avoid), s.Endpoint.Name)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget(s.pool, budget).Left() >= 1
+	p := s.pool
+	if p.queue.Len() > 0 {
+		return nil, false
+	}
+	pl, ok := p.pick(now, d.hall, &a)
+	if !ok || slices.Contains(a.Avoid, pl.Name) || !d.budget(p, a.Budget).Spend() {
+		return nil, false
+	}
+	p.occupy(pl, &a)
+	return d.slot(p, pl, &a, now, now, false), true
 }
 
 // began counts a prompt as read.
--- a/internal/traffic/dispatcher_test.go
+++ b/internal/traffic/dispatcher_test.go
@@ -161,3 +161,49 @@
 		t.Errorf("refusals (-want +got):\n%s", diff)
 	}
 }
+
+// TestSwitch checks when a request is taken by another endpoint, and that the retry
+// budget pays only then.
+func TestSwitch(t *testing.T) {
+	tests := []struct {
+		name      string
+		endpoints []view.Endpoint
+		reserve   float64
+		want      string
+	}{
+		{"another one has room", []view.Endpoint{{Name: "e", Concurrency: 9}, {Name: "f", Concurrency: 9}}, 1, "f"},
+		{"there is no other", []view.Endpoint{{Name: "e", Concurrency: 9}}, 1, ""},
+		{"the other is full", []view.Endpoint{{Name: "e", Concurrency: 9}, {Name: "f"}}, 1, ""},
+		{"the budget is used up", []view.Endpoint{{Name: "e", Concurrency: 9}, {Name: "f", Concurrency: 9}}, 0, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDispatcher(clockwork.NewFakeClock())
+			d.LimitRetries(0, tt.reserve)
+			d.Update(&view.View{Endpoints: map[string][]view.Endpoint{"p": tt.endpoints}}, nil)
+			ask := Ask{Deadline: d.clock.Now().Add(time.Second)}
+			if len(tt.endpoints) > 1 {
+				// The first request goes elsewhere than the one to be switched.
+				ask.Avoid = []string{"f"}
+			}
+			first, err := d.Acquire(context.Background(), "p", ask)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(tt.endpoints) > 1 && tt.endpoints[1].Concurrency == 0 {
+				d.gates["f"].running = 1
+			}
+			ask.Avoid = nil
+			got := ""
+			if next, ok := d.Switch(first, ask); ok {
+				got = next.Endpoint.Name
+			}
+			if got != tt.want {
+				t.Errorf("switched to %q, want %q", got, tt.want)
+			}
+			if left, want := d.budgets["p"].Left(), tt.reserve; got == "" && left != want {
+				t.Errorf("%v retries are left, want %v", left, want)
+			}
+		})
+	}
+}
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -96,8 +96,8 @@
 func (s *Server) whole(ctx context.Context, x *Exchange) (*answer, error) {
 	// got is the latest whole answer, be it a failure.
 	var got *answer
-	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error) {
-		ctx, st := s.watchStall(ctx, x, slot)
+	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask) (traffic.Result, error) {
+		ctx, st := s.watchStall(ctx, x, slot, ask)
 		defer st.end()
 		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, ""))
 		if err = st.explain(err); err != nil {
@@ -134,8 +134,8 @@
 	return &endpoint.Error{Outcome: retry.Ran, Cause: fmt.Errorf("status %d", a.status)}
 }
 
-// try sends the request to the endpoint of a slot.
-type try func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error)
+// try sends the request to the endpoint of a slot, which the ask got.
+type try func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask) (traffic.Result, error)
 
 // attempts tries endpoints until one answers, or the rules of repetition, the
 // retry budget or the deadline forbid another attempt.
@@ -145,10 +145,11 @@
 		Budget: x.Target.Budget, Objective: x.Target.Objective, Returns: x.Target.Returns, Affinity: x.Target.Affinity,
 		Prompt: x.Target.TokensIn,
 	}
+	defer x.dropNext()
 	ran, sent := 0, 0
 	for {
 		ask.Leaves = s.leaves(x)
-		slot, err := s.Dispatcher.Acquire(ctx, x.Target.Pool, ask)
+		slot, err := s.place(ctx, x, ask)
 		if err != nil {
 			if ran == 0 {
 				return err
@@ -158,7 +159,7 @@
 		}
 		s.noteSlot(x, slot)
 		sent++
-		result, err := do(ctx, slot)
+		result, err := do(ctx, slot, ask)
 		slot.Release(result)
 		s.noteAttempt(x, slot, sent, err)
 		if err == nil {
@@ -187,6 +188,24 @@
 	}
 }
 
+// place returns the place of the next attempt: the one that it has already, or one
+// that it waits for.
+func (s *Server) place(ctx context.Context, x *Exchange, ask traffic.Ask) (*traffic.Slot, error) {
+	if slot := x.next; slot != nil {
+		x.next = nil
+		return slot, nil
+	}
+	return s.Dispatcher.Acquire(ctx, x.Target.Pool, ask)
+}
+
+// dropNext gives a place back that no attempt follows to.
+func (x *Exchange) dropNext() {
+	if x.next != nil {
+		x.next.Release(traffic.Result{NotBegun: true, Running: -1})
+		x.next = nil
+	}
+}
+
 // leaves is when the caller leaves if no event comes; zero where it stays until its
 // deadline.
 func (s *Server) leaves(x *Exchange) time.Time {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"olivetiller/core/view"
+	"olivetiller/internal/traffic"
 	pb "olivetiller/proto/olivetiller/v1"
 )
 
@@ -52,6 +53,9 @@
 	Began bool
 	// Trail is what became of it so far, for logs.
 	Trail Trail
+	// next is the place that the next attempt has already; a stall sets it before the
+	// attempt in progress ends.
+	next *traffic.Slot
 }
 
 // Trail is a request's way so far.
--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -29,20 +29,25 @@
 )
 
 // stall ends an attempt at a silent endpoint when the request may be repeated and
-// another endpoint could take it.
+// another endpoint takes it. Until one does, the attempt goes on.
 type stall struct {
-	cancel  context.CancelFunc
-	timer   clockwork.Timer
+	cancel context.CancelFunc
+	// between is the patience between two signs, zero for none after the first.
 	between time.Duration
-	stalled atomic.Bool
+
+	mu    sync.Mutex
+	timer clockwork.Timer
+	ended bool
+	// stalled is set once another endpoint has taken the request.
+	stalled bool
 }
 
 // watchStall bounds the silence of an attempt. The context ends with it.
-func (s *Server) watchStall(ctx context.Context, x *Exchange, slot *traffic.Slot) (context.Context, *stall) {
+func (s *Server) watchStall(ctx context.Context, x *Exchange, slot *traffic.Slot, ask traffic.Ask) (context.Context, *stall) {
 	ctx, cancel := context.WithCancel(ctx)
 	st := &stall{cancel: cancel}
 	t := &x.Target
-	if t.OnceOnly || t.Objective <= 0 || slot.Others == 0 || x.Trail.Sent+1 >= t.attempts() || !s.Dispatcher.MayRetry(slot, t.Budget) {
+	if t.OnceOnly || t.Objective <= 0 || slot.Others == 0 || x.Trail.Sent+1 >= t.attempts() {
 		return ctx, st
 	}
 	first := scale(t.Objective, wholePatience)
@@ -52,8 +57,21 @@
 			st.between = scale(t.Pause, pausePatience)
 		}
 	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	st.timer = s.Clock.AfterFunc(first, func() {
-		st.stalled.Store(true)
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		if st.ended {
+			return
+		}
+		next, ok := s.Dispatcher.Switch(slot, ask)
+		if !ok {
+			// To give up here would leave the caller with nothing.
+			st.timer.Reset(first)
+			return
+		}
+		x.next, st.stalled = next, true
 		cancel()
 	})
 	return ctx, st
@@ -65,6 +83,8 @@
 
 // progress notes a sign of the endpoint.
 func (st *stall) progress() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	switch {
 	case st.timer == nil:
 	case st.between > 0:
@@ -74,8 +94,11 @@
 	}
 }
 
-// end ends the attempt.
+// end ends the attempt. After it, no other endpoint takes the request any more.
 func (st *stall) end() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.ended = true
 	if st.timer != nil {
 		st.timer.Stop()
 	}
@@ -85,7 +108,9 @@
 // explain returns the error of an attempt, with the stall as its cause if it was
 // one.
 func (st *stall) explain(err error) error {
-	if err == nil || !st.stalled.Load() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if err == nil || !st.stalled {
 		return err
 	}
 	outcome := retry.MaybeRun
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -59,9 +59,9 @@
 // stream relays a stream and moves it to another endpoint when one breaks off.
 func (s *Server) stream(ctx context.Context, x *Exchange) error {
 	r := &relay{x: x, flush: http.NewResponseController(x.W), buf: make([]byte, relayBuffer), events: s.protocol().Events(x), s: s}
-	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot) (traffic.Result, error) {
+	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask) (traffic.Result, error) {
 		whole := ctx
-		ctx, st := s.watchStall(ctx, x, slot)
+		ctx, st := s.watchStall(ctx, x, slot, ask)
 		// Closing the connection ends the run there before another one begins.
 		defer st.end()
 		r.stall = st
