control: an outcome is told once the view shows it

The outcome of a record was told while it was folded, and the view that callers are judged by was published after the rest of the inbox: who hears that a change is accepted could be refused by the old view for a moment.

Change: outcomes are told at the end of the step that publishes.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -88,6 +88,7 @@
 	listed    []instancelist.Instance
 	listRead  bool
 	waiters   map[uint64]chan ledger.Outcome
+	settled   []settled
 	early     map[uint64][]byte
 	orders    map[ledger.Key]uint64
 	homeAcked map[string]time.Time
@@ -210,6 +211,7 @@
 		c.dirty = false
 		c.publish()
 	}
+	c.answerWaiters()
 }
 
 func (c *Controller) planInput(now time.Time) *plan.Input {
--- a/internal/control/fold.go
+++ b/internal/control/fold.go
@@ -145,10 +145,25 @@
 	c.planner.Settled(o, now)
 	if w := c.waiters[o.Record.GetSequence()]; w != nil {
 		delete(c.waiters, o.Record.GetSequence())
-		w <- o
+		c.settled = append(c.settled, settled{w, o})
 	}
 }
 
+// settled is an outcome that its waiter is told once the view shows it: who hears that
+// a change is accepted may send what needs it at once.
+type settled struct {
+	done    chan<- ledger.Outcome
+	outcome ledger.Outcome
+}
+
+// answerWaiters tells the outcomes of the records folded since the last step.
+func (c *Controller) answerWaiters() {
+	for _, s := range c.settled {
+		s.done <- s.outcome
+	}
+	c.settled = c.settled[:0]
+}
+
 // touch marks what an accepted record changes in the view.
 func (c *Controller) touch(o ledger.Outcome) {
 	if !o.OK() {
