--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -57,9 +57,8 @@
 
 // feed is what the holder read of the store.
 type feed struct {
-	config     *route.Config
-	configNext uint64
-	instances  map[string]shownInstance
+	config    *route.Config
+	instances map[string]shownInstance
 	// configAt and instancesAt are when the topics were last read to their end.
 	configAt, instancesAt time.Time
 	// listedTo is the version up to which the list was read.
@@ -284,7 +283,7 @@
 func (b *board) addFeed(s *peer.Snapshot, q peer.Question, after uint64, now time.Time) (urgent bool) {
 	f := &b.feed
 	s.AgeMs = max(now.Sub(f.configAt), now.Sub(f.instancesAt)).Milliseconds()
-	s.Lease, s.LeaseOffset, s.ConfigNext, s.ListedTo = f.lease, f.leaseOffset, f.configNext, f.listedTo
+	s.Lease, s.LeaseOffset, s.ListedTo = f.lease, f.leaseOffset, f.listedTo
 	if f.config != nil && f.config.Version > q.Config {
 		s.Config = f.config
 		urgent = true
@@ -340,10 +339,10 @@
 }
 
 // configRead and instancesRead note that a topic was read to its end.
-func (b *board) configRead(next uint64, now time.Time) {
+func (b *board) configRead(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.feed.configNext, b.feed.configAt = next, now
+	b.feed.configAt = now
 }
 
 func (b *board) instancesRead(now time.Time) {
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -154,7 +154,7 @@
 	for _, r := range m.page.Records {
 		c.configure(r.Value.Table)
 	}
-	c.holder.configRead(m.page.Next, c.o.Clock.Now())
+	c.holder.configRead(c.o.Clock.Now())
 }
 
 // configure puts a configuration in force unless a newer one is.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -107,8 +107,6 @@
 	LeaseOffset uint64       `json:"leaseOffset"`
 	// Config is the configuration in force, if the asker has an older one.
 	Config *route.Config `json:"config,omitempty"`
-	// ConfigNext is the offset after the configurations read.
-	ConfigNext uint64 `json:"configNext"`
 	// Instances are the entries of endpoints that changed, or all of them in a
 	// whole snapshot. What engines hold is left out.
 	Instances []directory.Record `json:"instances,omitempty"`
