placement: models and replicas are weighed in late requests

Cause: in a burst 8 of 15 possible loads a second were done. Loads from the store took more than half of the engines' time though each model lies on 3.5 disks; models above 0.7 requests a second never made way, which a burst makes of a third of them; a single model made way even where it was too small; replicas of busy models went and came within a second. Ruled out: each mend alone. Change: what makes way, and where replicas are added, is decided by how many requests a second are late: a miss costs more where the objective is shorter than a load, a replica gains by the requests that its engines run, from the most of the last seconds. Ways to make room are combinations of models that free enough. A load's own time counts in the cost of its site. A load from the store that is far from its end does not keep a model from further replicas. No copies are ordered while an engine that should report has not. Nodes tell the objective of the requests. TestBusyReplicaStays now also lists the busy model's own further replica, elsewhere.

--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -31,6 +31,10 @@
 	}
 }
 
+// evictionLoad is by how many requests an engine may be busier than another one that
+// would have to drop an adapter first.
+const evictionLoad = 12
+
 // adapter loads an adapter at the least loaded engine that holds its model.
 func (g *planning) adapter(unit Unit) {
 	var best *engine
@@ -62,7 +66,7 @@
 			if g.adapterVictim(e) == nil {
 				continue
 			}
-			load += replicaLoad
+			load += evictionLoad
 		}
 		if best == nil || load < bestLoad {
 			best, bestLoad = e, load
--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -13,13 +13,16 @@
 			continue
 		}
 		kept := g.kept(s.Name)
+		if kept == nil {
+			continue
+		}
 		for j := range s.Engine.Models {
 			if g.storeBusy+g.reservedFromStore() >= g.copiesAtOnce() {
 				return
 			}
 			unit := Unit{Service: s.Name, Model: s.Engine.Models[j].Name}
 			if !kept[unit.Model] && g.loaders[unit] == 0 && g.holders[unit] == 0 {
-				if !g.spread(unit, copyLimit, true, "no engine keeps a copy") {
+				if !g.spreadFrom(unit, copyLimit, false, true, "no engine keeps a copy") {
 					break
 				}
 			}
@@ -51,13 +54,17 @@
 }
 
 // kept returns the models that an engine of a service holds or keeps a copy of.
-// It is empty while the state of an engine is in doubt for lack of any report.
+// It is nil while an engine has not reported yet that should soon: what that keeps is
+// not known.
 func (g *planning) kept(service string) map[string]bool {
 	kept := make(map[string]bool)
 	for _, e := range g.order {
 		if e.service != service || e.draining {
 			continue
 		}
+		if !e.reported && g.now.Sub(e.doubtSince) < useLife {
+			return nil
+		}
 		for name := range e.models {
 			kept[name] = true
 		}
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -16,6 +16,8 @@
 	// known is false while the engine's state is in doubt: it gets no orders
 	// until it has reported.
 	known bool
+	// reported is set once the engine has reported what it keeps.
+	reported bool
 	// doubtSince is when the doubt began; a report of an earlier moment does not
 	// end it.
 	doubtSince time.Time
@@ -202,7 +204,7 @@
 
 // adopt takes a report over.
 func (e *engine) adopt(r *Report, now time.Time) {
-	e.taken, e.ended, e.recheckAt = r.Taken, nil, time.Time{}
+	e.taken, e.ended, e.recheckAt, e.reported = r.Taken, nil, time.Time{}, true
 	for name := range e.models {
 		if !slices.ContainsFunc(r.Models, func(h directory.Held) bool { return h.Model == name }) {
 			delete(e.models, name)
--- a/core/placement/kept_test.go
+++ b/core/placement/kept_test.go
@@ -65,7 +65,8 @@
 		{Unit: unit("m1"), Arrivals: 1, RunningAt: map[string]int{"e1": 1, "e2": 1}},
 		waits(unit("m2"), 5500),
 	}, at(3000))
-	want := []told{{"e3", "unit/s/m3", true, false}}
+	// The busy model takes a place of its own where nobody uses it.
+	want := []told{{"e3", "unit/s/m3", true, false}, {"e4", "unit/s/m3", true, false}}
 	if diff := cmp.Diff(want, orders(p.Plan(at(3000), 1))); diff != "" {
 		t.Errorf("orders (-want +got):\n%s", diff)
 	}
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -83,6 +83,8 @@
 	Arrivals int
 	// SentAway counts the callers told to come back since then.
 	SentAway int
+	// Objective is the least objective among the arrivals; 0 if none tells one.
+	Objective time.Duration
 	// Urgent is the next time by which one of the waiting wants its place, a past
 	// one if all are late; Last is when the last of them does. Zero if none waits.
 	Urgent, Last time.Time
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -7,22 +7,17 @@
 // Weights of the decisions. They are in requests a second or in requests, and
 // hold for any size of deployment.
 const (
-	// busyRate is the rate from which a model gets a second replica, so that the
-	// loss of one engine does not leave its requests waiting for a load.
-	busyRate = 0.7
-	// replicaLoad is how many requests at once a further replica is for.
-	replicaLoad = 12
-	// replicaShare is the part of the engines that one model may be held on.
-	replicaShare = 0.67
+	// busyRate is the rate from which a model that no engine holds goes before others
+	// although its waiting requests are late: later ones have the use.
+	busyRate = 1
 	// stayFor is how long a model stays that was loaded for a request.
-	stayFor = 1500 * time.Millisecond
+	stayFor = 500 * time.Millisecond
 	// gainFactor is by how much a further replica must be worth more than what
 	// makes way for it.
 	gainFactor = 2
-	// lossTime is how much longer a request waits for its model rather than take the
-	// replica of one request a second, or of one that runs. Of 60 and 150 ms the
-	// latter served both small sites better, by 0.01 each over 36 days.
-	lossTime = 150 * time.Millisecond
+	// lossTime is how much longer a request waits for its model rather than make one
+	// request a second late elsewhere.
+	lossTime = 2 * time.Second
 	// returnTime is how long a model is loaded for requests that were sent away: as
 	// long as their callers stay away at most, a third of the longest deadlines known.
 	returnTime = 8 * time.Second
@@ -39,6 +34,8 @@
 	// holders and loaders count the engines that serve a model, or will.
 	holders map[Unit]int
 	loaders map[Unit]int
+	// soon counts the engines that hold a model within soonTime.
+	soon map[Unit]int
 	// rooms holds what engines could make way, until an order changes it.
 	rooms map[roomKey]room
 	// storeBusy counts the loads from the store in progress.
@@ -57,18 +54,16 @@
 	p.fence = fence
 	p.wakeAt = time.Time{}
 	p.endWork(now)
-	g := &planning{Planner: p, now: now, models: p.modelUses(now), holders: make(map[Unit]int), loaders: make(map[Unit]int), claimed: make(map[*engine]time.Time), rooms: make(map[roomKey]room)}
+	g := &planning{Planner: p, now: now, models: p.modelUses(now), holders: make(map[Unit]int), loaders: make(map[Unit]int), soon: make(map[Unit]int), claimed: make(map[*engine]time.Time), rooms: make(map[roomKey]room)}
 	g.storeBusy = p.loading()
 	clear(p.readyAt)
 	g.count()
 	g.probes()
 	g.adapters()
 	g.reservations()
-	for _, m := range g.short() {
-		g.place(m, "its replicas are full")
-	}
+	g.replicate(g.short(), true)
 	g.serve(g.wanted())
-	g.replicas()
+	g.replicate(g.short(), false)
 	g.copies()
 	return g.actions
 }
@@ -81,7 +76,10 @@
 		for unit := range units {
 			u := p.uses[unit]
 			u.addTo(&m.sums, now)
-			m.rate += u.rateNow(now)
+			m.rate += rateBound(u.rateNow(now), now.Sub(u.lastUse))
+			if m.objective == 0 || u.objective > 0 && u.objective < m.objective {
+				m.objective = u.objective
+			}
 			if u.lastUse.After(m.lastUse) {
 				m.lastUse = u.lastUse
 			}
@@ -89,6 +87,7 @@
 				m.sentAwayAt = u.sentAwayAt
 			}
 		}
+		m.peak = p.peaks[base].note(float64(m.waiting+m.running), now)
 		out[base] = m
 	}
 	return out
@@ -106,18 +105,29 @@
 			}
 		}
 		if w := e.work; w != nil && !w.unload && e.models[w.unit.Model] == nil {
-			g.loaders[w.unit]++
-			g.expect(w.unit, w.expected)
+			g.awaits(w.unit, w.expected)
 		} else if u := e.reserved; u.Model != "" {
-			g.loaders[u]++
-			g.expect(u, g.freeAt(e).Add(g.reservedLoad(e)))
+			g.awaits(u, g.freeAt(e).Add(g.reservedLoad(e)))
 		} else if o := e.sent; o != nil && !o.Unload && o.Unit.Adapter == "" {
-			g.loaders[o.Unit]++
-			g.expect(o.Unit, g.now.Add(o.Expected))
+			g.awaits(o.Unit, g.now.Add(o.Expected))
 		}
 	}
 }
 
+// soonTime is how soon a replica must be there to count as one: a load from a disk
+// takes less, one from the store several times as long, during which its model may need
+// others.
+const soonTime = 2 * time.Second
+
+// awaits counts a replica that will be there at a time.
+func (g *planning) awaits(u Unit, at time.Time) {
+	g.loaders[u]++
+	if at.Sub(g.now) < soonTime {
+		g.soon[u]++
+	}
+	g.expect(u, at)
+}
+
 // expect notes when a model is expected to be served.
 func (g *planning) expect(u Unit, at time.Time) {
 	if old, ok := g.readyAt[u]; !ok || at.Before(old) {
@@ -174,8 +184,7 @@
 	}
 	clear(g.rooms)
 	if !o.Unload && o.Unit.Adapter == "" {
-		g.loaders[o.Unit]++
-		g.expect(o.Unit, g.now.Add(o.Expected))
+		g.awaits(o.Unit, g.now.Add(o.Expected))
 	}
 	if o.Unload && o.Unit.Adapter == "" {
 		g.holders[o.Unit]--
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -47,6 +47,8 @@
 	uses    map[Unit]*use
 	// models holds the units in use by their model.
 	models map[Unit]map[Unit]bool
+	// peaks holds the most requests at once of the last moments, by model.
+	peaks map[Unit]*peak
 	// reported holds the units of each node's latest report.
 	reported map[string][]Unit
 	// storeLoads holds when loads from the weight store began, within the window.
@@ -64,7 +66,7 @@
 func New(limits Limits) *Planner {
 	return &Planner{
 		limits: limits, engines: make(map[string]*engine), uses: make(map[Unit]*use),
-		models: make(map[Unit]map[Unit]bool), reported: make(map[string][]Unit), readyAt: make(map[Unit]time.Time),
+		models: make(map[Unit]map[Unit]bool), peaks: make(map[Unit]*peak), reported: make(map[string][]Unit), readyAt: make(map[Unit]time.Time),
 	}
 }
 
@@ -146,6 +148,7 @@
 			base := r.Unit.Base()
 			if p.models[base] == nil {
 				p.models[base] = make(map[Unit]bool)
+				p.peaks[base] = &peak{at: now}
 			}
 			p.models[base][r.Unit] = true
 		}
--- /dev/null
+++ b/core/placement/room.go
@@ -0,0 +1,110 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// roomKey names an engine, and whether a model of which requests run may make way.
+type roomKey struct {
+	engine *engine
+	urgent bool
+}
+
+// room is what an engine has left, and how it can make more.
+type room struct {
+	// unknown is true where the engine holds a model whose size is not known.
+	unknown bool
+	// free is in MB.
+	free float64
+	// ways are the ways to make room, the one with the least loss first.
+	ways []way
+}
+
+// way is one way to make room: some models make way together.
+type way struct {
+	victims []string
+	// mb is what they free, loss what their requests lose.
+	mb, loss float64
+	// runs is true where requests of one of them run: the unload waits for these.
+	runs bool
+}
+
+// way returns the one with the least loss that frees enough, in MB; nil if none does.
+// Models are of different sizes: one that is smaller than what is needed makes no room
+// by itself, and its unload would be for nothing.
+func (r *room) way(mb float64) *way {
+	for i := range r.ways {
+		if r.ways[i].mb >= mb {
+			return &r.ways[i]
+		}
+	}
+	return nil
+}
+
+// mostVictims bounds the models of an engine that are weighed against each other: all
+// their combinations are.
+const mostVictims = 6
+
+// room returns what an engine could make way, which is the same for all models of
+// one plan until an order is sent.
+func (g *planning) room(e *engine, urgent bool) room {
+	k := roomKey{e, urgent}
+	r, ok := g.rooms[k]
+	if !ok {
+		r.unknown, r.free = e.unknownWeights(g.table), e.freeMB(g.table)
+		r.ways = ways(g.candidates(e, urgent))
+		g.rooms[k] = r
+	}
+	return r
+}
+
+// candidates returns the models of an engine that can make way, each alone, those of
+// the least loss by size first.
+func (g *planning) candidates(e *engine, urgent bool) []way {
+	var out []way
+	for name, h := range e.models {
+		unit := Unit{Service: e.service, Model: name}
+		if e.leaves(name) {
+			return nil
+		}
+		loss, runs := g.loss(e, unit, h), g.runs(unit, e.id) > 0
+		if loss < 0 || !urgent && runs {
+			continue
+		}
+		out = append(out, way{victims: []string{name}, mb: e.sizeMB(g.table, name, h), loss: loss, runs: runs})
+	}
+	slices.SortFunc(out, func(a, b way) int {
+		// By loss for each MB, multiplied out: sizes may be 0.
+		return cmp.Or(cmp.Compare(a.loss*b.mb, b.loss*a.mb), cmp.Compare(a.victims[0], b.victims[0]))
+	})
+	return out[:min(len(out), mostVictims)]
+}
+
+// ways returns the combinations of candidates, without those that lose more than
+// another one and free no more.
+func ways(candidates []way) []way {
+	all := make([]way, 0, 1<<len(candidates))
+	for set := 1; set < 1<<len(candidates); set++ {
+		var w way
+		for i, c := range candidates {
+			if set&(1<<i) != 0 {
+				w.victims = append(w.victims, c.victims[0])
+				w.mb += c.mb
+				w.loss += c.loss
+				w.runs = w.runs || c.runs
+			}
+		}
+		all = append(all, w)
+	}
+	slices.SortStableFunc(all, func(a, b way) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(len(a.victims), len(b.victims)))
+	})
+	kept := all[:0]
+	for _, w := range all {
+		if len(kept) == 0 || w.mb > kept[len(kept)-1].mb {
+			kept = append(kept, w)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/core/placement/room_test.go
@@ -0,0 +1,78 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/route"
+)
+
+func TestWays(t *testing.T) {
+	small := way{victims: []string{"small"}, mb: 30, loss: 1}
+	large := way{victims: []string{"large"}, mb: 70, loss: 3}
+	busy := way{victims: []string{"busy"}, mb: 60, loss: 9, runs: true}
+	tests := []struct {
+		name       string
+		candidates []way
+		needed     float64
+		want       []string
+	}{
+		{"one that is enough", []way{small, large}, 30, []string{"small"}},
+		{"the one that is large enough", []way{small, large}, 40, []string{"large"}},
+		{"two together", []way{small, large}, 80, []string{"small", "large"}},
+		{"two of little loss before one of much", []way{small, large, busy}, 90, []string{"small", "large"}},
+		{"all", []way{small, large, busy}, 160, []string{"small", "large", "busy"}},
+		{"not even all", []way{small, large, busy}, 161, nil},
+		{"none", nil, 1, nil},
+	}
+	for _, test := range tests {
+		r := room{ways: ways(test.candidates)}
+		var got []string
+		if w := r.way(test.needed); w != nil {
+			got = w.victims
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
+// TestSmallModelsMakeWayTogether checks that a model gets the room that it needs where
+// no single one of an engine's models is as large: the engine unloads one after the
+// other, then loads.
+func TestSmallModelsMakeWayTogether(t *testing.T) {
+	e := &route.Engine{Slots: 8, WeightsMB: 200, AdapterSlots: 4, LoadsPerSecond: 3}
+	for name, mb := range map[string]float64{"a": 65, "b": 66, "c": 67, "big": 130} {
+		e.Models = append(e.Models, route.Model{Name: name, WeightsMB: mb, Load: 6 * time.Second, Disk: 500 * time.Millisecond})
+	}
+	table, err := route.New(&route.Config{Version: 1, Services: []route.Service{{Name: "s", Engine: e}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := New(Limits{Window: 5 * time.Second})
+	p.SetTable(table)
+	p.SetEngines([]*directory.Entry{entry("e1")}, at(0))
+	p.Plan(at(0), 1)
+	p.Reported("e1", &Report{Holdings: directory.Holdings{Models: holds("a", "b", "c"), OnDisk: []string{"a", "b", "c", "big"}}}, at(0), at(1))
+	p.Use("n", []Use{waits(unit("big"), 2000)}, at(2))
+	var got []told
+	for ms := 3; ms < 1500; ms += 10 {
+		for _, a := range p.Plan(at(ms), 1) {
+			if a.Order != nil {
+				got = append(got, orders([]Action{a})...)
+				p.Replied(a.Order, Accepted, at(ms))
+			}
+		}
+	}
+	want := []told{
+		{"e1", "unit/s/a", true, false},
+		{"e1", "unit/s/b", true, false},
+		{"e1", "unit/s/big", false, false},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("orders (-want +got):\n%s", diff)
+	}
+}
--- a/core/placement/site.go
+++ b/core/placement/site.go
@@ -38,11 +38,12 @@
 		}
 		e.reserved = Unit{}
 		g.loaders[u]--
+		g.soon[u] = max(0, g.soon[u]-1)
 		model := g.table.Model(u.Service, u.Model)
 		if model == nil || e.models[u.Model] != nil {
 			continue
 		}
-		if s := g.site(e, u, model, true); s != nil && s.victim == "" {
+		if s := g.site(e, u, model, true); s != nil {
 			g.load(s, u, "room was made")
 		}
 	}
@@ -55,14 +56,15 @@
 	start, ready time.Time
 	fromStore    bool
 	load         time.Duration
-	// victim is the model that makes way; "" for none.
-	victim string
-	loss   float64
+	// victims are the models that make way; none where there is room.
+	victims []string
+	loss    float64
 }
 
-// cost is when the model is there, put off by what its coming loses elsewhere.
+// cost is when the model is there, put off by what its coming loses elsewhere: by the
+// requests for what makes way, and by the time in which the engine loads nothing else.
 func (s *site) cost() time.Time {
-	return s.ready.Add(time.Duration(s.loss * float64(lossTime)))
+	return s.ready.Add(s.load + time.Duration(s.loss*float64(lossTime)))
 }
 
 // better reports whether a site is better than another, which may be nil.
@@ -110,11 +112,11 @@
 
 // load orders a model at a site, or makes way for it first.
 func (g *planning) load(s *site, unit Unit, why string) {
-	if s.victim != "" {
+	if len(s.victims) > 0 {
 		s.engine.reserved = unit
-		g.loaders[unit]++
+		g.awaits(unit, s.ready)
 		g.send(s.engine, &Order{
-			Unit: Unit{Service: unit.Service, Model: s.victim}, Unload: true, Expected: unloadTime, Why: "makes way for " + unit.Model,
+			Unit: Unit{Service: unit.Service, Model: s.victims[0]}, Unload: true, Expected: unloadTime, Why: "makes way for " + unit.Model,
 		})
 		return
 	}
@@ -147,19 +149,18 @@
 		s.start = s.start.Add(g.reservedLoad(e) + probeEvery)
 		free -= m.WeightsMB
 	}
-	if free < model.WeightsMB {
-		s.victim, s.loss = r.victim, r.loss
-		if s.victim == "" {
-			return nil
-		}
-	}
 	s.ready = s.start.Add(s.load)
-	switch {
-	case s.victim == "":
-	case g.runs(Unit{Service: e.service, Model: s.victim}, e.id) > 0:
-		s.ready = s.ready.Add(swapTime + g.unloads.Mean(runTime))
-	default:
-		s.ready = s.ready.Add(swapTime)
+	if free >= model.WeightsMB {
+		return s
+	}
+	w := r.way(model.WeightsMB - free)
+	if w == nil {
+		return nil
+	}
+	s.victims, s.loss = w.victims, w.loss
+	s.ready = s.ready.Add(time.Duration(len(w.victims)) * swapTime)
+	if w.runs {
+		s.ready = s.ready.Add(g.unloads.Mean(runTime))
 	}
 	return s
 }
@@ -195,81 +196,18 @@
 	return at
 }
 
-// roomKey names an engine, and whether a model of which requests run may make way.
-type roomKey struct {
-	engine *engine
-	urgent bool
-}
-
-// room is what an engine has left, in MB, and what can make way there.
-type room struct {
-	// unknown is true where the engine holds a model whose size is not known.
-	unknown bool
-	free    float64
-	victim  string
-	loss    float64
-}
-
-// room returns what an engine could make way, which is the same for all models of
-// one plan until an order is sent.
-func (g *planning) room(e *engine, urgent bool) room {
-	k := roomKey{e, urgent}
-	r, ok := g.rooms[k]
-	if !ok {
-		r.unknown, r.free = e.unknownWeights(g.table), e.freeMB(g.table)
-		r.victim, r.loss = g.victim(e, urgent)
-		g.rooms[k] = r
-	}
-	return r
-}
-
-// victim returns the model that an engine can best do without, and the loss in
-// requests a second; "" if there is none.
-func (g *planning) victim(e *engine, urgent bool) (name string, loss float64) {
-	for candidate, h := range e.models {
-		unit := Unit{Service: e.service, Model: candidate}
-		if e.leaves(candidate) {
-			return "", 0
-		}
-		l := g.loss(e, unit, h)
-		if l < 0 || (!urgent && g.runs(unit, e.id) > 0) {
-			continue
-		}
-		if name == "" || l < loss || l == loss && candidate < name {
-			name, loss = candidate, l
-		}
-	}
-	return name, loss
-}
-
-// loss is what the requests lose when an engine drops a model, in requests a
-// second that meet a load; below 0 if it must stay.
+// loss is how many requests a second are late when an engine drops a model; below 0 if
+// it must stay.
 func (g *planning) loss(e *engine, unit Unit, h *held) float64 {
 	m := g.models[unit]
 	if m == nil {
 		return 0
 	}
 	holders := g.holders[unit]
-	last := holders <= 1
-	switch {
-	case last && m.waiting > 0, g.now.Sub(h.since) < stayFor && m.waiting+m.running > 0:
-		return -1
-	case last && m.rate >= busyRate:
+	if holders <= 1 && m.waiting > 0 || g.now.Sub(h.since) < stayFor && m.waiting+m.running > 0 {
 		return -1
 	}
-	loss := m.rate / float64(max(1, holders))
-	switch {
-	case holders > g.want(m):
-		loss /= gainFactor * gainFactor
-	case m.rate >= busyRate:
-		// All its requests are slower at the replicas that are left.
-		loss += m.rate
-	}
-	if n := g.runs(unit, e.id); n > 0 {
-		// The unload waits for these to end, and the engine with it.
-		loss += float64(n)
-	}
-	return loss
+	return g.lossOf(m, holders)
 }
 
 // runs returns the running requests for a model, with all its adapters, at one engine.
@@ -288,3 +226,12 @@
 	}
 	return n
 }
+
+// running is how many requests an engine runs, by the nodes' reports.
+func (g *planning) running(e *engine) int {
+	n := 0
+	for name := range e.models {
+		n += g.runs(Unit{Service: e.service, Model: name}, e.id)
+	}
+	return n
+}
--- a/core/placement/use.go
+++ b/core/placement/use.go
@@ -9,6 +9,8 @@
 
 // Times of the reports of use.
 const (
+	// reportAtMost is the longest time between two reports of a node.
+	reportAtMost = time.Second
 	// useLife is how long a node's report counts unless renewed: a few of the
 	// intervals at which nodes report.
 	useLife = 3 * time.Second
@@ -27,6 +29,9 @@
 	lastUse time.Time
 	// sentAwayAt is when a caller was last told to come back.
 	sentAwayAt time.Time
+	// objective is the least objective among the requests of the latest report that
+	// told one; 0 if none did.
+	objective time.Duration
 }
 
 // nodeUse is one node's latest report.
@@ -42,6 +47,9 @@
 	if r.Arrivals > 0 || r.Waiting > 0 {
 		u.lastUse = now
 	}
+	if r.Objective > 0 {
+		u.objective = r.Objective
+	}
 	if r.SentAway > 0 {
 		u.sentAwayAt = now
 	}
@@ -117,4 +125,21 @@
 	sums
 	rate                float64
 	lastUse, sentAwayAt time.Time
+	// objective is the least objective among its requests; 0 if none is known.
+	objective time.Duration
+	// peak is the most requests at once of the last moments.
+	peak float64
+}
+
+// peak is the most of a figure of the last moments, which is forgotten with peakTime.
+type peak struct {
+	value float64
+	at    time.Time
+}
+
+// note takes the present value in and returns the peak.
+func (p *peak) note(value float64, now time.Time) float64 {
+	p.value = max(value, p.value*math.Exp(-now.Sub(p.at).Seconds()/peakTime.Seconds()))
+	p.at = now
+	return p.value
 }
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -35,7 +35,7 @@
 	var late []*modelUse
 	for _, m := range models {
 		s := g.best(m)
-		if m.waiting > 0 && m.rate < busyRate && (s == nil || s.ready.After(m.last)) {
+		if m.waiting > 0 && !(m.rate >= busyRate && g.impatient(m)) && (s == nil || s.ready.After(m.last)) {
 			late = append(late, m)
 			continue
 		}
@@ -46,55 +46,55 @@
 	}
 }
 
-// short returns the busy models whose few replicas are full, or that have but one,
-// the busiest first. They go before models that a single request waits for: they
-// serve many, and are late for all of them.
-func (g *planning) short() []*modelUse {
-	var out []*modelUse
+// replica is a busy model that one more replica would serve better.
+type replica struct {
+	*modelUse
+	// gain is in late requests a second.
+	gain float64
+}
+
+// short returns the models that gain by one more replica, those that gain most first.
+func (g *planning) short() []replica {
+	var out []replica
 	for unit, m := range g.models {
-		n := g.holders[unit] + g.loaders[unit]
-		if n == 0 || n >= g.want(m) || g.table.Model(unit.Service, unit.Model) == nil {
+		n := g.holders[unit] + g.soon[unit]
+		if n == 0 || g.table.Model(unit.Service, unit.Model) == nil || n >= g.enginesOf(unit.Service) {
 			continue
 		}
-		if n < 2 || g.full(unit, m) {
-			out = append(out, m)
+		if gain := g.gain(m, n); gain > leastGain {
+			out = append(out, replica{m, gain})
 		}
 	}
-	sortByRate(out)
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].gain != out[j].gain {
+			return out[i].gain > out[j].gain
+		}
+		return out[i].unit.Pool() < out[j].unit.Pool()
+	})
 	return out
 }
 
-// An engine counts as full from a part of its slots on, and from a number of requests
-// whose prompts it hardly reads without pauses in their streams.
+// Gains of a further replica, in late requests a second.
 const (
-	fullShare = 0.6
-	fullLoad  = 1.5 * replicaLoad
+	// leastGain is the least for which one is loaded: over gainTime it is worth the
+	// load.
+	leastGain = swapLoss / gainTime
+	// gainTime is how long a replica is of use, in seconds: demand moves on within
+	// some.
+	gainTime = 4
+	// urgentGain is the gain from which a replica goes before the models that single
+	// requests wait for.
+	urgentGain = 1
 )
 
-// full reports whether all engines that serve a model are full, by the requests
-// for all models that they run.
-func (g *planning) full(unit Unit, m *modelUse) bool {
-	if g.loaders[unit] > 0 {
-		return false
-	}
-	for _, e := range g.order {
-		if e.service != unit.Service || e.draining || !e.serves(unit.Model) {
-			continue
+// replicate adds a replica to each model that gains by it, if what makes way for it is
+// worth less.
+func (g *planning) replicate(models []replica, urgent bool) {
+	for _, r := range models {
+		if (r.gain >= urgentGain) == urgent {
+			g.spread(r.unit, (r.gain-leastGain)/gainFactor, urgent, "more replicas for a busy model")
 		}
-		if float64(g.running(e)) < min(fullLoad, fullShare*float64(e.shape.Slots)) {
-			return false
-		}
-	}
-	return true
-}
-
-// running is how many requests an engine runs, by the nodes' reports.
-func (g *planning) running(e *engine) int {
-	n := 0
-	for name := range e.models {
-		n += g.runs(Unit{Service: e.service, Model: name}, e.id)
 	}
-	return n
 }
 
 func sortByRate(models []*modelUse) {
@@ -106,15 +106,6 @@
 	})
 }
 
-// want returns how many replicas a model should have.
-func (g *planning) want(m *modelUse) int {
-	if m.rate < busyRate {
-		return 1
-	}
-	n := 2 + (m.waiting+m.running)/replicaLoad
-	return min(n, max(2, int(replicaShare*float64(g.enginesOf(m.unit.Service)))))
-}
-
 func (g *planning) enginesOf(service string) int {
 	n := 0
 	for _, e := range g.order {
@@ -125,35 +116,21 @@
 	return n
 }
 
-// replicas adds a replica to the busy models that have too few, the busiest
-// first.
-func (g *planning) replicas() {
-	var busy []*modelUse
-	for unit, m := range g.models {
-		if n := g.holders[unit] + g.loaders[unit]; n > 0 && n < g.want(m) && g.table.Model(unit.Service, unit.Model) != nil {
-			busy = append(busy, m)
-		}
-	}
-	sortByRate(busy)
-	for _, m := range busy {
-		n := g.holders[m.unit] + g.loaders[m.unit]
-		gain := m.rate / float64(n+1)
-		// The store's loads block an engine for long: they are for models that are
-		// short of replicas.
-		g.spread(m.unit, gain/gainFactor, false, "more replicas for a busy model")
-	}
+// spread loads one more replica of a model at the idle engine where it is ready
+// first, if what makes way is worth less than the limit. An urgent one may also make
+// way models of which requests run.
+func (g *planning) spread(unit Unit, limit float64, urgent bool, why string) bool {
+	return g.spreadFrom(unit, limit, urgent, g.loaders[unit] == 0, why)
 }
 
-// spread loads one more replica of a model at the idle engine where it is ready
-// first, if what makes way is worth less than the limit.
-func (g *planning) spread(unit Unit, limit float64, fromStore bool, why string) bool {
+func (g *planning) spreadFrom(unit Unit, limit float64, urgent, fromStore bool, why string) bool {
 	model := g.table.Model(unit.Service, unit.Model)
 	var best *site
 	for _, e := range g.order {
 		if !e.idle(g.now) || e.reserved.Model != "" {
 			continue
 		}
-		s := g.site(e, unit, model, false)
+		s := g.site(e, unit, model, urgent)
 		if s == nil || s.loss > limit || s.fromStore && !fromStore {
 			continue
 		}
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -454,7 +454,7 @@
 			c.o.Logger.Warn("report of an unknown pool passed over", "node", m.r.Node, "pool", w.Pool)
 			continue
 		}
-		u := placement.Use{Unit: unit, Waiting: w.Waiting, Arrivals: w.Arrivals, SentAway: w.SentAway, RunningAt: w.RunningAt}
+		u := placement.Use{Unit: unit, Waiting: w.Waiting, Arrivals: w.Arrivals, SentAway: w.SentAway, Objective: time.Duration(w.ObjectiveMs) * time.Millisecond, RunningAt: w.RunningAt}
 		if w.Waiting > 0 {
 			u.Urgent = now.Add(time.Duration(w.UrgentInMs) * time.Millisecond)
 			u.Last = now.Add(time.Duration(w.LastInMs) * time.Millisecond)
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -272,7 +272,7 @@
 		if !ok {
 			continue
 		}
-		out = append(out, placement.Use{Unit: unit, Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, Urgent: u.Urgent, Last: u.Last, RunningAt: u.RunningAt})
+		out = append(out, placement.Use{Unit: unit, Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, Objective: u.Objective, Urgent: u.Urgent, Last: u.Last, RunningAt: u.RunningAt})
 	}
 	return out
 }
@@ -280,7 +280,7 @@
 func (c *Controller) wireUses(now time.Time) []peer.Use {
 	var out []peer.Use
 	for _, u := range c.uses(now) {
-		w := peer.Use{Pool: u.Unit.Pool(), Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, RunningAt: u.RunningAt}
+		w := peer.Use{Pool: u.Unit.Pool(), Waiting: u.Waiting, Arrivals: u.Arrivals, SentAway: u.SentAway, ObjectiveMs: u.Objective.Milliseconds(), RunningAt: u.RunningAt}
 		if !u.Urgent.IsZero() {
 			w.UrgentInMs, w.LastInMs = u.Urgent.Sub(now).Milliseconds(), u.Last.Sub(now).Milliseconds()
 		}
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -32,6 +32,8 @@
 	// turn counts the picks, so that equal endpoints take turns.
 	turn     int
 	arrivals int
+	// objective is the least objective among these; 0 if none tells one.
+	objective time.Duration
 	// sentAway counts the callers told to come back.
 	sentAway int
 	// reported is the last demand report.
@@ -65,6 +67,9 @@
 		return nil
 	}
 	p.arrivals++
+	if p.objective == 0 || a.Objective > 0 && a.Objective < p.objective {
+		p.objective = a.Objective
+	}
 	budget.Earn()
 	least := p.model.AtLeast(admit.Wait{
 		Ready: len(p.endpoints) > 0, Ahead: p.queue.Len(), Capacity: p.capacity(), LoadElapsed: p.loadElapsed(now),
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -48,6 +48,8 @@
 	Arrivals int
 	// SentAway counts the callers told to come back since the last call.
 	SentAway int
+	// Objective is the least objective among the arrivals; 0 if none tells one.
+	Objective time.Duration
 	// Urgent is the next time by which one of the waiting wants its place, a past
 	// one if all are late; Last is when the last of them does. Zero if none waits.
 	Urgent, Last time.Time
@@ -65,9 +67,9 @@
 		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.sentAway == 0 {
 			continue
 		}
-		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, SentAway: p.sentAway, RunningAt: maps.Clone(p.runningAt)}
+		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, SentAway: p.sentAway, Objective: p.objective, RunningAt: maps.Clone(p.runningAt)}
 		u.Urgent, u.Last, _ = p.queue.Due(now)
-		p.arrivals, p.sentAway = 0, 0
+		p.arrivals, p.sentAway, p.objective = 0, 0, 0
 		out = append(out, u)
 	}
 	return out
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -53,6 +53,8 @@
 	Waiting  int    `json:"waiting,omitempty"`
 	Arrivals int    `json:"arrivals,omitempty"`
 	SentAway int    `json:"sentAway,omitempty"`
+	// ObjectiveMs is the least objective among the arrivals; 0 if none tells one.
+	ObjectiveMs int64 `json:"objectiveMs,omitempty"`
 	// UrgentInMs is the time left until the next of the waiting wants its place,
 	// LastInMs until the last one does; negative when it is past.
 	UrgentInMs int64          `json:"urgentInMs,omitempty"`
