placement: a model takes no more from others than waits for it

Cause: where all else had to stay, the only replica of a model with 25 requests a second made way for a model with one request; 24 of 34 requests of that second were refused and came back together. Change: a site whose loss exceeds what the waiting requests are worth is none; a test that fails without it.

--- a/core/placement/kept_test.go
+++ b/core/placement/kept_test.go
@@ -71,3 +71,25 @@
 		t.Errorf("orders (-want +got):\n%s", diff)
 	}
 }
+
+// TestOnlyReplicaStays checks that the only replica of a busy model does not make way
+// for a model that one request waits for, even where nothing else can.
+func TestOnlyReplicaStays(t *testing.T) {
+	p := testPlanner(t, 3, map[string]Report{
+		"e1": {Holdings: directory.Holdings{Models: holds("m0", "m1"), OnDisk: []string{"m0", "m1", "m2"}}},
+	})
+	busy := func(ms int) {
+		p.Use("n", []Use{
+			{Unit: unit("m0"), Arrivals: 10, Objective: 300 * time.Millisecond, RunningAt: map[string]int{"e1": 3}},
+			// What was just loaded for a request stays until that has run.
+			{Unit: unit("m1"), Waiting: 1, Arrivals: 1, Objective: 2 * time.Second, Urgent: at(ms + 500), Last: at(ms + 500)},
+			waits(unit("m2"), ms+2000),
+		}, at(ms))
+	}
+	for ms := 10; ms < 1000; ms += 200 {
+		busy(ms)
+		if got := orders(p.Plan(at(ms), 1)); got != nil {
+			t.Fatalf("orders after %d ms: %v", ms, got)
+		}
+	}
+}
--- a/core/placement/site.go
+++ b/core/placement/site.go
@@ -75,13 +75,15 @@
 // place loads a model where it is ready first.
 func (g *planning) place(m *modelUse, why string) { g.settle(m, g.best(m), why) }
 
-// best returns where a model is ready first; nil if it can be loaded nowhere.
+// best returns where a model is ready first; nil if it can be loaded nowhere, or only
+// at the cost of more requests than wait for it.
 func (g *planning) best(m *modelUse) *site {
 	model := g.table.Model(m.unit.Service, m.unit.Model)
+	limit := g.lossOf(m, 1) + float64(m.waiting)/lossTime.Seconds()
 	var best *site
 	for _, e := range g.order {
 		s := g.site(e, m.unit, model, true)
-		if s == nil {
+		if s == nil || s.loss > limit {
 			continue
 		}
 		if s.better(best) {
