placement, traffic: copies before the store; hopeless requests are refused by the forecast

Cause: callers were sent away after a fifth of their objective to return, and those who stayed waited their whole time. Loads from the store took an engine 6 s each, ten times a load from a disk, though each model lies on 3.5 disks; planned ones claimed engines for as long, so that forecasts read 12 to 60 s. Change: no load from the store while an engine that keeps a copy may yet load the model; one that must be goes to an engine whose copies nobody waits for. A request waits until it is served or its caller leaves, unless the forecast says that its model comes later: then it is refused at once, with the time to come back.

--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -22,7 +22,7 @@
 			}
 			unit := Unit{Service: s.Name, Model: s.Engine.Models[j].Name}
 			if !kept[unit.Model] && g.loaders[unit] == 0 && g.holders[unit] == 0 {
-				if !g.spreadFrom(unit, copyLimit, false, true, "no engine keeps a copy") {
+				if !g.spread(unit, spreadOptions{limit: copyLimit, fromStore: true}, "no engine keeps a copy") {
 					break
 				}
 			}
@@ -65,13 +65,7 @@
 		if !e.reported && g.now.Sub(e.doubtSince) < useLife {
 			return nil
 		}
-		for name := range e.models {
-			kept[name] = true
-		}
-		for name := range e.warm {
-			kept[name] = true
-		}
-		for name := range e.onDisk {
+		for _, name := range e.keeps() {
 			kept[name] = true
 		}
 	}
--- a/core/placement/kept.go
+++ b/core/placement/kept.go
@@ -62,6 +62,25 @@
 	}
 }
 
+// keeps returns the models that the engine holds or keeps a copy of.
+func (e *engine) keeps() []string {
+	out := make([]string, 0, len(e.onDisk)+len(e.models))
+	for name := range e.onDisk {
+		out = append(out, name)
+	}
+	for name := range e.warm {
+		if !e.onDisk.has(name) {
+			out = append(out, name)
+		}
+	}
+	for name := range e.models {
+		if !e.onDisk.has(name) && !e.warm.has(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // keep notes that an engine has loaded a model.
 func (e *engine) keep(t *route.Table, model string, now time.Time) {
 	size := func(name string) float64 {
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -36,6 +36,8 @@
 	loaders map[Unit]int
 	// soon counts the engines that hold a model within soonTime.
 	soon map[Unit]int
+	// keepers counts the engines that hold a model or keep a copy of it.
+	keepers map[Unit]int
 	// rooms holds what engines could make way, until an order changes it.
 	rooms map[roomKey]room
 	// storeBusy counts the loads from the store in progress.
@@ -54,16 +56,16 @@
 	p.fence = fence
 	p.wakeAt = time.Time{}
 	p.endWork(now)
-	g := &planning{Planner: p, now: now, models: p.modelUses(now), holders: make(map[Unit]int), loaders: make(map[Unit]int), soon: make(map[Unit]int), claimed: make(map[*engine]time.Time), rooms: make(map[roomKey]room)}
+	g := &planning{Planner: p, now: now, models: p.modelUses(now), holders: make(map[Unit]int), loaders: make(map[Unit]int), soon: make(map[Unit]int), keepers: make(map[Unit]int), claimed: make(map[*engine]time.Time), rooms: make(map[roomKey]room)}
 	g.storeBusy = p.loading()
 	clear(p.readyAt)
 	g.count()
 	g.probes()
 	g.adapters()
 	g.reservations()
-	g.replicate(g.short(), true)
+	g.replicate(true)
 	g.serve(g.wanted())
-	g.replicate(g.short(), false)
+	g.replicate(false)
 	g.copies()
 	return g.actions
 }
@@ -104,6 +106,11 @@
 				g.holders[Unit{Service: e.service, Model: name}]++
 			}
 		}
+		if e.known {
+			for _, name := range e.keeps() {
+				g.keepers[Unit{Service: e.service, Model: name}]++
+			}
+		}
 		if w := e.work; w != nil && !w.unload && e.models[w.unit.Model] == nil {
 			g.awaits(w.unit, w.expected)
 		} else if u := e.reserved; u.Model != "" {
--- a/core/placement/room_test.go
+++ b/core/placement/room_test.go
@@ -76,3 +76,26 @@
 		t.Errorf("orders (-want +got):\n%s", diff)
 	}
 }
+
+// TestCopyBeforeStore checks that a model is not loaded from the store while an engine
+// that keeps a copy is busy with a short load: the store's takes an engine as long as
+// ten others, and its disk drops another copy for it.
+func TestCopyBeforeStore(t *testing.T) {
+	p := testPlanner(t, 4, map[string]Report{
+		"e1": {Holdings: directory.Holdings{OnDisk: []string{"m0", "m1", "m2", "m3"}}},
+		"e2": {},
+	})
+	p.Use("n", []Use{waits(unit("m0"), 2000)}, at(10))
+	first := p.Plan(at(10), 1)
+	if diff := cmp.Diff([]told{{"e1", "unit/s/m0", false, false}}, orders(first)); diff != "" {
+		t.Fatalf("orders (-want +got):\n%s", diff)
+	}
+	p.Replied(first[0].Order, Accepted, at(12))
+	p.Use("n", []Use{waits(unit("m0"), 2000), waits(unit("m1"), 2000)}, at(20))
+	if got := orders(p.Plan(at(20), 1)); got != nil {
+		t.Errorf("orders while the copy's engine is busy: %v", got)
+	}
+	if got := p.ReadyAt()[unit("m1")]; got.After(at(2000)) {
+		t.Errorf("m1 is expected after %v, want after the load in progress and its own", got.Sub(start))
+	}
+}
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -89,14 +89,25 @@
 
 // replicate adds a replica to each model that gains by it, if what makes way for it is
 // worth less.
-func (g *planning) replicate(models []replica, urgent bool) {
-	for _, r := range models {
+func (g *planning) replicate(urgent bool) {
+	for _, r := range g.short() {
 		if (r.gain >= urgentGain) == urgent {
-			g.spread(r.unit, (r.gain-leastGain)/gainFactor, urgent, "more replicas for a busy model")
+			o := spreadOptions{limit: (r.gain - leastGain) / gainFactor, urgent: urgent, fromStore: g.loaders[r.unit] == 0}
+			g.spread(r.unit, o, "more replicas for a busy model")
 		}
 	}
 }
 
+// spreadOptions say how a further replica of a model may be loaded.
+type spreadOptions struct {
+	// limit is the most that may be lost by what makes way, in late requests a second.
+	limit float64
+	// urgent ones may also make way models of which requests run.
+	urgent bool
+	// fromStore ones may come from the weight store.
+	fromStore bool
+}
+
 func sortByRate(models []*modelUse) {
 	sort.Slice(models, func(i, j int) bool {
 		if models[i].rate != models[j].rate {
@@ -116,22 +127,17 @@
 	return n
 }
 
-// spread loads one more replica of a model at the idle engine where it is ready
-// first, if what makes way is worth less than the limit. An urgent one may also make
-// way models of which requests run.
-func (g *planning) spread(unit Unit, limit float64, urgent bool, why string) bool {
-	return g.spreadFrom(unit, limit, urgent, g.loaders[unit] == 0, why)
-}
-
-func (g *planning) spreadFrom(unit Unit, limit float64, urgent, fromStore bool, why string) bool {
+// spread loads one more replica of a model at the idle engine where it is ready first,
+// and reports whether there is one.
+func (g *planning) spread(unit Unit, o spreadOptions, why string) bool {
 	model := g.table.Model(unit.Service, unit.Model)
 	var best *site
 	for _, e := range g.order {
 		if !e.idle(g.now) || e.reserved.Model != "" {
 			continue
 		}
-		s := g.site(e, unit, model, urgent)
-		if s == nil || s.loss > limit || s.fromStore && !fromStore {
+		s := g.site(e, unit, model, o.urgent)
+		if s == nil || s.loss > o.limit || s.fromStore && !o.fromStore {
 			continue
 		}
 		if s.better(best) {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -122,6 +122,15 @@
 	return true
 }
 
+// Items returns the waiting items in no order.
+func (q *Queue) Items() []*Item {
+	out := make([]*Item, 0, q.items)
+	for _, f := range q.active {
+		out = append(out, f.items...)
+	}
+	return out
+}
+
 // Earliest returns the most urgent deadline; ok is false when none waits.
 func (q *Queue) Earliest() (deadline time.Time, ok bool) {
 	for _, f := range q.active {
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -96,7 +96,12 @@
 			return d.slot(p, pl, &a, start, start, cold), nil
 		}
 	}
-	w := &waiter{ask: a, granted: make(chan place, 1)}
+	if err := p.hopeless(&a, start); err != nil {
+		p.sentAway++
+		d.mu.Unlock()
+		return nil, err
+	}
+	w := &waiter{ask: a, ended: make(chan verdict, 1)}
 	w.item = &queue.Item{Caller: a.Caller, Deadline: a.urgent(start), Cost: a.Cost, Bytes: a.Bytes, Value: w}
 	if !p.queue.Push(w.item) {
 		n := p.queue.Len()
@@ -113,7 +118,7 @@
 		// The home should hear of the demand before the request waits long.
 		d.hooks.Waiting()
 	}
-	return d.wait(ctx, p, w, a, start, cold)
+	return d.wait(ctx, p, w, start, cold)
 }
 
 func (d *Dispatcher) slot(p *pool, pl place, a *Ask, start, now time.Time, cold bool) *Slot {
@@ -232,7 +237,7 @@
 	}
 	p.queue.Pop()
 	p.occupy(pl, &w.ask)
-	w.granted <- pl
+	w.ended <- verdict{place: pl}
 	return true
 }
 
@@ -285,6 +290,7 @@
 	for name, p := range d.pools {
 		p.loadingSince = v.LoadingSince[name]
 		p.readyAt = v.ReadyAt[name]
+		p.refuseHopeless(now)
 	}
 	for name, g := range d.gates {
 		if len(g.pools) == 0 && g.running == 0 {
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -50,14 +50,6 @@
 	others int
 }
 
-// waiter is a request in a queue.
-type waiter struct {
-	item *queue.Item
-	ask  Ask
-	// granted carries the place.
-	granted chan place
-}
-
 // admit refuses what cannot make its deadline.
 func (p *pool) admit(a Ask, budget *retry.Budget, now time.Time) error {
 	if a.Retry {
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -27,9 +27,6 @@
 	// Leaves is when the caller leaves if nothing of an answer came; zero where it
 	// stays until the deadline.
 	Leaves time.Time
-	// Returns is true when the caller comes back at the time that a refusal
-	// tells, if it is refused soon.
-	Returns bool
 	// Affinity is equal for requests that share the beginning of their prompts; 0
 	// for none.
 	Affinity uint64
--- a/internal/traffic/wait.go
+++ b/internal/traffic/wait.go
@@ -4,21 +4,33 @@
 	"context"
 	"time"
 
+	"olivetiller/core/queue"
 	"olivetiller/core/refusal"
 )
 
 const (
-	// decideShare is the part of a request's objective after which it is decided
-	// whether it waits on: by then the home has answered, and a caller that is
-	// sent away within a quarter of its objective loses little.
-	decideShare = 5
 	// returnShare is the part of its remaining time that a caller is at most
-	// willing to stay away.
+	// willing to stay away, by the platform's page.
 	returnShare = 3
-	// returnMargin is added to the time at which a model is expected.
+	// returnMargin is added to the time at which a model is expected: who comes
+	// back a little too early waits, who comes later is served at once.
 	returnMargin = 150 * time.Millisecond
 )
 
+// waiter is a request in a queue.
+type waiter struct {
+	item *queue.Item
+	ask  Ask
+	// ended carries what the wait came to.
+	ended chan verdict
+}
+
+// verdict ends a wait: with a place, or with a reason why there is none.
+type verdict struct {
+	place
+	refused error
+}
+
 // StopWaiting refuses all requests that wait, and from here on those that would:
 // the process is about to end, and another node can still serve them.
 func (d *Dispatcher) StopWaiting() {
@@ -31,74 +43,63 @@
 	}
 }
 
-// wait blocks until the waiter is granted a place, its time is up, or it is
-// better told to come back later.
-func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiter, a Ask, start time.Time, cold bool) (*Slot, error) {
-	timer := d.clock.NewTimer(a.until().Sub(start))
+// wait blocks until the waiter is granted a place or refused, or its time is up.
+func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiter, start time.Time, cold bool) (*Slot, error) {
+	timer := d.clock.NewTimer(w.ask.until().Sub(start))
 	defer timer.Stop()
-	var decide <-chan time.Time
-	if a.Objective > 0 {
-		decide = d.clock.After(a.Objective / decideShare)
+	var v verdict
+	select {
+	case v = <-w.ended:
+	case <-d.stopped:
+		v = d.leave(p, w, refusal.New(refusal.Stopping, "this node ends; %s is not served here in time", p.name))
+	case <-timer.Chan():
+		v = d.leave(p, w, tooLong(p, d.clock.Now().Sub(start)))
+	case <-ctx.Done():
+		v = d.leave(p, w, tooLong(p, d.clock.Now().Sub(start)))
 	}
-	var pl place
-	for {
-		granted := true
-		var refused error
-		select {
-		case pl = <-w.granted:
-		case <-decide:
-			decide = nil
-			if refused = d.reconsider(p, w, start); refused == nil {
-				continue
-			}
-			pl, granted = d.leave(p, w)
-		case <-d.stopped:
-			refused = refusal.New(refusal.Stopping, "this node ends; %s is not served here in time", p.name)
-			pl, granted = d.leave(p, w)
-		case <-timer.Chan():
-			pl, granted = d.leave(p, w)
-		case <-ctx.Done():
-			pl, granted = d.leave(p, w)
-		}
-		now := d.clock.Now()
-		switch {
-		case granted:
-			return d.slot(p, pl, &a, start, now, cold), nil
-		case refused != nil:
-			return nil, refused
-		}
-		return nil, refusal.New(refusal.WaitedTooLong, "no place at %s came free within %s", p.name, now.Sub(start).Round(time.Millisecond))
+	if v.refused != nil {
+		return nil, v.refused
 	}
+	return d.slot(p, v.place, &w.ask, start, d.clock.Now(), cold), nil
 }
 
-// reconsider returns why a waiting request is better refused now: its model will
-// come too late for its objective, and the caller can come back when it is there.
-func (d *Dispatcher) reconsider(p *pool, w *waiter, start time.Time) error {
+func tooLong(p *pool, waited time.Duration) error {
+	return refusal.New(refusal.WaitedTooLong, "no place at %s came free within %s", p.name, waited.Round(time.Millisecond))
+}
+
+// leave takes a waiter out of the queue, for a reason. If its wait ended in the same
+// moment that counts: giving a place up then would waste it.
+func (d *Dispatcher) leave(p *pool, w *waiter, why error) verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock.Now()
-	if len(p.endpoints) > 0 || p.readyAt.IsZero() {
-		return nil
+	if p.queue.Remove(w.item) {
+		return verdict{refused: why}
 	}
-	least, left := p.readyAt.Sub(now), w.ask.Deadline.Sub(now)
-	switch {
-	case p.readyAt.After(w.ask.until()):
-		// Waiting would only keep its caller from asking again.
-		least = min(least, left/returnShare)
-	case now.Add(least).Before(start.Add(w.ask.Objective)), !w.ask.Returns, (least+returnMargin)*returnShare > left:
+	return <-w.ended
+}
+
+// hopeless returns why a request need not wait: by the forecast its model comes when
+// its caller will have left. The refusal tells when to come back.
+func (p *pool) hopeless(a *Ask, now time.Time) error {
+	if len(p.endpoints) > 0 || !p.readyAt.After(a.until()) {
 		return nil
 	}
-	p.sentAway++
-	return refusal.New(refusal.CannotMakeDeadline, "%s is ready in %s, later than the objective", p.name, p.readyAt.Sub(now).Round(time.Millisecond)).After(least + returnMargin)
+	away := min(p.readyAt.Sub(now)+returnMargin, a.Deadline.Sub(now)/returnShare)
+	return refusal.New(refusal.CannotMakeDeadline, "%s is expected in %s, after its caller has left",
+		p.name, p.readyAt.Sub(now).Round(time.Millisecond)).After(away)
 }
 
-// leave takes a waiter out of the queue. If it was granted a place in the same
-// moment it keeps the place: giving up then would waste it.
-func (d *Dispatcher) leave(p *pool, w *waiter) (place, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if p.queue.Remove(w.item) {
-		return place{}, false
+// refuseHopeless ends the waits that have become hopeless.
+func (p *pool) refuseHopeless(now time.Time) {
+	if len(p.endpoints) > 0 || p.readyAt.IsZero() {
+		return
+	}
+	for _, it := range p.queue.Items() {
+		w := it.Value.(*waiter)
+		if err := p.hopeless(&w.ask, now); err != nil {
+			p.queue.Remove(it)
+			p.sentAway++
+			w.ended <- verdict{refused: err}
+		}
 	}
-	return <-w.granted, true
 }
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -142,7 +142,7 @@
 func (s *Server) attempts(ctx context.Context, x *Exchange, do try) error {
 	ask := traffic.Ask{
 		Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost,
-		Budget: x.Target.Budget, Objective: x.Target.Objective, Returns: x.Target.Returns, Affinity: x.Target.Affinity,
+		Budget: x.Target.Budget, Objective: x.Target.Objective, Affinity: x.Target.Affinity,
 		Prompt: x.Target.TokensIn,
 	}
 	defer x.dropNext()
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -101,9 +101,6 @@
 	// Patience is how long the caller of a stream waits for its first event; 0 where
 	// it stays until its deadline.
 	Patience time.Duration
-	// Returns is true when a caller that is refused at once, with the time at
-	// which to come back, will do so.
-	Returns bool
 	// Budget names the retry budget; "" takes that of the pool.
 	Budget string
 	// Affinity is equal for requests that share the beginning of their prompts; 0
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -56,7 +56,6 @@
 	Protocol Protocol
 
 	callers *callerLimits
-	first   firstAttempts
 	// initOnce guards init: a server may be closed while it begins to serve.
 	initOnce sync.Once
 	// cutOff ends the contexts of all requests.
@@ -166,7 +165,6 @@
 		if err := s.protocol().Accept(x); err != nil {
 			return err
 		}
-		x.Target.Returns = s.first.note(x.Target.Route, x.Allowed)
 		ctx, cancel := clockwork.WithDeadline(ctx, s.Clock, x.Deadline)
 		defer cancel()
 		return next(ctx, x)
