retry, traffic: budgets count the attempts of the platform's window; orders log what decided them

Change: a budget counts first attempts and retries of the window that the platform tells and allows its share at once. Order lines tell rate, waiting, running, peak, replicas and loss of the model.

--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -15,14 +15,30 @@
 	Fence uint64
 	// Taken is the number of orders that the engine must have taken before.
 	Taken int64
-	// Why says what the order is for, for logs.
-	Why string
+	// Why says what the order is for, and Facts what was known of its model then, for
+	// logs.
+	Why   string
+	Facts Facts
 	// FromStore is true when the weights may come from the weight store.
 	FromStore bool
 	// Expected is how long it should take.
 	Expected time.Duration
 }
 
+// Facts are what was known of a model when an order was decided.
+type Facts struct {
+	// Rate is in requests a second.
+	Rate float64
+	// Waiting and Running count its requests, Peak the most at once of the last
+	// moments.
+	Waiting, Running int
+	Peak             float64
+	// Replicas is how many engines serve it.
+	Replicas int
+	// Loss is how many requests a second are late without the replica.
+	Loss float64
+}
+
 // Reply is what became of an order.
 type Reply uint8
 
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -181,10 +181,20 @@
 	return a
 }
 
+// facts returns what is known of a model.
+func (g *planning) facts(unit Unit) Facts {
+	m, n := g.models[unit], g.holders[unit]
+	if m == nil {
+		return Facts{Replicas: n}
+	}
+	return Facts{Rate: m.rate, Waiting: m.waiting, Running: m.running, Peak: m.peak, Replicas: n, Loss: g.lossOf(m, max(1, n))}
+}
+
 // send gives an order to an engine.
 func (g *planning) send(e *engine, o *Order) {
 	o.Engine, o.Address, o.Fence, o.Taken = e.id, e.address, g.fence, e.taken
 	e.sent = o
+	o.Facts = g.facts(o.Unit.Base())
 	if o.FromStore {
 		g.storeLoads = append(g.storeLoads, g.now)
 		g.storeBusy++
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,82 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestBudget checks what is left after attempts and retries at some moments.
+func TestBudget(t *testing.T) {
+	limits := Limits{Share: 0.1, Reserve: 2, Window: 10 * time.Second}
+	tests := []struct {
+		name          string
+		firsts, spent int
+		// after is how much later the budget is asked.
+		after time.Duration
+		want  float64
+	}{
+		{"unused", 0, 0, 0, 2},
+		{"the whole span's share at once", 50, 0, 0, 7},
+		{"spent", 50, 6, 0, 1},
+		{"still in the window", 50, 6, 9 * time.Second, 1},
+		{"out of the window", 50, 6, 11 * time.Second, 2},
+		{"long after", 50, 6, time.Hour, 2},
+	}
+	for _, test := range tests {
+		b := NewBudget(limits)
+		for range test.firsts {
+			b.Earn(start)
+		}
+		for range test.spent {
+			if !b.Spend(start) {
+				t.Errorf("%s: a retry was not allowed", test.name)
+			}
+		}
+		if got := b.Left(start.Add(test.after)); got != test.want {
+			t.Errorf("%s: %v left, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// TestBudgetHolds checks that in no window more retries are made than the first
+// attempts of that window, or of the one before it, and the reserve allow.
+func TestBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Share: 0.2, Reserve: 3, Window: time.Second}
+		b := NewBudget(limits)
+		type event struct {
+			at    time.Time
+			retry bool
+		}
+		var events []event
+		now := start
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.Earn(now)
+				events = append(events, event{now, false})
+			} else if b.Spend(now) {
+				events = append(events, event{now, true})
+			}
+		}
+		for i, last := range events {
+			firsts, retries := 0, 0
+			for _, e := range events[:i+1] {
+				age := last.at.Sub(e.at)
+				if e.retry && age < limits.Window {
+					retries++
+				}
+				if !e.retry && age < 2*limits.Window+limits.Window/countSpans {
+					firsts++
+				}
+			}
+			if allowed := limits.Share*float64(firsts) + limits.Reserve; float64(retries) > allowed {
+				t.Fatalf("%d retries in a window, %v allowed", retries, allowed)
+			}
+		}
+	})
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -22,6 +22,7 @@
 	"olivetiller/core/lease"
 	"olivetiller/core/placement"
 	"olivetiller/core/queue"
+	"olivetiller/core/retry"
 	"olivetiller/core/route"
 	"olivetiller/internal/placer"
 	"olivetiller/internal/traffic"
@@ -38,10 +39,9 @@
 	CallerAddress, ReadyAddress, PeerAddress, MetricsAddress string
 	// StopTimeout is how long after a stop signal the process may live.
 	StopTimeout time.Duration
-	// RetryRatio and RetrySlack bound what all nodes together may send again in the
-	// platform's window: a part of the requests, and a number.
-	RetryRatio, RetrySlack float64
-	Loads                  placement.Limits
+	// Retries bound what all nodes together may send again.
+	Retries retry.Limits
+	Loads   placement.Limits
 	// Cores is the processor time that the machine gives, in cores; LinkMbps what its
 	// link carries.
 	Cores, LinkMbps float64
@@ -190,8 +190,10 @@
 
 // limitRetries gives this node its part of what all may send again.
 func (n *Node) limitRetries(nodes int) {
-	part := n.s.RetrySlack * retryShare / float64(nodes)
-	n.traffic.LimitRetries(n.s.RetryRatio*retryShare, max(1, part))
+	l := n.s.Retries
+	l.Share *= retryShare
+	l.Reserve = max(1, l.Reserve*retryShare/float64(nodes))
+	n.traffic.LimitRetries(l)
 }
 
 // serve answers HTTP at an address.
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -383,6 +384,8 @@
 	args := []any{
 		"engine", o.Engine, "unit", o.Unit.Pool(), "unload", o.Unload, "fence", o.Fence, "taken", o.Taken,
 		"fromStore", o.FromStore, "why", o.Why, "reply", reply.String(),
+		"rate", round(o.Facts.Rate), "waiting", o.Facts.Waiting, "running", o.Facts.Running, "peak", round(o.Facts.Peak),
+		"replicas", o.Facts.Replicas, "loss", round(o.Facts.Loss),
 	}
 	if err != nil {
 		args = append(args, "error", err.Error())
@@ -391,6 +394,9 @@
 	c.inbox.Send(ctx, replied{o, reply})
 }
 
+// round shortens a figure for the log.
+func round(v float64) float64 { return math.Round(v*100) / 100 }
+
 type replied struct {
 	order *placement.Order
 	reply placement.Reply
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -38,8 +38,8 @@
 	gates map[string]*gate
 	// budgets holds the retry budgets that several pools share.
 	budgets map[string]*retry.Budget
-	// newBudget makes a retry budget.
-	newBudget func() *retry.Budget
+	// retries is what the retry budgets allow.
+	retries retry.Limits
 	// stopped is closed when nobody may wait any longer.
 	stopped chan struct{}
 }
@@ -49,19 +49,18 @@
 	return &Dispatcher{
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
 		view: &view.View{}, pools: make(map[string]*pool), gates: make(map[string]*gate),
-		budgets: make(map[string]*retry.Budget), newBudget: retry.NewBudget,
+		budgets: make(map[string]*retry.Budget), retries: retry.DefaultLimits,
 		stopped: make(chan struct{}),
 	}
 }
 
-// LimitRetries sets what the retry budgets allow, those in use included: a share of
-// the requests and a reserve beyond.
-func (d *Dispatcher) LimitRetries(share, reserve float64) {
+// LimitRetries sets what the retry budgets allow, those in use included.
+func (d *Dispatcher) LimitRetries(l retry.Limits) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.newBudget = func() *retry.Budget { return retry.NewBudgetOf(share, reserve) }
+	d.retries = l
 	for _, b := range d.budgets {
-		b.Limit(share, reserve)
+		b.Limit(l)
 	}
 }
 
@@ -72,7 +71,7 @@
 	}
 	b := d.budgets[name]
 	if b == nil {
-		b = d.newBudget()
+		b = retry.NewBudget(d.retries)
 		d.budgets[name] = b
 	}
 	return b
@@ -141,7 +140,7 @@
 		return nil, false
 	}
 	pl, ok := p.pick(now, d.hall, &a)
-	if !ok || slices.Contains(a.Avoid, pl.Name) || !d.budget(p, a.Budget).Spend() {
+	if !ok || slices.Contains(a.Avoid, pl.Name) || !d.budget(p, a.Budget).Spend(now) {
 		return nil, false
 	}
 	p.occupy(pl, &a)
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -53,7 +53,7 @@
 // admit refuses what cannot make its deadline.
 func (p *pool) admit(a Ask, budget *retry.Budget, now time.Time) error {
 	if a.Retry {
-		if !budget.Spend() {
+		if !budget.Spend(now) {
 			return refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p.name)
 		}
 		return nil
@@ -62,7 +62,7 @@
 	if p.objective == 0 || a.Objective > 0 && a.Objective < p.objective {
 		p.objective = a.Objective
 	}
-	budget.Earn()
+	budget.Earn(now)
 	least := p.model.AtLeast(admit.Wait{
 		Ready: len(p.endpoints) > 0, Ahead: p.queue.Len(), Capacity: p.capacity(), LoadElapsed: p.loadElapsed(now),
 	})
