placement: replicas keep their worth where all are overrun

Cause: beyond its full engines the estimate of late requests was flat, so that of five overrun replicas of a model with 90 requests a second one fewer made no difference: four made way for single requests within a second. Change: the late share rises for ever.

--- a/core/placement/value.go
+++ b/core/placement/value.go
@@ -35,11 +35,20 @@
 	return min(rate, silentRequests/since.Seconds())
 }
 
+// crowded is the part of full from which engines serve no more requests in time when
+// they get more.
+const crowded = 0.7
+
 // lateShare is the part of the requests that is late at engines with some slots, each of
-// which runs a number of them.
+// which runs a number of them. Beyond what they serve in time it goes on rising, so that
+// replicas keep their worth where all of them are overrun.
 func lateShare(runs float64, slots int) float64 {
-	full := min(fullRuns, fullSlots*float64(max(1, slots)))
-	return min(1, math.Pow(runs/full, 3))
+	x := runs / min(fullRuns, fullSlots*float64(max(1, slots)))
+	atCrowded := math.Pow(crowded, 3)
+	if x <= crowded {
+		return math.Pow(x, 3)
+	}
+	return 1 - (1-atCrowded)*crowded/x
 }
 
 // gain is how many requests a second are not late if a model gets one more replica.
