placement: the time in which runs hold an unload up counts as a load's own

Cause: a tenth of the swaps waited 1.4 s and more for runs of the model that made way; the engine loads nothing meanwhile. Change: that time counts in the cost of a site twice, as the load's own time: once for the request, once for the engine.

--- a/core/placement/site.go
+++ b/core/placement/site.go
@@ -59,12 +59,14 @@
 	// victims are the models that make way; none where there is room.
 	victims []string
 	loss    float64
+	// held is how long the engine is held up by runs of these.
+	held time.Duration
 }
 
 // cost is when the model is there, put off by what its coming loses elsewhere: by the
 // requests for what makes way, and by the time in which the engine loads nothing else.
 func (s *site) cost() time.Time {
-	return s.ready.Add(s.load + time.Duration(s.loss*float64(lossTime)))
+	return s.ready.Add(s.load + s.held + time.Duration(s.loss*float64(lossTime)))
 }
 
 // better reports whether a site is better than another, which may be nil.
@@ -181,7 +183,8 @@
 	s.loss += w.loss
 	s.ready = s.ready.Add(time.Duration(len(w.victims)) * swapTime)
 	if w.runs {
-		s.ready = s.ready.Add(g.unloads.Mean(runTime))
+		s.held = g.unloads.Mean(runTime)
+		s.ready = s.ready.Add(s.held)
 	}
 	return s
 }
