placement: a model without a copy is worth the requests that wait for the store

Cause: what a miss costs was reckoned with a load from a disk, also where no engine keeps a copy; such a load from the store was put off while others waited for any of an engine's copies, and requests were refused for up to 25 s. Change: reload takes the store's time where no engine keeps a copy. TestMissLoss.

--- a/core/placement/value.go
+++ b/core/placement/value.go
@@ -99,13 +99,13 @@
 	return swapLoss + 1 + m.rate*(swapTime+g.reload(m)).Seconds()
 }
 
-// reload is how long a model takes from a copy that an engine keeps.
+// reload is how long a model takes to come back: from a copy, if an engine keeps one.
 func (g *planning) reload(m *modelUse) time.Duration {
 	model := g.table.Model(m.unit.Service, m.unit.Model)
 	switch {
 	case model == nil:
 		return 0
-	case model.Disk > 0:
+	case model.Disk > 0 && g.keepers[m.unit] > 0:
 		return model.Disk
 	}
 	return model.Load
--- a/core/placement/value_test.go
+++ b/core/placement/value_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
+
+	"olivetiller/core/directory"
 )
 
 // TestLateShare checks the shape that decisions rest on: between 0 and 1, rising with
@@ -21,3 +24,21 @@
 		}
 	})
 }
+
+// TestMissLoss checks what a request for a model that no engine holds costs: more where
+// it cannot wait for the load, be it for its objective or because no engine keeps a copy.
+func TestMissLoss(t *testing.T) {
+	p := testPlanner(t, 3, map[string]Report{"e1": {Holdings: directory.Holdings{OnDisk: []string{"m0", "m1"}}}})
+	ask := func(model string, objective time.Duration) Use {
+		return Use{Unit: unit(model), Waiting: 1, Arrivals: 1, Objective: objective, Urgent: at(900), Last: at(900)}
+	}
+	p.Use("n", []Use{ask("m0", 2 * time.Second), ask("m1", 300 * time.Millisecond), ask("m2", 2 * time.Second)}, at(10))
+	loss := make(map[string]float64)
+	for _, model := range []string{"m0", "m1", "m2"} {
+		g := &planning{Planner: p, now: at(10), models: p.modelUses(at(10)), keepers: map[Unit]int{unit("m0"): 1, unit("m1"): 1}}
+		loss[model] = g.missLoss(g.models[unit(model)])
+	}
+	if loss["m0"] != swapLoss || loss["m1"] <= swapLoss+1 || loss["m2"] <= loss["m1"] {
+		t.Errorf("losses %v, want that of a patient request for m0, more for m1, most for m2", loss)
+	}
+}
