--- a/core/placement/value_test.go
+++ b/core/placement/value_test.go
@@ -32,7 +32,7 @@
 	ask := func(model string, objective time.Duration) Use {
 		return Use{Unit: unit(model), Waiting: 1, Arrivals: 1, Objective: objective, Urgent: at(900), Last: at(900)}
 	}
-	p.Use("n", []Use{ask("m0", 2 * time.Second), ask("m1", 300 * time.Millisecond), ask("m2", 2 * time.Second)}, at(10))
+	p.Use("n", []Use{ask("m0", 2*time.Second), ask("m1", 300*time.Millisecond), ask("m2", 2*time.Second)}, at(10))
 	loss := make(map[string]float64)
 	for _, model := range []string{"m0", "m1", "m2"} {
 		g := &planning{Planner: p, now: at(10), models: p.modelUses(at(10)), keepers: map[Unit]int{unit("m0"): 1, unit("m1"): 1}}
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -108,15 +108,6 @@
 	fromStore bool
 }
 
-func sortByRate(models []*modelUse) {
-	sort.Slice(models, func(i, j int) bool {
-		if models[i].rate != models[j].rate {
-			return models[i].rate > models[j].rate
-		}
-		return models[i].unit.Pool() < models[j].unit.Pool()
-	})
-}
-
 func (g *planning) enginesOf(service string) int {
 	n := 0
 	for _, e := range g.order {
