placer, peer: a node without the store hears of a new holder from other nodes

Change: nodes tell the holder their address, the holder tells all a few of them once, and a node that has lost the holder and does not reach the store asks them for the latest record of the lease. Its age counts from now, which can only delay a takeover.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -66,6 +66,8 @@
 	former Record
 	// formerAt is when that record was read here.
 	formerAt time.Time
+	// latest is the offset of the holder's latest record.
+	latest uint64
 	// fence is 1 + the offset of the holder's takeover record.
 	fence uint64
 	// seenAt is when the latest record of the holder was read here.
@@ -108,10 +110,10 @@
 	case r.Release:
 		// A release by a former holder changes nothing.
 	case same:
-		l.holder, l.seenAt = r, now
+		l.holder, l.latest, l.seenAt = r, offset, now
 	default:
 		l.retire()
-		l.holder, l.fence, l.seenAt = r, offset+1, now
+		l.holder, l.latest, l.fence, l.seenAt = r, offset, offset+1, now
 	}
 	if !l.mine() {
 		l.until, l.heldUntil = time.Time{}, time.Time{}
@@ -141,6 +143,12 @@
 // Holder returns the latest holder known, and its fencing number.
 func (l *Lease) Holder() (Record, uint64) { return l.holder, l.fence }
 
+// Latest returns the latest record of the holder and its offset; ok is false where no
+// holder is known.
+func (l *Lease) Latest() (r Record, offset uint64, ok bool) {
+	return l.holder, l.latest, l.holder.Holder != ""
+}
+
 // mine reports whether the latest holder is this life of this node.
 func (l *Lease) mine() bool {
 	return l.holder.SameLife(l.self)
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -23,6 +23,10 @@
 	nodes   int
 	// successor is the node that is to take the lease after this one.
 	successor string
+	// peers are addresses of nodes that followers may ask, and peersVersion the version
+	// at which they changed.
+	peers        []string
+	peersVersion uint64
 	// storeDoubt is set while the holder gets no answer of the store.
 	storeDoubt bool
 	// until is when the right to order ends; zero when this node is no holder.
@@ -87,7 +91,7 @@
 func (b *board) begin(life string, fence uint64, records []directory.Record, listedTo uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.life, b.fence, b.nodes = life, fence, 1
+	b.life, b.fence, b.nodes, b.peers = life, fence, 1, nil
 	b.serving, b.goneAt, b.readyAt = make(map[string]shown), make(map[string]uint64), nil
 	b.interest, b.feed.instances = make(map[string]map[string]bool), make(map[string]shownInstance)
 	// At once: nodes take a whole snapshot's list for all there is.
@@ -250,6 +254,9 @@
 	if s.Whole {
 		after = 0
 	}
+	if b.peersVersion > after {
+		s.Peers = b.peers
+	}
 	urgent = b.addServing(s, after, b.interest[q.Node], now)
 	urgent = b.addFeed(s, q, after, now) || urgent || s.Whole
 	return s, urgent, true
@@ -371,6 +378,17 @@
 	b.successor = node
 }
 
+// setPeers shows which nodes followers may ask.
+func (b *board) setPeers(addresses []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if slices.Equal(b.peers, addresses) {
+		return
+	}
+	b.wake(nil)
+	b.peers, b.peersVersion = addresses, b.version
+}
+
 // setStoreDoubt sets whether the holder gets no answer of the store.
 func (b *board) setStoreDoubt(doubt bool) {
 	b.mu.Lock()
@@ -462,7 +480,7 @@
 		return
 	}
 	now := c.o.Clock.Now()
-	c.nodes[m.r.Node] = follower{now, m.r.Strength}
+	c.nodes[m.r.Node] = follower{now, m.r.Strength, m.r.Address}
 	c.outage.Heard(m.r.Node, lease.Word{At: now, StoreAway: m.r.StoreAway, Stopping: m.r.Stopping})
 	uses := make([]placement.Use, 0, len(m.r.Use))
 	for _, w := range m.r.Use {
@@ -492,5 +510,8 @@
 		}
 	}
 	c.setNodes(len(c.nodes) + 1)
+	peers := c.addresses()
+	c.lookup.learn(peers)
+	c.holder.setPeers(peers)
 	c.holder.setSuccessor(c.successor(now))
 }
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -41,6 +41,7 @@
 type Peers interface {
 	Report(ctx context.Context, address string, r *peer.Report) error
 	Watch(ctx context.Context, address string, q peer.Question) (*peer.Snapshot, error)
+	Lease(ctx context.Context, address string) (*peer.LeaseMark, error)
 }
 
 // Options are what a controller is made of.
@@ -106,6 +107,9 @@
 	holder   board
 	// fed is what the holder relayed last; nil if it never did.
 	fed atomic.Pointer[fedMark]
+	// mark is the latest record of the lease known here; nil if there is none.
+	mark   atomic.Pointer[peer.LeaseMark]
+	lookup lookup
 	// leading and leaseDoubt tell the reader of the lease whether to read: a
 	// holder need not, until an append of its own fails.
 	leading, leaseDoubt atomic.Bool
@@ -240,6 +244,7 @@
 func (c *Controller) step(ctx context.Context) {
 	now := c.o.Clock.Now()
 	c.keepLease(ctx, now)
+	c.markLease()
 	c.report(ctx, now)
 	if c.held && !c.paused {
 		c.orders(ctx, now)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -34,9 +34,9 @@
 		want  string
 	}{
 		{"nobody", nil, ""},
-		{"the strongest", map[string]follower{"b": {now, 2}, "c": {now, 160}, "d": {now, 2}}, "c"},
-		{"silent nodes do not count", map[string]follower{"b": {now, 2}, "c": {old, 160}}, "b"},
-		{"equal ones by name", map[string]follower{"d": {now, 2}, "b": {now, 2}}, "b"},
+		{"the strongest", map[string]follower{"b": {heardAt: now, strength: 2}, "c": {heardAt: now, strength: 160}, "d": {heardAt: now, strength: 2}}, "c"},
+		{"silent nodes do not count", map[string]follower{"b": {heardAt: now, strength: 2}, "c": {heardAt: old, strength: 160}}, "b"},
+		{"equal ones by name", map[string]follower{"d": {heardAt: now, strength: 2}, "b": {heardAt: now, strength: 2}}, "b"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -279,8 +279,15 @@
 	}
 	c.lease.CaughtUp(m.page.Next, now)
 	c.leaseDoubt.Store(false)
-	if holder, fence := c.lease.Holder(); !holder.SameLife(before) {
-		c.o.Logger.Info("holder of the lease", "holder", holder.Holder, "address", holder.Address, "fence", fence)
-		c.remote.follow(holder)
+	c.followHolder(before, "store")
+}
+
+// followHolder follows the holder known by now, if it is another than before.
+func (c *Controller) followHolder(before lease.Record, by string) {
+	holder, fence := c.lease.Holder()
+	if holder.SameLife(before) {
+		return
 	}
+	c.o.Logger.Info("holder of the lease", "holder", holder.Holder, "address", holder.Address, "fence", fence, "by", by)
+	c.remote.follow(holder)
 }
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -58,6 +58,7 @@
 		h := c.remote.target()
 		if h.Holder == "" || h.Life == c.o.Self.Life {
 			c.pause(ctx, tickEvery)
+			c.lookUp(ctx)
 			continue
 		}
 		q := peer.Question{Node: c.o.Self.Holder, Life: life, Version: version, Wait: c.pace.watch}
@@ -72,6 +73,7 @@
 			}
 			heard = false
 			c.pause(ctx, tickEvery)
+			c.lookUp(ctx)
 			continue
 		}
 		if !heard {
@@ -118,6 +120,7 @@
 		r.readyAt[pool] = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	c.setNodes(s.Nodes)
+	c.lookup.learn(s.Peers)
 	c.succeed(s.Successor)
 	c.feed(s, now, m.onTheWay)
 }
@@ -248,7 +251,7 @@
 		return
 	}
 	c.dirty, c.reportedAt, c.reporting = false, now, true
-	r := &peer.Report{Node: c.o.Self.Holder, Strength: c.o.Strength, StoreAway: c.storeIsAway(now), Stopping: c.stopping.Load(), Use: c.wireUses(now), Misses: c.newMiss}
+	r := &peer.Report{Node: c.o.Self.Holder, Address: c.o.Self.Address, Strength: c.o.Strength, StoreAway: c.storeIsAway(now), Stopping: c.stopping.Load(), Use: c.wireUses(now), Misses: c.newMiss}
 	c.newMiss = nil
 	go func() {
 		err := c.o.Peers.Report(ctx, h.Address, r)
--- a/internal/placer/succession.go
+++ b/internal/placer/succession.go
@@ -10,6 +10,8 @@
 type follower struct {
 	heardAt  time.Time
 	strength float64
+	// address is where the node answers others; "" where it does not tell.
+	address string
 }
 
 // successorLead is how much longer than the node that the holder named the others
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -6,7 +6,8 @@
 // lapse of either costs time only, never a promise. The model: a node posts a
 // [Report] of its use, and asks for a [Snapshot] of what changed since the one
 // that it has; the holder answers that when something changed, or after
-// [Question.Wait] with nothing, which shows that it lives.
+// [Question.Wait] with nothing, which shows that it lives. A node that has lost the
+// holder, and does not reach the store, asks any other node who holds the lease.
 //
 // The platform hands out no keys, so these messages are not authenticated; the
 // addresses are reached from the system's own machines only.
@@ -40,6 +41,8 @@
 	// callTime is added to that time for the way there and back; nodes are a few
 	// milliseconds apart.
 	callTime = 700 * time.Millisecond
+	// lookupTime bounds the question for the holder: the next node is asked then.
+	lookupTime = 300 * time.Millisecond
 	// maxMessage bounds a message.
 	maxMessage = 4 << 20
 )
@@ -47,6 +50,9 @@
 // ErrNotHolder is returned when the node asked does not hold the lease.
 var ErrNotHolder = errors.New("the node does not hold the lease; ask the holder that the log names")
 
+// ErrNoHolder is returned when the node asked knows no holder either.
+var ErrNoHolder = errors.New("the node knows no holder of the lease; ask another one")
+
 // Use is a node's use of one unit, named by its pool.
 type Use struct {
 	Pool     string `json:"pool"`
@@ -71,6 +77,8 @@
 // Report is what a node tells the holder.
 type Report struct {
 	Node string `json:"node"`
+	// Address is where the node answers other nodes.
+	Address string `json:"address,omitempty"`
 	// Strength tells strong machines from weak ones.
 	Strength float64 `json:"strength"`
 	// StoreAway is true where the node gets no answer of the store, Stopping once it
@@ -91,6 +99,9 @@
 	Nodes int `json:"nodes"`
 	// Successor is the node that takes the lease when the holder is silent.
 	Successor string `json:"successor,omitempty"`
+	// Peers are addresses of other nodes that may know the holder when this one is no
+	// more, if they changed.
+	Peers []string `json:"peers,omitempty"`
 	// StoreDoubt is true while the holder gets no answer of the store: nodes try for
 	// themselves and report whether they do.
 	StoreDoubt bool `json:"storeDoubt,omitempty"`
@@ -123,6 +134,12 @@
 	ListedTo uint64 `json:"listedTo"`
 }
 
+// LeaseMark is the latest record of the lease that a node knows, and its offset.
+type LeaseMark struct {
+	Record lease.Record `json:"record"`
+	Offset uint64       `json:"offset"`
+}
+
 // Question is what a node asks the holder.
 type Question struct {
 	Node string
@@ -141,11 +158,15 @@
 	Reported(r *Report) error
 	// Watch returns what changed since a snapshot, waiting until something has.
 	Watch(ctx context.Context, q Question) (*Snapshot, error)
+	// LeaseMark returns the latest record of the lease that the node knows; nil if it
+	// knows no holder.
+	LeaseMark() *LeaseMark
 }
 
 const (
 	pathReport = "/peer/report"
 	pathWatch  = "/peer/watch"
+	pathLease  = "/peer/lease"
 )
 
 // Handler serves a holder.
@@ -176,6 +197,14 @@
 		}
 		writeJSON(w, r, s)
 	})
+	mux.HandleFunc("GET "+pathLease, func(w http.ResponseWriter, r *http.Request) {
+		mark := h.LeaseMark()
+		if mark == nil {
+			http.Error(w, ErrNoHolder.Error(), http.StatusNotFound)
+			return
+		}
+		writeJSON(w, r, mark)
+	})
 	return mux
 }
 
@@ -285,6 +314,21 @@
 	return &s, nil
 }
 
+// Lease asks the node at an address for the latest record of the lease that it knows.
+func (c *Client) Lease(ctx context.Context, address string) (*LeaseMark, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathLease, nil)
+	if err != nil {
+		return nil, err
+	}
+	var m LeaseMark
+	if err := c.do(req, &m); err != nil {
+		return nil, err
+	}
+	return &m, nil
+}
+
 func (c *Client) do(req *http.Request, answer any) error {
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -297,6 +341,8 @@
 		return err
 	case resp.StatusCode == http.StatusConflict:
 		return ErrNotHolder
+	case resp.StatusCode == http.StatusNotFound:
+		return ErrNoHolder
 	case resp.StatusCode >= http.StatusMultipleChoices:
 		return fmt.Errorf("peer: status %d: %s", resp.StatusCode, raw)
 	case answer == nil:
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http/httptest"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/lease"
 )
 
 // fakeHolder answers with what it was given.
@@ -17,8 +20,11 @@
 	snapshot *Snapshot
 	question Question
 	report   Report
+	mark     *LeaseMark
 }
 
+func (h *fakeHolder) LeaseMark() *LeaseMark { return h.mark }
+
 func (h *fakeHolder) Reported(r *Report) error { h.report = *r; return nil }
 
 func (h *fakeHolder) Watch(_ context.Context, q Question) (*Snapshot, error) {
@@ -60,3 +66,24 @@
 		t.Errorf("report (-want +got):\n%s", diff)
 	}
 }
+
+// TestLease checks that a node is told the holder that another one knows, or that it knows
+// none.
+func TestLease(t *testing.T) {
+	h := &fakeHolder{}
+	srv := httptest.NewServer(Handler(h))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	c := NewClient(&net.Dialer{Timeout: time.Second})
+	if _, err := c.Lease(t.Context(), address); !errors.Is(err, ErrNoHolder) {
+		t.Errorf("without a holder: %v, want %v", err, ErrNoHolder)
+	}
+	h.mark = &LeaseMark{Record: lease.Record{Holder: "a", Life: "a-1", Address: "127.0.0.1:1"}, Offset: 7}
+	got, err := c.Lease(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(h.mark, got); diff != "" {
+		t.Errorf("mark (-want +got):\n%s", diff)
+	}
+}
