placer, lease: all followers know which nodes may take the lease; lost leases are explained

Change: the names go to every follower when they change, instead of to the named successor with each answer. The line that a lease is lost tells why, and names the node that is doubted.

--- a/core/lease/outage.go
+++ b/core/lease/outage.go
@@ -167,32 +167,41 @@
 	return l.unanswered(now) > doubtAfter || !o.failedAt.IsZero() && now.Sub(o.failedAt) < doubtFresh
 }
 
-// Decide returns what the holder does whose lease has run out. It is to be asked all the
-// time: a node that stood still does not know for how long the others were silent.
-func (o *Outage) Decide(l *Lease, now time.Time) Verdict {
+// Decide returns what the holder does whose lease has run out, and why. It is to be asked
+// all the time: a node that stood still does not know for how long the others were silent.
+func (o *Outage) Decide(l *Lease, now time.Time) (v Verdict, why string) {
 	stood := now.Sub(o.actedAt) > VouchFresh
 	o.actedAt = now
 	switch {
 	case !l.outlasts(now):
-		return GiveUp
-	case o.fenced && o.FailedLately(now) && 2*o.following(now) >= o.heard:
-		return GoOn
+		return GiveUp, "the lease ran out long ago, or another holder is known"
+	case !o.FailedLately(now) && (o.fenced || !o.Doubts(l, now)):
+		return GiveUp, "the store answers"
+	case o.fenced && 2*o.following(now) >= o.heard:
+		return GoOn, "half of the nodes follow"
 	case o.fenced:
-		return GiveUp
-	case stood || now.Before(o.completeAt):
-		return GiveUp
-	case o.FailedLately(now) && o.vouched(now):
+		return GiveUp, "fewer than half of the nodes follow"
+	case stood:
+		return GiveUp, "this node stood still"
+	case now.Before(o.completeAt):
+		return GiveUp, "not all nodes that may take the lease are known"
+	}
+	doubted := o.doubted(now)
+	switch {
+	case !o.FailedLately(now):
+		doubted = o.self
+	case doubted == "":
 		o.vouchedAt = now
-		return GoOn
+		return GoOn, "no node reaches the store"
 	}
 	since := l.heldUntil
 	if o.vouchedAt.After(since) {
 		since = o.vouchedAt
 	}
 	if o.Doubts(l, now) && now.Sub(since) < vouchWait {
-		return Pause
+		return Pause, doubted + " has not said that it does not reach the store"
 	}
-	return GiveUp
+	return GiveUp, doubted + " may have reached the store"
 }
 
 // following returns how many nodes were heard lately.
@@ -206,16 +215,16 @@
 	return n
 }
 
-// vouched reports whether nobody can have taken the lease: every node that may, and that
-// was heard of lately, gets no answer of the store. A node that is silent may have
-// reached it.
-func (o *Outage) vouched(now time.Time) bool {
+// doubted returns a node that may have taken the lease; "" if none can have: every node
+// that may, and that was heard of lately, gets no answer of the store. A node that is
+// silent may have reached it.
+func (o *Outage) doubted(now time.Time) string {
 	for node, at := range o.known {
 		w := o.words[node]
 		says := w.Stopping || w.StoreAway && now.Sub(w.At) <= VouchFresh
 		if !says && now.Sub(at) <= wordKept {
-			return false
+			return node
 		}
 	}
-	return true
+	return ""
 }
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -71,6 +71,10 @@
 	listedTo    uint64
 	lease       lease.Record
 	leaseOffset uint64
+	// takers are the nodes that the lease's record names, and takersVersion the version
+	// at which they changed.
+	takers        []string
+	takersVersion uint64
 }
 
 // shownInstance is one endpoint's entry, and the version at which it changed.
@@ -93,6 +97,7 @@
 	defer b.mu.Unlock()
 	b.life, b.fence, b.nodes, b.peers = life, fence, 1, nil
 	b.serving, b.goneAt, b.readyAt = make(map[string]shown), make(map[string]uint64), nil
+	b.feed.takers, b.feed.takersVersion = nil, 0
 	b.interest, b.feed.instances = make(map[string]map[string]bool), make(map[string]shownInstance)
 	// At once: nodes take a whole snapshot's list for all there is.
 	b.setInstances(records, listedTo)
@@ -293,9 +298,10 @@
 	f := &b.feed
 	s.AgeMs = max(now.Sub(f.configAt), now.Sub(f.instancesAt)).Milliseconds()
 	s.Lease, s.LeaseOffset, s.ListedTo = f.lease, f.leaseOffset, f.listedTo
-	if q.Node != b.successor {
-		// 77 names are 2 KB an answer.
-		s.Lease.Nodes = nil
+	// The names, 2 KB for 77 nodes, go out when they change.
+	s.Lease.Nodes = nil
+	if f.takersVersion > after {
+		s.Takers = f.takers
 	}
 	if f.config != nil && f.config.Version > q.Config {
 		s.Config = f.config
@@ -369,6 +375,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.feed.lease, b.feed.leaseOffset = rec, offset
+	if !slices.Equal(rec.Nodes, b.feed.takers) {
+		b.wake(nil)
+		b.feed.takers, b.feed.takersVersion = rec.Nodes, b.version
+	}
 }
 
 // setSuccessor sets which node is to take the lease after this one.
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -266,12 +266,14 @@
 	}
 	fence, held := c.lease.Held(now)
 	c.paused = false
+	why := ""
 	switch {
 	case held:
 		c.holder.extend(c.lease.Until())
 		c.outage.Acting(now)
 	case c.held:
-		verdict := c.outage.Decide(c.lease, now)
+		var verdict lease.Verdict
+		verdict, why = c.outage.Decide(c.lease, now)
 		held, c.paused = verdict != lease.GiveUp, verdict == lease.Pause
 		if verdict == lease.GoOn {
 			c.holder.extend(now.Add(awayStep))
@@ -294,7 +296,7 @@
 			c.holder.showConfig(t.Config)
 		}
 	} else {
-		c.o.Logger.Info("lease lost", "holder", holder.Holder, "fence", fence)
+		c.o.Logger.Info("lease lost", "holder", holder.Holder, "fence", fence, "why", why)
 		c.holder.end()
 	}
 	c.stale = true
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -26,6 +26,8 @@
 	fresh   bool
 	serving map[string][]string
 	readyAt map[string]time.Time
+	// takers are the nodes that this holder's records of the lease name.
+	takers []string
 }
 
 // follow sets whom to watch.
@@ -101,7 +103,7 @@
 func (m heardFrom) handle(c *Controller) {
 	r, s, now := &c.remote, m.s, c.o.Clock.Now()
 	if s.Life != r.life || s.Whole {
-		r.life, r.serving = s.Life, make(map[string][]string, len(s.Serving))
+		r.life, r.serving, r.takers = s.Life, make(map[string][]string, len(s.Serving)), nil
 		c.stale = true
 	}
 	if !r.fresh || len(s.Serving) > 0 || len(s.Gone) > 0 || s.Version != r.version {
@@ -142,6 +144,10 @@
 	if s.Lease.Holder != "" {
 		// That the record is on the log is what counts; its age is taken from now,
 		// which can only delay a takeover.
+		if len(s.Takers) > 0 {
+			c.remote.takers = s.Takers
+		}
+		s.Lease.Nodes = c.remote.takers
 		c.lease.Fold(s.LeaseOffset, s.Lease, now)
 	}
 	if s.Config != nil {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -122,9 +122,11 @@
 type Feed struct {
 	// AgeMs is how long ago the holder last read the store to its end.
 	AgeMs int64 `json:"feedAgeMs"`
-	// Lease is the latest record of the lease's topic, at LeaseOffset.
+	// Lease is the latest record of the lease's topic, at LeaseOffset, without the nodes
+	// that it names: these are Takers, if they changed.
 	Lease       lease.Record `json:"lease"`
 	LeaseOffset uint64       `json:"leaseOffset"`
+	Takers      []string     `json:"takers,omitempty"`
 	// Config is the configuration in force, if the asker has an older one.
 	Config *route.Config `json:"config,omitempty"`
 	// Instances are the entries of endpoints that changed, or all of them in a
