--- a/cmd/olivebench/main.go
+++ b/cmd/olivebench/main.go
@@ -33,6 +33,7 @@
 	Days     daysCmd     `cmd:"" help:"Write days of disruptions for the users' bench."`
 	Soak     soakCmd     `cmd:"" help:"Run the real program as processes under faults and check what callers and endpoints see."`
 	Rounds   roundsCmd   `cmd:"" help:"Compare two revisions by days of the users' bench, in pairs."`
+	Ablation ablationCmd `cmd:"" help:"Measure what each mechanism is worth, by days of the users' bench without it."`
 	Slopes   slopesCmd   `cmd:"" help:"Measure the slopes behind docs/CAPACITY.md."`
 	Model    modelCmd    `cmd:"" help:"Explore the small protocols in every order of events."`
 	Policy   policyCmd   `cmd:"" help:"Run the policies over days of synthetic demand in virtual time."`
--- a/cmd/olivebench/rounds.go
+++ b/cmd/olivebench/rounds.go
@@ -10,8 +10,8 @@
 	"olivetiller/platform/rounds"
 )
 
-// roundsCmd compares two revisions of the code by days of the users' bench.
-type roundsCmd struct {
+// playedDays are the flags that say which days are played.
+type playedDays struct {
 	Bench   string   `required:"" type:"existingfile" env:"OLIVEBENCH_BENCH" help:"The users' bench."`
 	Site    string   `required:"" type:"existingfile" help:"The deployment's site file."`
 	Days    []string `help:"Names of standard days, or files of days; all standard days if left out."`
@@ -19,10 +19,15 @@
 	Seeds   uint64   `default:"4" help:"How many seeds each day is played with."`
 	First   uint64   `default:"1" help:"The first seed."`
 	Base    string   `default:"HEAD" help:"The revision to compare with."`
-	Change  string   `default:"." help:"The revision that is compared; \".\" is the folder as it stands."`
 	Jobs    int      `default:"3" help:"How many days are played at once."`
 	Why     string   `required:"" help:"The reason, for the journal."`
-	Plots   string   `type:"path" help:"A folder for plots of the credit over each day; none if left out."`
+}
+
+// roundsCmd compares two revisions by days of the users' bench.
+type roundsCmd struct {
+	playedDays `embed:""`
+	Change     string `default:"." help:"The revision that is compared; \".\" is the folder as it stands."`
+	Plots      string `type:"path" help:"A folder for plots of the credit over each day; none if left out."`
 }
 
 // Run implements the command.
@@ -54,7 +59,7 @@
 }
 
 // round makes the plan of what is played.
-func (c *roundsCmd) round(site *rounds.Site) (*rounds.Round, error) {
+func (c *playedDays) round(site *rounds.Site) (*rounds.Round, error) {
 	path, err := filepath.Abs(c.Site)
 	if err != nil {
 		return nil, err
