--- a/cmd/olivebench/main.go
+++ b/cmd/olivebench/main.go
@@ -28,17 +28,19 @@
 
 // commands is the command line.
 type commands struct {
-	Standin  standinCmd  `cmd:"" help:"Run the stand-ins of a deployment until told to stop."`
-	Burst    burstCmd    `cmd:"" help:"Ask every node for the same cold models at once, under faults."`
-	Days     daysCmd     `cmd:"" help:"Write days of disruptions for the users' bench."`
-	Soak     soakCmd     `cmd:"" help:"Run the real program as processes under faults and check what callers and endpoints see."`
-	Rounds   roundsCmd   `cmd:"" help:"Compare two revisions by days of the users' bench, in pairs."`
-	Ablation ablationCmd `cmd:"" help:"Measure what each mechanism is worth, by days of the users' bench without it."`
-	Slopes   slopesCmd   `cmd:"" help:"Measure the slopes behind docs/CAPACITY.md."`
-	Model    modelCmd    `cmd:"" help:"Explore the small protocols in every order of events."`
-	Policy   policyCmd   `cmd:"" help:"Run the policies over days of synthetic demand in virtual time."`
-	Overload overloadCmd `cmd:"" help:"Send multiples of what an engine can serve, as an open loop."`
-	Once     onceCmd     `cmd:"" help:"Send requests that may not be repeated, each through two nodes, under faults."`
+	Standin     standinCmd     `cmd:"" help:"Run the stand-ins of a deployment until told to stop."`
+	Burst       burstCmd       `cmd:"" help:"Ask every node for the same cold models at once, under faults."`
+	Days        daysCmd        `cmd:"" help:"Write days of disruptions for the users' bench."`
+	Deployments deploymentsCmd `cmd:"" help:"Draw deployments that no site file has, with days of disruptions."`
+	Soak        soakCmd        `cmd:"" help:"Run the real program as processes under faults and check what callers and endpoints see."`
+	Rounds      roundsCmd      `cmd:"" help:"Compare two revisions by days of the users' bench, in pairs."`
+	Ablation    ablationCmd    `cmd:"" help:"Measure what each mechanism is worth, by days of the users' bench without it."`
+	Forecast    forecastCmd    `cmd:"" help:"Tell from the nodes' logs how good the forecasts of loads are."`
+	Slopes      slopesCmd      `cmd:"" help:"Measure the slopes behind docs/CAPACITY.md."`
+	Model       modelCmd       `cmd:"" help:"Explore the small protocols in every order of events."`
+	Policy      policyCmd      `cmd:"" help:"Run the policies over days of synthetic demand in virtual time."`
+	Overload    overloadCmd    `cmd:"" help:"Send multiples of what an engine can serve, as an open loop."`
+	Once        onceCmd        `cmd:"" help:"Send requests that may not be repeated, each through two nodes, under faults."`
 }
 
 // common are the flags of every experiment.
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -107,8 +107,11 @@
 		d.mu.Unlock()
 		return nil, refusal.New(refusal.QueueFull, "%d requests wait for %s", n, p.name)
 	}
-	if cold && p.coldSince.IsZero() {
-		p.coldSince = start
+	if cold {
+		w.expected = p.readyAt
+		if p.coldSince.IsZero() {
+			p.coldSince = start
+		}
 	}
 	d.openLater(p, start)
 	first := p.queue.Len() == 1
@@ -236,7 +239,7 @@
 	}
 	p.queue.Pop()
 	p.occupy(pl, &w.ask)
-	w.ended <- verdict{place: pl}
+	w.ended <- verdict{place: pl, expected: w.expected}
 	return true
 }
 
@@ -289,6 +292,7 @@
 	for name, p := range d.pools {
 		p.loadingSince = v.LoadingSince[name]
 		p.readyAt = v.ReadyAt[name]
+		p.forecast()
 		p.refuseHopeless(now)
 	}
 	for name, g := range d.gates {
--- a/internal/traffic/dispatcher_test.go
+++ b/internal/traffic/dispatcher_test.go
@@ -215,3 +215,40 @@
 		})
 	}
 }
+
+// TestForecastKept checks that a request keeps the first forecast of its wait, be it
+// known at its arrival or later.
+func TestForecastKept(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		t.Run(fmt.Sprintf("known at arrival %t", known), func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			d := newDispatcher(clock)
+			at := func(in time.Duration) *view.View {
+				return &view.View{ReadyAt: map[string]time.Time{"unit/s/m": clock.Now().Add(in)}}
+			}
+			first := at(time.Second)
+			if known {
+				d.Update(first, nil)
+			}
+			got := make(chan time.Time, 1)
+			go func() {
+				s, err := d.Acquire(context.Background(), "unit/s/m", Ask{Deadline: clock.Now().Add(time.Minute)})
+				if err != nil {
+					t.Error(err)
+					got <- time.Time{}
+					return
+				}
+				got <- s.Expected
+			}()
+			if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+				t.Fatal(err)
+			}
+			d.Update(first, nil)
+			d.Update(at(3*time.Second), nil)
+			d.Update(&view.View{Endpoints: map[string][]view.Endpoint{"unit/s/m": {{Name: "e", Concurrency: 1}}}}, nil)
+			if diff := cmp.Diff(first.ReadyAt["unit/s/m"], <-got); diff != "" {
+				t.Errorf("forecast (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -58,6 +58,9 @@
 	Waited time.Duration
 	// Cold is true when no endpoint was ready on arrival.
 	Cold bool
+	// Expected is when the first forecast expected the model that the request waited
+	// for; zero if there was none.
+	Expected time.Time
 	// Others is how many other endpoints the pool had then.
 	Others int
 
--- a/internal/traffic/wait.go
+++ b/internal/traffic/wait.go
@@ -21,6 +21,9 @@
 type waiter struct {
 	item *queue.Item
 	ask  Ask
+	// expected is when the first forecast told that its model would be there; zero while
+	// none has.
+	expected time.Time
 	// ended carries what the wait came to.
 	ended chan verdict
 }
@@ -28,7 +31,9 @@
 // verdict ends a wait: with a place, or with a reason why there is none.
 type verdict struct {
 	place
-	refused error
+	// expected is when the first forecast expected it; zero if there was none.
+	expected time.Time
+	refused  error
 }
 
 // StopWaiting refuses all requests that wait, and from here on those that would:
@@ -60,7 +65,9 @@
 	if v.refused != nil {
 		return nil, v.refused
 	}
-	return d.slot(p, v.place, &w.ask, start, d.clock.Now(), cold), nil
+	s := d.slot(p, v.place, &w.ask, start, d.clock.Now(), cold)
+	s.Expected = v.expected
+	return s, nil
 }
 
 func tooLong(p *pool, waited time.Duration) error {
@@ -89,6 +96,18 @@
 		p.name, p.readyAt.Sub(now).Round(time.Millisecond)).After(away)
 }
 
+// forecast notes in the requests that wait when the model is expected.
+func (p *pool) forecast() {
+	if len(p.endpoints) > 0 || p.readyAt.IsZero() {
+		return
+	}
+	for _, it := range p.queue.Items() {
+		if w := it.Value.(*waiter); w.expected.IsZero() {
+			w.expected = p.readyAt
+		}
+	}
+}
+
 // refuseHopeless ends the waits that have become hopeless.
 func (p *pool) refuseHopeless(now time.Time) {
 	if len(p.endpoints) > 0 || p.readyAt.IsZero() {
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -268,6 +268,11 @@
 	if slot.Cold {
 		s.Metrics.ColdStart.Record(slot.Waited.Milliseconds())
 	}
+	if !slot.Expected.IsZero() {
+		missed := s.Clock.Now().Sub(slot.Expected)
+		x.Trail.Expected = slot.Waited - missed
+		s.Metrics.ForecastError.Record(missed.Abs().Milliseconds())
+	}
 	s.Metrics.Wait.Record(slot.Waited.Milliseconds())
 }
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -67,6 +67,9 @@
 	Waited time.Duration
 	// Cold is true when no endpoint was ready on arrival.
 	Cold bool
+	// Expected is how long the wait for the model was expected to be by the first
+	// forecast; 0 where there was none.
+	Expected time.Duration
 	// Status is what the endpoint answered; 0 for none.
 	Status int
 	// FirstEvent is the time to the first event of a stream, and LongestPause the
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -14,6 +14,8 @@
 	// Wait is the time to a place at an endpoint; ColdStart the same for
 	// requests that found no replica ready.
 	Wait, ColdStart, FirstToken, BetweenTokens *metric.Histogram
+	// ForecastError is by how much the first forecast of a wait for a model was wrong.
+	ForecastError *metric.Histogram
 }
 
 // NewMetrics returns metrics at zero.
@@ -21,6 +23,7 @@
 	m := &Metrics{
 		Wait: metric.NewHistogram(), ColdStart: metric.NewHistogram(),
 		FirstToken: metric.NewHistogram(), BetweenTokens: metric.NewHistogram(),
+		ForecastError: metric.NewHistogram(),
 	}
 	m.Refused.Init()
 	m.Retries.Init()
@@ -36,6 +39,7 @@
 	t.Set("retries", &m.Retries)
 	t.Set("wait", m.Wait)
 	t.Set("coldStart", m.ColdStart)
+	t.Set("forecastError", m.ForecastError)
 	t.Set("firstToken", m.FirstToken)
 	t.Set("betweenTokens", m.BetweenTokens)
 	return t
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -49,7 +49,8 @@
 		e := refusal.As(err)
 		s.Metrics.Refused.Add(string(e.Kind), 1)
 		s.Logger.Info("refused", append(x.logArgs(), "kind", string(e.Kind), "detail", e.Detail, "notRun", e.NotRun(),
-			"retryAfterMs", e.Hint().Milliseconds(), "began", x.Began, "allowedMs", x.Allowed.Milliseconds(), "tookMs", took.Milliseconds())...)
+			"retryAfterMs", e.Hint().Milliseconds(), "began", x.Began, "allowedMs", x.Allowed.Milliseconds(),
+			"patienceMs", x.Target.Patience.Milliseconds(), "tookMs", took.Milliseconds())...)
 		s.protocol().Refuse(x, e)
 		return nil
 	}
@@ -60,7 +61,8 @@
 	t := &x.Trail
 	return []any{
 		"requestId", x.ID, "route", x.Target.Route, "version", x.Target.Version, "pool", x.Target.Pool, "attempts", t.Sent,
-		"endpoint", t.Endpoint, "status", t.Status, "cold", t.Cold, "waitedMs", t.Waited.Milliseconds(), "firstEventMs", t.FirstEvent.Milliseconds(),
+		"endpoint", t.Endpoint, "status", t.Status, "cold", t.Cold, "waitedMs", t.Waited.Milliseconds(),
+		"expectedMs", t.Expected.Milliseconds(), "firstEventMs", t.FirstEvent.Milliseconds(),
 		"longestPauseMs", t.LongestPause.Milliseconds(),
 	}
 }
