--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -9,7 +9,7 @@
 
 // BenchmarkPlan plans for the engines, models and nodes of the grown sites.
 func BenchmarkPlan(b *testing.B) {
-	const engines, models, nodes = 90, 480, 70
+	const engines, models, nodes = 124, 667, 195
 	p := New(Limits{Window: 5e9})
 	p.SetTable(testTable(b, models))
 	var entries []*directory.Entry
