placement: how many loads the weight store runs at full speed is learned

Cause: storeLoadsAtOnce = 4 was a guess that fits the sites known so far. Change: storeRate compares each load's time with its time alone and with the loads beside it; it begins with two, doubles while they run at full speed, and goes down as soon as one lasts longer than it should. The end of a load from the store is asked for from its time alone on. Shown in the log (loads from the weight store at full speed) and as control.storeLoadsAtOnce. TestReset says its requests wait on: it counted on copies loaded ahead after its report had lapsed, of which one fewer is begun at first.

--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -35,10 +35,10 @@
 func (g *planning) copiesAtOnce() int {
 	for _, m := range g.list {
 		if g.now.Sub(m.lastUse) < rateTime {
-			return storeLoadsAtOnce / 2
+			return max(1, g.store.atOnce/2)
 		}
 	}
-	return storeLoadsAtOnce
+	return g.store.atOnce
 }
 
 // reservedFromStore counts the engines that make way for a load from the store.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -288,6 +288,8 @@
 	if got := len(orders(p.Plan(at(130), 2))); got != 1 {
 		t.Errorf("%d loads from the store right after a change of holder, want 1", got)
 	}
+	// The requests wait on, and the node goes on saying so.
+	p.Use("n", []Use{waits(unit("m1"), 500), waits(unit("m2"), 500)}, at(5190))
 	if got := len(orders(p.Plan(at(5200), 2))); got != 1 {
 		t.Errorf("%d loads from the store a window later, want 1 more", got)
 	}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -50,8 +50,9 @@
 	p.expireUses(now)
 	p.endWork(now)
 	p.forgetStoreLoads(now)
+	p.followStore(now)
 	g := &planning{Planner: p, now: now, engineCounts: make(map[string]int), claimed: make(map[*engine]time.Time)}
-	g.storeBusy = p.loading()
+	g.storeBusy = p.store.busy
 	clear(p.readyAt)
 	g.begin()
 	g.probes()
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -26,11 +26,6 @@
 	refusedRest = 100 * time.Millisecond
 	// adaptersComing is how many adapters may be on their way to an engine.
 	adaptersComing = 4
-	// storeLoadsAtOnce is how many loads from the weight store run at once: the
-	// platform slows them all beyond a number that it does not tell.
-	storeLoadsAtOnce = 4
-	// urgentExtra is how many more may run when a request waits.
-	urgentExtra = 2
 )
 
 // Limits bound the loads from the weight store beyond the configured rate.
@@ -54,7 +49,9 @@
 	nodes map[string]*nodeReport
 	// storeLoads holds when loads from the weight store began, within the window.
 	storeLoads []time.Time
-	readyAt    map[Unit]time.Time
+	// store follows how many of them run at full speed.
+	store   storeRate
+	readyAt map[Unit]time.Time
 	// unloads follows how long unloads wait for running requests.
 	unloads admit.Estimate
 	fence   uint64
@@ -67,7 +64,7 @@
 func New(limits Limits) *Planner {
 	return &Planner{
 		limits: limits, engines: make(map[string]*engine), uses: make(map[Unit]*use),
-		models: make(map[Unit]*modelState), nodes: make(map[string]*nodeReport), readyAt: make(map[Unit]time.Time),
+		models: make(map[Unit]*modelState), nodes: make(map[string]*nodeReport), readyAt: make(map[Unit]time.Time), store: newStoreRate(),
 	}
 }
 
@@ -301,6 +298,7 @@
 		return
 	}
 	if r.Busy && e.work != nil {
+		e.nextProbe = now.Add(e.work.probePause())
 		return
 	}
 	if r.Busy && e.ended != nil {
@@ -320,6 +318,9 @@
 		if e.work != nil && e.work.unload {
 			p.waited(e.work, now.Add(-reportAge))
 		}
+		if e.work != nil && e.work.fromStore {
+			p.storeEnded(e.work, now.Add(-reportAge))
+		}
 		e.work = nil
 	case e.work == nil:
 		// An order of somebody else is in progress; what it is for is not told.
@@ -398,13 +399,41 @@
 		g.wake(g.storeLoads[0].Add(g.limits.Window))
 		return false
 	}
-	limit := storeLoadsAtOnce
+	limit := g.store.atOnce
 	if urgent {
-		limit += urgentExtra
+		limit += g.store.urgentExtra()
 	}
 	return g.storeBusy < limit
 }
 
+// StoreLoadsAtOnce returns how many loads from the weight store are thought to run at
+// full speed at once.
+func (p *Planner) StoreLoadsAtOnce() int { return p.store.atOnce }
+
+// followStore takes in how many loads from the store are in progress, and those that
+// last longer than alone.
+func (p *Planner) followStore(now time.Time) {
+	p.store.advance(now, p.loading())
+	for _, e := range p.order {
+		if w := e.work; w != nil && w.fromStore {
+			p.store.lasts(w.began, now, w.full, p.store.integral(now)-w.storeSum)
+		}
+	}
+}
+
+// storeEnded takes in that a load from the store has ended.
+func (p *Planner) storeEnded(w *work, end time.Time) {
+	p.store.ended(w.began, end, w.full, p.store.integral(end)-w.storeSum)
+}
+
+// fullSpeed is how long a load of a model from the store takes without others.
+func (p *Planner) fullSpeed(u Unit) time.Duration {
+	if m := p.model(u).spec; m != nil {
+		return m.Load
+	}
+	return 0
+}
+
 // loading is how many loads from the weight store are in progress.
 func (p *Planner) loading() int {
 	n := 0
--- a/core/placement/site.go
+++ b/core/placement/site.go
@@ -127,7 +127,7 @@
 		return
 	}
 	g.queued++
-	rounds := 1 + g.queued/storeLoadsAtOnce
+	rounds := 1 + g.queued/g.store.atOnce
 	g.expect(m.unit, g.now.Add(time.Duration(rounds)*m.spec.Load))
 }
 
@@ -190,7 +190,7 @@
 	if !g.mayLoadFromStore(urgent) {
 		return false
 	}
-	s.load = s.load * time.Duration(max(storeLoadsAtOnce, g.storeBusy+1)) / storeLoadsAtOnce
+	s.load = g.store.slowed(s.load, g.storeBusy)
 	// The engine serves none of its copies meanwhile.
 	s.loss += g.awaited(s.engine) / lossTime.Seconds()
 	return true
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -43,6 +43,11 @@
 	// running requests.
 	began time.Time
 	waits bool
+	// full is how long a load from the store takes without others; its end is asked for
+	// from then on, whatever is expected.
+	full time.Duration
+	// storeSum is the store's loads summed over time until then, see storeRate.
+	storeSum float64
 }
 
 // begin notes that an engine carries out an order for a model.
@@ -57,6 +62,9 @@
 		// The store slows its loads down when many run.
 		w.timed = !o.FromStore
 	}
+	if w.fromStore {
+		w.full, w.storeSum = p.fullSpeed(w.unit), p.store.integral(now)
+	}
 	e.work = w
 }
 
@@ -151,4 +159,14 @@
 
 // confirmAt is when a report will tell whether the work taken as ended has: earlier
 // ones are of a moment before.
-func (w *work) confirmAt() time.Time { return w.expected.Add(reportAge) }
+func (w *work) confirmAt() time.Time {
+	if w.fromStore {
+		return w.began.Add(w.full + reportAge)
+	}
+	return w.expected.Add(reportAge)
+}
+
+// probePause is the time between two reports of an engine that carries the work out: a
+// load from the store may last many times as long as one alone, and one report in each
+// fiftieth of that tells its end well enough.
+func (w *work) probePause() time.Duration { return max(probeEvery, w.full/50) }
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -115,6 +115,9 @@
 	leading, leaseDoubt atomic.Bool
 	// away is set while the reader of the lease gets no answer of the store.
 	away atomic.Bool
+	// storeLoads is how many loads from the weight store this node, as the holder, lets
+	// run at once; 0 before it held the lease.
+	storeLoads atomic.Int64
 	// doubted is set while the holder says that it gets no answer of the store.
 	doubted atomic.Bool
 
@@ -370,11 +373,20 @@
 			go c.probe(ctx, a.Probe, now)
 		}
 	}
+	c.noteStoreLoads()
 	if c.holder.update(c.planner, len(c.nodes)+1, now) {
 		c.stale = true
 	}
 }
 
+// noteStoreLoads shows what the planner has learned of the weight store.
+func (c *Controller) noteStoreLoads() {
+	n := int64(c.planner.StoreLoadsAtOnce())
+	if old := c.storeLoads.Swap(n); old != n {
+		c.o.Logger.Info("loads from the weight store at full speed", "atOnce", n, "before", old)
+	}
+}
+
 // order sends one order, unless the lease ran out since it was planned.
 func (c *Controller) order(ctx context.Context, o *placement.Order) {
 	octx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/placer/metrics.go
+++ b/internal/placer/metrics.go
@@ -12,7 +12,8 @@
 			Pools   int    `json:"poolsServed"`
 			Loading int    `json:"unitsExpected"`
 			Holder  bool   `json:"holdsLease"`
-		}{Ready: c.Ready(), Version: v.Revision, Pools: len(v.Endpoints), Loading: len(v.ReadyAt), Holder: c.lifeShown() != ""}
+			Store   int64  `json:"storeLoadsAtOnce"`
+		}{Ready: c.Ready(), Version: v.Revision, Pools: len(v.Endpoints), Loading: len(v.ReadyAt), Holder: c.lifeShown() != "", Store: c.storeLoads.Load()}
 		return m
 	})
 }
