--- a/cmd/olivebench/rounds.go
+++ b/cmd/olivebench/rounds.go
@@ -52,10 +52,11 @@
 			return err
 		}
 	}
-	if err := c.plot(round, runs); err != nil {
+	// The table first: runs take minutes, and must not be lost for a plot.
+	if err := rounds.Compare(runs, c.Base, c.Change, site).Write(os.Stdout, c.Base, c.Change); err != nil {
 		return err
 	}
-	return rounds.Compare(runs, c.Base, c.Change, site).Write(os.Stdout, c.Base, c.Change)
+	return c.plot(round, runs)
 }
 
 // round makes the plan of what is played.
