placer: the first read of a topic does not wait for news

Change: the first read of each topic has no wait. Test: TestFirstReadDoesNotWait, which fails before.

--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"olivetiller/core/directory"
 	"olivetiller/core/lease"
+	"olivetiller/core/logstore"
 	"olivetiller/core/queue"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
@@ -175,3 +177,25 @@
 		t.Errorf("urgent = %t; endpoints (-want +got):\n%s", urgent, diff)
 	}
 }
+
+// TestFirstReadDoesNotWait checks that a node that starts learns at once that the lease is
+// free: with the store holding the read of an empty topic open, the first of 195 nodes took
+// it 2.1 s after the start, and each read topics for itself until then.
+func TestFirstReadDoesNotWait(t *testing.T) {
+	c := newController(clockwork.NewFakeClock())
+	ctx, cancel := context.WithCancel(t.Context())
+	var waits []time.Duration
+	follow(ctx, c, reader[[]byte]{
+		name: "lease", scout: true, idle: func() bool { return false },
+		read: func(_ context.Context, _ uint64, wait time.Duration) (logstore.Page[[]byte], error) {
+			if waits = append(waits, wait); len(waits) == 2 {
+				cancel()
+			}
+			return logstore.Page[[]byte]{}, nil
+		},
+		apply: func(p logstore.Page[[]byte], _ bool) message { return leases{p} },
+	})
+	if diff := cmp.Diff([]time.Duration{0, c.pace.ownWait}, waits); diff != "" {
+		t.Errorf("waits of the reads (-want +got):\n%s", diff)
+	}
+}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -75,6 +75,9 @@
 	var next uint64
 	whole, well, pause := r.newest != nil, true, retryPause
 	silence := c.pace.silence
+	// The first read does not wait for news: where the lease is free, a node that waited
+	// took it two seconds later, and all nodes read for themselves meanwhile.
+	first := true
 	for ctx.Err() == nil {
 		if r.idle() || !r.scout && c.away.Load() {
 			// What was missed meanwhile is read anew, with what engines hold.
@@ -84,8 +87,11 @@
 		}
 		started := c.o.Clock.Now()
 		wait, slack := c.readWait()
-		if whole {
+		switch {
+		case whole:
 			wait, slack = 0, silence
+		case first:
+			wait = 0
 		}
 		page, err := readOnce(ctx, c.o.Clock, r, next, whole, wait, slack)
 		var failed *logstore.Error
@@ -94,7 +100,7 @@
 			if !well {
 				c.o.Logger.Info("store regained", "topic", r.name, "next", page.Next)
 			}
-			well, pause, silence = true, retryPause, c.pace.silence
+			well, pause, silence, first = true, retryPause, c.pace.silence, false
 			if r.scout {
 				c.away.Store(false)
 				c.inbox.Send(ctx, storeBack{})
