--- a/core/placement/site.go
+++ b/core/placement/site.go
@@ -61,23 +61,12 @@
 	loss    float64
 	// held is how long the engine is held up by runs of these.
 	held time.Duration
-	// crowd is what the requests that the engine runs already cost those that come, as a
-	// time that these would rather wait.
-	crowd time.Duration
 }
 
 // cost is when the model is there, put off by what its coming loses elsewhere: by the
-// requests for what makes way, by the time in which the engine loads nothing else, and by
-// what it runs already.
+// requests for what makes way, and by the time in which the engine loads nothing else.
 func (s *site) cost() time.Time {
-	return s.ready.Add(s.load + s.held + s.crowd + time.Duration(s.loss*float64(lossTime)))
-}
-
-// crowd is how much longer a request would wait rather than go to an engine that runs
-// others: engines run all that they hold in one batch, so that a rare model loaded where a busy one
-// runs delays both.
-func (g *planning) crowd(e *engine) time.Duration {
-	return time.Duration(lateShare(float64(e.running), e.shape.Slots) * float64(lossTime))
+	return s.ready.Add(s.load + s.held + time.Duration(s.loss*float64(lossTime)))
 }
 
 // better reports whether a site is better than another.
@@ -172,7 +161,7 @@
 	if r.unknown {
 		return site{}, false
 	}
-	s.start, s.crowd = g.freeAt(e), g.crowd(e)
+	s.start = g.freeAt(e)
 	free := r.free
 	if reserved := g.table.Model(e.reserved.Service, e.reserved.Model); reserved != nil {
 		s.start = s.start.Add(g.reservedLoad(e) + probeEvery)
