--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -60,13 +60,13 @@
 	return m
 }
 
-// held returns the state of a model that an engine holds.
-func (p *Planner) held(e *engine, name string) *modelState {
+// modelAt returns the state of a model that an engine holds or keeps.
+func (p *Planner) modelAt(e *engine, name string) *modelState {
 	return p.model(Unit{Service: e.service, Model: name})
 }
 
-// begin makes the figures of a new plan.
-func (m *modelState) begin(now time.Time) {
+// tally makes the figures of a new plan.
+func (m *modelState) tally(now time.Time) {
 	m.holders, m.loaders, m.soon, m.keepers = m.holders[:0], 0, 0, 0
 	m.due, m.rate, m.objective = due{}, 0, 0
 	m.lastUse, m.sentAwayAt = time.Time{}, time.Time{}
@@ -117,7 +117,7 @@
 }
 
 func (p *Planner) addCopy(e *engine, name string) {
-	m := p.held(e, name)
+	m := p.modelAt(e, name)
 	i, _ := slices.BinarySearchFunc(m.copies, e.id, byID)
 	m.copies = slices.Insert(m.copies, i, e)
 	e.copies = append(e.copies, m)
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -54,7 +54,7 @@
 	g := &planning{Planner: p, now: now, engineCounts: make(map[string]int), claimed: make(map[*engine]time.Time)}
 	g.storeBusy = p.store.busy
 	clear(p.readyAt)
-	g.begin()
+	g.tally()
 	g.probes()
 	g.adapters()
 	g.reservations()
@@ -65,12 +65,12 @@
 	return g.actions
 }
 
-// begin makes the figures of the models and engines, and notes when the awaited
+// tally makes the figures of the models and engines, and notes when the awaited
 // replicas are expected.
-func (g *planning) begin() {
+func (g *planning) tally() {
 	g.indexCopies()
 	for _, m := range g.list {
-		m.begin(g.now)
+		m.tally(g.now)
 	}
 	for _, e := range g.order {
 		e.rooms, e.running = [2]*room{}, 0
@@ -92,7 +92,7 @@
 // countHeld counts an engine where it serves a model or keeps it.
 func (g *planning) countHeld(e *engine) {
 	for name := range e.models {
-		m := g.held(e, name)
+		m := g.modelAt(e, name)
 		e.running += m.at[e.id]
 		if e.serves(name) {
 			m.holders = append(m.holders, e)
@@ -197,7 +197,8 @@
 	g.actions = append(g.actions, Action{Order: o})
 }
 
-// unserved notes that an engine makes a model way: the other replicas are worth more.
+// unserved notes that a model makes way at an engine: each of its other replicas is worth
+// more now, so that what these engines could make way is worked out anew.
 func (g *planning) unserved(m *modelState, e *engine) {
 	m.leave(e)
 	for _, holder := range m.holders {
--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -41,7 +41,7 @@
 const mostVictims = 6
 
 // room returns what an engine could make way, which is the same for all models of
-// one plan until an order is sent.
+// one plan until an order changes it.
 func (g *planning) room(e *engine, urgent bool) *room {
 	i := 0
 	if urgent {
@@ -61,7 +61,7 @@
 		if e.leaves(name) {
 			return nil
 		}
-		m := g.held(e, name)
+		m := g.modelAt(e, name)
 		loss, runs := g.loss(m, h), m.at[e.id] > 0
 		if loss < 0 || !urgent && runs {
 			continue
--- a/core/placement/storerate.go
+++ b/core/placement/storerate.go
@@ -7,8 +7,10 @@
 
 // storeRate learns how many loads from the weight store run at full speed at once. The
 // platform slows all of them down in proportion beyond a number that it does not tell:
-// one on some deployments, four on others. More at once than that bring nothing sooner, and the
-// model that is needed most is there last: with one at full speed, four loads of 13 s took 53 s each.
+// one on some deployments, four on others. More at once than that bring nothing sooner, and
+// the model that is needed most is there later: where one runs at full speed and a load takes
+// 6 s, the first of many models was there after 36 s with a fixed four, after 18 s with the
+// estimate (TestStoreRateLearned).
 type storeRate struct {
 	// atOnce is the estimate, 1 or more.
 	atOnce int
--- a/core/placement/value_test.go
+++ b/core/placement/value_test.go
@@ -35,7 +35,7 @@
 	p.Use("n", []Use{ask("m0", 2*time.Second), ask("m1", 300*time.Millisecond), ask("m2", 2*time.Second)}, at(10))
 	loss := make(map[string]float64)
 	g := &planning{Planner: p, now: at(10), engineCounts: make(map[string]int)}
-	g.begin()
+	g.tally()
 	for _, model := range []string{"m0", "m1", "m2"} {
 		loss[model] = g.missLoss(p.model(unit(model)))
 	}
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -56,7 +56,7 @@
 	switch {
 	case o.Unload:
 		// The unload waits for the model's runs, whose end is not known.
-		w.waits = p.held(e, o.Unit.Model).at[e.id] > 0
+		w.waits = p.modelAt(e, o.Unit.Model).at[e.id] > 0
 		w.timed = !w.waits
 	default:
 		// The store slows its loads down when many run.
@@ -75,7 +75,7 @@
 		if w == nil || !e.known {
 			continue
 		}
-		if w.waits && p.held(e, w.unit.Model).at[e.id] == 0 {
+		if w.waits && p.modelAt(e, w.unit.Model).at[e.id] == 0 {
 			// The nodes' reports are fresher than the engine's.
 			w.waits, w.timed = false, true
 		}
