placer, platform: a whole list is given up by silence, not by its length

Change: a read of all there is goes on as long as parts of it come (silence, 0.8 s at first), 10 s at most.

--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -27,8 +27,8 @@
 	Lease(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[[]byte], error)
 	Configs(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[logstore.Config], error)
 	Instances(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[logstore.Instance], error)
-	NewestConfig(ctx context.Context) (logstore.Page[logstore.Config], error)
-	NewestInstances(ctx context.Context) (logstore.Page[logstore.Instance], error)
+	NewestConfig(ctx context.Context, silence time.Duration) (logstore.Page[logstore.Config], error)
+	NewestInstances(ctx context.Context, silence time.Duration) (logstore.Page[logstore.Instance], error)
 }
 
 // Engines takes orders.
--- a/internal/placer/pace.go
+++ b/internal/placer/pace.go
@@ -23,10 +23,9 @@
 	feedFresh time.Duration
 	// retryAtMost is the longest pause after a failed read.
 	retryAtMost time.Duration
-	// silence is how long a whole list may take to come at first. A node that the holder
-	// no longer feeds is blind meanwhile, so that with feedFresh it must fit into the
-	// bound. After a failure the time doubles up to silenceAtMost, for stores that are slow
-	// and lists that are long.
+	// silence is how long nothing of a whole list may come at first. A node that the
+	// holder no longer feeds is blind meanwhile, so that with feedFresh it must fit into the
+	// bound. After a failure the time doubles up to silenceAtMost, for stores that are slow.
 	silence, silenceAtMost time.Duration
 }
 
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -18,6 +18,10 @@
 const (
 	// readSlack is added to the time that the store keeps a read open, for the answer.
 	readSlack = 700 * time.Millisecond
+	// wholeAtMost bounds a read of all there is. Where 195 nodes lose the holder together and
+	// the configuration has many routes, the store's link takes seconds for all; a bound on
+	// the length alone made each of them begin anew, 30,000 calls a day.
+	wholeAtMost = 10 * time.Second
 	// retryPause is the pause after a failed read. It doubles up to pace.retryAtMost:
 	// every call has its price, refused ones too, and the platform's bounds run
 	// from seconds after its return.
@@ -38,8 +42,9 @@
 	// every is the least time between two reads of the holder, ownEvery of others.
 	every, ownEvery time.Duration
 	// scout readers go on trying while the store is away; the others wait for them.
-	scout  bool
-	newest func(context.Context) (logstore.Page[T], error)
+	scout bool
+	// newest reads all there is, and gives up when nothing of it comes for a time.
+	newest func(ctx context.Context, silence time.Duration) (logstore.Page[T], error)
 	read   func(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[T], error)
 	// apply makes the message for the owner; whole is true for a page that holds
 	// all there is.
@@ -146,11 +151,13 @@
 }
 
 func readOnce[T any](ctx context.Context, clock clockwork.Clock, r reader[T], next uint64, whole bool, wait, slack time.Duration) (logstore.Page[T], error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, clock, wait+slack)
-	defer cancel()
 	if whole {
-		return r.newest(ctx)
+		ctx, cancel := clockwork.WithTimeout(ctx, clock, wholeAtMost)
+		defer cancel()
+		return r.newest(ctx, slack)
 	}
+	ctx, cancel := clockwork.WithTimeout(ctx, clock, wait+slack)
+	defer cancel()
 	return r.read(ctx, next, wait)
 }
 
