placer, platform: reads of the list and the configuration go on while parts of them come

Change: reads of pages are given up by silence as well; only the lease's, whose records are short, keep a bound on their length. What a weak holder relays is still too much for its link: open.

--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -156,7 +156,13 @@
 		defer cancel()
 		return r.newest(ctx, slack)
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, clock, wait+slack)
+	limit := wait + slack
+	if r.newest != nil {
+		// One record may be as long as all there is: the store's client gives up when
+		// nothing of the answer comes.
+		limit += wholeAtMost
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, clock, limit)
 	defer cancel()
 	return r.read(ctx, next, wait)
 }
