placement, placer: an order's line tells the room it was decided on

The lines could not tell an engine that was thought emptier than it is from one whose count of orders was equal by chance: freeMb, models, adapters, the age of the last report taken over and what is unconfirmed stand in the line now; a report's line has its adapters and how long ago it was asked for. No behaviour.

--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -56,7 +56,7 @@
 // should soon.
 func (g *planning) allReported(service string) bool {
 	for _, e := range g.order {
-		if e.service == service && !e.draining && !e.reported && g.now.Sub(e.doubtSince) < useLife {
+		if e.service == service && !e.draining && e.reportedAt.IsZero() && g.now.Sub(e.doubtSince) < useLife {
 			return false
 		}
 	}
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -16,8 +16,8 @@
 	// known is false while the engine's state is in doubt: it gets no orders
 	// until it has reported.
 	known bool
-	// reported is set once the engine has reported what it keeps.
-	reported bool
+	// reportedAt is when a report was last taken over; zero if none was.
+	reportedAt time.Time
 	// doubtSince is when the doubt began; a report of an earlier moment does not
 	// end it.
 	doubtSince time.Time
@@ -185,6 +185,18 @@
 	return free
 }
 
+// books returns what is believed of the engine.
+func (e *engine) books(t *route.Table, now time.Time) Books {
+	b := Books{FreeMB: e.freeMB(t), Models: len(e.models), Adapters: e.adapters(), Age: -1}
+	if !e.reportedAt.IsZero() {
+		b.Age = now.Sub(e.reportedAt)
+	}
+	if w := e.ended; w != nil {
+		b.Unconfirmed = w.String()
+	}
+	return b
+}
+
 // sizeMB is the memory that a model takes with its adapters.
 func (e *engine) sizeMB(t *route.Table, name string, h *held) float64 {
 	m := t.Model(e.service, name)
@@ -214,7 +226,7 @@
 
 // adopt takes a report over.
 func (e *engine) adopt(r *Report, now time.Time) {
-	e.taken, e.ended, e.recheckAt, e.reported = r.Taken, nil, time.Time{}, true
+	e.taken, e.ended, e.recheckAt, e.reportedAt = r.Taken, nil, time.Time{}, now
 	for name := range e.models {
 		if !slices.ContainsFunc(r.Models, func(h directory.Held) bool { return h.Model == name }) {
 			delete(e.models, name)
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -15,10 +15,11 @@
 	Fence uint64
 	// Taken is the number of orders that the engine must have taken before.
 	Taken int64
-	// Why says what the order is for, and Facts what was known of its model then, for
-	// logs.
+	// Why says what the order is for, Facts what was known of its model then, and Books
+	// what was believed of the engine, for logs.
 	Why   string
 	Facts Facts
+	Books Books
 	// FromStore is true when the weights may come from the weight store.
 	FromStore bool
 	// Expected is how long it should take.
@@ -39,6 +40,19 @@
 	Loss float64
 }
 
+// Books are what was believed of an engine when an order was decided.
+type Books struct {
+	// FreeMB is the memory for weights that was neither used nor promised.
+	FreeMB float64
+	// Models and Adapters count what it held, got, or had not surely dropped.
+	Models, Adapters int
+	// Age is the time since a report was taken over; negative if none was.
+	Age time.Duration
+	// Unconfirmed is the load or unload taken as ended that no reply or report has confirmed;
+	// "" if there is none.
+	Unconfirmed string
+}
+
 // Reply is what became of an order.
 type Reply uint8
 
@@ -91,6 +105,15 @@
 	directory.Holdings
 }
 
+// Adapters returns how many adapters the engine holds, those on their way not counted.
+func (r *Report) Adapters() int {
+	n := 0
+	for _, h := range r.Models {
+		n += len(h.Adapters)
+	}
+	return n
+}
+
 // Use is one node's report of the requests for one unit.
 type Use struct {
 	Unit    Unit
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -178,7 +178,7 @@
 
 // send gives an order to an engine.
 func (g *planning) send(e *engine, o *Order) {
-	o.Engine, o.Address, o.Fence, o.Taken = e.id, e.address, g.fence, e.taken
+	o.Engine, o.Address, o.Fence, o.Taken, o.Books = e.id, e.address, g.fence, e.taken, e.books(g.table, g.now)
 	e.sent = o
 	m := g.model(o.Unit.Base())
 	o.Facts = g.facts(m)
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -50,6 +50,14 @@
 	storeSum float64
 }
 
+// String implements fmt.Stringer.
+func (w *work) String() string {
+	if w.unload {
+		return "unload of " + w.unit.Model
+	}
+	return "load of " + w.unit.Model
+}
+
 // begin notes that an engine carries out an order for a model.
 func (p *Planner) begin(e *engine, o *Order, now time.Time) {
 	w := &work{unit: o.Unit, unload: o.Unload, fromStore: o.FromStore, began: now, expected: now.Add(o.Expected)}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -400,6 +400,8 @@
 		"fromStore", o.FromStore, "why", o.Why, "reply", reply.String(),
 		"rate", round(o.Facts.Rate), "waiting", o.Facts.Waiting, "running", o.Facts.Running, "peak", round(o.Facts.Peak),
 		"replicas", o.Facts.Replicas, "loss", round(o.Facts.Loss),
+		"freeMb", round(o.Books.FreeMB), "models", o.Books.Models, "adapters", o.Books.Adapters,
+		"ageMs", o.Books.Age.Milliseconds(), "unconfirmed", o.Books.Unconfirmed,
 	}
 	if err != nil {
 		args = append(args, "error", err.Error())
@@ -443,7 +445,7 @@
 		return
 	}
 	c.o.Logger.Info("report", "engine", m.engine, "taken", m.report.Taken, "busy", m.report.Busy, "running", m.report.Running,
-		"models", len(m.report.Models), "onDisk", len(m.report.OnDisk), "warm", len(m.report.Warm))
+		"models", len(m.report.Models), "adapters", m.report.Adapters(), "coming", len(m.report.Coming), "askedMsAgo", now.Sub(m.asked).Milliseconds(), "onDisk", len(m.report.OnDisk), "warm", len(m.report.Warm))
 	c.planner.Reported(m.engine, &m.report, m.asked, now)
 }
 
