directory, placement, platform: the start of an endpoint is read and logged

An engine that crashed comes back under its id and counts its orders from 0: the lines on an engine could not tell its lives apart. Its start stands beside the count now, in lines of the list and of reports. No behaviour.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -8,8 +8,10 @@
 
 // Instance is one life of an endpoint, as it describes itself.
 type Instance struct {
-	// ID names this life of the endpoint and no other.
-	ID      string
+	// ID names the endpoint; after a crash it may start again under it.
+	ID string
+	// Start tells its lives apart.
+	Start   Start
 	Service string
 	Address string
 	Hall    string
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -95,6 +95,8 @@
 // Report is what an engine tells of itself, as it stood some hundred
 // milliseconds before.
 type Report struct {
+	// Start is the engine's start; its counts began then.
+	Start directory.Start
 	// Taken is the number of orders that it has taken.
 	Taken int64
 	// Busy is true while it carries out an order.
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -284,7 +284,7 @@
 	case change == directory.Holding:
 		c.o.Logger.Debug("engine holds others", "endpoint", r.ID, "models", len(in.Models), "version", r.Version)
 	default:
-		c.o.Logger.Info("endpoint changed", "endpoint", r.ID, "service", in.Service, "address", in.Address, "draining", in.Draining,
+		c.o.Logger.Info("endpoint changed", "endpoint", r.ID, "born", int64(in.Start), "service", in.Service, "address", in.Address, "draining", in.Draining,
 			"remainingMs", in.Remaining.Milliseconds(), "version", r.Version, "relayed", r.Relayed)
 	}
 }
