--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -212,6 +212,9 @@
 	switch r {
 	case Accepted:
 		e.taken++
+		// A report that came in meanwhile may have taken work up again that has ended: begun
+		// work would replace it, and what it loaded would take up no room.
+		p.workOver(e, now)
 		if o.Unit.Adapter == "" || e.ended != nil && !e.ended.unload {
 			// The engine carries out one order for a model at a time, and takes no
 			// adapter while it loads one.
@@ -224,6 +227,7 @@
 			// order taken.
 			e.taken++
 		}
+		p.workOver(e, now)
 		p.done(e, o, now)
 	case Conflict:
 		if e.refusedEarly(o, now) {
@@ -268,12 +272,10 @@
 		e.setAdapter(o.Unit, now, now)
 	case o.Unload:
 		delete(e.models, name)
-		e.work = nil
 	default:
 		if e.models[name] == nil {
 			e.models[name] = newHeld(now)
 		}
-		e.work = nil
 	}
 }
 
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -117,6 +117,13 @@
 	}
 }
 
+// workOver takes work in progress as ended: the engine took another order.
+func (p *Planner) workOver(e *engine, now time.Time) {
+	if e.work != nil {
+		p.end(e, now)
+	}
+}
+
 // confirm notes that the work taken as ended has, at the latest now.
 func (p *Planner) confirm(e *engine, now time.Time) {
 	if e.ended != nil && e.ended.unload {
