platform, logstore, placer, directory: an entry of another writer names no endpoint to use

Decision: such an entry of an endpoint that was good counts as gone. What it said before may no longer hold, to use an endpoint that leaves breaks a promise, and a live one puts its entry right within a heartbeat.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -80,6 +80,9 @@
 // Directory is the list. It is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*Entry
+	// tellStarts is set once an endpoint told its start. Then all do: an entry without one
+	// is not of an endpoint.
+	tellStarts bool
 	// trustAt is when a vanished entry may be believed gone.
 	trustAt time.Time
 }
@@ -93,6 +96,7 @@
 // Apply folds one record in and says what changed.
 func (d *Directory) Apply(r Record, now time.Time) Change {
 	e := d.entries[r.ID]
+	d.tellStarts = d.tellStarts || r.Instance != nil && r.Instance.Start != 0
 	switch {
 	case e == nil && r.Instance == nil:
 		// Remembered, so that an older record does not bring it.
@@ -187,6 +191,8 @@
 	out := make([]*Entry, 0, len(d.entries))
 	for id, e := range d.entries {
 		switch {
+		case d.tellStarts && e.Start == 0 && e.GoneAt.IsZero():
+			// Not of an endpoint.
 		case e.GoneAt.IsZero() || now.Before(e.GoneAt):
 			out = append(out, e)
 		case now.Sub(e.GoneAt) > forgetAfter:
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -171,3 +171,34 @@
 		})
 	}
 }
+
+// TestOthersEntries checks that an entry without a start is no endpoint's where endpoints
+// tell theirs, in whatever order they come.
+func TestOthersEntries(t *testing.T) {
+	own := there("a")
+	own.Instance.Start = 5
+	tests := []struct {
+		name    string
+		records []Record
+		want    []string
+	}{
+		{"where none tells one", []Record{there("x"), there("y")}, []string{"x", "y"}},
+		{"before", []Record{there("x"), own}, []string{"a"}},
+		{"after", []Record{own, there("x")}, []string{"a"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New()
+			for _, r := range tt.records {
+				d.Apply(r, at(0))
+			}
+			var got []string
+			for _, e := range d.Live(at(1)) {
+				got = append(got, e.ID)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("Live (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -164,6 +164,7 @@
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
 		Peers: peer.NewClient(p.Dialer(dialTimeout)), Dispatcher: n.traffic, Limits: s.Loads, Nodes: n.limitRetries,
 		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Strength: s.Cores * s.LinkMbps, Bound: s.Bound, Fenced: s.Fenced,
+		Own: []string{s.CallerAddress, s.ReadyAddress, s.PeerAddress, s.MetricsAddress},
 	})
 	n.caller = &caller.Server{
 		Clock: n.clock, Logger: n.logger.Named("caller"), Dispatcher: n.traffic,
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -65,6 +65,9 @@
 	Bound time.Duration
 	// Fenced is true where engines check fences.
 	Fenced bool
+	// Own are the addresses at which this node itself listens: an entry that names one of
+	// them would have it pass requests to itself.
+	Own []string
 	// Nodes is called when the number of nodes that share the traffic changes.
 	Nodes func(n int)
 }
@@ -118,6 +121,8 @@
 	// storeLoads is how many loads from the weight store this node, as the holder, lets
 	// run at once; 0 before it held the lease.
 	storeLoads atomic.Int64
+	// faults counts the records of the store that were passed over.
+	faults faults
 	// startsAgain counts the engines seen to start again under their ids.
 	startsAgain atomic.Int64
 	// doubted is set while the holder says that it gets no answer of the store.
--- a/internal/placer/metrics.go
+++ b/internal/placer/metrics.go
@@ -1,6 +1,10 @@
 package placer
 
-import "expvar"
+import (
+	"expvar"
+
+	"olivetiller/core/logstore"
+)
 
 // Metrics shows what the node believes, for the metrics address.
 func (c *Controller) Metrics() expvar.Var {
@@ -14,7 +18,9 @@
 			Holder  bool   `json:"holdsLease"`
 			Store   int64  `json:"storeLoadsAtOnce"`
 			Again   int64  `json:"enginesStartedAgain"`
-		}{Ready: c.Ready(), Version: v.Revision, Pools: len(v.Endpoints), Loading: len(v.ReadyAt), Holder: c.lifeShown() != "", Store: c.storeLoads.Load(), Again: c.startsAgain.Load()}
+
+			Faults map[logstore.Reason]int `json:"recordsPassedOver"`
+		}{Ready: c.Ready(), Version: v.Revision, Pools: len(v.Endpoints), Loading: len(v.ReadyAt), Holder: c.lifeShown() != "", Store: c.storeLoads.Load(), Again: c.startsAgain.Load(), Faults: c.faults.all()}
 		return m
 	})
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -199,3 +199,24 @@
 		t.Errorf("waits of the reads (-want +got):\n%s", diff)
 	}
 }
+
+// TestOwnAddress checks that an entry which names this node itself names no endpoint, and
+// that the others of its page hold.
+func TestOwnAddress(t *testing.T) {
+	c := newController(clockwork.NewFakeClock())
+	c.o.Own = []string{"10.0.0.9:80"}
+	at := func(address string) logstore.Record[logstore.Instance] {
+		return logstore.Record[logstore.Instance]{Value: logstore.Instance{ID: address, Instance: &directory.Instance{ID: address, Service: "s", Address: address}}}
+	}
+	instances{page: logstore.Page[logstore.Instance]{Records: []logstore.Record[logstore.Instance]{at("10.0.0.9:80"), at("10.0.0.1:80")}, Next: 2}}.handle(c)
+	var got []string
+	for _, e := range c.directory.Live(c.o.Clock.Now()) {
+		got = append(got, e.ID)
+	}
+	if diff := cmp.Diff([]string{"10.0.0.1:80"}, got); diff != "" {
+		t.Errorf("endpoints (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(map[logstore.Reason]int{logstore.Unnamed: 1}, c.faults.all()); diff != "" {
+		t.Errorf("records passed over (-want +got):\n%s", diff)
+	}
+}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -110,9 +112,7 @@
 				c.away.Store(false)
 				c.inbox.Send(ctx, storeBack{})
 			}
-			for _, damage := range page.Damaged {
-				c.o.Logger.Error("record passed over", "topic", r.name, "error", damage.Error())
-			}
+			c.passedOver(r.name, page.Damaged)
 			if !c.inbox.Send(ctx, r.apply(page, whole)) {
 				return
 			}
@@ -245,15 +245,16 @@
 	if m.whole {
 		list := make([]directory.Record, 0, len(m.page.Records))
 		for _, r := range m.page.Records {
-			list = append(list, placed(r))
+			list = append(list, c.placed(r))
 		}
 		c.directory.Replace(list, m.page.Next, now, c.noteInstance)
 		c.listed = true
 	} else {
 		for _, r := range m.page.Records {
-			if change := c.directory.Apply(placed(r), now); change != directory.Unchanged {
+			rec := c.placed(r)
+			if change := c.directory.Apply(rec, now); change != directory.Unchanged {
 				changed = true
-				c.noteInstance(placed(r), change)
+				c.noteInstance(rec, change)
 			}
 		}
 	}
@@ -269,9 +270,17 @@
 	c.holder.instancesRead(now)
 }
 
-// placed returns a record of the list with its version.
-func placed(r logstore.Record[logstore.Instance]) directory.Record {
+// placed returns a record of the list with its version. An entry that names this node itself
+// names no endpoint.
+func (c *Controller) placed(r logstore.Record[logstore.Instance]) directory.Record {
 	r.Value.Version = r.Offset + 1
+	if in := r.Value.Instance; in != nil && slices.Contains(c.o.Own, in.Address) {
+		c.passedOver("endpoints", []error{&logstore.Fault{
+			Reason: logstore.Unnamed, Field: "address", Cause: fmt.Errorf("entry of endpoint %.60q names this node, %s", r.Value.ID, in.Address),
+			Remedy: "only endpoints may write to the list: find what else does",
+		}})
+		r.Value.Instance = nil
+	}
 	return r.Value
 }
 
