placement: an engine without a told start that holds nothing any more has started again, also where its count is short by one

Seen on nine engines whose orders come late while they crash: one reported count 0 after 1 and was taken for itself, until its next order was refused; two others reported count 1, busy, holding nothing, 600 ms after they came back: late orders of before had been carried out at count 0. Tests: a table of news that end what is believed, or do not.

--- a/core/placement/starts.go
+++ b/core/placement/starts.go
@@ -121,14 +121,19 @@
 	case r.Start.Older(e.start):
 		return true
 	}
-	// Where no start is told, a count that went back tells of one, if the report is of a
-	// moment after the last order.
-	if r.Taken < e.taken-1 && !askedAt.Before(e.takenAt.Add(reportLag)) {
+	if e.countWentBack(r) && !askedAt.Before(e.takenAt.Add(reportLag)) {
 		p.startAgain(e, 0, askedAt, now)
 	}
 	return false
 }
 
+// countWentBack reports whether a report of a moment after the last order tells of a new
+// start by its count. A count short by one may be ours at fault: an engine that had nothing to
+// drop counts no order, and says just what it says when it dropped something.
+func (e *engine) countWentBack(r *Report) bool {
+	return r.Taken < e.taken-1 || r.Taken < e.taken && len(r.Models) == 0 && len(e.models) > 0
+}
+
 // lateNeeds returns the room that late loads of a former start may take at an engine which
 // has taken a number of orders: the engine carries each of them out if it has taken just as
 // many orders as the load names.
--- /dev/null
+++ b/core/placement/starts_test.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/directory"
+)
+
+// TestNewStart checks which news of an engine ends what was believed of it. The engine was
+// last heard of at 1 ms: start 2000, three orders taken, m0 held.
+func TestNewStart(t *testing.T) {
+	full := directory.Holdings{Models: []directory.Held{{Model: "m0"}}}
+	listed := func(s directory.Start) func(p *Planner) {
+		return func(p *Planner) {
+			en := entry("e")
+			en.Start = s
+			p.SetEngines([]*directory.Entry{en}, at(500))
+		}
+	}
+	reported := func(r Report, askedMs int) func(p *Planner) {
+		return func(p *Planner) { p.Reported("e", &r, at(askedMs), at(askedMs+5)) }
+	}
+	tests := []struct {
+		name  string
+		start directory.Start
+		news  func(p *Planner)
+		// ends is whether what was believed is void, known whether orders may be given at once.
+		ends, known bool
+		taken       int64
+	}{
+		{"the list tells a later start", 2000, listed(3000), true, false, 0},
+		{"the list tells an earlier start", 2000, listed(1000), false, true, 3},
+		{"the list tells the same", 2000, listed(2000), false, true, 3},
+		{"a report tells a later start", 2000, reported(Report{Start: 3000, Taken: 7}, 500), true, true, 7},
+		{"a report of an earlier start with more orders", 2000, reported(Report{Start: 1000, Taken: 9, Holdings: full}, 100), false, true, 3},
+		{"a report of an earlier start long after: the clock was set back", 2000, reported(Report{Start: 1000, Taken: 1}, 900), true, true, 1},
+		{"a report of the same start", 2000, reported(Report{Start: 2000, Taken: 4, Holdings: full}, 900), false, true, 4},
+		{"no start told, the count went back", 0, reported(Report{Taken: 1, Holdings: full}, 900), true, true, 1},
+		{"no start told, the count is short by one", 0, reported(Report{Taken: 2, Holdings: full}, 900), false, true, 3},
+		{"no start told, the count is short by one and nothing held", 0, reported(Report{Taken: 2}, 900), true, true, 2},
+		{"no start told, a report of before the last order", 0, reported(Report{Taken: 1}, 300), false, true, 3},
+		{"no start told before", 0, reported(Report{Start: 2000, Taken: 3, Holdings: full}, 900), false, true, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := testPlanner(t, 3, map[string]Report{"e": {Start: tt.start, Taken: 3, Holdings: full}})
+			tt.news(p)
+			e := p.engines["e"]
+			got := []any{len(p.StartedAgain()) > 0, e.known, e.taken}
+			if diff := cmp.Diff([]any{tt.ends, tt.known, tt.taken}, got); diff != "" {
+				t.Errorf("ends, known, taken (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestNewStartWhileGone checks that an engine whose entry had gone and came back with another
+// start is not known, and that its late loads are remembered.
+func TestNewStartWhileGone(t *testing.T) {
+	p := testPlanner(t, 3, map[string]Report{"e": {Start: 2000, Taken: 3, Holdings: directory.Holdings{OnDisk: []string{"m0", "m1", "m2"}}}})
+	wait(p, "m1", 10)
+	p.Replied(theOrder(t, p, 10), Lost, at(20))
+	p.SetEngines(nil, at(100))
+	en := entry("e")
+	en.Start = 3000
+	p.SetEngines([]*directory.Entry{en}, at(900))
+	want := []StartedAgain{{Engine: "e", Start: 3000, Late: 1}}
+	if diff := cmp.Diff(want, p.StartedAgain()); diff != "" {
+		t.Errorf("starts (-want +got):\n%s", diff)
+	}
+	if p.engines["e"].known {
+		t.Error("the engine is known before it reported")
+	}
+}
