--- a/core/placement/use.go
+++ b/core/placement/use.go
@@ -139,3 +139,60 @@
 	p.at = now
 	return p.value
 }
+
+// Use takes a node's report of use in. It is whole: units that it does not name
+// are not in use there.
+func (p *Planner) Use(node string, reports []Use, now time.Time) {
+	n := p.nodes[node]
+	if n == nil {
+		n = &nodeReport{}
+		p.nodes[node] = n
+	}
+	n.withdraw(node)
+	n.at = now
+	for _, r := range reports {
+		u := p.use(r.Unit, now)
+		u.add(node, r, now)
+		n.uses = append(n.uses, u)
+		p.touchAdapter(r, now)
+	}
+}
+
+// use returns the use of a unit, which begins with the first report of it.
+func (p *Planner) use(unit Unit, now time.Time) *use {
+	u := p.uses[unit]
+	if u == nil {
+		m := p.model(unit.Base())
+		if len(m.uses) == 0 {
+			m.peak.at = now
+		}
+		u = &use{model: m, nodes: make(map[string]Use), at: make(map[string]int), rateAt: now}
+		p.uses[unit] = u
+		m.uses = append(m.uses, u)
+	}
+	return u
+}
+
+// expireUses drops the reports of nodes that are no longer heard of.
+func (p *Planner) expireUses(now time.Time) {
+	for node, n := range p.nodes {
+		if now.Sub(n.at) > useLife {
+			n.withdraw(node)
+			delete(p.nodes, node)
+		}
+	}
+}
+
+// touchAdapter notes the use of an adapter where it is held.
+func (p *Planner) touchAdapter(r Use, now time.Time) {
+	if r.Unit.Adapter == "" {
+		return
+	}
+	for id := range r.RunningAt {
+		if e := p.engines[id]; e != nil && e.models[r.Unit.Model] != nil {
+			if a := e.models[r.Unit.Model].adapters[r.Unit.Adapter]; a != nil {
+				a.lastUse = now
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/placer/watch.go
@@ -0,0 +1,195 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"olivetiller/io/peer"
+)
+
+// watcher is one node's question while it is kept open.
+type watcher struct {
+	node string
+	// due is set once news of any kind ends the wait.
+	due bool
+	// news holds at most one sign that there is something to tell.
+	news chan struct{}
+}
+
+// wakeUp tells the watcher that there is something to tell.
+func (w *watcher) wakeUp() {
+	select {
+	case w.news <- struct{}{}:
+	default:
+	}
+}
+
+// wakeAll makes a new version that every node should hear of at once.
+func (b *board) wakeAll() {
+	b.version++
+	for w := range b.watchers {
+		w.wakeUp()
+	}
+}
+
+// wake makes a new version that the nodes should hear of at once whose requests
+// wait for one of the pools, and the others when they are due.
+func (b *board) wake(pools map[string]bool) {
+	b.version++
+	for w := range b.watchers {
+		if w.due || intersect(b.interest[w.node], pools) {
+			w.wakeUp()
+		}
+	}
+}
+
+func intersect(a, b map[string]bool) bool {
+	if len(a) > len(b) {
+		a, b = b, a
+	}
+	for k := range a {
+		if b[k] {
+			return true
+		}
+	}
+	return false
+}
+
+// open keeps a node's question open until close.
+func (b *board) open(node string) *watcher {
+	w := &watcher{node: node, news: make(chan struct{}, 1)}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.watchers[w] = true
+	return w
+}
+
+func (b *board) close(w *watcher) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.watchers, w)
+}
+
+// lazy marks a watcher as due for any news, and reports whether there is some
+// since a version.
+func (b *board) lazy(w *watcher, since uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.due = true
+	return b.version > since
+}
+
+// snapshot returns what changed since the snapshot that a node has; ok is false
+// when this node is no holder. urgent is true when the node should hear at once:
+// of what its requests wait for, of a configuration, or of endpoints that come
+// and go.
+func (b *board) snapshot(q peer.Question, now time.Time) (s *peer.Snapshot, urgent, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.life == "" {
+		return nil, false, false
+	}
+	s = &peer.Snapshot{Life: b.life, Fence: b.fence, Version: b.version, Nodes: b.nodes, Successor: b.successor, StoreDoubt: b.storeDoubt, Whole: q.Life != b.life}
+	after := q.Version
+	if s.Whole {
+		after = 0
+	}
+	if b.peersVersion > after {
+		s.Peers = b.peers
+	}
+	urgent = b.addServing(s, after, b.interest[q.Node], now)
+	urgent = b.addFeed(s, q, after, now) || urgent || s.Whole
+	return s, urgent, true
+}
+
+// addServing adds what the engines serve, and reports whether a pool of interest
+// is concerned.
+func (b *board) addServing(s *peer.Snapshot, after uint64, interest map[string]bool, now time.Time) (urgent bool) {
+	s.Serving = make(map[string][]string)
+	for id, sh := range b.serving {
+		if sh.version <= after {
+			continue
+		}
+		s.Serving[id] = sh.pools
+		for _, pool := range sh.pools {
+			urgent = urgent || interest[pool]
+		}
+	}
+	for id, v := range b.goneAt {
+		if v > after && !s.Whole {
+			s.Gone = append(s.Gone, id)
+		}
+	}
+	s.ReadyInMs = make(map[string]int64, len(b.readyAt))
+	for pool, at := range b.readyAt {
+		s.ReadyInMs[pool] = max(0, at.Sub(now).Milliseconds())
+		urgent = urgent || b.readyVersion > after && interest[pool]
+	}
+	return urgent
+}
+
+// addFeed adds what was read of the store, and reports whether it is news.
+func (b *board) addFeed(s *peer.Snapshot, q peer.Question, after uint64, now time.Time) (urgent bool) {
+	f := &b.feed
+	s.AgeMs = max(now.Sub(f.configAt), now.Sub(f.instancesAt)).Milliseconds()
+	s.Lease, s.LeaseOffset, s.ListedTo = f.lease, f.leaseOffset, f.listedTo
+	// The names, 2 KB for 77 nodes, go out when they change.
+	s.Lease.Nodes = nil
+	if f.takersVersion > after {
+		s.Takers = f.takers
+	}
+	if f.config != nil && f.config.Version > q.Config {
+		s.Config = f.config
+		urgent = true
+	}
+	for _, in := range f.instances {
+		if in.version > after && (in.record.Instance != nil || !s.Whole) {
+			s.Instances = append(s.Instances, in.record)
+			urgent = true
+		}
+	}
+	return urgent
+}
+
+// News that is not urgent for a node may wait, so that many changes cost one
+// message: lazyPush, and lazyPushPerNode for each node that the holder serves, so
+// that its work stays bounded.
+const (
+	lazyPush        = 100 * time.Millisecond
+	lazyPushPerNode = 4 * time.Millisecond
+)
+
+// Watch implements peer.Holder.
+func (c *Controller) Watch(ctx context.Context, q peer.Question) (*peer.Snapshot, error) {
+	asked := c.o.Clock.Now()
+	w := c.holder.open(q.Node)
+	defer c.holder.close(w)
+	s, urgent, ok := c.holder.snapshot(q, asked)
+	if !ok {
+		return nil, peer.ErrNotHolder
+	}
+	if urgent {
+		return s, nil
+	}
+	timeout := c.o.Clock.After(q.Wait)
+	lazy := c.o.Clock.After(min(q.Wait, lazyPush+time.Duration(s.Nodes)*lazyPushPerNode))
+	for waiting := true; waiting; {
+		select {
+		case <-w.news:
+			waiting = false
+		case <-lazy:
+			waiting = !c.holder.lazy(w, q.Version)
+		case <-timeout:
+			waiting = false
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	now := c.o.Clock.Now()
+	s, _, ok = c.holder.snapshot(q, now)
+	if !ok {
+		return nil, peer.ErrNotHolder
+	}
+	s.HeldMs = now.Sub(asked).Milliseconds()
+	return s, nil
+}
