--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -202,7 +202,7 @@
 
 // books returns what is believed of the engine.
 func (e *engine) books(t *route.Table, now time.Time) Books {
-	b := Books{FreeMB: e.freeMB(t), Models: len(e.models), Adapters: e.adapters(), Age: -1}
+	b := Books{Phase: e.phase().String(), FreeMB: e.freeMB(t), Models: len(e.models), Adapters: e.adapters(), Age: -1}
 	if !e.reportedAt.IsZero() {
 		b.Age = now.Sub(e.reportedAt)
 	}
--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -122,3 +122,18 @@
 	}
 	return orders[0]
 }
+
+// TestOrderIsCountedOnce checks that an order which a report has counted before its reply came
+// is not counted again: a late order of somebody else's would then meet the count.
+func TestOrderIsCountedOnce(t *testing.T) {
+	p := testPlanner(t, 3, map[string]Report{"e": {Taken: 3, Holdings: directory.Holdings{Models: []directory.Held{{Model: "m0"}}, OnDisk: allModels}}})
+	u := Unit{Service: "s", Model: "m0", Adapter: "a1"}
+	due := at(int(time.Hour.Milliseconds()))
+	p.Use("n", []Use{{Unit: u, Waiting: 1, Arrivals: 1, Urgent: due, Last: due}}, at(10))
+	o := theOrder(t, p, 10)
+	p.Reported("e", &Report{Taken: 4, Holdings: directory.Holdings{Models: []directory.Held{{Model: "m0", Adapters: []string{"a1"}}}, OnDisk: allModels}}, at(400), at(405))
+	p.Replied(o, Accepted, at(410))
+	if diff := cmp.Diff(int64(4), p.engines["e"].taken); diff != "" {
+		t.Errorf("orders taken (-want +got):\n%s", diff)
+	}
+}
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -46,6 +46,8 @@
 	FreeMB float64
 	// Models and Adapters count what it held, got, or had not surely dropped.
 	Models, Adapters int
+	// Phase names what was known of the orders before.
+	Phase string
 	// Age is the time since a report was taken over; negative if none was.
 	Age time.Duration
 	// Unconfirmed is the load or unload taken as ended that no reply or report has confirmed;
--- a/core/placement/replies.go
+++ b/core/placement/replies.go
@@ -20,7 +20,7 @@
 	e.sent = nil
 	switch r {
 	case Accepted:
-		e.taken, e.takenAt = e.taken+1, now
+		e.took(o, now)
 		// A report that came in meanwhile may have taken work up again that has ended: begun
 		// work would replace it, and what it loaded would take up no room.
 		p.workOver(e, now)
@@ -34,7 +34,7 @@
 		if o.Unload && o.Unit.Adapter != "" {
 			// An adapter that nothing uses is dropped at once, and that counts as an
 			// order taken.
-			e.taken, e.takenAt = e.taken+1, now
+			e.took(o, now)
 		}
 		p.workOver(e, now)
 		p.done(e, o, now)
@@ -58,6 +58,12 @@
 	}
 }
 
+// took counts an order that the engine took. A report that came in meanwhile may have counted
+// it before.
+func (e *engine) took(o *Order, now time.Time) {
+	e.taken, e.takenAt = max(e.taken, o.Taken+1), now
+}
+
 // began notes that an engine carries an order out.
 func (p *Planner) began(e *engine, o *Order, now time.Time) {
 	switch {
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -416,7 +416,7 @@
 		"fromStore", o.FromStore, "why", o.Why, "reply", reply.String(),
 		"rate", round(o.Facts.Rate), "waiting", o.Facts.Waiting, "running", o.Facts.Running, "peak", round(o.Facts.Peak),
 		"replicas", o.Facts.Replicas, "loss", round(o.Facts.Loss),
-		"freeMb", round(o.Books.FreeMB), "models", o.Books.Models, "adapters", o.Books.Adapters,
+		"phase", o.Books.Phase, "freeMb", round(o.Books.FreeMB), "models", o.Books.Models, "adapters", o.Books.Adapters,
 		"ageMs", o.Books.Age.Milliseconds(), "unconfirmed", o.Books.Unconfirmed,
 	}
 	if err != nil {
