placer, lease: a weak holder hands the lease over to a much stronger node

A latent fault came to light: the time since which the lease was free was kept from before a node's own term, so that its delay had passed at once (TestFormerHolderWaits fails without the change).

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -106,7 +106,8 @@
 	switch {
 	case r.Release && same:
 		l.retire()
-		l.holder, l.until = Record{}, time.Time{}
+		// Free anew: the delay of a node that was the holder counts from here, too.
+		l.holder, l.until, l.freeSince = Record{}, time.Time{}, time.Time{}
 	case r.Release:
 		// A release by a former holder changes nothing.
 	case same:
@@ -198,6 +199,9 @@
 	return l.self
 }
 
+// Appending reports whether an append is in flight.
+func (l *Lease) Appending() bool { return !l.sentAt.IsZero() }
+
 // unanswered returns for how long the append in flight has had no answer; 0 if there is
 // none.
 func (l *Lease) unanswered(now time.Time) time.Duration {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -274,3 +274,24 @@
 	}
 	return highest
 }
+
+// TestFormerHolderWaits checks that a node which gave the lease up waits for its delay before
+// it takes it again, although the lease had been free before it first took it.
+func TestFormerHolderWaits(t *testing.T) {
+	l := New(Record{Holder: "a", Life: "a-1"}, 100*time.Millisecond)
+	l.CaughtUp(0, start)
+	l.Wants(start)
+	l.CaughtUp(0, at(200))
+	if !l.Wants(at(200)) {
+		t.Fatal("the free lease is not wanted after the delay")
+	}
+	l.Begin(at(200), nil)
+	l.Appended(0, at(210))
+	rec, _ := l.Releasing()
+	l.Fold(1, rec, at(5000))
+	l.CaughtUp(2, at(5000))
+	got := []bool{l.Wants(at(5000)), l.Wants(at(5099)), l.Wants(at(5100))}
+	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
+		t.Errorf("wanted at once, just before and after the delay (-want +got):\n%s", diff)
+	}
+}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -139,9 +139,13 @@
 	listedTo uint64
 	// released is set once the lease was given up for a stop.
 	released bool
-	remote   remote
-	misses   map[missKey]time.Time
-	newMiss  []peer.Miss
+	// heldSince is when this node last gained the lease; yielding is set while it hands it
+	// over.
+	heldSince time.Time
+	yielding  bool
+	remote    remote
+	misses    map[missKey]time.Time
+	newMiss   []peer.Miss
 	// reporting is true while a report is on its way; dirty asks for another.
 	reporting, dirty bool
 	reportedAt       time.Time
@@ -268,7 +272,8 @@
 
 // keepLease renews or takes the lease, and notes when it is gained or lost.
 func (c *Controller) keepLease(ctx context.Context, now time.Time) {
-	if c.lease.Wants(now) && !c.stopping.Load() && c.listed && !c.holderKept(now) {
+	c.yield(ctx, now)
+	if c.lease.Wants(now) && !c.yielding && !c.stopping.Load() && c.listed && !c.holderKept(now) {
 		rec := c.lease.Begin(now, c.outage.Others(now))
 		go c.append(ctx, c.lease.End(), rec)
 	}
@@ -298,6 +303,7 @@
 	c.leading.Store(held)
 	holder, _ := c.lease.Holder()
 	if held {
+		c.heldSince = now
 		c.o.Logger.Info("lease gained", "fence", fence)
 		c.outage.Gained(c.lease, now)
 		c.planner.Reset(fence == lease.FirstFence, now)
--- a/internal/placer/succession.go
+++ b/internal/placer/succession.go
@@ -10,6 +10,8 @@
 type follower struct {
 	heardAt  time.Time
 	strength float64
+	// storeAway is true where the node gets no answer of the store.
+	storeAway bool
 	// address is where the node answers others; "" where it does not tell.
 	address string
 }
