--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -274,7 +274,7 @@
 	}
 	return Question{
 		Node: v.Get("node"), Life: v.Get("life"), Version: version, Config: config,
-		Wait: min(maxWait, time.Duration(wait)*time.Millisecond),
+		Wait: time.Duration(max(0, min(maxWait.Milliseconds(), wait))) * time.Millisecond,
 	}, nil
 }
 
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -87,3 +89,34 @@
 		t.Errorf("mark (-want +got):\n%s", diff)
 	}
 }
+
+// FuzzReport expects that the holder answers any bytes of a report, and takes over only what
+// can be told again.
+func FuzzReport(f *testing.F) {
+	f.Add([]byte(`{"node":"n","use":[{"pool":"unit/s/m","waiting":1,"runningAt":{"e":2}}]}`))
+	f.Add([]byte(`{"use":[{"waiting":-1}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		w := httptest.NewRecorder()
+		Handler(&fakeHolder{}).ServeHTTP(w, httptest.NewRequest("POST", pathReport, bytes.NewReader(raw)))
+		if w.Code != 204 && w.Code != 400 {
+			t.Fatalf("status %d", w.Code)
+		}
+	})
+}
+
+// FuzzQuestion expects an answer to any question in a URL.
+func FuzzQuestion(f *testing.F) {
+	f.Add("node=n&life=a-1&version=2&config=7&waitMs=250")
+	f.Add("version=-1&waitMs=99999999999999999999")
+	f.Add("version=1&config=1&waitMs=-5")
+	f.Add("version=1&config=1&waitMs=9999999999999999")
+	f.Fuzz(func(t *testing.T, query string) {
+		v, err := url.ParseQuery(query)
+		if err != nil {
+			return
+		}
+		if q, err := parseQuestion(v); err == nil && q.Wait < 0 {
+			t.Fatalf("a wait of %v", q.Wait)
+		}
+	})
+}
