directory, placement: most entries decide whether endpoints tell their starts; followers forget engines, too

One entry of another writer with a start would have taken all endpoints away where none tells one. What is remembered of engines' ids was dropped by the holder alone. Start.Merge and Start.Time had no caller.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -80,9 +80,6 @@
 // Directory is the list. It is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*Entry
-	// tellStarts is set once an endpoint told its start. Then all do: an entry without one
-	// is not of an endpoint.
-	tellStarts bool
 	// trustAt is when a vanished entry may be believed gone.
 	trustAt time.Time
 }
@@ -96,7 +93,6 @@
 // Apply folds one record in and says what changed.
 func (d *Directory) Apply(r Record, now time.Time) Change {
 	e := d.entries[r.ID]
-	d.tellStarts = d.tellStarts || r.Instance != nil && r.Instance.Start != 0
 	switch {
 	case e == nil && r.Instance == nil:
 		// Remembered, so that an older record does not bring it.
@@ -189,9 +185,10 @@
 // Live returns the entries that are not gone, ordered by id; draining ones too.
 func (d *Directory) Live(now time.Time) []*Entry {
 	out := make([]*Entry, 0, len(d.entries))
+	told := d.tellStarts()
 	for id, e := range d.entries {
 		switch {
-		case d.tellStarts && e.Start == 0 && e.GoneAt.IsZero():
+		case told && e.Start == 0 && e.GoneAt.IsZero():
 			// Not of an endpoint.
 		case e.GoneAt.IsZero() || now.Before(e.GoneAt):
 			out = append(out, e)
@@ -203,6 +200,23 @@
 	return out
 }
 
+// tellStarts reports whether endpoints here tell their starts: most entries do. Then an entry
+// without one is not of an endpoint. One entry alone does not decide it: another writer's
+// would take all endpoints away where none of them tells its start.
+func (d *Directory) tellStarts() bool {
+	told, there := 0, 0
+	for _, e := range d.entries {
+		if !e.GoneAt.IsZero() {
+			continue
+		}
+		there++
+		if e.Start != 0 {
+			told++
+		}
+	}
+	return 2*told > there
+}
+
 // NextLapse returns when the next vanished entry is to be believed gone.
 func (d *Directory) NextLapse(now time.Time) (at time.Time, ok bool) {
 	for _, e := range d.entries {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -175,16 +175,21 @@
 // TestOthersEntries checks that an entry without a start is no endpoint's where endpoints
 // tell theirs, in whatever order they come.
 func TestOthersEntries(t *testing.T) {
-	own := there("a")
-	own.Instance.Start = 5
+	started := func(id string) Record {
+		r := there(id)
+		r.Instance.Start = 5
+		return r
+	}
 	tests := []struct {
 		name    string
 		records []Record
 		want    []string
 	}{
 		{"where none tells one", []Record{there("x"), there("y")}, []string{"x", "y"}},
-		{"before", []Record{there("x"), own}, []string{"a"}},
-		{"after", []Record{own, there("x")}, []string{"a"}},
+		{"before", []Record{there("x"), started("a"), started("b")}, []string{"a", "b"}},
+		{"after", []Record{started("a"), started("b"), there("x")}, []string{"a", "b"}},
+		{"another writer's start alone", []Record{there("x"), there("y"), started("a")}, []string{"a", "x", "y"}},
+		{"entries that are gone do not count", []Record{there("x"), there("y"), started("a"), {ID: "x"}, {ID: "y"}}, []string{"a"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/directory/start.go
+++ b/core/directory/start.go
@@ -1,7 +1,5 @@
 package directory
 
-import "time"
-
 // Start is when an endpoint started, by its own clock, in Unix milliseconds: it tells two
 // lives of an endpoint under one id apart. 0 where the endpoint does not tell it.
 //
@@ -15,14 +13,3 @@
 
 // Older reports whether s is surely an earlier start than o: what was said under it is void.
 func (s Start) Older(o Start) bool { return o.Newer(s) }
-
-// Merge returns the latest start known of two.
-func (s Start) Merge(o Start) Start { return max(s, o) }
-
-// Time returns the moment; zero where it is not told.
-func (s Start) Time() time.Time {
-	if s == 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(int64(s))
-}
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -127,6 +127,7 @@
 		e := p.listed(en, now)
 		e.address, e.draining, e.shape = en.Address, en.Draining, shape
 	}
+	p.forgetHistories(now)
 	p.order = p.order[:0]
 	for id, e := range p.engines {
 		if !listed[id] {
