olivetiller, platform: nodes of the tests listen on loopback hosts of their own

Traced by its lines: node a ended with 'listen on 127.0.0.1:46431: bind: address already in use', and something else answered there with JSON for 30 s: another program had taken the port between the moment at which the test found it free and the node's start. Each address has a random loopback host now, where nobody else listens.

--- a/cmd/olivetiller/main_test.go
+++ b/cmd/olivetiller/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -61,9 +62,11 @@
 	})
 }
 
-// freeAddress returns a loopback address whose port was free just now.
+// freeAddress returns a free address on a loopback host of its own: on the usual one, what
+// else runs on the machine may take the port before the node that it is meant for.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", err
 	}
