--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -331,18 +331,23 @@
 
 // append appends a record of the lease and tells the owner what became of it.
 func (c *Controller) append(ctx context.Context, at uint64, rec lease.Record) {
+	offset, err := c.store(ctx, at, rec)
+	if err != nil {
+		c.inbox.Send(ctx, leaseFailed{err})
+		return
+	}
+	c.inbox.Send(ctx, leaseAppended{rec, offset})
+}
+
+// store appends a record of the lease if its topic ends at an offset.
+func (c *Controller) store(ctx context.Context, at uint64, rec lease.Record) (offset uint64, err error) {
 	raw, err := json.Marshal(rec)
-	if err == nil {
-		actx, cancel := context.WithTimeout(ctx, appendTimeout)
-		defer cancel()
-		var offset uint64
-		offset, err = c.o.Store.Append(actx, at, raw)
-		if err == nil {
-			c.inbox.Send(ctx, leaseAppended{rec, offset})
-			return
-		}
+	if err != nil {
+		return 0, err
 	}
-	c.inbox.Send(ctx, leaseFailed{err})
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return c.o.Store.Append(ctx, at, raw)
 }
 
 type leaseAppended struct {
--- a/internal/placer/yield.go
+++ b/internal/placer/yield.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"olivetiller/core/lease"
@@ -58,17 +57,8 @@
 
 // release appends the record that gives the lease up.
 func (c *Controller) release(ctx context.Context, at uint64, rec lease.Record) {
-	raw, err := json.Marshal(rec)
-	if err == nil {
-		actx, cancel := context.WithTimeout(ctx, appendTimeout)
-		defer cancel()
-		var offset uint64
-		if offset, err = c.o.Store.Append(actx, at, raw); err == nil {
-			c.inbox.Send(ctx, yielded{rec: rec, offset: offset})
-			return
-		}
-	}
-	c.inbox.Send(ctx, yielded{rec: rec, err: err})
+	offset, err := c.store(ctx, at, rec)
+	c.inbox.Send(ctx, yielded{rec: rec, offset: offset, err: err})
 }
 
 // yielded tells what became of the record that gives the lease up.
