placement, platform: the property test's engines and the tests of new starts in files of their own

No behaviour: an order that awaits its reply at a new start is noted by the one function that notes late loads, before the start is counted instead of after it with one taken off.

--- a/core/placement/property_test.go
+++ b/core/placement/property_test.go
@@ -9,43 +9,11 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"olivetiller/core/directory"
 	"olivetiller/core/route"
-)
-
-// fakeEngine is an engine as the platform describes it and as one was seen to answer: it
-// takes one order for a model at a time, counts the orders it took, and reports late. It
-// takes a load that is on its way once more without a look at the count, refuses orders
-// for adapters while it carries another one out, and is busy while it waits for requests
-// that use an adapter which it is to drop.
-type fakeEngine struct {
-	id     string
-	start  directory.Start
-	taken  int64
-	fence  uint64
-	models map[string]map[string]fakeAdapter
-	disk   map[string]bool
-	// work ends at until.
-	work  *Order
-	until time.Time
-	// past holds the reports of the last moments.
-	past []pastReport
-}
 
-// fakeAdapter comes at a moment.
-type fakeAdapter struct{ comes time.Time }
-
-type pastReport struct {
-	at time.Time
-	r  Report
-}
-
-// lateOrder is an order that arrives after its sender gave up on it.
-type lateOrder struct {
-	o  *Order
-	at time.Time
-}
+	"github.com/google/go-cmp/cmp"
+)
 
 // fakeFleet plays engines against a planner.
 type fakeFleet struct {
@@ -195,13 +163,6 @@
 	return f
 }
 
-func (f *fakeFleet) start(id string) *fakeEngine {
-	e := &fakeEngine{id: id, start: directory.Start(f.now.UnixMilli()), models: make(map[string]map[string]fakeAdapter), disk: make(map[string]bool)}
-	f.engines[id] = e
-	f.list()
-	return e
-}
-
 func (f *fakeFleet) list() {
 	var entries []*directory.Entry
 	for id := range f.engines {
@@ -240,61 +201,6 @@
 	}
 }
 
-// settle ends the work that is due, notes the reports and delivers late orders.
-func (f *fakeFleet) settle() {
-	f.holders = slices.DeleteFunc(f.holders, func(h *holder) bool { return !h.until.IsZero() && f.now.After(h.until) })
-	for _, id := range slices.Sorted(maps.Keys(f.engines)) {
-		e := f.engines[id]
-		if e.work != nil && !f.now.Before(e.until) {
-			e.end()
-		}
-		e.past = append(e.past, pastReport{f.now, e.report(f.now)})
-	}
-	var rest []lateOrder
-	for _, l := range f.late {
-		if f.now.Before(l.at) {
-			rest = append(rest, l)
-		} else if e := f.engines[l.o.Engine]; e != nil {
-			f.logf("late: %s", f.order(e, l.o))
-		}
-	}
-	f.late = rest
-}
-
-// end ends the work.
-func (e *fakeEngine) end() {
-	u := e.work.Unit
-	switch {
-	case u.Adapter != "":
-		delete(e.models[u.Model], u.Adapter)
-	case e.work.Unload:
-		delete(e.models, u.Model)
-	default:
-		e.models[u.Model] = make(map[string]fakeAdapter)
-		e.disk[u.Model] = true
-	}
-	e.work = nil
-}
-
-func (e *fakeEngine) report(now time.Time) Report {
-	r := Report{Start: e.start, Taken: e.taken, Busy: e.work != nil}
-	for m, adapters := range e.models {
-		h := directory.Held{Model: m}
-		for name, a := range adapters {
-			if now.Before(a.comes) {
-				r.Coming = append(r.Coming, directory.Held{Model: m, Adapters: []string{name}})
-			} else {
-				h.Adapters = append(h.Adapters, name)
-			}
-		}
-		r.Models = append(r.Models, h)
-	}
-	for m := range e.disk {
-		r.OnDisk = append(r.OnDisk, m)
-	}
-	return r
-}
-
 func (f *fakeFleet) demand() {
 	var uses []Use
 	for i := range 7 {
@@ -343,135 +249,6 @@
 	}
 }
 
-// probe answers with a report that is some hundred milliseconds old.
-func (f *fakeFleet) probe(h *holder, p *Probe) {
-	e := f.engines[p.Engine]
-	if e == nil {
-		h.p.ProbeFailed(p.Engine, f.now)
-		return
-	}
-	for i := len(e.past) - 1; i >= 0; i-- {
-		if f.now.Sub(e.past[i].at) >= 200*time.Millisecond || i == 0 {
-			f.logf("%s: report of %v to %d: %+v", e.id, e.past[i].at.Sub(start), h.fence, e.past[i].r)
-			h.p.Reported(p.Engine, &e.past[i].r, f.now, f.now)
-			return
-		}
-	}
-	h.p.ProbeFailed(p.Engine, f.now)
-}
-
-// order is an order that reaches its engine.
-func (f *fakeFleet) order(e *fakeEngine, o *Order) Reply {
-	before := e.taken
-	r := f.take(e, o)
-	f.logf("%s: order %v unload=%v fence %d at %d, engine at %d: %v; %s", o.Engine, o.Unit, o.Unload, o.Fence, o.Taken, before, r, o.Why)
-	return r
-}
-
-// take answers an order.
-func (f *fakeFleet) take(e *fakeEngine, o *Order) Reply {
-	if o.Fence < e.fence {
-		return Fenced
-	}
-	e.fence = o.Fence
-	switch {
-	case e.onItsWay(o, f.now):
-		return Accepted
-	case e.work != nil || o.Taken != e.taken:
-		return Conflict
-	case o.Unit.Adapter != "":
-		return f.takeAdapter(e, o)
-	}
-	if _, held := e.models[o.Unit.Model]; held != o.Unload {
-		return Holds
-	}
-	if used := f.used(e) + 100; !o.Unload && used > f.shape.WeightsMB {
-		f.t.Fatalf("seed %d: at %v an order would load %s at %s, which needs %v MB of %v", f.seed, f.now.Sub(start), o.Unit.Model, e.id, used, f.shape.WeightsMB)
-	}
-	e.taken++
-	// Work goes on for longer than known at times: an unload waits for runs.
-	longer := pick[time.Duration](f, 0, 0, 0, 100, 1500) * time.Millisecond
-	e.work, e.until = o, f.now.Add(50*time.Millisecond+longer)
-	if o.Unload {
-		return Accepted
-	}
-	e.until = f.now.Add(800*time.Millisecond + longer)
-	if !e.disk[o.Unit.Model] {
-		e.until = f.now.Add(6 * time.Second)
-		f.load()
-	}
-	return Accepted
-}
-
-// onItsWay reports whether the engine is loading what an order wants loaded: it says so
-// without a look at how many orders it has taken.
-func (e *fakeEngine) onItsWay(o *Order, now time.Time) bool {
-	if o.Unload {
-		return false
-	}
-	if e.work != nil && !e.work.Unload && e.work.Unit == o.Unit {
-		return true
-	}
-	a, there := e.models[o.Unit.Model][o.Unit.Adapter]
-	return there && now.Before(a.comes)
-}
-
-func (f *fakeFleet) takeAdapter(e *fakeEngine, o *Order) Reply {
-	adapters, held := e.models[o.Unit.Model]
-	if !held {
-		return Gone
-	}
-	if _, there := adapters[o.Unit.Adapter]; there != o.Unload {
-		return Holds
-	}
-	e.taken++
-	switch {
-	case !o.Unload:
-	case f.oneIn(2):
-		// It goes when the requests that use it end.
-		e.work, e.until = o, f.now.Add(f.between(0, 1500))
-		return Accepted
-	default:
-		delete(adapters, o.Unit.Adapter)
-		return Holds
-	}
-	slow := pick[time.Duration](f, 5, 5, 70, 900)
-	adapters[o.Unit.Adapter] = fakeAdapter{comes: f.now.Add(slow * time.Millisecond)}
-	n := 0
-	for _, as := range e.models {
-		n += len(as)
-	}
-	if n > f.shape.AdapterSlots || f.used(e) > f.shape.WeightsMB {
-		f.t.Fatalf("seed %d: at %v an order loads adapter %d of %d at %s, %v MB of %v", f.seed, f.now.Sub(start), n, f.shape.AdapterSlots, e.id, f.used(e), f.shape.WeightsMB)
-	}
-	return Accepted
-}
-
-func (f *fakeFleet) used(e *fakeEngine) float64 {
-	used := 0.0
-	for _, adapters := range e.models {
-		used += 100 + float64(len(adapters))*f.shape.Models[0].AdapterMB
-	}
-	if e.work != nil && !e.work.Unload {
-		used += 100
-	}
-	return used
-}
-
-// load notes a load from the store and checks the ceiling.
-func (f *fakeFleet) load() {
-	f.loads = append(f.loads, f.now)
-	n := 0
-	for _, at := range f.loads {
-		if f.now.Sub(at) <= 5*time.Second {
-			n++
-		}
-	}
-	if limit := 3*5*1.1 + 3; float64(n) > limit {
-		f.t.Fatalf("seed %d: %d loads from the store within 5s, allowed are %.1f", f.seed, n, limit)
-	}
-}
-
 // checkIndex expects that what the planner keeps between plans is what the engines'
 // copies and the nodes' reports come to.
 func (f *fakeFleet) checkIndex(p *Planner) {
--- a/core/placement/starts.go
+++ b/core/placement/starts.go
@@ -68,10 +68,11 @@
 // startAgain notes that an engine started again under its id: it holds nothing and counts
 // its orders from 0. Reports that were asked for at a moment or later tell of the new start.
 func (p *Planner) startAgain(e *engine, s directory.Start, heard, now time.Time) {
+	// The order that awaits its reply is one of the start before.
+	p.noteLate(e.sent, now)
 	h := p.history(e.id)
 	h.lives++
 	h.start, h.againAt = s, now
-	p.noteLateFormer(e, h, now)
 	e.start, e.startAt = s, now
 	e.sent, e.work, e.probing, e.reserved = nil, nil, false, Unit{}
 	e.models, e.taken, e.recheckAt = make(map[string]*held), 0, time.Time{}
@@ -80,13 +81,6 @@
 	p.again = append(p.again, StartedAgain{Engine: e.id, Start: s, Late: len(h.late)})
 }
 
-// noteLateFormer remembers the order that awaits its reply as one of the start before.
-func (p *Planner) noteLateFormer(e *engine, h *history, now time.Time) {
-	if o := e.sent; o != nil && !o.Unload {
-		h.late = append(h.late, lateLoad{unit: o.Unit, taken: o.Taken, life: h.lives - 1, at: now})
-	}
-}
-
 // StartedAgain is a start of an engine under a known id. It ends what was believed of it.
 type StartedAgain struct {
 	Engine string
