caller, quarantine, endpoint: a request's lines name it over all its tries and nodes

Cause: an attempt's line had the caller's id of that try only; of 3 to 48 requests that broke off when an engine ended, nothing told which of them came again, and an attempt did not tell how long it had run or on how many connections the transport wrote it. Change: one digest of method, address, path and body, the same code as that of once-only requests; with the caller it makes the fingerprint, in the lines answered, refused and attempt failed; heldMs, events, sends beside it. Conclusion: sight only, no change of behaviour.

--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -90,6 +90,9 @@
 	Leaving bool
 }
 
+// At is when the slot was given.
+func (s *Slot) At() time.Time { return s.at }
+
 // Began notes that the answer has begun: the prompt has been read.
 func (s *Slot) Began() { s.dispatcher.began(s) }
 
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +9,7 @@
 	"time"
 
 	"olivetiller/core/oncekey"
+	"olivetiller/core/quarantine"
 	"olivetiller/core/refusal"
 	"olivetiller/core/retry"
 	"olivetiller/internal/once"
@@ -28,6 +28,7 @@
 
 // dispatch sends the request to an endpoint and its answer back.
 func (s *Server) dispatch(ctx context.Context, x *Exchange) error {
+	x.takeFingerprint()
 	switch {
 	case x.Target.OnceOnly && x.Target.Keyed:
 		return s.dispatchOnce(ctx, x)
@@ -54,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	kept, err := s.Once.Do(ctx, key, digest(x), x.Deadline, func(ctx context.Context) (*once.Answer, error) {
+	kept, err := s.Once.Do(ctx, key, x.Digest, x.Deadline, func(ctx context.Context) (*once.Answer, error) {
 		a, err := s.whole(ctx, x)
 		if err != nil {
 			return nil, err
@@ -71,14 +72,14 @@
 	return writeAnswer(x, s.protocol(), &answer{status: kept.Status, header: h, body: kept.Body})
 }
 
-// digest tells a repeat of a request from another one with the same key.
-func digest(x *Exchange) [32]byte {
-	h := sha256.New()
-	_, _ = io.WriteString(h, x.R.Method+"\x00"+x.Target.Pool+"\x00"+x.Target.Path+"\x00")
-	_, _ = h.Write(x.Body)
-	var d [32]byte
-	copy(d[:], h.Sum(nil))
-	return d
+// takeFingerprint hashes the request once, whose body has been read.
+func (x *Exchange) takeFingerprint() {
+	caller := x.Caller.GetName()
+	if caller == "" {
+		caller = x.R.Header.Get("Authorization")
+	}
+	x.Digest = quarantine.DigestOf(x.R.Method, x.Target.identity(), x.Target.Path, x.Body)
+	x.Fingerprint = quarantine.FingerprintOf(caller, x.Digest)
 }
 
 func writeAnswer(x *Exchange, p Protocol, a *answer) error {
@@ -224,8 +225,9 @@
 	if err == nil {
 		return
 	}
-	s.Logger.Info("attempt failed", "requestId", x.ID, "attempt", n, "endpoint", slot.Endpoint.Name, "address", slot.Endpoint.Address,
-		"pool", x.Target.Pool, "waitedMs", slot.Waited.Milliseconds(), "outcome", outcomeOf(err).String(), "error", err.Error())
+	s.Logger.Info("attempt failed", "requestId", x.ID, "fingerprint", x.Fingerprint.String(), "attempt", n, "endpoint", slot.Endpoint.Name, "address", slot.Endpoint.Address,
+		"pool", x.Target.Pool, "waitedMs", slot.Waited.Milliseconds(), "outcome", outcomeOf(err).String(),
+		"heldMs", s.Clock.Now().Sub(slot.At()).Milliseconds(), "events", x.Trail.Events, "sends", sendsOf(err), "error", err.Error())
 }
 
 // endOf turns the last failure into a refusal that says the truth about running.
@@ -247,6 +249,15 @@
 	return retry.MaybeRun
 }
 
+// sendsOf returns how often the transport sent the request in an attempt that failed.
+func sendsOf(err error) int {
+	var e *endpoint.Error
+	if errors.As(err, &e) {
+		return e.Sends
+	}
+	return 0
+}
+
 func failed(err error) traffic.Result {
 	r := traffic.Result{Err: err, Running: -1}
 	var e *endpoint.Error
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"olivetiller/core/quarantine"
 	"olivetiller/core/view"
 	"olivetiller/internal/traffic"
 	pb "olivetiller/proto/olivetiller/v1"
@@ -47,6 +48,10 @@
 	BodyLimit int64
 	// Body is set by readBody and bounded by the settings.
 	Body []byte
+	// Digest names what is asked for, Fingerprint the same of this caller; dispatch sets
+	// both.
+	Digest      quarantine.Digest
+	Fingerprint quarantine.Fingerprint
 	// Target is set by resolve.
 	Target Target
 	// Began is true once something of an answer was written.
@@ -70,6 +75,8 @@
 	// Expected is how long the wait for the model was expected to be by the first
 	// forecast; 0 where there was none.
 	Expected time.Duration
+	// Events counts the events of a stream that were passed on.
+	Events int
 	// Status is what the endpoint answered; 0 for none.
 	Status int
 	// FirstEvent is the time to the first event of a stream, and LongestPause the
@@ -81,6 +88,8 @@
 type Target struct {
 	// Pool names the unit or service.
 	Pool string
+	// Host is the host that a request names where routes are found by it; "" elsewhere.
+	Host string
 	// Path is the path at the endpoint, with its query.
 	Path string
 	// Model is true for a request to an engine.
@@ -129,6 +138,14 @@
 	return maxAttempts
 }
 
+// identity is what the request is addressed to, whatever configuration is in force.
+func (t *Target) identity() string {
+	if t.Host != "" {
+		return t.Host
+	}
+	return t.Pool
+}
+
 // Handler answers an exchange, or returns why it did not.
 type Handler func(ctx context.Context, x *Exchange) error
 
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -60,7 +60,7 @@
 func (x *Exchange) logArgs() []any {
 	t := &x.Trail
 	return []any{
-		"requestId", x.ID, "route", x.Target.Route, "version", x.Target.Version, "pool", x.Target.Pool, "attempts", t.Sent,
+		"requestId", x.ID, "fingerprint", x.Fingerprint.String(), "route", x.Target.Route, "version", x.Target.Version, "pool", x.Target.Pool, "attempts", t.Sent,
 		"endpoint", t.Endpoint, "status", t.Status, "cold", t.Cold, "waitedMs", t.Waited.Milliseconds(),
 		"expectedMs", t.Expected.Milliseconds(), "firstEventMs", t.FirstEvent.Milliseconds(),
 		"longestPauseMs", t.LongestPause.Milliseconds(),
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -196,6 +196,7 @@
 		}
 		r.time(now)
 		r.passed++
+		r.x.Trail.Events = r.passed
 	}
 }
 
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -69,6 +69,8 @@
 	Unreached bool
 	// Gone is true when the address belongs to another endpoint by now.
 	Gone bool
+	// Sends is how often the transport began to write the request; 0 where it never did.
+	Sends int
 	// Cause is what happened.
 	Cause error
 }
@@ -146,8 +148,8 @@
 
 // Do sends a request and returns the answer's head, or an *Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	var sends atomic.Int32
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sends.Add(1) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Address+"/", bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, &Error{Outcome: retry.NotSent, Cause: eris.Wrap(err, "build request")}
@@ -168,7 +170,8 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, &Error{Outcome: outcomeOf(sent.Load()), Unreached: !sent.Load(), Cause: err}
+		n := int(sends.Load())
+		return nil, &Error{Outcome: outcomeOf(n > 0), Unreached: n == 0, Sends: n, Cause: err}
 	}
 	return c.answered(r, resp)
 }
