--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -33,6 +33,12 @@
 	Health *Health
 	// Avoid marks a replica that just failed the request: it is the last resort.
 	Avoid bool
+	// Suspects is the node's own outstanding work there under which engines may end.
+	Suspects int
+	// Apart marks a request that is such a suspect itself, and Spread is a number that its
+	// replicas differ in, in another order for each suspect.
+	Apart  bool
+	Spread uint64
 	// Home marks the replica that most likely keeps the beginning of the prompt.
 	Home bool
 }
@@ -53,6 +59,18 @@
 // may be busier than another.
 const homeBonus = 2
 
+// Weights of suspects, requests under which engines may end.
+const (
+	// apartPenalty is the load by which a replica with a suspect counts as busier for another one:
+	// two at one engine's end cannot be told apart.
+	apartPenalty = 1 << 12
+	// besidePenalty is the same for all other requests: they end with the engine.
+	besidePenalty = 4
+	// spreadLoad is by how much load the choice of a suspect varies, so that those of several nodes
+	// go to several engines.
+	spreadLoad = 4
+)
+
 // avoidPenalty exceeds any load.
 const avoidPenalty = 1 << 20
 
@@ -88,7 +106,10 @@
 	if r.Avoid {
 		load += avoidPenalty
 	}
-	return load
+	if r.Apart {
+		return load + r.Suspects*apartPenalty + int(r.Spread%spreadLoad)
+	}
+	return load + r.Suspects*besidePenalty
 }
 
 // Window bounds one node's work at one replica, by additive increase and
@@ -192,6 +213,15 @@
 	h.Failed(now)
 }
 
+// Ended notes that the replica's process has ended: it is left alone until it can be back. However
+// many requests failed with it, it is one failure, and no more than the first pause.
+func (h *Health) Ended(now time.Time) {
+	h.failures = max(h.failures, ejectAfter)
+	if until := now.Add(ejectFirst); until.After(h.until) {
+		h.until = until
+	}
+}
+
 // Failed notes a failure and ejects after several in a row, longer each time.
 func (h *Health) Failed(now time.Time) {
 	h.failures++
--- /dev/null
+++ b/core/quarantine/tracker_test.go
@@ -0,0 +1,114 @@
+package quarantine
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// tracked is what one end is blamed on.
+type tracked struct {
+	End      EndID
+	Requests []int
+}
+
+// TestTracker checks what the end of an engine is blamed on.
+func TestTracker(t *testing.T) {
+	life := Life{Engine: "a", Start: 7}
+	untold := Life{Engine: "b"}
+	ms := func(n int) time.Time { return at(time.Duration(n) * time.Millisecond) }
+	// numbered returns the numbers of requests below ten.
+	numbered := func(fs []Fingerprint) []int {
+		var out []int
+		for n := range 10 {
+			if slices.Contains(fs, request(n)) {
+				out = append(out, n)
+			}
+		}
+		return out
+	}
+	end := func(tr *Tracker, l Life, now time.Time) tracked {
+		id, fs, _ := tr.End(l, now)
+		return tracked{id, numbered(fs)}
+	}
+	tests := []struct {
+		name string
+		play func(tr *Tracker) []tracked
+		want []tracked
+	}{
+		{"what broke just before, not what was answered or broke long ago", func(tr *Tracker) []tracked {
+			old, good, broken := tr.Send(request(0), life, ms(0)), tr.Send(request(1), life, ms(0)), tr.Send(request(2), life, ms(4000))
+			tr.Break(old, ms(10))
+			tr.Answer(good, ms(20))
+			tr.Break(broken, ms(5000))
+			return []tracked{end(tr, life, ms(5005))}
+		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{2}}}},
+		{"what breaks just after", func(tr *Tracker) []tracked {
+			first, later, next := tr.Send(request(0), life, ms(0)), tr.Send(request(1), life, ms(0)), tr.Send(request(2), life, ms(50))
+			tr.Break(first, ms(10))
+			out := []tracked{end(tr, life, ms(15))}
+			for i, run := range []*Run{later, next} {
+				if b, ended := tr.Break(run, ms(60)); ended {
+					out = append(out, tracked{b.End, []int{i + 1}})
+				}
+			}
+			return out
+		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{0}}, {EndID{Engine: "a", Start: 7}, []int{1}}}},
+		{"a planned end", func(tr *Tracker) []tracked {
+			run := tr.Send(request(0), life, ms(0))
+			tr.Leaving(life, ms(5))
+			tr.Break(run, ms(10))
+			return []tracked{end(tr, life, ms(15))}
+		}, []tracked{{}}},
+		{"two ends where starts are not told, once it has begun something between them", func(tr *Tracker) []tracked {
+			var out []tracked
+			for i := range 3 {
+				now := 1000 * i
+				run := tr.Send(request(i), untold, ms(now+1))
+				if i != 1 {
+					tr.Begin(run, ms(now+2))
+				}
+				tr.Break(run, ms(now+10))
+				out = append(out, end(tr, untold, ms(now+12)))
+			}
+			return out
+		}, []tracked{{EndID{Engine: "b"}, []int{0}}, {EndID{Engine: "b"}, []int{1}}, {EndID{Engine: "b", N: 1}, []int{2}}}},
+		{"a new start: also what waits, or was given up", func(tr *Tracker) []tracked {
+			tr.Send(request(0), life, ms(0))
+			left := tr.Send(request(1), life, ms(0))
+			tr.Leave(left, ms(100))
+			early := tr.Send(request(2), life, ms(0))
+			tr.Leave(early, ms(10))
+			id, fs, _ := tr.Restart(life, ms(10050))
+			return []tracked{{id, numbered(fs)}}
+		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{0, 1}}}},
+		{"a new start after an end that is known", func(tr *Tracker) []tracked {
+			run := tr.Send(request(0), life, ms(0))
+			tr.Break(run, ms(10))
+			out := []tracked{end(tr, life, ms(12))}
+			id, fs, _ := tr.Restart(life, ms(3000))
+			return append(out, tracked{id, numbered(fs)})
+		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{0}}, {}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, test.play(NewTracker())); diff != "" {
+				t.Errorf("blamed (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestTrackerForgets checks that nothing is left of what is over.
+func TestTrackerForgets(t *testing.T) {
+	tr := NewTracker()
+	run := tr.Send(request(0), Life{Engine: "a"}, start)
+	tr.Leave(run, start)
+	tr.Answer(tr.Send(request(1), Life{Engine: "b"}, start), start)
+	tr.Expire(at(2 * lifeKept))
+	if len(tr.lives) != 0 {
+		t.Errorf("%d lives are left", len(tr.lives))
+	}
+}
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -44,6 +44,7 @@
 	OutcomeUnknown     Kind = "outcomeUnknown"
 	StillRunning       Kind = "stillRunning"
 	EndpointFailed     Kind = "endpointFailed"
+	Quarantined        Kind = "quarantined"
 	TimedOut           Kind = "timedOut"
 	Internal           Kind = "internal"
 )
@@ -84,6 +85,7 @@
 	OutcomeUnknown:     {http.StatusConflict, false, "check at the service whether the request ran before making a new one", 0},
 	StillRunning:       {http.StatusConflict, false, "ask again with the same key after the hint", time.Second},
 	EndpointFailed:     {http.StatusBadGateway, false, "repeat the request if it may run twice", time.Second},
+	Quarantined:        {http.StatusServiceUnavailable, true, "do not send it again as it is: engines end under it; operators can release it", 10 * time.Minute},
 	TimedOut:           {http.StatusGatewayTimeout, false, "allow more time; repeat the request if it may run twice", 0},
 	Internal:           {http.StatusInternalServerError, false, "report the request id to the operators", 0},
 }
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -21,6 +21,8 @@
 	Hall    string
 	// Version is the unit's version there; empty for a plain service.
 	Version string
+	// Start is when it started, in Unix milliseconds by its own clock; 0 where it does not tell.
+	Start int64
 	// Incarnation tells a replaced endpoint from the one before.
 	Incarnation uint64
 	// Concurrency is how many requests it runs at once, for all nodes together.
