caller, traffic, isolation: a node keeps requests that end engines from them

Change: internal/isolation.Guard joins attempts, registry and tracker. A broken connection has the engine asked whether it still takes connections; where it refuses, all that broke with it is blamed. Before each sending, and again once a place is there, the guard is asked; a quarantined request is refused at once, truly as not run, with the time of the next trial as the hint. Suspects run apart from each other and are not moved away from a silent engine; an engine that ended is left alone for one pause, however many requests failed with it. The loop of attempts asks core/retry.Next; a good answer is one that is whole and framed.

--- /dev/null
+++ b/internal/isolation/guard.go
@@ -0,0 +1,387 @@
+package isolation
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/quarantine"
+	"olivetiller/core/refusal"
+	"olivetiller/core/view"
+)
+
+// probeTime bounds the wait for an engine whose connections broke to refuse or take a new one: a
+// few round trips. One that does neither in that time is not known to have ended.
+const probeTime = 300 * time.Millisecond
+
+// probeWait is how long an attempt waits for that: beyond, its next one serves the caller better.
+const probeWait = 30 * time.Millisecond
+
+// Options are what a guard is made of.
+type Options struct {
+	Clock  clockwork.Clock
+	Logger hclog.Logger
+	// Refuses opens a connection to an address, closes it, and reports whether it was refused.
+	Refuses func(ctx context.Context, address string) bool
+	// Changed is called when there is something to tell others; nil where nobody wants to know.
+	Changed func()
+	// Claim keeps the beginning of a trial for good, so that no other node begins it too; it
+	// returns an error where this node may not. Nil where there is only this node.
+	Claim func(ctx context.Context, e quarantine.Entry) error
+}
+
+// Guard is what a node knows of requests that end engines. It is safe for concurrent use.
+type Guard struct {
+	o       Options
+	Metrics Metrics
+
+	mu       sync.Mutex
+	registry *quarantine.Registry
+	tracker  *quarantine.Tracker
+	// probes are closed when the engine's answer is known.
+	probes map[quarantine.Life]chan struct{}
+}
+
+// New returns a guard that knows nothing.
+func New(o Options) *Guard {
+	if o.Changed == nil {
+		o.Changed = func() {}
+	}
+	return &Guard{
+		o: o, registry: quarantine.NewRegistry(o.Clock.Now()), tracker: quarantine.NewTracker(),
+		probes: make(map[quarantine.Life]chan struct{}),
+	}
+}
+
+// State returns what is thought of a request.
+func (g *Guard) State(f quarantine.Fingerprint) quarantine.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.State(f)
+}
+
+// Admit returns why a request is kept from engines, or nil, and whether its run is a trial. A request that
+// is one of few under which engines ended waits until the latest end has been judged.
+func (g *Guard) Admit(ctx context.Context, f quarantine.Fingerprint) (trial bool, err error) {
+	if wait := g.unsettled(f); wait > 0 {
+		select {
+		case <-g.o.Clock.After(wait):
+		case <-ctx.Done():
+		}
+	}
+	if g.State(f) == quarantine.Isolated {
+		g.Judge()
+	}
+	if err = g.Held(f); err == nil {
+		return false, nil
+	}
+	if g.tryAgain(ctx, f) {
+		return true, nil
+	}
+	return false, err
+}
+
+func (g *Guard) unsettled(f quarantine.Fingerprint) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.Unsettled(f, g.o.Clock.Now())
+}
+
+// Held returns why a request is kept from engines now, or nil.
+func (g *Guard) Held(f quarantine.Fingerprint) error {
+	g.mu.Lock()
+	again, held := g.registry.Held(f, g.o.Clock.Now())
+	g.mu.Unlock()
+	if !held {
+		return nil
+	}
+	return refusal.New(refusal.Quarantined, "engines ended under request %s", f).After(again)
+}
+
+// tryAgain begins a trial of a quarantined request if one is due.
+func (g *Guard) tryAgain(ctx context.Context, f quarantine.Fingerprint) bool {
+	g.mu.Lock()
+	begun := g.registry.BeginTrial(f, g.o.Clock.Now())
+	entry := g.registry.Entry(f)
+	g.mu.Unlock()
+	if !begun {
+		return false
+	}
+	if g.o.Claim != nil {
+		if err := g.o.Claim(ctx, entry); err != nil {
+			g.o.Logger.Info("trial of a quarantined request not begun", "fingerprint", f.String(), "error", err.Error())
+			g.endTrial(f)
+			return false
+		}
+	}
+	g.o.Logger.Info("trial of a quarantined request", "fingerprint", f.String(), "trial", entry.Verdict.Trials)
+	g.o.Changed()
+	return true
+}
+
+func (g *Guard) endTrial(f quarantine.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.EndTrial(f, g.o.Clock.Now())
+}
+
+// Run is one request at an engine.
+type Run struct {
+	g       *Guard
+	run     *quarantine.Run
+	request quarantine.Fingerprint
+	life    quarantine.Life
+	address string
+	over    bool
+}
+
+// Send notes that a request is about to be sent to an endpoint.
+func (g *Guard) Send(f quarantine.Fingerprint, ep view.Endpoint) *Run {
+	life := quarantine.Life{Engine: ep.Name, Start: ep.Start}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &Run{g: g, run: g.tracker.Send(f, life, g.o.Clock.Now()), request: f, life: life, address: ep.Address}
+}
+
+// Began notes that the endpoint has begun to answer.
+func (r *Run) Began() {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	r.g.tracker.Begin(r.run, r.g.o.Clock.Now())
+}
+
+// Answered notes a whole answer, or that the endpoint did not begin. A good one clears the
+// request.
+func (r *Run) Answered(good bool) {
+	if r.over {
+		return
+	}
+	r.over = true
+	g := r.g
+	g.mu.Lock()
+	now := g.o.Clock.Now()
+	g.tracker.Answer(r.run, now)
+	cleared := good && g.registry.Answered(r.request, now)
+	g.mu.Unlock()
+	if cleared {
+		g.Metrics.Cleared.Add(1)
+		g.o.Logger.Info("request cleared by a good answer", "fingerprint", r.request.String(), "engine", r.life.Engine)
+		g.o.Changed()
+	}
+	g.endTrial(r.request)
+}
+
+// Left notes that the attempt was given up without an answer.
+func (r *Run) Left() {
+	if r.over {
+		return
+	}
+	r.over = true
+	r.g.mu.Lock()
+	r.g.tracker.Leave(r.run, r.g.o.Clock.Now())
+	r.g.mu.Unlock()
+	r.g.endTrial(r.request)
+}
+
+// Broke notes that the connection broke, finds out whether the engine has ended, and
+// returns whether it has.
+func (r *Run) Broke(ctx context.Context) (ended bool) {
+	if r.over {
+		return false
+	}
+	r.over = true
+	g := r.g
+	defer g.endTrial(r.request)
+	g.mu.Lock()
+	now := g.o.Clock.Now()
+	if blame, known := g.tracker.Break(r.run, now); known {
+		moved := g.registry.Blame([]quarantine.Fingerprint{r.request}, []quarantine.Blame{blame}, now)
+		g.mu.Unlock()
+		g.tell([]quarantine.Fingerprint{r.request}, []quarantine.Blame{blame}, moved)
+		return true
+	}
+	done, probing := g.probes[r.life]
+	if !probing {
+		done = make(chan struct{})
+		g.probes[r.life] = done
+		go g.probe(r.life, r.address, done)
+	}
+	g.mu.Unlock()
+	timer := g.o.Clock.NewTimer(probeWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Ended(r.life, g.o.Clock.Now())
+}
+
+// probe finds out whether an engine whose connections broke is gone.
+func (g *Guard) probe(life quarantine.Life, address string, done chan struct{}) {
+	defer close(done)
+	ctx, cancel := clockwork.WithTimeout(context.Background(), g.o.Clock, probeTime)
+	defer cancel()
+	refused := g.o.Refuses(ctx, address)
+	g.mu.Lock()
+	delete(g.probes, life)
+	g.mu.Unlock()
+	if refused {
+		g.ended(life, g.tracker.End)
+	}
+}
+
+// ended blames the requests that an engine ran at its end.
+func (g *Guard) ended(life quarantine.Life, end func(quarantine.Life, time.Time) (quarantine.EndID, []quarantine.Fingerprint, []quarantine.Blame)) {
+	g.mu.Lock()
+	now := g.o.Clock.Now()
+	id, requests, blames := end(life, now)
+	if id == (quarantine.EndID{}) {
+		g.mu.Unlock()
+		return
+	}
+	g.registry.Ended(id, now)
+	moved := g.registry.Blame(requests, blames, now)
+	g.mu.Unlock()
+	g.Metrics.Ended.Add(1)
+	g.o.Logger.Info("engine ended", "engine", life.Engine, "born", life.Start, "running", len(requests))
+	g.tell(requests, blames, moved)
+}
+
+// mostLines bounds the lines about one end: an engine may run hundreds of requests.
+const mostLines = 8
+
+// tell logs blames and what they came to, and has the others told.
+func (g *Guard) tell(requests []quarantine.Fingerprint, blames []quarantine.Blame, moved []quarantine.Fingerprint) {
+	for i, f := range requests {
+		if i == mostLines {
+			g.o.Logger.Info("blames not shown", "count", len(requests)-mostLines)
+			break
+		}
+		g.logStatus("request blamed", f, "engine", blames[i].End.Engine, "born", blames[i].End.Start,
+			"ranMs", blames[i].Ran.Milliseconds(), "begun", blames[i].Begun, "beside", len(requests)-1)
+	}
+	g.Metrics.Blamed.Add(int64(len(requests)))
+	g.tellMoved(moved, "here")
+	if len(requests) > 0 {
+		g.o.Changed()
+	}
+}
+
+// tellMoved logs requests of which something else is thought, by whose word.
+func (g *Guard) tellMoved(moved []quarantine.Fingerprint, by string) {
+	for i, f := range moved {
+		if i == mostLines {
+			g.o.Logger.Info("requests not shown", "count", len(moved)-mostLines)
+			break
+		}
+		g.logStatus("request thought of otherwise", f, "by", by)
+	}
+}
+
+func (g *Guard) logStatus(message string, f quarantine.Fingerprint, args ...any) {
+	g.mu.Lock()
+	s := g.registry.Status(f)
+	g.mu.Unlock()
+	g.o.Logger.Info(message, append([]any{
+		"fingerprint", f.String(), "state", s.State.String(), "belief", s.Belief, "ends", s.Ends, "unexplained", s.Unexplained, "trials", s.Trials,
+	}, args...)...)
+}
+
+// Leaving notes that the end of an endpoint is planned, or its entry gone.
+func (g *Guard) Leaving(life quarantine.Life) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.Leaving(life, g.o.Clock.Now())
+}
+
+// Restarted notes that an engine's entry tells another start than its former life's.
+func (g *Guard) Restarted(former quarantine.Life) { g.ended(former, g.tracker.Restart) }
+
+// SetEngines notes how many engines there are, and SetWhole whether the blames of all nodes come
+// together here.
+func (g *Guard) SetEngines(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.SetEngines(n)
+}
+
+// SetWhole notes whether the blames of all nodes come together here.
+func (g *Guard) SetWhole(whole bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.SetWhole(whole)
+}
+
+// Judge judges the ends of which all is known by now. It is to be called some times a second.
+func (g *Guard) Judge() {
+	g.mu.Lock()
+	moved := g.registry.Judge(g.o.Clock.Now())
+	g.mu.Unlock()
+	if len(moved) > 0 {
+		g.tellMoved(moved, "here")
+		g.o.Changed()
+	}
+}
+
+// Expire forgets what was not heard of for long.
+func (g *Guard) Expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock.Now()
+	g.registry.Expire(now)
+	g.tracker.Expire(now)
+}
+
+// Merge takes in what another node, or the store, knows, and reports whether that was news.
+func (g *Guard) Merge(entries []quarantine.Entry, by string) bool {
+	if len(entries) == 0 {
+		return false
+	}
+	g.mu.Lock()
+	before := g.registry.Version()
+	moved := g.registry.Merge(entries, g.o.Clock.Now())
+	news := g.registry.Version() != before
+	g.mu.Unlock()
+	g.tellMoved(moved, by)
+	return news
+}
+
+// Since returns what changed since a version, and the version that this leads to.
+func (g *Guard) Since(version uint64, scope quarantine.Scope) ([]quarantine.Entry, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.Since(version, scope)
+}
+
+// Version rises with each change that others may want to hear of.
+func (g *Guard) Version() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.Version()
+}
+
+// List returns what is thought of all requests that are known.
+func (g *Guard) List() []quarantine.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.List()
+}
+
+// Release lets a request go by an operator's word. It reports whether there was anything to let
+// go.
+func (g *Guard) Release(f quarantine.Fingerprint) bool {
+	g.mu.Lock()
+	released := g.registry.Release(f, g.o.Clock.Now())
+	g.mu.Unlock()
+	if released {
+		g.logStatus("request released", f, "by", "operator")
+		g.o.Changed()
+	}
+	return released
+}
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -39,7 +39,7 @@
 
 // place adds an endpoint to the pools that it serves.
 func (c *Controller) place(v *view.View, e *directory.Entry, now time.Time) {
-	ep := view.Endpoint{Name: e.ID, Address: e.Address, Hall: e.Hall, Incarnation: incarnation(e), Concurrency: e.Slots}
+	ep := view.Endpoint{Name: e.ID, Address: e.Address, Hall: e.Hall, Start: int64(e.Start), Incarnation: incarnation(e), Concurrency: e.Slots}
 	if ep.Concurrency <= 0 {
 		ep.Concurrency = defaultSlots
 	}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -131,7 +131,7 @@
 func (d *Dispatcher) slot(p *pool, pl place, a *Ask, start, now time.Time, cold bool) *Slot {
 	return &Slot{
 		Endpoint: pl.Endpoint, Waited: now.Sub(start), Cold: cold,
-		Others: pl.others, dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt,
+		Others: pl.others, dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt, suspect: a.suspect(),
 	}
 }
 
@@ -139,6 +139,10 @@
 // room now, nobody waits for it, and the retry budget allows the attempt. The slot that
 // the request has stays its own until it is released.
 func (d *Dispatcher) Switch(s *Slot, a Ask) (*Slot, bool) {
+	if a.suspect() {
+		// The silence may be the end of the engine.
+		return nil, false
+	}
 	now := d.clock.Now()
 	a.Avoid = append(slices.Clip(a.Avoid), s.Endpoint.Name)
 	d.mu.Lock()
@@ -184,6 +188,9 @@
 func (p *pool) occupy(pl place, a *Ask) {
 	pl.gate.running++
 	pl.gate.prompts += a.Prompt
+	if a.suspect() {
+		pl.gate.suspects++
+	}
 	p.running++
 	p.runningAt[pl.Name]++
 }
@@ -207,6 +214,9 @@
 	defer d.mu.Unlock()
 	s.gate.prompts -= s.prompt
 	s.prompt = 0
+	if s.suspect {
+		s.gate.suspects--
+	}
 	s.gate.settle(r, now)
 	s.pool.running--
 	rareEnded = s.pool.rare() && s.pool.running == 0
--- a/internal/traffic/gate.go
+++ b/internal/traffic/gate.go
@@ -17,7 +17,9 @@
 	running int
 	// prompts is the length of this node's prompts there that were not read yet,
 	// in tokens.
-	prompts    int
+	prompts int
+	// suspects counts this node's requests there under which engines may end.
+	suspects   int
 	window     *choose.Window
 	health     choose.Health
 	reported   int
@@ -39,7 +41,7 @@
 func (g *gate) replica(hall string) choose.Replica {
 	return choose.Replica{
 		Engine: g.name, SameHall: g.hall == hall, Running: g.running, Prompts: g.prompts,
-		Reported: g.reported, ReportedAt: g.reportedAt, Window: g.window, Health: &g.health,
+		Suspects: g.suspects, Reported: g.reported, ReportedAt: g.reportedAt, Window: g.window, Health: &g.health,
 	}
 }
 
@@ -52,6 +54,9 @@
 	case r.Full:
 		g.window.Full(now)
 	case r.NotBegun:
+	case r.Ended:
+		// What ended it is another's fault, be it that of all requests there.
+		g.health.Ended(now)
 	case r.Silent:
 		g.health.Silent(now)
 	case r.Err != nil:
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -103,6 +103,9 @@
 		r := pl.gate.replica(hall)
 		r.Avoid = n > 1 && slices.Contains(a.Avoid, pl.Name)
 		r.Home = pl.Name == home
+		if a.suspect() {
+			r.Apart, r.Spread = true, mix(xxhash.Sum64(a.Request[:])^xxhash.Sum64String(pl.Name))
+		}
 		replicas = append(replicas, r)
 	}
 	i := choose.Pick(replicas, now)
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"olivetiller/core/quarantine"
 	"olivetiller/core/view"
 )
 
@@ -17,6 +18,10 @@
 	Cost float64
 	// Avoid names the endpoints that failed the request.
 	Avoid []string
+	// Request names the request, and State is what is thought of it: those under which
+	// engines may end run apart from each other.
+	Request quarantine.Fingerprint
+	State   quarantine.State
 	// Retry marks a second attempt, which the retry budget must allow.
 	Retry bool
 	// Budget names the retry budget; "" takes that of the pool.
@@ -34,6 +39,11 @@
 	Prompt int
 }
 
+// suspect reports whether engines may end under the request.
+func (a *Ask) suspect() bool {
+	return a.State == quarantine.Suspected || a.State == quarantine.Isolated || a.State == quarantine.OnTrial
+}
+
 // urgent is the time by which the request wants its place.
 func (a *Ask) urgent(now time.Time) time.Time {
 	if at := now.Add(a.Objective); a.Objective > 0 && at.Before(a.Deadline) {
@@ -70,6 +80,8 @@
 	at         time.Time
 	// prompt is the length of the prompt until it has been read.
 	prompt int
+	// suspect is true where engines may end under the request.
+	suspect bool
 }
 
 // Result is what became of a request at its endpoint.
@@ -80,6 +92,8 @@
 	Full bool
 	// NotBegun is true when the endpoint is well but did not take the request.
 	NotBegun bool
+	// Ended is true when the endpoint's process has ended.
+	Ended bool
 	// Silent is true when the endpoint gave no sign in time or was not reached.
 	Silent bool
 	// Missing is true when the engine does not hold what the request is for.
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -12,6 +12,7 @@
 	"olivetiller/core/quarantine"
 	"olivetiller/core/refusal"
 	"olivetiller/core/retry"
+	"olivetiller/internal/isolation"
 	"olivetiller/internal/once"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/endpoint"
@@ -51,6 +52,10 @@
 
 // dispatchOnce runs a request that may not be repeated.
 func (s *Server) dispatchOnce(ctx context.Context, x *Exchange) error {
+	if err := s.Isolation.Held(x.Fingerprint); err != nil {
+		// Before its key is claimed.
+		return err
+	}
 	key, err := oncekey.Parse(x.Caller.GetName(), x.R.Header.Get(HeaderRequestKey), s.Clock.Now())
 	if err != nil {
 		return err
@@ -97,7 +102,7 @@
 func (s *Server) whole(ctx context.Context, x *Exchange) (*answer, error) {
 	// got is the latest whole answer, be it a failure.
 	var got *answer
-	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask) (traffic.Result, error) {
+	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask, run *isolation.Run) (traffic.Result, error) {
 		ctx, st := s.watchStall(ctx, x, slot, ask)
 		defer st.end()
 		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, ""))
@@ -105,9 +110,11 @@
 			return failed(err), err
 		}
 		defer resp.Body.Close()
+		run.Began()
 		body, err := io.ReadAll(io.LimitReader(resp.Body, s.Limits.AnswerBytes+1))
 		if err == nil && int64(len(body)) > s.Limits.AnswerBytes {
-			err = errors.New("the answer is longer than limits.answerBytes")
+			err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Sends: resp.Sends, Cause: errors.New("the answer is longer than limits.answerBytes")}
+			return failed(err), err
 		}
 		if err != nil {
 			err = st.explain(resp.Broken(err))
@@ -117,6 +124,7 @@
 		if err := failedAnswer(x, got); err != nil {
 			return failed(err), err
 		}
+		run.Answered(got.status/100 == 2 && resp.Framed())
 		return traffic.Result{Running: resp.Running, Leaving: resp.Leaving}, nil
 	})
 	if got != nil {
@@ -132,53 +140,55 @@
 	if x.Target.OnceOnly || !x.Target.RetryFailures || a.status < http.StatusInternalServerError {
 		return nil
 	}
-	return &endpoint.Error{Outcome: retry.Ran, Cause: fmt.Errorf("status %d", a.status)}
+	return &endpoint.Error{Outcome: retry.Ran, Answered: true, Cause: fmt.Errorf("status %d", a.status)}
 }
 
-// try sends the request to the endpoint of a slot, which the ask got.
-type try func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask) (traffic.Result, error)
+// try sends the request to the endpoint of a slot, which the ask got, and tells the run when
+// the endpoint begins and whether it answered well.
+type try func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask, run *isolation.Run) (traffic.Result, error)
+
+// tries counts the attempts of a request.
+type tries struct {
+	// sent counts all of them, ran those that may have run.
+	sent, ran int
+	// trial is set where a quarantined request is being tried.
+	trial bool
+}
 
-// attempts tries endpoints until one answers, or the rules of repetition, the
-// retry budget or the deadline forbid another attempt.
+// attempts tries endpoints until one answers, or what is known forbids another attempt.
 func (s *Server) attempts(ctx context.Context, x *Exchange, do try) error {
-	ask := traffic.Ask{
-		Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost,
-		Budget: x.Target.Budget, Objective: x.Target.Objective, Affinity: x.Target.Affinity,
-		Prompt: x.Target.TokensIn,
-	}
+	ask := newAsk(x)
 	defer x.dropNext()
-	ran, sent := 0, 0
+	var n tries
 	for {
-		ask.Leaves = s.leaves(x)
-		slot, err := s.place(ctx, x, ask)
+		slot, err := s.nextPlace(ctx, x, &ask, &n)
 		if err != nil {
-			if ran == 0 {
+			if n.ran == 0 {
 				return err
 			}
 			// An earlier attempt may have run: that no place is left is no promise.
-			return endOf(retry.MaybeRun, x, err)
+			return s.endOf(endStep(x), x, err)
 		}
 		s.noteSlot(x, slot)
-		sent++
-		result, err := do(ctx, slot, ask)
+		n.sent++
+		run := s.Isolation.Send(x.Fingerprint, slot.Endpoint)
+		result, err := do(ctx, slot, ask, run)
+		result.Ended = settleRun(ctx, run, err)
 		slot.Release(result)
-		s.noteAttempt(x, slot, sent, err)
+		s.noteAttempt(x, slot, n.sent, err)
 		if err == nil {
 			return nil
 		}
 		outcome := outcomeOf(err)
 		if outcome != retry.NotSent {
-			ran++
+			n.ran++
 		}
-		if s.Clock.Now().After(x.Deadline) && outcome != retry.NotSent {
-			return refusal.New(refusal.TimedOut, "%s did not answer in time: %v", slot.Endpoint.Name, err)
-		}
-		if ctx.Err() != nil || !retry.MayRepeat(outcome, x.Target.OnceOnly) || ran >= x.Target.attempts() || s.Clock.Now().After(x.Deadline) {
-			if ran > 0 && outcome == retry.NotSent {
-				// What is told at the end speaks of all attempts.
-				outcome = retry.MaybeRun
-			}
-			return endOf(outcome, x, err)
+		step := retry.Next(retry.Attempt{
+			Outcome: outcome, OnceOnly: x.Target.OnceOnly, Ran: n.ran, Attempts: x.Target.attempts(),
+			Late: s.Clock.Now().After(x.Deadline), Left: ctx.Err() != nil, Held: s.Isolation.State(x.Fingerprint) == quarantine.Quarantined,
+		})
+		if step != retry.Repeat {
+			return s.endOf(step, x, err)
 		}
 		s.Metrics.Retries.Add(outcome.String(), 1)
 		ask.Avoid = append(ask.Avoid, slot.Endpoint.Name)
@@ -189,6 +199,56 @@
 	}
 }
 
+func newAsk(x *Exchange) traffic.Ask {
+	return traffic.Ask{
+		Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost,
+		Budget: x.Target.Budget, Objective: x.Target.Objective, Affinity: x.Target.Affinity,
+		Prompt: x.Target.TokensIn, Request: x.Fingerprint,
+	}
+}
+
+// nextPlace waits for a place of the next attempt, unless the request is kept from engines. It is
+// asked again once the place is there: the wait may have been long.
+func (s *Server) nextPlace(ctx context.Context, x *Exchange, ask *traffic.Ask, n *tries) (*traffic.Slot, error) {
+	if !n.trial {
+		trial, err := s.Isolation.Admit(ctx, x.Fingerprint)
+		if err != nil {
+			return nil, err
+		}
+		n.trial = trial
+	}
+	ask.Leaves, ask.State = s.leaves(x), s.Isolation.State(x.Fingerprint)
+	slot, err := s.place(ctx, x, *ask)
+	if err != nil || n.trial {
+		return slot, err
+	}
+	if err := s.Isolation.Held(x.Fingerprint); err != nil {
+		slot.Release(traffic.Result{NotBegun: true, Running: -1})
+		return nil, err
+	}
+	return slot, nil
+}
+
+// settleRun tells a run how its attempt ended, and reports whether the endpoint's process
+// has ended with it.
+func settleRun(ctx context.Context, run *isolation.Run, err error) (ended bool) {
+	var e *endpoint.Error
+	switch {
+	case err == nil:
+		// Whether the answer was good was told with it.
+		run.Answered(false)
+	case !errors.As(err, &e), e.Unreached, errors.Is(e.Cause, errStalled):
+		run.Left()
+	case e.Broke:
+		return run.Broke(ctx)
+	case e.Refused, e.Answered:
+		run.Answered(false)
+	default:
+		run.Left()
+	}
+	return false
+}
+
 // place returns the place of the next attempt: the one that it has already, or one
 // that it waits for.
 func (s *Server) place(ctx context.Context, x *Exchange, ask traffic.Ask) (*traffic.Slot, error) {
@@ -230,12 +290,24 @@
 		"heldMs", s.Clock.Now().Sub(slot.At()).Milliseconds(), "events", x.Trail.Events, "sends", sendsOf(err), "error", err.Error())
 }
 
+// endStep is how a request ends of which an attempt may have run.
+func endStep(x *Exchange) retry.Step {
+	return retry.Next(retry.Attempt{Outcome: retry.MaybeRun, OnceOnly: x.Target.OnceOnly, Ran: 1, Attempts: 1})
+}
+
 // endOf turns the last failure into a refusal that says the truth about running.
-func endOf(o retry.Outcome, x *Exchange, err error) error {
-	switch {
-	case o == retry.NotSent:
+func (s *Server) endOf(step retry.Step, x *Exchange, err error) error {
+	switch step {
+	case retry.TimedOut:
+		return refusal.New(refusal.TimedOut, "%s did not answer in time: %v", x.Trail.Endpoint, err)
+	case retry.NotBegun:
+		return refusal.New(refusal.NoEndpoint, "no endpoint of %s took the request: %v", x.Target.Pool, err)
+	case retry.Withheld:
+		if held := s.Isolation.Held(x.Fingerprint); held != nil {
+			return held
+		}
 		return refusal.New(refusal.NoEndpoint, "no endpoint of %s took the request: %v", x.Target.Pool, err)
-	case x.Target.OnceOnly:
+	case retry.Unknown:
 		return refusal.New(refusal.OutcomeUnknown, "the endpoint was sent the request: %v", err)
 	}
 	return refusal.New(refusal.EndpointFailed, "endpoints of %s failed: %v", x.Target.Pool, err)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -17,6 +17,7 @@
 
 	"olivetiller/core/refusal"
 	"olivetiller/core/view"
+	"olivetiller/internal/isolation"
 	"olivetiller/internal/once"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/endpoint"
@@ -43,7 +44,9 @@
 	Dispatcher *traffic.Dispatcher
 	Endpoints  *endpoint.Client
 	Once       *once.Coordinator
-	Metrics    *Metrics
+	// Isolation keeps requests that end engines from them; nil takes one of this node alone.
+	Isolation *isolation.Guard
+	Metrics   *Metrics
 	// View returns the view in force.
 	View func() *view.View
 	// Stopping reports whether a planned stop has begun: answers then ask the
@@ -118,6 +121,9 @@
 	if s.callers == nil {
 		s.callers = newCallerLimits()
 	}
+	if s.Isolation == nil {
+		s.Isolation = isolation.New(isolation.Options{Clock: s.Clock, Logger: s.Logger, Refuses: s.Endpoints.Refuses})
+	}
 	if s.Protocol != nil {
 		return s.serve(Chain(s.dispatch, s.refuse, s.ready, s.accept, s.readBody))
 	}
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"olivetiller/core/retry"
+	"olivetiller/internal/isolation"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/endpoint"
 )
@@ -43,6 +44,8 @@
 	// passed is how many events were passed on.
 	passed int
 	done   bool
+	// callerGone is set once nothing can be written to the caller.
+	callerGone bool
 	// head is the header of the answer being relayed; spare a failure to be
 	// passed on if no other endpoint answers.
 	head  http.Header
@@ -59,7 +62,7 @@
 // stream relays a stream and moves it to another endpoint when one breaks off.
 func (s *Server) stream(ctx context.Context, x *Exchange) error {
 	r := &relay{x: x, flush: http.NewResponseController(x.W), buf: make([]byte, relayBuffer), events: s.protocol().Events(x), s: s}
-	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask) (traffic.Result, error) {
+	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask, run *isolation.Run) (traffic.Result, error) {
 		whole := ctx
 		ctx, st := s.watchStall(ctx, x, slot, ask)
 		// Closing the connection ends the run there before another one begins.
@@ -70,6 +73,7 @@
 			return failed(err), err
 		}
 		defer resp.Body.Close()
+		run.Began()
 		result := traffic.Result{Running: resp.Running, Leaving: resp.Leaving}
 		if resp.StatusCode != http.StatusOK {
 			return r.passError(resp, result)
@@ -80,12 +84,14 @@
 		r.head, r.slot = resp.Header, slot
 		if err := r.copy(ctx, resp.Body); err != nil {
 			err = st.explain(resp.Broken(err))
-			if whole.Err() != nil {
+			if whole.Err() != nil || r.callerGone {
 				// The caller went away; that is no fault of the endpoint.
+				run.Left()
 				return result, err
 			}
 			return failed(err), err
 		}
+		run.Answered(resp.Framed())
 		return result, nil
 	})
 	if err != nil && r.spare != nil && !x.Began {
@@ -98,7 +104,7 @@
 // other endpoint may be asked instead.
 func (r *relay) passError(resp *endpoint.Response, result traffic.Result) (traffic.Result, error) {
 	if r.x.Began {
-		err := &endpoint.Error{Outcome: retry.Ran, Cause: errBroken}
+		err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Cause: errBroken}
 		return failed(err), err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEvent))
@@ -169,9 +175,11 @@
 	r.count(r.buf[:end])
 	r.begin()
 	if _, err := r.x.W.Write(r.buf[:end]); err != nil {
+		r.callerGone = true
 		return err
 	}
 	if err := r.flush.Flush(); err != nil {
+		r.callerGone = true
 		return err
 	}
 	r.held = copy(r.buf, r.buf[end:r.held])
