placer, peer, platform: all nodes know within a second of a request that ends engines, and the store keeps verdicts

Cause: each node learned alone, so that a request which comes again anywhere ended engines at each of them, and a fleet that started anew knew nothing. Ruled out: telling all nodes each suspect of an end: at 195 nodes that is most of the messages and concerns nobody, since most requests are blamed once. Change: a node's report tells the holder of the lease whom it blames; the holder unites and judges, and tells all nodes at once what concerns them (two ends, a verdict, a release). Without a holder for a second nodes exchange all they know with two others every 300 ms. The holder has the store keep verdicts (keyed.quarantine); a node is ready once it, or the holder, has read them, at the latest after 3 s. A request with two ends waits until the latest one is judged, and is not sent by a node that has heard nobody for 2 s. Trials are begun by the holder alone, after the store has kept that they are. An engine that still takes a connection right after others broke is asked once more after 20 ms: of a process that dies the listener may close last.

--- a/core/logstore/logstore.go
+++ b/core/logstore/logstore.go
@@ -8,7 +8,10 @@
 package logstore
 
 import (
+	"time"
+
 	"olivetiller/core/directory"
+	"olivetiller/core/quarantine"
 	"olivetiller/core/route"
 )
 
@@ -74,3 +77,16 @@
 
 // Instance is a change of the list of endpoints.
 type Instance = directory.Record
+
+// Verdict is what the store keeps of a request under which engines ended, so that a fleet
+// which starts anew knows it.
+type Verdict struct {
+	Request quarantine.Fingerprint
+	// Epoch and Trials are as in quarantine.Entry.
+	Epoch  uint32
+	Trials int
+	// Age is how long ago the verdict was given, or the latest trial began.
+	Age time.Duration
+	// Released is true where the request was let go: the epoch began then.
+	Released bool
+}
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -7,8 +7,10 @@
 
 // The scopes.
 const (
-	// All: to one that unites the blames of all nodes.
+	// All: between nodes that have nobody to unite what they know.
 	All Scope = iota
+	// Own: to one that unites the blames of all nodes, those that this node knows by itself.
+	Own
 	// Concerning: only those that concern nodes which do not blame the request themselves:
 	// most requests that an engine's end is blamed on are never blamed again.
 	Concerning
@@ -16,18 +18,28 @@
 
 // Since returns what changed since a version, and the version that this leads to.
 func (r *Registry) Since(version uint64, scope Scope) ([]Entry, uint64) {
-	if version == r.version {
-		return nil, version
+	if version >= r.version || scope == Concerning && version >= r.toldVersion {
+		return nil, r.version
 	}
 	var out []Entry
 	for _, rec := range r.records {
-		if rec.version > version && (scope == All || rec.told) {
+		if rec.version > version && rec.within(scope) {
 			out = append(out, r.entry(rec))
 		}
 	}
 	return out, r.version
 }
 
+func (rec *record) within(s Scope) bool {
+	switch s {
+	case Own:
+		return rec.own
+	case Concerning:
+		return rec.told
+	}
+	return true
+}
+
 // Entry returns what is known of one request.
 func (r *Registry) Entry(f Fingerprint) Entry {
 	if rec := r.records[f]; rec != nil {
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -25,6 +25,8 @@
 	// Settle is how long after the latest blame for an end all are known: connections break within
 	// milliseconds, and nodes report at once.
 	Settle = 250 * time.Millisecond
+	// Tell is how long a verdict takes from where all blames come together to the other nodes.
+	Tell = 200 * time.Millisecond
 )
 
 // trialGaps are the times from a verdict to the first trial and from one trial to the next.
@@ -42,8 +44,9 @@
 	// convicted is true while there is a verdict; trials counts the runs tried since.
 	convicted bool
 	trials    uint8
-	// told is set once the record concerns other nodes than those that blame the request.
-	told bool
+	// own is set once this node has blamed the request, or cleared it; told once the record
+	// concerns other nodes than those that blame it.
+	own, told bool
 	// unexplained counts the blames that no other request explains.
 	unexplained uint8
 	// odds are the logarithm of the odds that the request ends engines.
@@ -89,8 +92,10 @@
 	// engines is how many engines there are.
 	engines int
 	// whole is true where the blames of all nodes come together.
-	whole   bool
-	version uint64
+	whole bool
+	// version rises with each change, and toldVersion is that of the latest change of a record that
+	// concerns others.
+	version, toldVersion uint64
 }
 
 // NewRegistry returns a registry that knows nothing, to which no other node's blames come.
@@ -112,9 +117,12 @@
 	r.whole = whole
 }
 
-// Version rises with each change that others may want to hear of.
+// Version rises with each change.
 func (r *Registry) Version() uint64 { return r.version }
 
+// ToldVersion is the version at the latest change that concerns other nodes.
+func (r *Registry) ToldVersion() uint64 { return r.toldVersion }
+
 // State returns what is thought of a request.
 func (r *Registry) State(f Fingerprint) State {
 	rec := r.records[f]
@@ -142,14 +150,24 @@
 	return max(time.Second, due-now.Sub(r.base)), true
 }
 
+// Doubtful reports whether a request is one of few under which several engines ended: it is not to be
+// sent before the others' word on it is known.
+func (r *Registry) Doubtful(f Fingerprint) bool {
+	rec := r.records[f]
+	return rec != nil && rec.state == Isolated && len(rec.blames) > 1
+}
+
 // Unsettled returns for how long the next run of a request should wait: it is one of few that
 // may have ended engines, and what the latest end comes to is not known yet.
 func (r *Registry) Unsettled(f Fingerprint, now time.Time) time.Duration {
-	rec := r.records[f]
-	if rec == nil || rec.state != Isolated || len(rec.blames) < 2 {
+	if !r.Doubtful(f) {
 		return 0
 	}
-	return max(0, rec.settledAt()-now.Sub(r.base))
+	at := r.records[f].settledAt()
+	if !r.whole {
+		at += Tell
+	}
+	return max(0, at-now.Sub(r.base))
 }
 
 // settledAt is when all blames for the record's ends are known.
@@ -207,7 +225,7 @@
 		if rec == nil {
 			continue
 		}
-		rec.seenAt = now.Sub(r.base)
+		rec.seenAt, rec.own = now.Sub(r.base), true
 		if r.addBlame(rec, blames[i], now) {
 			r.changed(rec)
 			touched = append(touched, rec)
@@ -273,6 +291,9 @@
 func (r *Registry) changed(rec *record) {
 	r.version++
 	rec.version = r.version
+	if rec.told {
+		r.toldVersion = r.version
+	}
 }
 
 // clearBlames makes a record's blames void.
@@ -376,6 +397,9 @@
 	return doubt
 }
 
+// Pending reports whether Judge has something to decide once all is settled.
+func (r *Registry) Pending() bool { return len(r.pending) > 0 }
+
 // Judge convicts those whose ends have settled, and returns the requests of which something
 // else is thought now.
 func (r *Registry) Judge(now time.Time) []Fingerprint {
@@ -446,6 +470,7 @@
 		return false
 	}
 	r.newEpoch(rec, rec.epoch+1, now.Sub(r.base))
+	rec.own = true
 	r.apply(rec, ev, now)
 	r.changed(rec)
 	r.takeMoved()
@@ -470,6 +495,7 @@
 		return false
 	}
 	rec.trials++
+	rec.own = true
 	rec.verdictAt = now.Sub(r.base)
 	r.apply(rec, trialBegun, now)
 	r.takeMoved()
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -167,9 +167,13 @@
 	return er != nil && !er.endedAt.IsZero() && now.Sub(er.endedAt) <= brokenLife
 }
 
-// Leaving notes that the end of an engine is planned, or its entry is gone: that its connections
-// break is blamed on nobody.
-func (t *Tracker) Leaving(l Life, now time.Time) { t.life(l, now).leaving = true }
+// Leaving notes whether the end of an engine is planned, or its entry is gone: that its connections
+// break is blamed on nobody then.
+func (t *Tracker) Leaving(l Life, leaving bool, now time.Time) {
+	if leaving || t.lives[l] != nil {
+		t.life(l, now).leaving = leaving
+	}
+}
 
 // Expire forgets runs and lives that are over for long.
 func (t *Tracker) Expire(now time.Time) {
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -58,7 +58,7 @@
 		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{0}}, {EndID{Engine: "a", Start: 7}, []int{1}}}},
 		{"a planned end", func(tr *Tracker) []tracked {
 			run := tr.Send(request(0), life, ms(0))
-			tr.Leaving(life, ms(5))
+			tr.Leaving(life, true, ms(5))
 			tr.Break(run, ms(10))
 			return []tracked{end(tr, life, ms(15))}
 		}, []tracked{{}}},
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -21,9 +21,11 @@
 
 	"olivetiller/core/lease"
 	"olivetiller/core/placement"
+	"olivetiller/core/quarantine"
 	"olivetiller/core/queue"
 	"olivetiller/core/retry"
 	"olivetiller/core/route"
+	"olivetiller/internal/isolation"
 	"olivetiller/internal/placer"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/caller"
@@ -111,10 +113,12 @@
 	logger  hclog.Logger
 	control *placer.Controller
 	traffic *traffic.Dispatcher
-	caller  *caller.Server
-	servers []*http.Server
-	wg      sync.WaitGroup
-	cancel  context.CancelFunc
+	// isolation keeps requests under which engines end from them.
+	isolation *isolation.Guard
+	caller    *caller.Server
+	servers   []*http.Server
+	wg        sync.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // Start opens the addresses and begins to run a node.
@@ -157,12 +161,19 @@
 		Leaving: func(id string) { go n.control.EndpointLeaving(id) },
 		Missing: func(id, pool string) { go n.control.EngineLacks(id, pool) },
 	}
+	endpoints := endpoint.NewClientWith(endpoint.Options{Judge: p.Judge, Dialer: p.Dialer(dialTimeout)})
+	n.isolation = isolation.New(isolation.Options{
+		Clock: n.clock, Logger: n.logger.Named("isolation"), Refuses: endpoints.Refuses,
+		Changed: func() { n.control.SuspectsChanged() },
+		Fresh:   func() bool { return n.control.SuspectsFresh() },
+		Claim:   func(ctx context.Context, e quarantine.Entry) error { return n.control.ClaimTrial(ctx, e) },
+	})
 	n.traffic = traffic.New(n.clock, s.Hall, queue.Limits{Items: queueItems, Bytes: queueBytes}, hooks)
 	n.limitRetries(assumedNodes)
 	n.control = placer.New(placer.Options{
 		Self:  lease.Record{Holder: s.Name, Life: life, Address: s.PeerAddress},
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
-		Peers: peer.NewClient(p.Dialer(dialTimeout)), Dispatcher: n.traffic, Limits: s.Loads, Nodes: n.limitRetries,
+		Peers: peer.NewClient(p.Dialer(dialTimeout)), Dispatcher: n.traffic, Isolation: n.isolation, Limits: s.Loads, Nodes: n.limitRetries,
 		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Strength: s.Cores * s.LinkMbps, Bound: s.Bound, Fenced: s.Fenced,
 		Own: []string{s.CallerAddress, s.ReadyAddress, s.PeerAddress, s.MetricsAddress},
 	})
@@ -172,8 +183,7 @@
 			BodyBytes: bodyBytes, AnswerBytes: answerBytes, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 			Connections: s.Descriptors * callerShare / 100,
 		},
-		Endpoints: endpoint.NewClientWith(endpoint.Options{Judge: p.Judge, Dialer: p.Dialer(dialTimeout)}),
-		Metrics:   caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control.Table),
+		Endpoints: endpoints, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control.Table),
 	}
 }
 
@@ -232,6 +242,7 @@
 	tree.Set("caller", n.caller.Metrics.Tree())
 	tree.Set("traffic", expvar.Func(func() any { return n.traffic.Totals() }))
 	tree.Set("control", n.control.Metrics())
+	tree.Set("isolation", n.isolation.Tree())
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// A failed write means that the reader is gone.
--- a/internal/isolation/guard.go
+++ b/internal/isolation/guard.go
@@ -20,6 +20,10 @@
 // probeWait is how long an attempt waits for that: beyond, its next one serves the caller better.
 const probeWait = 30 * time.Millisecond
 
+// dyingTime is how long a process that dies may take from its first closed connection to its
+// listener.
+const dyingTime = 20 * time.Millisecond
+
 // Options are what a guard is made of.
 type Options struct {
 	Clock  clockwork.Clock
@@ -28,6 +32,8 @@
 	Refuses func(ctx context.Context, address string) bool
 	// Changed is called when there is something to tell others; nil where nobody wants to know.
 	Changed func()
+	// Fresh reports whether the others' word is not too old; nil where there are no others.
+	Fresh func() bool
 	// Claim keeps the beginning of a trial for good, so that no other node begins it too; it
 	// returns an error where this node may not. Nil where there is only this node.
 	Claim func(ctx context.Context, e quarantine.Entry) error
@@ -43,6 +49,8 @@
 	tracker  *quarantine.Tracker
 	// probes are closed when the engine's answer is known.
 	probes map[quarantine.Life]chan struct{}
+	// starts are the latest starts that engines told, by their ids.
+	starts map[string]int64
 }
 
 // New returns a guard that knows nothing.
@@ -50,9 +58,12 @@
 	if o.Changed == nil {
 		o.Changed = func() {}
 	}
+	if o.Fresh == nil {
+		o.Fresh = func() bool { return true }
+	}
 	return &Guard{
 		o: o, registry: quarantine.NewRegistry(o.Clock.Now()), tracker: quarantine.NewTracker(),
-		probes: make(map[quarantine.Life]chan struct{}),
+		probes: make(map[quarantine.Life]chan struct{}), starts: make(map[string]int64),
 	}
 }
 
@@ -94,13 +105,21 @@
 func (g *Guard) Held(f quarantine.Fingerprint) error {
 	g.mu.Lock()
 	again, held := g.registry.Held(f, g.o.Clock.Now())
+	doubtful := !held && g.registry.Doubtful(f)
 	g.mu.Unlock()
-	if !held {
-		return nil
+	switch {
+	case held:
+		return refusal.New(refusal.Quarantined, "engines ended under request %s", f).After(again)
+	case doubtful && !g.o.Fresh():
+		return refusal.New(refusal.Quarantined, "engines ended under request %s, and what other nodes say of it is not known now", f).After(staleHint)
 	}
-	return refusal.New(refusal.Quarantined, "engines ended under request %s", f).After(again)
+	return nil
 }
 
+// staleHint is when to come back where only the others' word is missing: they are heard within a
+// second, or the balancer knows a better node.
+const staleHint = time.Second
+
 // tryAgain begins a trial of a quarantined request if one is due.
 func (g *Guard) tryAgain(ctx context.Context, f quarantine.Fingerprint) bool {
 	g.mu.Lock()
@@ -222,20 +241,31 @@
 	return g.tracker.Ended(r.life, g.o.Clock.Now())
 }
 
-// probe finds out whether an engine whose connections broke is gone.
+// probe finds out whether an engine whose connections broke is gone. One that still takes a connection
+// is asked once more: a process that dies may close its listener last.
 func (g *Guard) probe(life quarantine.Life, address string, done chan struct{}) {
-	defer close(done)
-	ctx, cancel := clockwork.WithTimeout(context.Background(), g.o.Clock, probeTime)
-	defer cancel()
-	refused := g.o.Refuses(ctx, address)
+	refused := g.refuses(address)
 	g.mu.Lock()
 	delete(g.probes, life)
 	g.mu.Unlock()
 	if refused {
 		g.ended(life, g.tracker.End)
+		close(done)
+		return
+	}
+	close(done)
+	g.o.Clock.Sleep(dyingTime)
+	if g.refuses(address) {
+		g.ended(life, g.tracker.End)
 	}
 }
 
+func (g *Guard) refuses(address string) bool {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), g.o.Clock, probeTime)
+	defer cancel()
+	return g.o.Refuses(ctx, address)
+}
+
 // ended blames the requests that an engine ran at its end.
 func (g *Guard) ended(life quarantine.Life, end func(quarantine.Life, time.Time) (quarantine.EndID, []quarantine.Fingerprint, []quarantine.Blame)) {
 	g.mu.Lock()
@@ -267,6 +297,7 @@
 			"ranMs", blames[i].Ran.Milliseconds(), "begun", blames[i].Begun, "beside", len(requests)-1)
 	}
 	g.Metrics.Blamed.Add(int64(len(requests)))
+	g.judgeLater()
 	g.tellMoved(moved, "here")
 	if len(requests) > 0 {
 		g.o.Changed()
@@ -293,15 +324,26 @@
 	}, args...)...)
 }
 
-// Leaving notes that the end of an endpoint is planned, or its entry gone.
-func (g *Guard) Leaving(life quarantine.Life) {
+// Seen notes an endpoint's entry, and whether it leaves. A newer start than the one before means that the
+// life before has ended.
+func (g *Guard) Seen(life quarantine.Life, leaving bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.tracker.Leaving(life, g.o.Clock.Now())
+	former, known := g.starts[life.Engine]
+	g.starts[life.Engine] = life.Start
+	g.tracker.Leaving(life, leaving, g.o.Clock.Now())
+	g.mu.Unlock()
+	if known && former != 0 && life.Start > former {
+		g.ended(quarantine.Life{Engine: life.Engine, Start: former}, g.tracker.Restart)
+	}
 }
 
-// Restarted notes that an engine's entry tells another start than its former life's.
-func (g *Guard) Restarted(former quarantine.Life) { g.ended(former, g.tracker.Restart) }
+// Gone notes that an endpoint's entry is gone.
+func (g *Guard) Gone(engine string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.Leaving(quarantine.Life{Engine: engine, Start: g.starts[engine]}, true, g.o.Clock.Now())
+	delete(g.starts, engine)
+}
 
 // SetEngines notes how many engines there are, and SetWhole whether the blames of all nodes come
 // together here.
@@ -329,6 +371,15 @@
 	}
 }
 
+// judgeLater has Judge called once the latest ends have settled.
+func (g *Guard) judgeLater() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.registry.Pending() {
+		g.o.Clock.AfterFunc(quarantine.Settle, g.Judge)
+	}
+}
+
 // Expire forgets what was not heard of for long.
 func (g *Guard) Expire() {
 	g.mu.Lock()
@@ -348,6 +399,9 @@
 	moved := g.registry.Merge(entries, g.o.Clock.Now())
 	news := g.registry.Version() != before
 	g.mu.Unlock()
+	if news {
+		g.judgeLater()
+	}
 	g.tellMoved(moved, by)
 	return news
 }
@@ -359,11 +413,11 @@
 	return g.registry.Since(version, scope)
 }
 
-// Version rises with each change that others may want to hear of.
-func (g *Guard) Version() uint64 {
+// Version rises with each change; told is that of the latest change that concerns other nodes.
+func (g *Guard) Version() (all, told uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.Version()
+	return g.registry.Version(), g.registry.ToldVersion()
 }
 
 // List returns what is thought of all requests that are known.
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -37,6 +37,9 @@
 	// interest holds the pools that requests of a node wait for.
 	interest map[string]map[string]bool
 	feed     feed
+	// suspects is the version of what is known of requests under which engines end, as far as it concerns
+	// all nodes.
+	suspects uint64
 	// watchers are the questions kept open.
 	watchers map[*watcher]bool
 }
@@ -175,6 +178,16 @@
 	}
 }
 
+// setSuspects wakes all nodes where more is known of requests under which engines end.
+func (b *board) setSuspects(version uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version > b.suspects && b.life != "" {
+		b.suspects = version
+		b.wakeAll()
+	}
+}
+
 // setInterest notes which pools a node's requests wait for.
 func (b *board) setInterest(node string, uses []peer.Use) {
 	pools := make(map[string]bool)
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -17,6 +17,7 @@
 	"olivetiller/core/route"
 	"olivetiller/core/view"
 	"olivetiller/internal/inbox"
+	"olivetiller/internal/isolation"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
 )
@@ -29,6 +30,9 @@
 	Instances(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[logstore.Instance], error)
 	NewestConfig(ctx context.Context, silence time.Duration) (logstore.Page[logstore.Config], error)
 	NewestInstances(ctx context.Context, silence time.Duration) (logstore.Page[logstore.Instance], error)
+	Verdicts(ctx context.Context, from uint64, wait time.Duration) (logstore.Page[logstore.Verdict], error)
+	NewestVerdicts(ctx context.Context, silence time.Duration) (logstore.Page[logstore.Verdict], error)
+	KeepVerdict(ctx context.Context, v logstore.Verdict) error
 }
 
 // Engines takes orders.
@@ -42,6 +46,7 @@
 	Report(ctx context.Context, address string, r *peer.Report) error
 	Watch(ctx context.Context, address string, q peer.Question) (*peer.Snapshot, error)
 	Lease(ctx context.Context, address string) (*peer.LeaseMark, error)
+	Exchange(ctx context.Context, address string, e *peer.Exchange) (*peer.Exchange, error)
 }
 
 // Options are what a controller is made of.
@@ -54,7 +59,9 @@
 	Engines    Engines
 	Peers      Peers
 	Dispatcher *traffic.Dispatcher
-	Limits     placement.Limits
+	// Isolation keeps requests that end engines from them; nil takes one that nobody tells anything.
+	Isolation *isolation.Guard
+	Limits    placement.Limits
 	// TakeoverDelay is how much longer than others this node waits before it takes
 	// the lease; weak machines wait longer.
 	TakeoverDelay time.Duration
@@ -163,7 +170,8 @@
 	planAt  time.Time
 	planDue bool
 	// peers is how many nodes share the traffic, as far as is known.
-	peers int
+	peers    int
+	suspects suspects
 }
 
 type missKey struct{ engine, pool string }
@@ -176,6 +184,7 @@
 		misses: make(map[missKey]time.Time), nodes: make(map[string]follower), outage: lease.NewOutage(o.Self.Holder, o.Fenced), pace: paceOf(o.Bound),
 	}
 	c.holder.init()
+	c.suspects.init(&c.o)
 	c.leaseDoubt.Store(true)
 	c.view.Store(&view.View{})
 	return c
@@ -246,6 +255,7 @@
 	if c.held {
 		c.forgetNodes(now)
 	}
+	c.watchSuspects(now)
 	for k, until := range c.misses {
 		if now.After(until) {
 			delete(c.misses, k)
@@ -261,6 +271,7 @@
 	c.markLease()
 	c.noteStarts()
 	c.report(ctx, now)
+	c.keepVerdicts(ctx, now)
 	if c.held && !c.paused {
 		c.orders(ctx, now)
 	}
@@ -301,6 +312,11 @@
 	}
 	c.held = held
 	c.leading.Store(held)
+	if held {
+		// The one before may have kept more; what this node knows is compared with it anew.
+		c.suspects.read.Store(false)
+		c.suspects.keptTo = 0
+	}
 	holder, _ := c.lease.Holder()
 	if held {
 		c.heldSince = now
--- a/internal/placer/followers.go
+++ b/internal/placer/followers.go
@@ -15,6 +15,9 @@
 		return peer.ErrNotHolder
 	}
 	c.holder.setInterest(r.Node, r.Use)
+	if c.suspects.guard.Merge(peer.Entries(r.Suspects, c.o.Clock.Now()), r.Node) {
+		c.showSuspects()
+	}
 	c.inbox.Send(context.Background(), nodeReport{r})
 	return nil
 }
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -14,7 +14,7 @@
 // publish makes the view of what is known now and puts it in force.
 func (c *Controller) publish(now time.Time) {
 	t := c.table.Load()
-	v := &view.View{Ready: t != nil && c.listed, Endpoints: make(map[string][]view.Endpoint), ReadyAt: c.readyAt(now)}
+	v := &view.View{Ready: t != nil && c.listed && c.suspects.known.Load(), Endpoints: make(map[string][]view.Endpoint), ReadyAt: c.readyAt(now)}
 	if t != nil {
 		v.Revision = uint64(t.Config.Version)
 		for _, e := range c.directory.Live(now) {
@@ -23,6 +23,7 @@
 			}
 		}
 	}
+	c.suspects.guard.SetEngines(len(c.directory.Live(now)))
 	for _, eps := range v.Endpoints {
 		sort.Slice(eps, func(i, j int) bool { return eps[i].Name < eps[j].Name })
 	}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -65,6 +65,11 @@
 		name: "endpoints", every: c.pace.instancesEvery, ownEvery: c.pace.ownInstancesEvery, newest: s.NewestInstances, read: s.Instances, idle: c.isFed,
 		apply: func(p logstore.Page[logstore.Instance], whole bool) message { return instances{p, whole} },
 	})
+	go follow(ctx, c, reader[logstore.Verdict]{
+		name: "quarantine", ownEvery: c.pace.ownInstancesEvery, newest: s.NewestVerdicts, read: s.Verdicts,
+		idle:  func() bool { return c.isFed() || c.leading.Load() && c.suspects.read.Load() },
+		apply: func(p logstore.Page[logstore.Verdict], _ bool) message { return verdicts{p} },
+	})
 	go follow(ctx, c, reader[[]byte]{
 		name: "lease", read: s.Lease, scout: true,
 		idle: func() bool {
@@ -73,6 +78,7 @@
 		apply: func(p logstore.Page[[]byte], _ bool) message { return leases{p} },
 	})
 	go c.watch(ctx)
+	go c.exchangeSuspects(ctx)
 }
 
 // follow reads a topic until the context ends: first what is newest, where the
@@ -287,6 +293,7 @@
 // noteInstance logs a change of the list.
 func (c *Controller) noteInstance(r directory.Record, change directory.Change) {
 	in := r.Instance
+	c.noteEntry(r)
 	switch {
 	case in == nil:
 		c.o.Logger.Info("endpoint's entry gone", "endpoint", r.ID, "version", r.Version, "relayed", r.Relayed)
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -54,7 +54,7 @@
 // watch asks the holder for news until the context ends.
 func (c *Controller) watch(ctx context.Context) {
 	var life string
-	var version uint64
+	var version, suspectsTo uint64
 	heard := true
 	for ctx.Err() == nil {
 		h := c.remote.target()
@@ -63,7 +63,7 @@
 			c.lookUp(ctx)
 			continue
 		}
-		q := peer.Question{Node: c.o.Self.Holder, Life: life, Version: version, Wait: c.pace.watch}
+		q := peer.Question{Node: c.o.Self.Holder, Life: life, Version: version, SuspectsTo: suspectsTo, Wait: c.pace.watch}
 		if t := c.table.Load(); t != nil {
 			q.Config = t.Config.Version
 		}
@@ -82,7 +82,7 @@
 			c.o.Logger.Info("holder regained", "holder", h.Holder, "fence", s.Fence)
 		}
 		heard = true
-		life, version = s.Life, s.Version
+		life, version, suspectsTo = s.Life, s.Version, s.SuspectsTo
 		took := c.o.Clock.Now().Sub(asked)
 		c.o.Logger.Trace("heard", "version", s.Version, "tookMs", took.Milliseconds())
 		// What the way here took is not known; the way there counts with it.
@@ -124,6 +124,7 @@
 	c.setNodes(s.Nodes)
 	c.lookup.learn(s.Peers)
 	c.succeed(s.Successor)
+	c.hearSuspects(s, now)
 	c.feed(s, now, m.onTheWay)
 }
 
@@ -259,9 +260,10 @@
 	c.dirty, c.reportedAt, c.reporting = false, now, true
 	r := &peer.Report{Node: c.o.Self.Holder, Address: c.o.Self.Address, Strength: c.o.Strength, StoreAway: c.storeIsAway(now), Stopping: c.stopping.Load(), Use: c.wireUses(now), Misses: c.newMiss}
 	c.newMiss = nil
+	to := c.reportSuspects(r, h.Life, now)
 	go func() {
 		err := c.o.Peers.Report(ctx, h.Address, r)
-		c.inbox.Send(ctx, reportSent{err})
+		c.inbox.Send(ctx, reportSent{h.Life, to, err})
 	}()
 }
 
@@ -271,13 +273,20 @@
 	return !c.scoutFailedAt.IsZero() && !c.lease.Trying() && now.Sub(c.scoutFailedAt) <= lease.VouchFresh
 }
 
-type reportSent struct{ err error }
+type reportSent struct {
+	// life is the holder's, and suspectsTo the version of the suspects that it was told.
+	life       string
+	suspectsTo uint64
+	err        error
+}
 
 func (m reportSent) handle(c *Controller) {
 	c.reporting = false
 	if m.err != nil {
 		c.o.Logger.Debug("report to the holder failed", "error", m.err.Error())
+		return
 	}
+	c.suspects.reportedLife, c.suspects.reportedTo = m.life, m.suspectsTo
 }
 
 // uses returns this node's own use.
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -168,7 +168,7 @@
 	if !ok {
 		return nil, peer.ErrNotHolder
 	}
-	if urgent {
+	if c.addSuspects(s, q, asked) || urgent {
 		return s, nil
 	}
 	timeout := c.o.Clock.After(q.Wait)
@@ -190,6 +190,7 @@
 	if !ok {
 		return nil, peer.ErrNotHolder
 	}
+	c.addSuspects(s, q, now)
 	s.HeldMs = now.Sub(asked).Milliseconds()
 	return s, nil
 }
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -207,8 +207,9 @@
 	}
 }
 
-// nextPlace waits for a place of the next attempt, unless the request is kept from engines. It is
-// asked again once the place is there: the wait may have been long.
+// nextPlace waits for a place of the next attempt, unless the request is kept from engines: else one that
+// ends engines is sent at every node for ever, 30 times in 15 tries at 3 nodes where it is 4 now.
+// It is asked again once the place is there: the wait may have been long.
 func (s *Server) nextPlace(ctx context.Context, x *Exchange, ask *traffic.Ask, n *tries) (*traffic.Slot, error) {
 	if !n.trial {
 		trial, err := s.Isolation.Admit(ctx, x.Fingerprint)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -87,6 +87,9 @@
 	Stopping  bool   `json:"stopping,omitempty"`
 	Use       []Use  `json:"use"`
 	Misses    []Miss `json:"misses,omitempty"`
+	// Suspects are what this node itself knows of requests under which engines ended, where that
+	// changed.
+	Suspects []Suspect `json:"suspects,omitempty"`
 }
 
 // Snapshot is what the holder tells the nodes.
@@ -115,6 +118,12 @@
 	Gone []string `json:"gone,omitempty"`
 	// ReadyInMs holds when units that no engine serves are expected, by pool.
 	ReadyInMs map[string]int64 `json:"readyInMs,omitempty"`
+	// Suspects are the requests under which engines ended, as far as they concern all nodes and
+	// changed; SuspectsTo is the version to which they lead.
+	Suspects   []Suspect `json:"suspects,omitempty"`
+	SuspectsTo uint64    `json:"suspectsTo,omitempty"`
+	// VerdictsKnown is true once the holder has read the verdicts that the store keeps.
+	VerdictsKnown bool `json:"verdictsKnown,omitempty"`
 	Feed
 }
 
@@ -150,6 +159,8 @@
 	Version uint64
 	// Config is the version of the configuration that the node has.
 	Config int64
+	// SuspectsTo is the version to which the node knows the holder's suspects, in that life.
+	SuspectsTo uint64
 	// Wait is how long the holder may keep the question open.
 	Wait time.Duration
 }
@@ -163,6 +174,7 @@
 	// LeaseMark returns the latest record of the lease that the node knows; nil if it
 	// knows no holder.
 	LeaseMark() *LeaseMark
+	Exchanger
 }
 
 const (
@@ -207,6 +219,7 @@
 		}
 		writeJSON(w, r, mark)
 	})
+	mux.HandleFunc("POST "+pathExchange, handleExchange(h))
 	return mux
 }
 
@@ -254,7 +267,7 @@
 
 func (q Question) values() url.Values {
 	return url.Values{
-		"node": {q.Node}, "life": {q.Life}, "version": {strconv.FormatUint(q.Version, 10)}, "config": {strconv.FormatInt(q.Config, 10)},
+		"node": {q.Node}, "life": {q.Life}, "version": {strconv.FormatUint(q.Version, 10)}, "config": {strconv.FormatInt(q.Config, 10)}, "suspects": {strconv.FormatUint(q.SuspectsTo, 10)},
 		"waitMs": {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
 	}
 }
@@ -268,12 +281,19 @@
 	if err != nil {
 		return Question{}, fmt.Errorf("config: %w", err)
 	}
+	suspects := uint64(0)
+	if raw := v.Get("suspects"); raw != "" {
+		// Nodes of before do not tell it.
+		if suspects, err = strconv.ParseUint(raw, 10, 64); err != nil {
+			return Question{}, fmt.Errorf("suspects: %w", err)
+		}
+	}
 	wait, err := strconv.ParseInt(v.Get("waitMs"), 10, 64)
 	if err != nil {
 		return Question{}, fmt.Errorf("waitMs: %w", err)
 	}
 	return Question{
-		Node: v.Get("node"), Life: v.Get("life"), Version: version, Config: config,
+		Node: v.Get("node"), Life: v.Get("life"), Version: version, Config: config, SuspectsTo: suspects,
 		Wait: time.Duration(max(0, min(maxWait.Milliseconds(), wait))) * time.Millisecond,
 	}, nil
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -23,6 +23,12 @@
 	question Question
 	report   Report
 	mark     *LeaseMark
+	exchange Exchange
+}
+
+func (h *fakeHolder) Exchange(e *Exchange) *Exchange {
+	h.exchange = *e
+	return e
 }
 
 func (h *fakeHolder) LeaseMark() *LeaseMark { return h.mark }
