boottime, endpoint, hosted: a clock that counts sleeps of the machine, and checks right before bytes leave

Cause: CLOCK_MONOTONIC and all timers stand still while a machine is suspended. After the wake a lease that had run out, a holder's word, a report, a deadline look as young as before; between the last look at the lease and the bytes of an order, or between a deadline's header and its request, any time may have passed. The same class as the requests that end engines: acting on what was known after the ground for it has gone. Ruled out: a watcher of its own; each reading of the clock compares the two clocks, and the control side reads it ten times a second. Change: io/boottime implements the clock on CLOCK_BOOTTIME; a drift against the clock that stood still fires the timers that are due, sets the others anew, closes kept connections and is logged. Timeouts are spans of that clock; TestNoOtherClock finds programs that read another one. Orders and requests are checked once more on the connection, right before the first byte: lease, deadline, age of the told deadline, quarantine; what is withheld counts as not sent. Found by TestRequestThatEndsEngines beside it: attempts that never reached an engine were blamed when it started again; four such convicted a proper request. Mended, TestNewStarts.

--- a/cmd/olivetiller/hosted.go
+++ b/cmd/olivetiller/hosted.go
@@ -12,6 +12,7 @@
 
 	"olivetiller/internal/hosted"
 	"olivetiller/internal/logout"
+	"olivetiller/io/boottime"
 	"olivetiller/platform"
 )
 
@@ -42,7 +43,7 @@
 	// Libraries write to the standard logger; their lines belong among the others.
 	log.SetFlags(0)
 	log.SetOutput(logger.Named("library").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}))
-	n, err := hosted.Start(platform.NodeSettings(s), platform.Plug(s), clockwork.NewRealClock(), logger)
+	n, err := hosted.Start(platform.NodeSettings(s), platform.Plug(s), newClock(logger), logger)
 	if err != nil {
 		logger.Error("not started", "error", err.Error())
 		return usageError{err}
@@ -71,6 +72,17 @@
 	}
 }
 
+// newClock returns a clock that counts the time for which the machine was suspended, or, on a kernel
+// that has none, one that does not.
+func newClock(logger hclog.Logger) clockwork.Clock {
+	c, err := boottime.New()
+	if err != nil {
+		logger.Error("what is believed will look too young after a sleep of the machine", "error", err.Error())
+		return clockwork.NewRealClock()
+	}
+	return c
+}
+
 // reload reads the settings anew. What they hold beside addresses is fixed for a
 // deployment, and addresses cannot change while the process lives: the new values
 // count from the next start.
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -90,6 +90,13 @@
 	delete(er.runs, run)
 }
 
+// Drop notes that nothing of the request reached the engine.
+func (t *Tracker) Drop(run *Run) {
+	if er := t.lives[run.life]; er != nil {
+		delete(er.runs, run)
+	}
+}
+
 // Leave notes that the attempt was given up without an answer.
 func (t *Tracker) Leave(run *Run, now time.Time) { run.overAt = now }
 
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -84,6 +84,12 @@
 			id, fs, _ := tr.Restart(life, ms(10050))
 			return []tracked{{id, numbered(fs)}}
 		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{0, 1}}}},
+		{"a new start: not what never reached the engine", func(tr *Tracker) []tracked {
+			tr.Drop(tr.Send(request(0), life, ms(0)))
+			tr.Send(request(1), life, ms(0))
+			id, fs, _ := tr.Restart(life, ms(50))
+			return []tracked{{id, numbered(fs)}}
+		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{1}}}},
 		{"a new start after an end that is known", func(tr *Tracker) []tracked {
 			run := tr.Send(request(0), life, ms(0))
 			tr.Break(run, ms(10))
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -28,6 +28,7 @@
 	"olivetiller/internal/isolation"
 	"olivetiller/internal/placer"
 	"olivetiller/internal/traffic"
+	"olivetiller/io/boottime"
 	"olivetiller/io/caller"
 	"olivetiller/io/endpoint"
 	"olivetiller/io/peer"
@@ -116,15 +117,38 @@
 	// isolation keeps requests under which engines end from them.
 	isolation *isolation.Guard
 	caller    *caller.Server
-	servers   []*http.Server
-	wg        sync.WaitGroup
-	cancel    context.CancelFunc
+	// idle are the clients that keep connections.
+	idle    []idler
+	servers []*http.Server
+	wg      sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// Waker is a clock that tells when the machine has slept.
+type Waker interface {
+	OnWake(f func(slept time.Duration))
+}
+
+// idler keeps connections at rest.
+type idler interface{ CloseIdleConnections() }
+
+// woke notes that the machine has slept. What is believed is judged by a clock that counted the sleep; what
+// is left are kept connections, whose other sides may have given them up.
+func (n *Node) woke(slept time.Duration) {
+	n.logger.Warn("the machine woke from a sleep", "sleptMs", slept.Milliseconds())
+	for _, i := range n.idle {
+		i.CloseIdleConnections()
+	}
+	n.control.WakeDemand()
 }
 
 // Start opens the addresses and begins to run a node.
 func Start(s Settings, p Platform, clock clockwork.Clock, logger hclog.Logger) (*Node, error) {
 	n := &Node{s: s, clock: clock, logger: logger.With("node", s.Name)}
 	n.assemble(p)
+	if w, ok := clock.(Waker); ok {
+		w.OnWake(n.woke)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	callers, err := net.Listen("tcp", s.CallerAddress)
@@ -162,6 +186,13 @@
 		Missing: func(id, pool string) { go n.control.EngineLacks(id, pool) },
 	}
 	endpoints := endpoint.NewClientWith(endpoint.Options{Judge: p.Judge, Dialer: p.Dialer(dialTimeout)})
+	peers := peer.NewClient(p.Dialer(dialTimeout))
+	n.idle = []idler{endpoints, peers}
+	for _, client := range []any{p.Store, p.Engines} {
+		if i, ok := client.(idler); ok {
+			n.idle = append(n.idle, i)
+		}
+	}
 	n.isolation = isolation.New(isolation.Options{
 		Clock: n.clock, Logger: n.logger.Named("isolation"), Refuses: endpoints.Refuses,
 		Changed: func() { n.control.SuspectsChanged() },
@@ -173,7 +204,7 @@
 	n.control = placer.New(placer.Options{
 		Self:  lease.Record{Holder: s.Name, Life: life, Address: s.PeerAddress},
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
-		Peers: peer.NewClient(p.Dialer(dialTimeout)), Dispatcher: n.traffic, Isolation: n.isolation, Limits: s.Loads, Nodes: n.limitRetries,
+		Peers: peers, Dispatcher: n.traffic, Isolation: n.isolation, Limits: s.Loads, Nodes: n.limitRetries,
 		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Strength: s.Cores * s.LinkMbps, Bound: s.Bound, Fenced: s.Fenced,
 		Own: []string{s.CallerAddress, s.ReadyAddress, s.PeerAddress, s.MetricsAddress},
 	})
@@ -258,7 +289,7 @@
 // answered as far as the time to stop allows.
 func (n *Node) Stop() error {
 	begun := n.clock.Now()
-	ctx, cancel := clockwork.WithTimeout(context.Background(), n.clock, n.s.StopTimeout-cutReserve)
+	ctx, cancel := boottime.WithTimeout(context.Background(), n.clock, n.s.StopTimeout-cutReserve)
 	defer cancel()
 	n.logger.Info("stopping", "active", n.caller.Active())
 	n.control.Stop(ctx)
--- a/internal/isolation/guard.go
+++ b/internal/isolation/guard.go
@@ -11,6 +11,7 @@
 	"olivetiller/core/quarantine"
 	"olivetiller/core/refusal"
 	"olivetiller/core/view"
+	"olivetiller/io/boottime"
 )
 
 // probeTime bounds the wait for an engine whose connections broke to refuse or take a new one: a
@@ -193,6 +194,20 @@
 	g.endTrial(r.request)
 }
 
+// NotSent notes that nothing of the request reached the endpoint: no end of it is blamed on the request.
+// Without it a proper request that found four engines gone was convicted when they started
+// again.
+func (r *Run) NotSent() {
+	if r.over {
+		return
+	}
+	r.over = true
+	r.g.mu.Lock()
+	r.g.tracker.Drop(r.run)
+	r.g.mu.Unlock()
+	r.g.endTrial(r.request)
+}
+
 // Left notes that the attempt was given up without an answer.
 func (r *Run) Left() {
 	if r.over {
@@ -261,7 +276,7 @@
 }
 
 func (g *Guard) refuses(address string) bool {
-	ctx, cancel := clockwork.WithTimeout(context.Background(), g.o.Clock, probeTime)
+	ctx, cancel := boottime.WithTimeout(context.Background(), g.o.Clock, probeTime)
 	defer cancel()
 	return g.o.Refuses(ctx, address)
 }
--- a/internal/isolation/guard_test.go
+++ b/internal/isolation/guard_test.go
@@ -143,3 +143,23 @@
 		t.Errorf("after a good answer: %v", err)
 	}
 }
+
+// TestNewStarts checks that the new starts of engines are not blamed on a request that found them
+// gone. Found by TestRequestThatEndsEngines: of four engines that had ended under another request each refused
+// the connection of a proper one, which was convicted when all four had started again.
+func TestNewStarts(t *testing.T) {
+	g := testGuard(clockwork.NewFakeClock(), func() bool { return true })
+	g.SetEngines(4)
+	for _, engine := range []string{"a", "b", "c", "d"} {
+		g.Seen(quarantine.Life{Engine: engine, Start: 1}, false)
+		g.Send(fingerprint("/proper"), view.Endpoint{Name: engine, Start: 1}).NotSent()
+		g.Send(fingerprint("/waits"), view.Endpoint{Name: engine, Start: 1})
+	}
+	for _, engine := range []string{"a", "b", "c", "d"} {
+		g.Seen(quarantine.Life{Engine: engine, Start: 2}, false)
+	}
+	got := []string{g.State(fingerprint("/proper")).String(), g.State(fingerprint("/waits")).String()}
+	if diff := cmp.Diff([]string{"clear", "quarantined"}, got); diff != "" {
+		t.Errorf("states (-want +got):\n%s", diff)
+	}
+}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"olivetiller/internal/inbox"
 	"olivetiller/internal/isolation"
 	"olivetiller/internal/traffic"
+	"olivetiller/io/endpoint"
 	"olivetiller/io/peer"
 )
 
@@ -434,8 +436,12 @@
 func (c *Controller) order(ctx context.Context, o *placement.Order) {
 	octx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	reply, err := placement.Conflict, error(nil)
-	if c.holder.mayOrder(o.Fence, c.o.Clock.Now()) {
+	// Asked again right before the order's bytes leave: the machine may have slept since it was planned, and
+	// another node may order by then.
+	octx, checked := endpoint.WithCheck(octx, func() error { return c.mayOrder(o.Fence) })
+	defer checked()
+	reply, err := placement.Conflict, c.mayOrder(o.Fence)
+	if err == nil {
 		reply, err = c.o.Engines.Order(octx, *o)
 	}
 	args := []any{
@@ -453,6 +459,17 @@
 	c.inbox.Send(ctx, replied{o, reply})
 }
 
+// errLeaseOver is why an order is not sent.
+var errLeaseOver = errors.New("the lease under which it was planned has ended")
+
+// mayOrder returns why an order under a fence must not be sent now, or nil.
+func (c *Controller) mayOrder(fence uint64) error {
+	if !c.holder.mayOrder(fence, c.o.Clock.Now()) {
+		return errLeaseOver
+	}
+	return nil
+}
+
 // round shortens a figure for the log.
 func round(v float64) float64 { return math.Round(v*100) / 100 }
 
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -14,6 +14,7 @@
 	"olivetiller/core/lease"
 	"olivetiller/core/logstore"
 	"olivetiller/core/route"
+	"olivetiller/io/boottime"
 )
 
 // Times of the readers.
@@ -158,7 +159,7 @@
 
 func readOnce[T any](ctx context.Context, clock clockwork.Clock, r reader[T], next uint64, whole bool, wait, slack time.Duration) (logstore.Page[T], error) {
 	if whole {
-		ctx, cancel := clockwork.WithTimeout(ctx, clock, wholeAtMost)
+		ctx, cancel := boottime.WithTimeout(ctx, clock, wholeAtMost)
 		defer cancel()
 		return r.newest(ctx, slack)
 	}
@@ -168,7 +169,7 @@
 		// nothing of the answer comes.
 		limit += wholeAtMost
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, clock, limit)
+	ctx, cancel := boottime.WithTimeout(ctx, clock, limit)
 	defer cancel()
 	return r.read(ctx, next, wait)
 }
--- /dev/null
+++ b/io/boottime/use_test.go
@@ -0,0 +1,76 @@
+package boottime
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// otherClocks are ways to read or wait by a clock that stands still in a sleep, or that is stepped.
+var otherClocks = regexp.MustCompile(`\btime\.(Now|Since|Until|After|AfterFunc|NewTimer|NewTicker|Tick|Sleep)\(|clockwork\.(With(Deadline|Timeout)|NewRealClock)\(`)
+
+// allowed are the files that may, with the reason.
+var allowed = map[string]string{
+	"cmd/olivetiller/hosted.go": "where the kernel has no such clock",
+	"cmd/olivetiller/keys.go":   "certificates are valid by the time of day",
+	"cmd/olivetiller/node.go":   "nodes on the brief's log judge keys by the time of day",
+	"internal/client/client.go": "a client for tests and load",
+	"internal/fleet/fleet.go":   "nodes on the brief's log, for tests and load",
+	"io/boottime/clock.go":      "this clock itself",
+	"io/caller/resolve.go":      "a deadline of the kernel's for one read",
+	"platform/store.go":         "silence on a connection, which a sleep only prolongs",
+	"platform/verdicts.go":      "what outlasts all machines is kept by the time of day",
+}
+
+// apart are folders of tools and stand-ins.
+var apart = []string{"cmd/olivebench", "internal/bench", "internal/demo", "platform/standin", "platform/soak", "platform/rounds", "platform/days", "standin"}
+
+// TestNoOtherClock finds programs that read another clock: what they believe would look too young after a
+// sleep.
+func TestNoOtherClock(t *testing.T) {
+	root := filepath.Join("..", "..")
+	var found []string
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		name, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		name = filepath.ToSlash(name)
+		if d.IsDir() {
+			for _, folder := range apart {
+				if name == folder {
+					return fs.SkipDir
+				}
+			}
+			if name == ".git" || name == "target" {
+				return fs.SkipDir
+			}
+			return nil
+		}
+		if !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") || allowed[name] != "" {
+			return nil
+		}
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if otherClocks.Match(raw) {
+			found = append(found, name)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string(nil), found); diff != "" {
+		t.Errorf("files that read another clock: take the clock that is passed in (-want +got):\n%s", diff)
+	}
+}
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -151,8 +151,6 @@
 type tries struct {
 	// sent counts all of them, ran those that may have run.
 	sent, ran int
-	// trial is set where a quarantined request is being tried.
-	trial bool
 }
 
 // attempts tries endpoints until one answers, or what is known forbids another attempt.
@@ -161,7 +159,7 @@
 	defer x.dropNext()
 	var n tries
 	for {
-		slot, err := s.nextPlace(ctx, x, &ask, &n)
+		slot, err := s.nextPlace(ctx, x, &ask)
 		if err != nil {
 			if n.ran == 0 {
 				return err
@@ -210,17 +208,17 @@
 // nextPlace waits for a place of the next attempt, unless the request is kept from engines: else one that
 // ends engines is sent at every node for ever, 30 times in 15 tries at 3 nodes where it is 4 now.
 // It is asked again once the place is there: the wait may have been long.
-func (s *Server) nextPlace(ctx context.Context, x *Exchange, ask *traffic.Ask, n *tries) (*traffic.Slot, error) {
-	if !n.trial {
+func (s *Server) nextPlace(ctx context.Context, x *Exchange, ask *traffic.Ask) (*traffic.Slot, error) {
+	if !x.trial {
 		trial, err := s.Isolation.Admit(ctx, x.Fingerprint)
 		if err != nil {
 			return nil, err
 		}
-		n.trial = trial
+		x.trial = trial
 	}
 	ask.Leaves, ask.State = s.leaves(x), s.Isolation.State(x.Fingerprint)
 	slot, err := s.place(ctx, x, *ask)
-	if err != nil || n.trial {
+	if err != nil || x.trial {
 		return slot, err
 	}
 	if err := s.Isolation.Held(x.Fingerprint); err != nil {
@@ -238,12 +236,14 @@
 	case err == nil:
 		// Whether the answer was good was told with it.
 		run.Answered(false)
-	case !errors.As(err, &e), e.Unreached, errors.Is(e.Cause, errStalled):
+	case !errors.As(err, &e), errors.Is(e.Cause, errStalled):
 		run.Left()
-	case e.Broke:
-		return run.Broke(ctx)
 	case e.Refused, e.Answered:
 		run.Answered(false)
+	case e.Outcome == retry.NotSent:
+		run.NotSent()
+	case e.Broke:
+		return run.Broke(ctx)
 	default:
 		run.Left()
 	}
@@ -336,6 +336,11 @@
 	var e *endpoint.Error
 	if errors.As(err, &e) {
 		r.Full, r.Missing, r.Leaving = e.Full, e.Missing, e.Gone
+		if e.Withheld {
+			// It says nothing of the endpoint.
+			r.Err, r.NotBegun = nil, true
+			return r
+		}
 		r.Silent = e.Unreached || errors.Is(e.Cause, errStalled)
 		if e.Outcome == retry.NotSent && e.Refused {
 			// The endpoint is well; it only did not begin this request.
@@ -362,5 +367,33 @@
 
 // request builds the request to an endpoint, going on with a stream at a position.
 func (s *Server) request(x *Exchange, slot *traffic.Slot, position string) *endpoint.Request {
-	return s.protocol().Request(x, slot.Endpoint, x.Deadline.Sub(s.Clock.Now()), position)
+	now := s.Clock.Now()
+	r := s.protocol().Request(x, slot.Endpoint, x.Deadline.Sub(now), position)
+	r.Check = func() error { return s.mayLeave(x, now) }
+	return r
+}
+
+// staleSend is how old a request may be when its bytes leave: it tells the endpoint the time that was left
+// when it was made. The platform allows half a second.
+const staleSend = 400 * time.Millisecond
+
+// Reasons why a request does not leave.
+var (
+	errTooLate = errors.New("its deadline has passed")
+	errStale   = errors.New("the time left that it tells is too old")
+)
+
+// mayLeave returns why the bytes of a request that was made at a moment must not leave: between the
+// decision to send it and its bytes the machine may have slept.
+func (s *Server) mayLeave(x *Exchange, made time.Time) error {
+	now := s.Clock.Now()
+	switch {
+	case now.After(x.Deadline):
+		return errTooLate
+	case now.Sub(made) > staleSend:
+		return errStale
+	case x.trial:
+		return nil
+	}
+	return s.Isolation.Held(x.Fingerprint)
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -58,6 +58,8 @@
 	Began bool
 	// Trail is what became of it so far, for logs.
 	Trail Trail
+	// trial is set where a quarantined request is being tried.
+	trial bool
 	// next is the place that the next attempt has already; a stall sets it before the
 	// attempt in progress ends.
 	next *traffic.Slot
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -20,6 +20,7 @@
 	"olivetiller/internal/isolation"
 	"olivetiller/internal/once"
 	"olivetiller/internal/traffic"
+	"olivetiller/io/boottime"
 	"olivetiller/io/endpoint"
 )
 
@@ -171,7 +172,7 @@
 		if err := s.protocol().Accept(x); err != nil {
 			return err
 		}
-		ctx, cancel := clockwork.WithDeadline(ctx, s.Clock, x.Deadline)
+		ctx, cancel := boottime.WithTimeout(ctx, s.Clock, x.Deadline.Sub(s.Clock.Now()))
 		defer cancel()
 		return next(ctx, x)
 	}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -58,6 +58,8 @@
 	Body   []byte
 	// OnceOnly requests are written at most once.
 	OnceOnly bool
+	// Check is asked right before the request's bytes leave; nil where nothing is to be asked.
+	Check Check
 }
 
 // Error is a dispatch without an answer.
@@ -73,6 +75,8 @@
 	Unreached bool
 	// Broke is true when the endpoint's side broke the connection.
 	Broke bool
+	// Withheld is true when the request's check forbade it.
+	Withheld bool
 	// Gone is true when the address belongs to another endpoint by now.
 	Gone bool
 	// Answered is true when the endpoint gave a whole answer that counts as a failure.
@@ -148,6 +152,10 @@
 	Dialer *net.Dialer
 }
 
+// CloseIdleConnections closes the connections that are kept and at rest: after a sleep of the machine
+// the other sides may have given them up.
+func (c *Client) CloseIdleConnections() { c.pooled.CloseIdleConnections() }
+
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
 	judge  Judge
@@ -172,11 +180,11 @@
 		judge:  o.Judge,
 		dialer: dialer,
 		pooled: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256,
+			DialContext: CheckedDial(dialer.DialContext), MaxIdleConnsPerHost: 256,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
 		},
 		once: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: CheckedDial(dialer.DialContext), DisableKeepAlives: true, DisableCompression: true,
 		},
 	}
 }
@@ -185,8 +193,14 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	var sends atomic.Int32
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sends.Add(1) }}
+	cancel := func() {}
+	if r.Check != nil {
+		// On success it ends with the caller's context, since the body is read in it.
+		ctx, cancel = WithCheck(ctx, r.Check)
+	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Address+"/", bytes.NewReader(r.Body))
 	if err != nil {
+		cancel()
 		return nil, &Error{Outcome: retry.NotSent, Cause: eris.Wrap(err, "build request")}
 	}
 	// The path goes out byte for byte as it came.
@@ -206,10 +220,15 @@
 	resp, err := transport.RoundTrip(req)
 	n := int(sends.Load())
 	if err != nil {
+		defer cancel()
+		if why := context.Cause(ctx); Withheld(why) {
+			return nil, &Error{Outcome: retry.NotSent, Withheld: true, Cause: why}
+		}
 		return nil, &Error{Outcome: outcomeOf(n > 0), Unreached: n == 0, Broke: n > 0 && ctx.Err() == nil && broke(err), Sends: n, Cause: err}
 	}
 	answer, failure := c.answered(r, resp)
 	if failure != nil {
+		cancel()
 		failure.Sends = n
 		return nil, failure
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -306,6 +306,9 @@
 	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 3}}}
 }
 
+// CloseIdleConnections closes the connections that are kept and at rest.
+func (c *Client) CloseIdleConnections() { c.http.CloseIdleConnections() }
+
 // Report posts a report to the holder at an address.
 func (c *Client) Report(ctx context.Context, address string, r *Report) error {
 	body, err := json.Marshal(r)
