--- a/core/placement/copies.go
+++ b/core/placement/copies.go
@@ -17,7 +17,7 @@
 		}
 		for j := range s.Engine.Models {
 			m := g.model(Unit{Service: s.Name, Model: s.Engine.Models[j].Name})
-			if m.keepers == 0 && m.loaders == 0 && m.replicas() == 0 {
+			if m.keepers == 0 && m.loaders == 0 && m.replicas() == 0 && !g.now.Before(m.restUntil) {
 				if g.storeBusy+g.reservedFromStore() >= g.copiesAtOnce() {
 					return
 				}
--- /dev/null
+++ b/core/placement/falls_test.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/directory"
+)
+
+// TestLoadThatEndsEngines checks that a load under which engines end is not ordered at the next one
+// for ever. A version that ends each engine which loads it was ordered again as soon as the engine's entry had gone, at another
+// engine; all eight ended within a second.
+func TestLoadThatEndsEngines(t *testing.T) {
+	all := func(alive []string) []*directory.Entry {
+		var out []*directory.Entry
+		for _, id := range alive {
+			out = append(out, entry(id))
+		}
+		return out
+	}
+	alive := []string{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7"}
+	engines := make(map[string]Report)
+	for _, id := range alive {
+		engines[id] = Report{Holdings: directory.Holdings{OnDisk: []string{"m0", "m1"}}}
+	}
+	p := testPlanner(t, 2, engines)
+	var loads []string
+	for ms := 100; ms < 40_000; ms += 100 {
+		p.Use("n", []Use{{Unit: unit("m0"), Waiting: 1, Arrivals: 1, Urgent: at(ms + 500), Last: at(ms + 500)}}, at(ms))
+		for _, a := range p.Plan(at(ms), 1) {
+			if a.Order == nil || a.Order.Unload {
+				continue
+			}
+			loads = append(loads, fmt.Sprint(ms/1000))
+			p.Replied(a.Order, Accepted, at(ms))
+			id := a.Order.Engine
+			for i := range alive {
+				if alive[i] == id {
+					alive = append(alive[:i:i], alive[i+1:]...)
+					break
+				}
+			}
+			// It ends at once; its entry goes a little later.
+			p.SetEngines(all(alive), at(ms+50))
+		}
+	}
+	// Three at once, then after rests of 5, 10 and 20 s.
+	if diff := cmp.Diff([]string{"0", "0", "0", "5", "15", "35"}, loads); diff != "" {
+		t.Errorf("seconds of the loads (-want +got):\n%s", diff)
+	}
+	if at, ok := p.ReadyAt()[unit("m0")]; !ok || at.Sub(start) < time.Minute {
+		t.Errorf("requests are told to expect the model at %v, known %t", at.Sub(start), ok)
+	}
+	// Another model is not concerned.
+	p.Use("n", []Use{{Unit: unit("m1"), Waiting: 1, Arrivals: 1, Urgent: at(41_000), Last: at(41_000)}}, at(40_500))
+	if diff := cmp.Diff(1, len(orders(p.Plan(at(40_500), 1)))); diff != "" {
+		t.Errorf("orders for another model (-want +got):\n%s", diff)
+	}
+}
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -24,6 +24,10 @@
 	waiting, running int
 	at               map[string]int
 	peak             peak
+	// falls counts the engines that ended in a row while they loaded the model; no load is
+	// ordered until restUntil.
+	falls     int
+	restUntil time.Time
 
 	// The fields below are of the plan in progress.
 
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -60,7 +60,9 @@
 	foreignUntil time.Time
 	// again holds the starts of engines under known ids that nobody was told of.
 	again []StartedAgain
-	fence uint64
+	// resting holds the models whose loads rest that nobody was told of.
+	resting []Resting
+	fence   uint64
 	// fenced is set once an engine has seen a higher fence.
 	fenced bool
 	wakeAt time.Time
@@ -131,6 +133,7 @@
 	p.order = p.order[:0]
 	for id, e := range p.engines {
 		if !listed[id] {
+			p.noteFall(e, now)
 			p.noteLate(e.sent, now)
 			p.dropCopies(e)
 			delete(p.engines, id)
--- a/core/placement/reports.go
+++ b/core/placement/reports.go
@@ -43,6 +43,7 @@
 // resume takes a report over as the engine's state.
 func (p *Planner) resume(e *engine, r *Report, now time.Time) {
 	e.adopt(r, now)
+	p.loaded(e)
 	switch {
 	case !r.Busy:
 		if e.work != nil && e.work.unload {
--- a/core/placement/starts.go
+++ b/core/placement/starts.go
@@ -68,6 +68,7 @@
 // startAgain notes that an engine started again under its id: it holds nothing and counts
 // its orders from 0. Reports that were asked for at a moment or later tell of the new start.
 func (p *Planner) startAgain(e *engine, s directory.Start, heard, now time.Time) {
+	p.noteFall(e, now)
 	// The order that awaits its reply is one of the start before.
 	p.noteLate(e.sent, now)
 	h := p.history(e.id)
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -11,7 +11,7 @@
 	var out []*modelState
 	for _, m := range g.list {
 		asked := m.waiting > 0 || !m.sentAwayAt.IsZero() && g.now.Sub(m.sentAwayAt) < returnTime
-		if asked && m.replicas() == 0 && m.loaders == 0 && m.spec != nil {
+		if asked && m.replicas() == 0 && m.loaders == 0 && m.spec != nil && !g.rests(m) {
 			out = append(out, m)
 		}
 	}
@@ -58,7 +58,7 @@
 	var out []replica
 	for _, m := range g.list {
 		n := m.replicas() + m.soon
-		if n == 0 || m.spec == nil || n >= g.engineCounts[m.unit.Service] {
+		if n == 0 || m.spec == nil || n >= g.engineCounts[m.unit.Service] || g.now.Before(m.restUntil) {
 			continue
 		}
 		if gain := g.gain(m, n); gain > leastGain {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -281,6 +281,17 @@
 	})
 }
 
+// Quarantined returns how many requests are kept from engines.
+func (n *Node) Quarantined() int {
+	count := 0
+	for _, s := range n.isolation.List() {
+		if s.State == quarantine.Quarantined {
+			count++
+		}
+	}
+	return count
+}
+
 // Holds reports whether this node orders the engines now.
 func (n *Node) Holds() bool { return n.control.Holds() }
 
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -424,12 +424,16 @@
 	}
 }
 
-// noteStarts logs the engines that started again under their ids.
+// noteStarts logs the engines that started again under their ids, and the models under whose loads engines
+// ended.
 func (c *Controller) noteStarts() {
 	for _, s := range c.planner.StartedAgain() {
 		c.startsAgain.Add(1)
 		c.o.Logger.Info("engine started again, what was believed of it is void", "engine", s.Engine, "born", int64(s.Start), "lateLoads", s.Late)
 	}
+	for _, r := range c.planner.Resting() {
+		c.o.Logger.Warn("loads of a model rest, engines ended under them", "unit", r.Unit.Pool(), "enginesEnded", r.Ended, "restMs", r.Rest.Milliseconds())
+	}
 }
 
 // order sends one order, unless the lease ran out since it was planned.
