hosted, olivetiller, docs: operators list and release requests that are kept from engines

Cause: a verdict could be seen in the logs only, and not be lifted. Change: GET /quarantine and DELETE /quarantine/{beginning of a fingerprint} at the metrics address, 'olivetiller quarantine list|release' on top; a release at any node holds at all and in the store.

--- a/cmd/olivetiller/main.go
+++ b/cmd/olivetiller/main.go
@@ -15,15 +15,16 @@
 
 // commands is the command line.
 type commands struct {
-	Node     nodeCmd     `cmd:"" help:"Run one node until it is told to stop (SIGTERM is a planned stop)."`
-	Config   configCmd   `cmd:"" help:"Check, publish, show or watch the configuration."`
-	Status   statusCmd   `cmd:"" help:"Show a node's placements, queues, endpoints, homes and log lag."`
-	Endpoint endpointCmd `cmd:"" help:"Drain or resume an endpoint."`
-	Stop     stopCmd     `cmd:"" help:"Begin the planned stop of a node."`
-	Settings settingsCmd `cmd:"" help:"Print every setting of a node with its default, unit and meaning."`
-	Keys     keysCmd     `cmd:"" help:"Make the fleet's authority and the certificates of its nodes."`
-	Demo     demoCmd     `cmd:"" help:"Run a whole deployment on loopback, exercise its promises and print a table."`
-	Version  versionCmd  `cmd:"" help:"Print the version."`
+	Node       nodeCmd       `cmd:"" help:"Run one node until it is told to stop (SIGTERM is a planned stop)."`
+	Config     configCmd     `cmd:"" help:"Check, publish, show or watch the configuration."`
+	Status     statusCmd     `cmd:"" help:"Show a node's placements, queues, endpoints, homes and log lag."`
+	Endpoint   endpointCmd   `cmd:"" help:"Drain or resume an endpoint."`
+	Quarantine quarantineCmd `cmd:"" help:"List or release requests that are kept from engines."`
+	Stop       stopCmd       `cmd:"" help:"Begin the planned stop of a node."`
+	Settings   settingsCmd   `cmd:"" help:"Print every setting of a node with its default, unit and meaning."`
+	Keys       keysCmd       `cmd:"" help:"Make the fleet's authority and the certificates of its nodes."`
+	Demo       demoCmd       `cmd:"" help:"Run a whole deployment on loopback, exercise its promises and print a table."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -267,29 +267,21 @@
 	})
 }
 
-// metrics serves the metrics as one tree.
+// metrics serves the metrics as one tree, and what operators ask of requests under which engines ended.
 func (n *Node) metrics() http.Handler {
 	tree := new(expvar.Map).Init()
 	tree.Set("caller", n.caller.Metrics.Tree())
 	tree.Set("traffic", expvar.Func(func() any { return n.traffic.Totals() }))
 	tree.Set("control", n.control.Metrics())
 	tree.Set("isolation", n.isolation.Tree())
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	mux := http.NewServeMux()
+	n.handleQuarantine(mux)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// A failed write means that the reader is gone.
 		_, _ = w.Write([]byte(`{"olivetiller":` + tree.String() + "}\n"))
 	})
-}
-
-// Quarantined returns how many requests are kept from engines.
-func (n *Node) Quarantined() int {
-	count := 0
-	for _, s := range n.isolation.List() {
-		if s.State == quarantine.Quarantined {
-			count++
-		}
-	}
-	return count
+	return mux
 }
 
 // Holds reports whether this node orders the engines now.
