quarantine: a request of which many runs are in progress is not convicted by a rack

Cause: a proper request that callers send again and again, the same path by the same caller, runs at many engines at once; a rack that ends blamed three ends on it at one moment, which convicted it (looked for after TestRequestThatEndsEngines had shown a proper request convicted by new starts). Ruled out: leaving short runs out; the shortest run says most of a request that does end engines. Change: ends at one moment, each of which had the request before the other's end, count once; a request that was answered well within the last five minutes at a node is not blamed by it.

--- a/core/quarantine/belief.go
+++ b/core/quarantine/belief.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -72,9 +73,9 @@
 		return math.Log(priorDeadly)
 	}
 	deadly, outside := 1.0, 1.0
-	for i := range rec.blames {
-		deadly *= rec.blames[i].likelihood()
-		outside *= w.outside(&rec.blames[i])
+	for _, b := range rec.moments() {
+		deadly *= b.likelihood()
+		outside *= w.outside(b)
 	}
 	others := outside
 	for other := range rec.beside() {
@@ -100,8 +101,7 @@
 // shares with it, while the rest of the record's ends have no cause.
 func (w *weighing) explains(other, rec *record) float64 {
 	chance := w.without(other, rec)
-	for i := range rec.blames {
-		b := &rec.blames[i]
+	for _, b := range rec.moments() {
 		if shared := other.blameFor(b.end); shared != nil {
 			chance *= shared.likelihood()
 		} else {
@@ -118,8 +118,7 @@
 		return 1
 	}
 	odds := priorDeadly
-	for i := range other.blames {
-		b := &other.blames[i]
+	for _, b := range other.moments() {
 		if rec.blameFor(b.end) == nil && !b.end.convicted() {
 			odds *= b.likelihood() / w.outside(b)
 		}
@@ -150,14 +149,34 @@
 // countUnexplained counts the blames for ends that no other request was convicted for.
 func (rec *record) countUnexplained() int {
 	n := 0
-	for i := range rec.blames {
-		if !rec.blames[i].end.convictedBut(rec) {
+	for _, b := range rec.moments() {
+		if !b.end.convictedBut(rec) {
 			n++
 		}
 	}
 	return n
 }
 
+// moments returns the record's blames, of several at one moment the first. A request of which many runs
+// are in progress is at each engine of a rack that ends: that is one event, while one that
+// ends engines is sent to the next one after the last has ended.
+func (rec *record) moments() []*blame {
+	out := make([]*blame, 0, len(rec.blames))
+	for i := range rec.blames {
+		b := &rec.blames[i]
+		if !slices.ContainsFunc(out, b.beside) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// beside reports whether two engines ended at one moment, and each had the request before the other's
+// end.
+func (b *blame) beside(o *blame) bool {
+	return (b.at-o.at).Abs() <= burstWindow && b.at-b.ran < o.at && o.at-o.ran < b.at
+}
+
 // likelihood is how likely the blame is if its request ended the engine.
 func (b *blame) likelihood() float64 {
 	if b.begun {
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -381,7 +381,7 @@
 	belief := sigmoid(float64(rec.odds))
 	delete(r.pending, rec)
 	switch {
-	case rec.unexplained >= mostEnds, len(rec.blames) >= mostEndsInAll:
+	case rec.unexplained >= mostEnds, len(rec.moments()) >= mostEndsInAll:
 		return conviction
 	case rec.unexplained == 0:
 		return explained
--- a/core/quarantine/registry_test.go
+++ b/core/quarantine/registry_test.go
@@ -98,6 +98,16 @@
 			ended(r, "c", time.Minute, soon, 0, 50, 51)
 			ended(r, "d", time.Minute+10*time.Millisecond, soon, 52)
 		}, []string{"isolated", "suspected", "suspected"}},
+		{"a rack at whose engines one request ran many times", func(r *Registry) {
+			for _, engine := range []string{"a", "b", "c", "d"} {
+				ended(r, engine, 0, long, 0)
+			}
+		}, []string{"suspected", "clear", "clear"}},
+		{"the same one after the other, each begun after the last end", func(r *Registry) {
+			for i, engine := range []string{"a", "b", "c"} {
+				ended(r, engine, time.Duration(i)*10*time.Millisecond, 5*time.Millisecond, 0)
+			}
+		}, []string{"quarantined", "clear", "clear"}},
 		{"an end under the convicted one says nothing of the others", func(r *Registry) {
 			ended(r, "a", 0, soon, 0)
 			ended(r, "b", time.Second, soon, 0)
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -10,6 +10,10 @@
 	// leftLife is how long after a silent attempt was given up a new start of its engine is put
 	// down to the requests of before.
 	leftLife = 10 * time.Second
+	// goodKept is how many requests that were answered well are remembered, and goodLife for how
+	// long: one that has just been answered well does not end engines.
+	goodKept = 2048
+	goodLife = 5 * time.Minute
 	// lifeKept is how long an engine that runs nothing is remembered.
 	lifeKept = time.Minute
 )
@@ -50,10 +54,32 @@
 
 // Tracker knows which requests of a node run at which engines. It is not safe for concurrent
 // use.
-type Tracker struct{ lives map[Life]*engineRuns }
+type Tracker struct {
+	lives map[Life]*engineRuns
+	// good holds the requests that were answered well lately, and older those of the span
+	// before.
+	good, older map[Fingerprint]bool
+	// goodSince is when good was begun.
+	goodSince time.Time
+}
 
 // NewTracker returns a tracker of a node that runs nothing.
-func NewTracker() *Tracker { return &Tracker{lives: make(map[Life]*engineRuns)} }
+func NewTracker() *Tracker {
+	return &Tracker{lives: make(map[Life]*engineRuns), good: make(map[Fingerprint]bool)}
+}
+
+// noteGood remembers a request that was answered well.
+func (t *Tracker) noteGood(f Fingerprint, now time.Time) {
+	if len(t.good) >= goodKept || now.Sub(t.goodSince) > goodLife {
+		t.older, t.good, t.goodSince = t.good, make(map[Fingerprint]bool), now
+	}
+	t.good[f] = true
+}
+
+// wasGood reports whether a request was answered well lately.
+func (t *Tracker) wasGood(f Fingerprint, now time.Time) bool {
+	return (t.good[f] || t.older[f]) && now.Sub(t.goodSince) <= goodLife
+}
 
 func (t *Tracker) life(l Life, now time.Time) *engineRuns {
 	er := t.lives[l]
@@ -84,7 +110,10 @@
 }
 
 // Answer notes that the engine answered, well or not, or refused to begin.
-func (t *Tracker) Answer(run *Run, now time.Time) {
+func (t *Tracker) Answer(run *Run, good bool, now time.Time) {
+	if good {
+		t.noteGood(run.request, now)
+	}
 	er := t.life(run.life, now)
 	er.answered = true
 	delete(er.runs, run)
@@ -105,7 +134,7 @@
 func (t *Tracker) Break(run *Run, now time.Time) (blame Blame, ended bool) {
 	er := t.life(run.life, now)
 	run.overAt, run.broke = now, true
-	if er.leaving || er.endedAt.IsZero() || now.Sub(er.endedAt) > brokenLife || run.sentAt.After(er.endedAt) {
+	if er.leaving || t.wasGood(run.request, now) || er.endedAt.IsZero() || now.Sub(er.endedAt) > brokenLife || run.sentAt.After(er.endedAt) {
 		return Blame{}, false
 	}
 	delete(er.runs, run)
@@ -137,7 +166,7 @@
 	er.answered, er.endedAt = false, now
 	id = er.endID(l)
 	for run := range er.runs {
-		if !run.endsWith(now) {
+		if !run.endsWith(now) || t.wasGood(run.request, now) {
 			continue
 		}
 		requests = append(requests, run.request)
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -41,7 +41,7 @@
 		{"what broke just before, not what was answered or broke long ago", func(tr *Tracker) []tracked {
 			old, good, broken := tr.Send(request(0), life, ms(0)), tr.Send(request(1), life, ms(0)), tr.Send(request(2), life, ms(4000))
 			tr.Break(old, ms(10))
-			tr.Answer(good, ms(20))
+			tr.Answer(good, true, ms(20))
 			tr.Break(broken, ms(5000))
 			return []tracked{end(tr, life, ms(5005))}
 		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{2}}}},
@@ -56,6 +56,14 @@
 			}
 			return out
 		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{0}}, {EndID{Engine: "a", Start: 7}, []int{1}}}},
+		{"not what has just been answered well elsewhere", func(tr *Tracker) []tracked {
+			tr.Answer(tr.Send(request(0), untold, ms(0)), true, ms(5))
+			tr.Answer(tr.Send(request(1), untold, ms(0)), false, ms(5))
+			for n := range 3 {
+				tr.Break(tr.Send(request(n), life, ms(6)), ms(10))
+			}
+			return []tracked{end(tr, life, ms(12))}
+		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{1, 2}}}},
 		{"a planned end", func(tr *Tracker) []tracked {
 			run := tr.Send(request(0), life, ms(0))
 			tr.Leaving(life, true, ms(5))
@@ -112,7 +120,7 @@
 	tr := NewTracker()
 	run := tr.Send(request(0), Life{Engine: "a"}, start)
 	tr.Leave(run, start)
-	tr.Answer(tr.Send(request(1), Life{Engine: "b"}, start), start)
+	tr.Answer(tr.Send(request(1), Life{Engine: "b"}, start), true, start)
 	tr.Expire(at(2 * lifeKept))
 	if len(tr.lives) != 0 {
 		t.Errorf("%d lives are left", len(tr.lives))
--- a/internal/isolation/guard.go
+++ b/internal/isolation/guard.go
@@ -183,7 +183,7 @@
 	g := r.g
 	g.mu.Lock()
 	now := g.o.Clock.Now()
-	g.tracker.Answer(r.run, now)
+	g.tracker.Answer(r.run, good, now)
 	cleared := good && g.registry.Answered(r.request, now)
 	g.mu.Unlock()
 	if cleared {
--- a/internal/quarantinelab/lab.go
+++ b/internal/quarantinelab/lab.go
@@ -314,7 +314,7 @@
 func (l *lab) answer(u *run) {
 	delete(u.e.runs, u)
 	l.leave(u)
-	u.n.tracker.Answer(u.tracked, l.time())
+	u.n.tracker.Answer(u.tracked, true, l.time())
 	if !l.cfg.Off && u.n.registry.Answered(u.r.f, l.time()) {
 		l.report(u.n)
 	}
