isolation, placer, placement: what is left of runs is forgotten by itself; tests of the nodes' words

A load that had ended minutes before its engine did counted against the model. Change: the guard forgets by itself, at sendings five seconds apart; a load counts for six seconds after its end.

--- a/core/placement/falls.go
+++ b/core/placement/falls.go
@@ -7,6 +7,9 @@
 	// fallsAllowed is how many engines may end in a row while they load one model before its
 	// loads rest: three by chance are rare, and each engine takes its other models with it.
 	fallsAllowed = 3
+	// fallNoticed is how long after the end of a load its engine's end may be noticed: entries go after
+	// three heartbeats of silence, some seconds.
+	fallNoticed = 6 * time.Second
 	// firstRest is the first rest; it doubles with each further fall, up to lastRest.
 	firstRest = 5 * time.Second
 	lastRest  = 10 * time.Minute
@@ -20,7 +23,7 @@
 	if w == nil {
 		w = e.ended
 	}
-	if e.draining || w == nil || w.unload {
+	if e.draining || w == nil || w.unload || now.Sub(w.expected) > fallNoticed {
 		return
 	}
 	m := p.modelAt(e, w.unit.Model)
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -224,3 +224,6 @@
 		}
 	}
 }
+
+// Lives returns of how many lives of engines anything is remembered.
+func (t *Tracker) Lives() int { return len(t.lives) }
--- a/internal/isolation/guard.go
+++ b/internal/isolation/guard.go
@@ -50,6 +50,8 @@
 	tracker  *quarantine.Tracker
 	// probes are closed when the engine's answer is known.
 	probes map[quarantine.Life]chan struct{}
+	// expiredAt is when was last looked for what can be forgotten.
+	expiredAt time.Time
 	// starts are the latest starts that engines told, by their ids.
 	starts map[string]int64
 }
@@ -158,12 +160,21 @@
 	over    bool
 }
 
+// expireEvery is the time between two looks at what can be forgotten.
+const expireEvery = 5 * time.Second
+
 // Send notes that a request is about to be sent to an endpoint.
 func (g *Guard) Send(f quarantine.Fingerprint, ep view.Endpoint) *Run {
 	life := quarantine.Life{Engine: ep.Name, Start: ep.Start}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &Run{g: g, run: g.tracker.Send(f, life, g.o.Clock.Now()), request: f, life: life, address: ep.Address}
+	now := g.o.Clock.Now()
+	if now.Sub(g.expiredAt) > expireEvery {
+		g.expiredAt = now
+		g.registry.Expire(now)
+		g.tracker.Expire(now)
+	}
+	return &Run{g: g, run: g.tracker.Send(f, life, now), request: f, life: life, address: ep.Address}
 }
 
 // Began notes that the endpoint has begun to answer.
@@ -395,15 +406,6 @@
 	}
 }
 
-// Expire forgets what was not heard of for long.
-func (g *Guard) Expire() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.o.Clock.Now()
-	g.registry.Expire(now)
-	g.tracker.Expire(now)
-}
-
 // Merge takes in what another node, or the store, knows, and reports whether that was news.
 func (g *Guard) Merge(entries []quarantine.Entry, by string) bool {
 	if len(entries) == 0 {
--- a/internal/isolation/guard_test.go
+++ b/internal/isolation/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -163,3 +164,43 @@
 		t.Errorf("states (-want +got):\n%s", diff)
 	}
 }
+
+// TestStaleWord checks that a node which hears of no other sends a request no more that is one of few under
+// which several engines ended: what the others know of it may be a verdict.
+func TestStaleWord(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	g := testGuard(clock, func() bool { return true })
+	fresh := true
+	g.o.Fresh = func() bool { return fresh }
+	g.SetEngines(9)
+	g.SetWhole(false)
+	f := fingerprint("/a")
+	held := func() bool { return g.Held(f) != nil }
+	got := []bool{held()}
+	breakAt(t, g, "/a", "e1")
+	fresh = false
+	got = append(got, held())
+	clock.Advance(time.Second)
+	breakAt(t, g, "/a", "e2")
+	got = append(got, held())
+	fresh = true
+	got = append(got, held())
+	if diff := cmp.Diff([]bool{false, false, true, false}, got); diff != "" {
+		t.Errorf("held before any end, after one and two at a node that hears nobody, and when it hears others (-want +got):\n%s", diff)
+	}
+}
+
+// TestForgetsRuns checks that nothing is left of runs that were given up, at a node whose control side does
+// not tend the guard.
+func TestForgetsRuns(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	g := testGuard(clock, func() bool { return true })
+	for i := range 100 {
+		g.Send(fingerprint("/a"), view.Endpoint{Name: fmt.Sprint("e", i)}).Left()
+	}
+	clock.Advance(time.Hour)
+	g.Send(fingerprint("/b"), view.Endpoint{Name: "f"})
+	if n := g.tracker.Lives(); n != 1 {
+		t.Errorf("%d engines are remembered, want 1", n)
+	}
+}
--- a/internal/placer/isolation.go
+++ b/internal/placer/isolation.go
@@ -29,8 +29,6 @@
 	// verdictsWait is how long a node that knows all else waits for the verdicts that the store
 	// keeps: longer than a read takes, and not for ever.
 	verdictsWait = 3 * time.Second
-	// expireEvery is the time between two looks at what can be forgotten.
-	expireEvery = 5 * time.Second
 )
 
 // suspects is what the control side does with the node's knowledge of requests under which engines
@@ -53,8 +51,6 @@
 	keeping bool
 	// listedAt is when all else was known that a node needs; zero before.
 	listedAt time.Time
-	// expiredAt is when was last looked for what can be forgotten.
-	expiredAt time.Time
 }
 
 // keptVerdict is one verdict as the store keeps it.
@@ -100,10 +96,6 @@
 func (c *Controller) watchSuspects(now time.Time) {
 	s := &c.suspects
 	s.guard.Judge()
-	if now.Sub(s.expiredAt) >= expireEvery {
-		s.expiredAt = now
-		s.guard.Expire()
-	}
 	if s.listedAt.IsZero() && c.listed && c.table.Load() != nil {
 		s.listedAt = now
 	}
