--- a/io/peer/quarantine_test.go
+++ b/io/peer/quarantine_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"net"
 	"net/http/httptest"
 	"strings"
@@ -58,3 +59,28 @@
 		t.Errorf("entries (-want +got):\n%s", diff)
 	}
 }
+
+// FuzzExchange searches for messages of other nodes that a registry cannot take in.
+func FuzzExchange(f *testing.F) {
+	f.Add([]byte(`{"node":"n","life":"n-1","version":3,"suspects":[{"request":"00112233445566778899aabbccddeeff","epoch":1,"ageMs":5,"blames":[{"engine":"e","start":4,"ranMs":80,"begun":true,"ageMs":9}],"verdict":{"ageMs":1,"trials":2}}]}`))
+	f.Add([]byte(`{"suspects":[{"request":"zz"}]}`))
+	f.Add([]byte(`{"suspects":[{"blames":[{"engine":"e","n":-1,"ranMs":-5}]},{"epoch":4294967295}]}`))
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		w := httptest.NewRecorder()
+		h := &fakeHolder{}
+		Handler(h).ServeHTTP(w, httptest.NewRequest("POST", pathExchange, bytes.NewReader(raw)))
+		if w.Code != 200 && w.Code != 400 {
+			t.Fatalf("status %d", w.Code)
+		}
+		r := quarantine.NewRegistry(now)
+		r.Merge(Entries(h.exchange.Suspects, now), now)
+		r.Judge(now.Add(time.Minute))
+		entries, _ := r.Since(0, quarantine.All)
+		version := r.Version()
+		r.Merge(entries, now.Add(time.Minute))
+		if r.Version() != version {
+			t.Fatal("what a node knows is news to itself")
+		}
+	})
+}
