--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -7,6 +7,9 @@
 	// brokenLife is how long after a connection broke its engine's end may be confirmed, and
 	// how long after that connections break: both take milliseconds.
 	brokenLife = time.Second
+	// leftBefore is how long before its engine's end an attempt may have been given up: engines work on
+	// for some hundred milliseconds after their caller has gone.
+	leftBefore = 500 * time.Millisecond
 	// leftLife is how long after a silent attempt was given up a new start of its engine is put
 	// down to the requests of before.
 	leftLife = 10 * time.Second
@@ -147,7 +150,8 @@
 	if !run.begunAt.IsZero() {
 		from = run.begunAt
 	}
-	return Blame{End: id, Ran: max(0, at.Sub(from)), Begun: !run.begunAt.IsZero(), At: at}
+	// Whether what was given up was still there is not known: it weighs as what had not begun.
+	return Blame{End: id, Ran: max(0, at.Sub(from)), Begun: run.broke && !run.begunAt.IsZero(), At: at}
 }
 
 func (er *engineRuns) endID(l Life) EndID { return EndID{Engine: l.Engine, Start: l.Start, N: er.ends} }
@@ -177,9 +181,16 @@
 }
 
 // endsWith reports whether a run is put down to the end of its engine at a moment: its
-// connection broke just before.
+// connection broke just before, or its caller has just left.
 func (run *Run) endsWith(now time.Time) bool {
-	return run.broke && now.Sub(run.overAt) <= brokenLife
+	if run.overAt.IsZero() {
+		return false
+	}
+	life := leftBefore
+	if run.broke {
+		life = brokenLife
+	}
+	return now.Sub(run.overAt) <= life
 }
 
 // Restart notes that an engine has started again: the life before has ended. Also the
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -56,6 +56,22 @@
 			}
 			return out
 		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{0}}, {EndID{Engine: "a", Start: 7}, []int{1}}}},
+		{"what was given up just before, with less weight", func(tr *Tracker) []tracked {
+			early, late, broken := tr.Send(request(0), life, ms(0)), tr.Send(request(1), life, ms(0)), tr.Send(request(2), life, ms(0))
+			for _, run := range []*Run{early, late, broken} {
+				tr.Begin(run, ms(5))
+			}
+			tr.Leave(early, ms(100))
+			tr.Leave(late, ms(900))
+			tr.Break(broken, ms(1000))
+			id, fs, bs := tr.End(life, ms(1005))
+			for i, b := range bs {
+				if b.Begun != (fs[i] == request(2)) {
+					t.Errorf("request %v: begun is %t", numbered(fs[i:i+1]), b.Begun)
+				}
+			}
+			return []tracked{{id, numbered(fs)}}
+		}, []tracked{{EndID{Engine: "a", Start: 7}, []int{1, 2}}}},
 		{"not what has just been answered well elsewhere", func(tr *Tracker) []tracked {
 			tr.Answer(tr.Send(request(0), untold, ms(0)), true, ms(5))
 			tr.Answer(tr.Send(request(1), untold, ms(0)), false, ms(5))
