quarantine, isolation, placer, caller: large files split by job

What was moved: judging, bounds and trials of the registry; the runs of the guard; the holder's orders; the attempts of a request.

--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -1,41 +1,10 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// Bounds of what is remembered.
-const (
-	// mostRecords bounds the requests, and mostVerdicts those of them with a verdict. Suspects
-	// make way for suspects, never for them a verdict.
-	mostRecords  = 10000
-	mostVerdicts = 5000
-	// mostEndsKept bounds the ends, and mostSuspects the requests blamed for one.
-	mostEndsKept = 512
-	mostSuspects = 512
-	// mostBlames bounds the blames of one request: beyond, one more changes nothing.
-	mostBlames = 6
-	// suspectLife is how long a blame counts: a caller that sends a request again does so within
-	// its deadline or, by a program's schedule, some minutes later.
-	suspectLife = 10 * time.Minute
-	// verdictLife is how long a verdict is kept of a request that does not come any more.
-	verdictLife = 24 * time.Hour
-	// Settle is how long after the latest blame for an end all are known: connections break within
-	// milliseconds, and nodes report at once.
-	Settle = 250 * time.Millisecond
-	// Tell is how long a verdict takes from where all blames come together to the other nodes.
-	Tell = 200 * time.Millisecond
-)
-
-// trialGaps are the times from a verdict to the first trial and from one trial to the next.
-// There are no more: each may cost an engine.
-var trialGaps = []time.Duration{10 * time.Minute, time.Hour}
-
-// longestHint is when a caller may ask again where no trial is due.
-const longestHint = time.Hour
-
 // record is what is known of one request.
 type record struct {
 	request Fingerprint
@@ -179,14 +148,6 @@
 	return at
 }
 
-// trialDue returns when the next trial may begin; ok is false when there is none.
-func (rec *record) trialDue() (at time.Duration, ok bool) {
-	if int(rec.trials) >= len(trialGaps) {
-		return 0, false
-	}
-	return rec.verdictAt + trialGaps[rec.trials], true
-}
-
 // Ended notes that an engine has ended, whatever it ran.
 func (r *Registry) Ended(id EndID, now time.Time) { r.end(id, now.Sub(r.base)) }
 
@@ -202,20 +163,6 @@
 	return e
 }
 
-// boundEnds keeps the ends within their bound; the oldest go.
-func (r *Registry) boundEnds() {
-	if len(r.ends) <= mostEndsKept {
-		return
-	}
-	var oldest *end
-	for _, e := range r.ends {
-		if oldest == nil || e.at < oldest.at {
-			oldest = e
-		}
-	}
-	delete(r.ends, oldest.id)
-}
-
 // Blame notes that an engine ended under requests of this node, one blame for each, and returns those of
 // which something else is thought now.
 func (r *Registry) Blame(requests []Fingerprint, blames []Blame, now time.Time) []Fingerprint {
@@ -248,33 +195,6 @@
 	return rec
 }
 
-// roomShare is the part of the records that makes way at once, so that a flood costs little for
-// each of its requests.
-const roomShare = 16
-
-// makeRoom drops the suspects that were blamed first. A verdict never makes way for a suspect.
-func (r *Registry) makeRoom() bool {
-	var suspects []*record
-	for _, rec := range r.records {
-		if !rec.convicted {
-			suspects = append(suspects, rec)
-		}
-	}
-	slices.SortFunc(suspects, func(a, b *record) int { return cmp.Compare(a.at, b.at) })
-	for _, rec := range suspects[:min(len(suspects), mostRecords/roomShare)] {
-		r.drop(rec)
-	}
-	return len(suspects) > 0
-}
-
-// drop forgets a record.
-func (r *Registry) drop(rec *record) {
-	r.clearBlames(rec)
-	r.setConvicted(rec, false)
-	delete(r.pending, rec)
-	delete(r.records, rec.request)
-}
-
 func (r *Registry) setConvicted(rec *record, convicted bool) {
 	switch {
 	case rec.convicted == convicted:
@@ -332,128 +252,6 @@
 	return true
 }
 
-// judge weighs records anew, and all that share ends with them. A verdict explains ends for the
-// others, who are weighed again then; all that are convicted at once are convicted by
-// what was known before.
-func (r *Registry) judge(touched []*record, now time.Time) {
-	for len(touched) > 0 {
-		group := groupOf(touched)
-		r.weigh(group, now)
-		touched = nil
-		grades := make([]event, len(group))
-		for i, rec := range group {
-			grades[i] = r.grade(rec, now)
-		}
-		for i, rec := range group {
-			was := rec.convicted
-			r.apply(rec, grades[i], now)
-			if rec.convicted && !was {
-				touched = append(touched, rec)
-			}
-		}
-	}
-}
-
-// groupOf returns records with all that share ends with them.
-func groupOf(touched []*record) []*record {
-	seen := make(map[*record]bool, len(touched))
-	var group []*record
-	add := func(rec *record) {
-		if !seen[rec] {
-			seen[rec] = true
-			group = append(group, rec)
-		}
-	}
-	for _, rec := range touched {
-		add(rec)
-		for _, b := range rec.blames {
-			for _, s := range b.end.suspects {
-				add(s)
-			}
-		}
-	}
-	return group
-}
-
-// grade is what the blames of a record come to. Belief convicts nobody before all that are blamed
-// for the same ends are known: whoever is told of first would seem to be alone.
-func (r *Registry) grade(rec *record, now time.Time) event {
-	belief := sigmoid(float64(rec.odds))
-	delete(r.pending, rec)
-	switch {
-	case rec.unexplained >= mostEnds, len(rec.moments()) >= mostEndsInAll:
-		return conviction
-	case rec.unexplained == 0:
-		return explained
-	case belief >= convictAt && r.whole:
-		if rec.settledAt() <= now.Sub(r.base) {
-			return conviction
-		}
-		r.pending[rec] = true
-		return strongDoubt
-	case belief >= isolateAt, rec.unexplained > 1:
-		return strongDoubt
-	}
-	return doubt
-}
-
-// Pending reports whether Judge has something to decide once all is settled.
-func (r *Registry) Pending() bool { return len(r.pending) > 0 }
-
-// Judge convicts those whose ends have settled, and returns the requests of which something
-// else is thought now.
-func (r *Registry) Judge(now time.Time) []Fingerprint {
-	var due []*record
-	for rec := range r.pending {
-		if rec.settledAt() <= now.Sub(r.base) {
-			due = append(due, rec)
-		}
-	}
-	r.judge(due, now)
-	return r.takeMoved()
-}
-
-// takeMoved returns what was collected since the last call.
-func (r *Registry) takeMoved() []Fingerprint {
-	moved := r.moved
-	r.moved = nil
-	return moved
-}
-
-// apply changes a record's state by an event.
-func (r *Registry) apply(rec *record, ev event, now time.Time) {
-	next := transitions[rec.state][ev]
-	if next == rec.state {
-		return
-	}
-	if next.held() && !rec.convicted {
-		r.setConvicted(rec, true)
-		rec.verdictAt = now.Sub(r.base)
-		r.boundVerdicts(rec)
-	}
-	rec.state = next
-	rec.told = rec.told || next >= Isolated
-	r.moved = append(r.moved, rec.request)
-	r.changed(rec)
-}
-
-// boundVerdicts drops the verdict of the request that did not come for longest if there are
-// too many, but not that of one record.
-func (r *Registry) boundVerdicts(but *record) {
-	if r.verdicts <= mostVerdicts {
-		return
-	}
-	var oldest *record
-	for _, rec := range r.records {
-		if rec != but && rec.convicted && (oldest == nil || rec.seenAt < oldest.seenAt) {
-			oldest = rec
-		}
-	}
-	if oldest != nil {
-		r.drop(oldest)
-	}
-}
-
 // Answered notes that an engine answered a request well: what it was blamed for is void. It
 // reports whether anything was.
 func (r *Registry) Answered(f Fingerprint, now time.Time) bool {
@@ -482,50 +280,3 @@
 	r.setConvicted(rec, false)
 	rec.epoch, rec.at = epoch, at
 }
-
-// BeginTrial begins a trial of a quarantined request if one is due. The caller sees to
-// it that no other node begins one.
-func (r *Registry) BeginTrial(f Fingerprint, now time.Time) bool {
-	rec := r.records[f]
-	if rec == nil || rec.state != Quarantined {
-		return false
-	}
-	due, ok := rec.trialDue()
-	if !ok || now.Sub(r.base) < due {
-		return false
-	}
-	rec.trials++
-	rec.own = true
-	rec.verdictAt = now.Sub(r.base)
-	r.apply(rec, trialBegun, now)
-	r.takeMoved()
-	return true
-}
-
-// EndTrial notes that a trial is over. One that ended in a good answer, or ended its engine, was noted
-// as that already.
-func (r *Registry) EndTrial(f Fingerprint, now time.Time) {
-	if rec := r.records[f]; rec != nil {
-		r.apply(rec, trialOver, now)
-		r.takeMoved()
-	}
-}
-
-// Expire forgets what was not heard of for long.
-func (r *Registry) Expire(now time.Time) {
-	at := now.Sub(r.base)
-	for _, rec := range r.records {
-		life, since := suspectLife, rec.at
-		if rec.convicted {
-			life, since = verdictLife, rec.verdictAt
-		}
-		if at-max(since, rec.seenAt) > life {
-			r.drop(rec)
-		}
-	}
-	for id, e := range r.ends {
-		if at-e.at > suspectLife && len(e.suspects) == 0 {
-			delete(r.ends, id)
-		}
-	}
-}
