placer, isolation: only a node to which all blames come judges by belief

Cause: no node was ever told whether all blames come together at it, so that each judged by belief with the few suspects that it knew of; who is known of an end seemed to be one of few. Change: the holder judges by belief, and a node that hears of none; the others by the number of ends alone, and by what the holder tells. A trial that found no place is over.

--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -80,7 +80,9 @@
 func (r *Registry) SetWhole(whole bool) {
 	if whole && !r.whole {
 		for _, rec := range r.records {
-			r.pending[rec] = true
+			if len(rec.blames) > 0 {
+				r.pending[rec] = true
+			}
 		}
 	}
 	r.whole = whole
--- a/internal/isolation/guard.go
+++ b/internal/isolation/guard.go
@@ -131,6 +131,9 @@
 	return true
 }
 
+// TrialOver notes that a trial came to no run.
+func (g *Guard) TrialOver(f quarantine.Fingerprint) { g.endTrial(f) }
+
 func (g *Guard) endTrial(f quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/placer/isolation.go
+++ b/internal/placer/isolation.go
@@ -95,7 +95,7 @@
 // watchSuspects does what is due by time alone.
 func (c *Controller) watchSuspects(now time.Time) {
 	s := &c.suspects
-	s.guard.Judge()
+	c.judgeSuspects()
 	if s.listedAt.IsZero() && c.listed && c.table.Load() != nil {
 		s.listedAt = now
 	}
@@ -105,6 +105,13 @@
 	}
 }
 
+// judgeSuspects judges what is due. By belief the holder judges, to which all blames come, and a node that
+// hears of no holder: elsewhere whoever is known of an end seems to be one of few.
+func (c *Controller) judgeSuspects() {
+	c.suspects.guard.SetWhole(c.held || !c.remote.fresh)
+	c.suspects.guard.Judge()
+}
+
 // knowVerdicts notes that the verdicts which the store keeps are known.
 func (c *Controller) knowVerdicts() {
 	if !c.suspects.known.Swap(true) {
--- a/internal/placer/isolation_test.go
+++ b/internal/placer/isolation_test.go
@@ -132,3 +132,41 @@
 		t.Error("what was told is told again")
 	}
 }
+
+// TestWhoJudges checks that a node which hears of a holder leaves the judgement by belief to it, to which all blames
+// come, and judges by itself while it hears of none. A node that knew two of the eight suspects of an end convicted
+// proper requests: alone, each seemed to be the one.
+func TestWhoJudges(t *testing.T) {
+	tests := []struct {
+		name           string
+		holds, hearsOf bool
+		want           quarantine.State
+	}{
+		{"the holder", true, false, quarantine.Quarantined},
+		{"a node with a holder", false, true, quarantine.Isolated},
+		{"a node without one", false, false, quarantine.Quarantined},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			c := suspectNodes(clock, "n").nodes["n"]
+			c.suspects.guard.SetEngines(9)
+			c.held, c.remote.fresh = tt.holds, tt.hearsOf
+			c.judgeSuspects()
+			f := quarantine.Fingerprint{1}
+			blame(c, f, "e1", "e2")
+			clock.Advance(time.Minute)
+			c.judgeSuspects()
+			if diff := cmp.Diff(tt.want.String(), c.suspects.guard.State(f).String()); diff != "" {
+				t.Errorf("after two ends (-want +got):\n%s", diff)
+			}
+			if tt.hearsOf {
+				c.remote.fresh = false
+				c.judgeSuspects()
+				if got := c.suspects.guard.State(f); got != quarantine.Quarantined {
+					t.Errorf("%v once the holder is lost, want quarantined", got)
+				}
+			}
+		})
+	}
+}
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -27,6 +27,12 @@
 func (s *Server) attempts(ctx context.Context, x *Exchange, do try) error {
 	ask := newAsk(x)
 	defer x.dropNext()
+	defer func() {
+		if x.trial {
+			// It may have found no place.
+			s.Isolation.TrialOver(x.Fingerprint)
+		}
+	}()
 	var n tries
 	for {
 		slot, err := s.nextPlace(ctx, x, &ask)
