isolation, endpoint: one way to end a trial, one version that others ask for, one listener of the tests

Cause, from a second reading: TrialOver only called endTrial; Version returned a value that no caller used; two servers of the endpoint's tests had the same accept loop. Change: one function each. No behaviour, bound or assertion changed.

--- a/internal/isolation/guard.go
+++ b/internal/isolation/guard.go
@@ -122,7 +122,7 @@
 	if g.o.Claim != nil {
 		if err := g.o.Claim(ctx, entry); err != nil {
 			g.o.Logger.Info("trial of a quarantined request not begun", "fingerprint", f.String(), "error", err.Error())
-			g.endTrial(f)
+			g.TrialOver(f)
 			return false
 		}
 	}
@@ -131,10 +131,9 @@
 	return true
 }
 
-// TrialOver notes that a trial came to no run.
-func (g *Guard) TrialOver(f quarantine.Fingerprint) { g.endTrial(f) }
-
-func (g *Guard) endTrial(f quarantine.Fingerprint) {
+// TrialOver notes that a trial of a request is over, or came to no run. For a request that is not on trial
+// it does nothing.
+func (g *Guard) TrialOver(f quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.registry.EndTrial(f, g.o.Clock.Now())
@@ -278,11 +277,11 @@
 	return g.registry.Since(version, scope)
 }
 
-// Version rises with each change; told is that of the latest change that concerns other nodes.
-func (g *Guard) Version() (all, told uint64) {
+// ToldVersion rises with each change that concerns other nodes.
+func (g *Guard) ToldVersion() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.Version(), g.registry.ToldVersion()
+	return g.registry.ToldVersion()
 }
 
 // List returns what is thought of all requests that are known.
--- a/internal/isolation/run.go
+++ b/internal/isolation/run.go
@@ -72,7 +72,7 @@
 		g.o.Logger.Info("request cleared by a good answer", "fingerprint", r.request.String(), "engine", r.life.Engine)
 		g.o.Changed()
 	}
-	g.endTrial(r.request)
+	g.TrialOver(r.request)
 }
 
 // NotSent notes that nothing of the request reached the endpoint: no end of it is blamed on the request.
@@ -86,7 +86,7 @@
 	r.g.mu.Lock()
 	r.g.tracker.Drop(r.run)
 	r.g.mu.Unlock()
-	r.g.endTrial(r.request)
+	r.g.TrialOver(r.request)
 }
 
 // Left notes that the attempt was given up without an answer.
@@ -98,7 +98,7 @@
 	r.g.mu.Lock()
 	r.g.tracker.Leave(r.run, r.g.o.Clock.Now())
 	r.g.mu.Unlock()
-	r.g.endTrial(r.request)
+	r.g.TrialOver(r.request)
 }
 
 // Broke notes that the connection broke, finds out whether the engine has ended, and
@@ -109,7 +109,7 @@
 	}
 	r.over = true
 	g := r.g
-	defer g.endTrial(r.request)
+	defer g.TrialOver(r.request)
 	g.mu.Lock()
 	now := g.o.Clock.Now()
 	if blame, known := g.tracker.Break(r.run, now); known {
--- a/internal/placer/isolation.go
+++ b/internal/placer/isolation.go
@@ -76,8 +76,7 @@
 
 // showSuspects wakes the nodes that wait for news of the holder, if there is some.
 func (c *Controller) showSuspects() {
-	_, told := c.suspects.guard.Version()
-	c.holder.setSuspects(told)
+	c.holder.setSuspects(c.suspects.guard.ToldVersion())
 }
 
 // SuspectsFresh reports whether the others' word on requests is not too old.
@@ -247,7 +246,7 @@
 // keepVerdicts has the holder bring the store up to date.
 func (c *Controller) keepVerdicts(ctx context.Context, now time.Time) {
 	s := &c.suspects
-	_, told := s.guard.Version()
+	told := s.guard.ToldVersion()
 	if !c.held || s.keeping || told <= s.keptTo || now.Before(s.keepAt) || !s.known.Load() {
 		return
 	}
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -20,32 +20,40 @@
 
 const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Type: text/plain\r\n\r\nok"
 
-// cutServer reads up to readMost bytes of each request, then writes the first
-// writeMost bytes of the answer and cuts the connection. It counts the requests
-// of which any byte arrived.
-type cutServer struct {
-	l                   net.Listener
-	readMost, writeMost int
-	requests            atomic.Int64
-}
-
-func newCutServer(t *testing.T, readMost, writeMost int) *cutServer {
+// serveEach listens on a free port until the test ends, and serves each connection on a goroutine of
+// its own.
+func serveEach(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &cutServer{l: l, readMost: readMost, writeMost: writeMost}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
+	return l
+}
+
+// cutServer reads up to readMost bytes of each request, then writes the first
+// writeMost bytes of the answer and cuts the connection. It counts the requests
+// of which any byte arrived.
+type cutServer struct {
+	l                   net.Listener
+	readMost, writeMost int
+	requests            atomic.Int64
+}
+
+func newCutServer(t *testing.T, readMost, writeMost int) *cutServer {
+	t.Helper()
+	s := &cutServer{readMost: readMost, writeMost: writeMost}
+	s.l = serveEach(t, s.serve)
 	return s
 }
 
@@ -196,21 +204,8 @@
 
 func newKeptServer(t *testing.T) *keptServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	s := &keptServer{l: l}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	s := &keptServer{}
+	s.l = serveEach(t, s.serve)
 	return s
 }
 
