retry, placer: a node's part of the retries is a value of its own, and each change of it a line

Cause: no line or metric tells the hypotheses of the incident apart: the reserve for retries in force at each node, and how old the configuration was by which a route is unknown.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -110,12 +110,6 @@
 	cutReserve  = 600 * time.Millisecond
 	waitReserve = 1500 * time.Millisecond
 	drainPoll   = 10 * time.Millisecond
-	// retryShare is the part of the platform's retry bound that nodes use, since
-	// each knows its own part only.
-	retryShare = 0.7
-	// assumedNodes is how many nodes share the retry bound until the holder tells:
-	// more than on the deployments known, since all of them may start at once.
-	assumedNodes = 100
 )
 
 // Node is one running node.
@@ -211,11 +205,10 @@
 		Claim:   func(ctx context.Context, e quarantine.Entry) error { return n.control.ClaimTrial(ctx, e) },
 	})
 	n.traffic = traffic.New(n.clock, s.Hall, queue.Limits{Items: queueItems, Bytes: queueBytes}, hooks)
-	n.limitRetries(assumedNodes)
 	n.control = placer.New(placer.Options{
 		Self:  lease.Record{Holder: s.Name, Life: life, Address: s.PeerAddress},
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
-		Peers: peers, Dispatcher: n.traffic, Isolation: n.isolation, Limits: s.Loads, Nodes: n.limitRetries,
+		Peers: peers, Dispatcher: n.traffic, Isolation: n.isolation, Limits: s.Loads, Retries: s.Retries,
 		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Strength: s.Cores * s.LinkMbps, Bound: s.Bound, Fenced: s.Fenced, Tolerance: s.Tolerance,
 		Own: []string{s.CallerAddress, s.ReadyAddress, s.PeerAddress, s.MetricsAddress},
 	})
@@ -242,14 +235,6 @@
 	return time.Duration(max(0, 1-cores)*float64(weakDelay)) + spread
 }
 
-// limitRetries gives this node its part of what all may send again.
-func (n *Node) limitRetries(nodes int) {
-	l := n.s.Retries
-	l.Share *= retryShare
-	l.Reserve = max(1, l.Reserve*retryShare/float64(nodes))
-	n.traffic.LimitRetries(l)
-}
-
 // serve answers HTTP at an address.
 func (n *Node) serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -14,6 +14,7 @@
 	"olivetiller/core/logstore"
 	"olivetiller/core/placement"
 	"olivetiller/core/quota"
+	"olivetiller/core/retry"
 	"olivetiller/core/route"
 	"olivetiller/core/view"
 	"olivetiller/internal/inbox"
@@ -78,8 +79,8 @@
 	// Own are the addresses at which this node itself listens: an entry that names one of
 	// them would have it pass requests to itself.
 	Own []string
-	// Nodes is called when the number of nodes that share the traffic changes.
-	Nodes func(n int)
+	// Retries bound what all nodes together may send again.
+	Retries retry.Limits
 }
 
 // Times of the controller.
@@ -179,8 +180,11 @@
 	planAt  time.Time
 	planDue bool
 	// peers is how many nodes share the traffic, as far as is known.
-	peers    int
-	suspects suspects
+	peers int
+	// allowance is this node's part of the retries, and retries what of it is in force.
+	allowance *retry.Allowance
+	retries   retry.Limits
+	suspects  suspects
 }
 
 type missKey struct{ engine, pool string }
@@ -196,6 +200,8 @@
 	c.credits.init(o.Self.Life, o.Tolerance)
 	c.suspects.init(&c.o)
 	c.leaseDoubt.Store(true)
+	c.allowance = retry.NewAllowance(o.Retries, o.Clock.Now())
+	c.limitRetries(o.Clock.Now())
 	c.view.Store(&view.View{})
 	return c
 }
@@ -266,6 +272,7 @@
 		c.forgetNodes(now)
 	}
 	c.watchSuspects(now)
+	c.limitRetries(now)
 	for k, until := range c.misses {
 		if now.After(until) {
 			delete(c.misses, k)
--- a/internal/placer/followers.go
+++ b/internal/placer/followers.go
@@ -65,7 +65,7 @@
 			delete(c.nodes, n)
 		}
 	}
-	c.setNodes(len(c.nodes) + 1)
+	c.setNodes(len(c.nodes)+1, now)
 	peers := c.addresses()
 	c.lookup.learn(peers)
 	c.holder.setPeers(peers)
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -123,7 +123,7 @@
 	for pool, ms := range s.ReadyInMs {
 		r.readyAt[pool] = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	c.setNodes(s.Nodes)
+	c.setNodes(s.Nodes, now)
 	c.lookup.learn(s.Peers)
 	c.succeed(s.Successor)
 	c.hearSuspects(s, now)
@@ -142,6 +142,15 @@
 	return m != nil && !c.leading.Load() && c.o.Clock.Now().Sub(m.at) <= c.pace.feedFresh
 }
 
+// shownFeedAge returns how old what the holder relays is in milliseconds, for metrics.
+func (c *Controller) shownFeedAge() int64 {
+	m := c.fed.Load()
+	if m == nil {
+		return -1
+	}
+	return c.o.Clock.Now().Sub(m.at).Milliseconds()
+}
+
 // feed takes over what the holder read of the store.
 func (c *Controller) feed(s *peer.Snapshot, now time.Time, m heardFrom) {
 	if s.Lease.Holder != "" {
@@ -195,14 +204,25 @@
 	c.fed.Store(&fedMark{at: now.Add(-m.onTheWay - time.Duration(s.AgeMs)*time.Millisecond)})
 }
 
-func (c *Controller) setNodes(n int) {
-	if n == c.peers {
+// setNodes notes how many nodes share the traffic, by the holder of the lease.
+func (c *Controller) setNodes(n int, now time.Time) {
+	if n <= 0 {
 		return
 	}
 	c.peers = n
-	if c.o.Nodes != nil && n > 0 {
-		c.o.Nodes(n)
+	c.allowance.Heard(n, now)
+	c.limitRetries(now)
+}
+
+// limitRetries puts this node's part of the retries in force.
+func (c *Controller) limitRetries(now time.Time) {
+	l := c.allowance.Limits(now)
+	if l == c.retries {
+		return
 	}
+	c.retries = l
+	c.o.Dispatcher.LimitRetries(l)
+	c.o.Logger.Info("retry limits in force", "reserve", l.Reserve, "share", l.Share, "nodes", c.allowance.Nodes(now), "nodesTold", c.peers)
 }
 
 // WakeDemand asks for a report at once; it may be called from any goroutine.
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -26,13 +26,15 @@
 	Waiting      int   `json:"waiting"`
 	Running      int   `json:"running"`
 	WaitingBytes int64 `json:"waitingBytes"`
+	// RetryReserve is what this node may retry in a window beyond its share of first attempts.
+	RetryReserve float64 `json:"retryReserve"`
 }
 
 // Totals returns the work of all pools.
 func (d *Dispatcher) Totals() Totals {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var t Totals
+	t := Totals{RetryReserve: d.retries.Reserve}
 	for _, p := range d.pools {
 		t.Waiting += p.queue.Len()
 		t.Running += p.running
