retry, placer: the reserve for retries is divided by the largest count told lately, and a new process has none of it for a window

Cause: all nodes divided the reserve by a count of which nobody was sure. A new holder told 'one node' until reports came in, and each node took the whole; one cut off from many told too few; a process that started again had spent nothing by its own count; below one a part was rounded up, so that 300 nodes had 300. Ruled out: retries that nobody counts (every second sending spends, by reading of Acquire and Switch).

Change: Allowance divides by the largest count told within 5 minutes, at least 3; a node has its part once it was told counts for a window, and gives it up after 30 s without a word. The holder tells the count by which it divides itself.

Cost: after nodes are taken away for good the others use less than they might for 5 minutes; a new process has its share of first attempts only for 10 s.

--- a/core/retry/allowance_test.go
+++ b/core/retry/allowance_test.go
@@ -5,6 +5,9 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
 const (
@@ -38,6 +41,8 @@
 	// sent are the moments of the latest retries, at most one window old.
 	sent  []time.Time
 	worst int
+	// plant spoils the nodes before each step; nil for nothing.
+	plant func(s *sim)
 }
 
 func newSim(nodes int, all Limits, seed uint64) *sim {
@@ -53,7 +58,7 @@
 
 // restart starts the process of a node anew.
 func (s *sim) restart(i int) {
-	s.nodes[i] = &simNode{allowance: NewAllowance(s.all, s.now), budget: NewBudget(Limits{}), heard: make(map[int]time.Time), reportAt: s.now.Add(s.soon())}
+	s.nodes[i] = &simNode{allowance: NewAllowance(s.all), budget: NewBudget(Limits{}), heard: make(map[int]time.Time), reportAt: s.now.Add(s.soon())}
 }
 
 // hold makes a node the holder, which has heard of nobody.
@@ -69,6 +74,9 @@
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(simStep) {
 		s.report()
 		s.tell()
+		if s.plant != nil {
+			s.plant(s)
+		}
 		s.retry()
 	}
 }
@@ -85,16 +93,17 @@
 }
 
 func (s *sim) tell() {
-	h := s.nodes[s.holder]
-	count := 1
+	h, count := s.nodes[s.holder], 1
 	for _, at := range h.heard {
 		if s.now.Sub(at) <= heardLife {
 			count++
 		}
 	}
+	h.allowance.Heard(count, s.now)
+	told := h.allowance.Nodes(s.now)
 	for i, n := range s.nodes {
-		if i == s.holder || !s.cut[i] && !s.cut[s.holder] {
-			n.allowance.Heard(count, s.now)
+		if i != s.holder && !s.cut[i] && !s.cut[s.holder] {
+			n.allowance.Heard(told, s.now)
 		}
 	}
 }
@@ -113,6 +122,23 @@
 	s.worst = max(s.worst, len(s.sent))
 }
 
+// playDrawn has the holder change and nodes start again, be cut off and reached again, in series.
+func playDrawn(s *sim) {
+	for range 60 {
+		switch i := s.r.IntN(len(s.nodes)); s.r.IntN(4) {
+		case 0:
+			s.hold(i)
+		case 1:
+			s.restart(i)
+		case 2:
+			s.cut[i] = true
+		case 3:
+			clear(s.cut)
+		}
+		s.run(time.Duration(s.r.Int64N(int64(3 * time.Second))))
+	}
+}
+
 // TestReserveOfAllNodes checks that nodes which retry all they may keep the bound on all nodes
 // together, while the holder of the lease changes, nodes are cut off, start again and join.
 func TestReserveOfAllNodes(t *testing.T) {
@@ -134,7 +160,7 @@
 				s.cut[i] = i%2 == 0
 			}
 			s.hold(1)
-			s.run(100 * time.Second)
+			s.run(partLife + countLife + 30*time.Second)
 			clear(s.cut)
 			s.run(5 * time.Second)
 		}},
@@ -174,21 +200,7 @@
 			s.hold(1)
 			s.run(15 * time.Second)
 		}},
-		{"drawn", func(s *sim) {
-			for range 60 {
-				switch i := s.r.IntN(len(s.nodes)); s.r.IntN(4) {
-				case 0:
-					s.hold(i)
-				case 1:
-					s.restart(i)
-				case 2:
-					s.cut[i] = true
-				case 3:
-					clear(s.cut)
-				}
-				s.run(time.Duration(s.r.Int64N(int64(3 * time.Second))))
-			}
-		}},
+		{"drawn", playDrawn},
 	}
 	for _, nodes := range []int{9, 71, 300} {
 		for _, load := range loads {
@@ -204,3 +216,82 @@
 		}
 	}
 }
+
+// TestReserveFaultsFound checks that the drawn load finds nodes that divide the reserve wrongly.
+func TestReserveFaultsFound(t *testing.T) {
+	faults := []struct {
+		name  string
+		plant func(s *sim)
+	}{
+		{"a count counts alone, not the largest told lately", func(s *sim) {
+			for _, n := range s.nodes {
+				if len(n.allowance.counts) > 1 {
+					n.allowance.counts = n.allowance.counts[len(n.allowance.counts)-1:]
+				}
+			}
+		}},
+		{"a new process has its part at once", func(s *sim) {
+			for _, n := range s.nodes {
+				n.allowance.ready = true
+			}
+		}},
+		{"a node that is not told keeps its part", func(s *sim) {
+			for i, n := range s.nodes {
+				if s.cut[i] {
+					n.allowance.counts, n.allowance.toldAt, n.allowance.ready = []toldCount{{1, s.now}}, s.now, true
+				}
+			}
+		}},
+	}
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				s := newSim(9, Limits{Reserve: 180, Window: 10 * time.Second}, seed)
+				s.plant = f.plant
+				playDrawn(s)
+				if s.worst > 180 {
+					return
+				}
+			}
+			t.Error("20 seeds kept the bound")
+		})
+	}
+}
+
+// TestAllowance checks a node's part of a reserve of 90 by what it was told.
+func TestAllowance(t *testing.T) {
+	type told struct {
+		nodes int
+		at    time.Duration
+	}
+	// Told by one holder without a pause.
+	steady := []told{{9, 0}, {9, 10 * time.Second}, {9, 35 * time.Second}}
+	tests := []struct {
+		name string
+		told []told
+		at   time.Duration
+		want float64
+	}{
+		{"never told", nil, time.Hour, 0},
+		{"for less than a window", []told{{9, 0}, {9, 9 * time.Second}}, 9 * time.Second, 0},
+		{"for a window", []told{{9, 0}, {9, 10 * time.Second}}, 10 * time.Second, 7},
+		{"a new holder that heard of nobody", append(steady[:2:2], told{1, 11 * time.Second}), 11 * time.Second, 7},
+		{"more nodes", append(steady[:2:2], told{18, 11 * time.Second}), 11 * time.Second, 3.5},
+		{"no word for a while", steady[:2], 40 * time.Second, 7},
+		{"no word for long", steady[:2], 41 * time.Second, 0},
+		{"a word after long", append(steady[:2:2], told{9, 50 * time.Second}), 50 * time.Second, 0},
+		{"few nodes for a while", append(steady[:3:3], told{3, 60 * time.Second}, told{3, 80 * time.Second}), 90 * time.Second, 7},
+		{"few nodes for long", append(steady[:3:3], told{3, 336 * time.Second}, told{3, 350 * time.Second}), 360 * time.Second, 21},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := NewAllowance(Limits{Share: 0.2, Reserve: 90, Window: 10 * time.Second})
+			for _, h := range tt.told {
+				a.Heard(h.nodes, start.Add(h.at))
+			}
+			if diff := cmp.Diff(tt.want, a.Limits(start.Add(tt.at)).Reserve, cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+				t.Errorf("reserve (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -54,10 +54,10 @@
 func (b *board) init() { b.watchers = make(map[*watcher]bool) }
 
 // begin shows a new holder's board, on which no engine serves anything yet.
-func (b *board) begin(life string, fence uint64, records []directory.Record, listedTo uint64) {
+func (b *board) begin(life string, fence uint64, nodes int, records []directory.Record, listedTo uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.life, b.fence, b.nodes, b.peers = life, fence, 1, nil
+	b.life, b.fence, b.nodes, b.peers = life, fence, nodes, nil
 	b.serving, b.goneAt, b.readyAt = make(map[string]shown), make(map[string]uint64), nil
 	b.feed.takers, b.feed.takersVersion = nil, 0
 	b.interest, b.feed.instances = make(map[string]map[string]bool), make(map[string]shownInstance)
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -200,7 +200,7 @@
 	c.credits.init(o.Self.Life, o.Tolerance)
 	c.suspects.init(&c.o)
 	c.leaseDoubt.Store(true)
-	c.allowance = retry.NewAllowance(o.Retries, o.Clock.Now())
+	c.allowance = retry.NewAllowance(o.Retries)
 	c.limitRetries(o.Clock.Now())
 	c.view.Store(&view.View{})
 	return c
@@ -347,7 +347,8 @@
 			// First: nodes take the age of the configuration for that of the one shown.
 			c.holder.showConfig(t.Config)
 		}
-		c.holder.begin(c.o.Self.Life, fence, c.directory.Records(now), c.listedTo)
+		c.setNodes(len(c.nodes)+1, now)
+		c.holder.begin(c.o.Self.Life, fence, c.allowance.Nodes(now), c.directory.Records(now), c.listedTo)
 		c.holder.showLease(holder, c.lease.End()-1)
 	} else {
 		c.o.Logger.Info("lease lost", "holder", holder.Holder, "fence", fence, "why", why)
--- a/internal/placer/isolation_test.go
+++ b/internal/placer/isolation_test.go
@@ -116,7 +116,7 @@
 	}
 	r := &peer.Report{Node: "n"}
 	n.reportSuspects(r, "h-1", clock.Now())
-	h.holder.begin("h-1", 1, nil, 0)
+	h.holder.begin("h-1", 1, 1, nil, 0)
 	if err := h.Reported(r); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/placer/ordering.go
+++ b/internal/placer/ordering.go
@@ -34,7 +34,7 @@
 		}
 	}
 	c.noteStoreLoads()
-	if c.holder.update(c.planner, len(c.nodes)+1, now) {
+	if c.holder.update(c.planner, c.allowance.Nodes(now), now) {
 		c.stale = true
 	}
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -165,7 +165,7 @@
 	now := clockwork.NewFakeClock().Now()
 	var b board
 	b.init()
-	b.begin("a-1", 5, []directory.Record{{ID: "e", Version: 3, Instance: instance("e")}}, 9)
+	b.begin("a-1", 5, 1, []directory.Record{{ID: "e", Version: 3, Instance: instance("e")}}, 9)
 	s, urgent, ok := b.snapshot(peer.Question{Node: "n"}, now)
 	if !ok || !urgent || len(s.Instances) != 1 || s.ListedTo != 9 {
 		t.Fatalf("first snapshot = %+v, %t, %t; want the endpoint, urgent", s, urgent, ok)
