retry, traffic: a retry counts from when it is sent

Cause: a retry was charged when it began to wait for a place, and left the window while it still waited: after a model came back, those that had waited arrived beside a whole window of new ones. One that was never sent stayed charged.

Ruled out: that the window itself leaks (TestBudgetHolds).

Change: Budget.Hold, Sent, Drop; the dispatcher holds a retry while it waits.

Evidence: TestRetryThatWaitedCounts red before (refused with nothing sent; allowed 9 s after one that was sent), green after.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -18,8 +18,10 @@
 // allows. It is not safe for concurrent use.
 type Budget struct {
 	limits Limits
-	// firsts are the first attempts, spent the retries.
+	// firsts are the first attempts, spent the retries that were sent.
 	firsts, spent counts
+	// held counts the retries that wait for a place.
+	held int
 }
 
 // spendable is the least that pays for one retry; it leaves room for the error
@@ -38,18 +40,37 @@
 // Left returns how many retries may be made now.
 func (b *Budget) Left(now time.Time) float64 {
 	earned := b.limits.Share * float64(b.firsts.sum(now, b.limits.Window))
-	return earned + b.limits.Reserve - float64(b.spent.sum(now, b.limits.Window))
+	return earned + b.limits.Reserve - float64(b.spent.sum(now, b.limits.Window)+b.held)
 }
 
-// Spend takes one retry, or reports false when the budget is used up.
+// Spend takes one retry that is sent at once, or reports false when the budget is used up.
 func (b *Budget) Spend(now time.Time) bool {
+	if !b.Hold(now) {
+		return false
+	}
+	b.Sent(now)
+	return true
+}
+
+// Hold takes one retry that is not sent yet, or reports false when the budget is used up. Sent
+// or Drop must follow.
+func (b *Budget) Hold(now time.Time) bool {
 	if b.Left(now) < spendable {
 		return false
 	}
-	b.spent.add(now, b.limits.Window)
+	b.held++
 	return true
 }
 
+// Sent notes that a retry held is sent: it counts to the window from now on.
+func (b *Budget) Sent(now time.Time) {
+	b.held--
+	b.spent.add(now, b.limits.Window)
+}
+
+// Drop gives a retry held back that was not sent.
+func (b *Budget) Drop() { b.held-- }
+
 // countSpans is into how many spans the window of a count is divided: what is counted
 // leaves it one span at a time.
 const countSpans = 20
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -86,10 +86,31 @@
 	start := d.clock.Now()
 	d.mu.Lock()
 	p := d.pool(name)
-	if err := p.admit(a, d.budget(p, a.Budget), start); err != nil {
+	b := d.budget(p, a.Budget)
+	if err := p.admit(a, b, start); err != nil {
 		d.mu.Unlock()
 		return nil, err
 	}
+	s, err := d.admitted(ctx, p, a, start)
+	if a.Retry {
+		d.settleRetry(b, err == nil)
+	}
+	return s, err
+}
+
+// settleRetry counts a retry that was held: as of now if it is sent, else not at all.
+func (d *Dispatcher) settleRetry(b *retry.Budget, sent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if sent {
+		b.Sent(d.clock.Now())
+		return
+	}
+	b.Drop()
+}
+
+// admitted waits for a place. It is called with the lock, and gives it back.
+func (d *Dispatcher) admitted(ctx context.Context, p *pool, a Ask, start time.Time) (*Slot, error) {
 	cold := len(p.endpoints) == 0
 	if p.queue.Len() == 0 {
 		if pl, ok := p.pick(start, d.hall, &a); ok {
--- a/internal/traffic/dispatcher_test.go
+++ b/internal/traffic/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -170,6 +171,41 @@
 	}
 }
 
+// TestRetryThatWaitedCounts checks that a retry counts from when it is sent, and not at all if it
+// never is.
+func TestRetryThatWaitedCounts(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := newDispatcher(clock)
+	d.LimitRetries(retry.Limits{Reserve: 1, Window: 10 * time.Second})
+	again := Ask{Deadline: clock.Now().Add(time.Hour), Retry: true, Budget: "s"}
+	waits := func(a Ask) <-chan error {
+		done := acquire(d, "a", a)
+		for d.Totals().Waiting == 0 && len(done) == 0 {
+			runtime.Gosched()
+		}
+		return done
+	}
+	soon := again
+	soon.Deadline = clock.Now().Add(time.Second)
+	done := waits(soon)
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(time.Second)
+	got := []refusal.Kind{kind(<-done).Kind}
+	done = waits(again)
+	clock.Advance(8 * time.Second)
+	d.Update(&view.View{Endpoints: map[string][]view.Endpoint{"a": {{Name: "e", Concurrency: 9}}}}, nil)
+	got = append(got, kind(<-done).Kind)
+	clock.Advance(9 * time.Second)
+	got = append(got, kind(<-acquire(d, "a", again)).Kind)
+	clock.Advance(2 * time.Second)
+	got = append(got, kind(<-acquire(d, "a", again)).Kind)
+	if diff := cmp.Diff([]refusal.Kind{refusal.WaitedTooLong, "", refusal.NoEndpoint, ""}, got); diff != "" {
+		t.Errorf("refusals: never sent, sent after 8 s, 9 s after that, 11 s after it (-want +got):\n%s", diff)
+	}
+}
+
 // TestSwitch checks when a request is taken by another endpoint, and that the retry
 // budget pays only then.
 func TestSwitch(t *testing.T) {
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -53,7 +53,7 @@
 // admit refuses what cannot make its deadline.
 func (p *pool) admit(a Ask, budget *retry.Budget, now time.Time) error {
 	if a.Retry {
-		if !budget.Spend(now) {
+		if !budget.Hold(now) {
 			return refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p.name)
 		}
 		return nil
