--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -13,6 +13,7 @@
 	"olivetiller/core/lease"
 	"olivetiller/core/logstore"
 	"olivetiller/core/queue"
+	"olivetiller/core/route"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
 )
@@ -259,3 +260,25 @@
 		t.Error("the store answered a later call, and counts as away")
 	}
 }
+
+// TestUnreadableRelayedConfig checks that a node which cannot use the configuration that the
+// holder relays does not count as fed, and reads the store itself.
+func TestUnreadableRelayedConfig(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	broken := &route.Config{Version: 2, Routes: []route.Route{{Name: "r", Services: []route.Share{{Service: "of no service", Weight: 1}}}}}
+	if _, err := route.New(broken); err == nil {
+		t.Fatal("the configuration can be used")
+	}
+	c := newController(clock)
+	var got []bool
+	for _, cfg := range []*route.Config{nil, broken} {
+		clock.Advance(time.Minute)
+		s := &peer.Snapshot{Life: "b-1"}
+		s.Config = cfg
+		heardFrom{s: s, made: clock.Now()}.handle(c)
+		got = append(got, c.isFed())
+	}
+	if diff := cmp.Diff([]bool{true, false}, got); diff != "" {
+		t.Errorf("fed by none, by a broken one (-want +got):\n%s", diff)
+	}
+}
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -197,7 +197,11 @@
 		c.planner.SetEngines(c.directory.Live(now), now)
 		c.stale = true
 	}
-	if s.ConfigAgeMs != nil && whole {
+	if !whole {
+		// Not fed: this node reads the configuration itself.
+		return
+	}
+	if s.ConfigAgeMs != nil {
 		c.confirmConfig(m.made.Add(-time.Duration(*s.ConfigAgeMs) * time.Millisecond))
 	}
 	// From now, as the times of pace were found; keys hang on the moment above, which is stricter.
