placer: a page short of the log's end does not count as read to the end

Cause: the age that a holder tells of the configuration was that of handling a page, whatever the page held. Found by reading for the incident's class; pages are short of the end where a configuration is added while the page before it is sent, so that the next read follows at once: no run showed it.

Change: a page counts if it reaches the end. Not changed: the age is still taken when the page is handled, not when it was asked for (by which feedFresh was found); keys and routes hang on the stricter moment.

Evidence: TestReadShortOfEnd red before, green after.

--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -282,3 +282,23 @@
 		t.Errorf("fed by none, by a broken one (-want +got):\n%s", diff)
 	}
 }
+
+// TestReadShortOfEnd checks that what the holder relays counts as read only by pages that reach
+// the end of the log.
+func TestReadShortOfEnd(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newController(clock)
+	c.holder.begin("a-1", 1, 1, nil, 0)
+	c.holder.instancesRead(clock.Now())
+	var got []int64
+	for _, end := range []uint64{4, 9} {
+		configs{logstore.Page[logstore.Config]{Next: 4, End: end}, clock.Now()}.handle(c)
+		c.holder.instancesRead(clock.Now())
+		s, _, _ := c.holder.snapshot(peer.Question{}, clock.Now())
+		got = append(got, s.AgeMs)
+		clock.Advance(time.Second)
+	}
+	if diff := cmp.Diff([]int64{0, 1000}, got); diff != "" {
+		t.Errorf("ages after a page up to the end, and one short of it (-want +got):\n%s", diff)
+	}
+}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -277,7 +277,9 @@
 	if c.showsNewest(m) {
 		c.confirmConfig(m.asked)
 	}
-	c.holder.configRead(c.o.Clock.Now())
+	if m.page.Next >= m.page.End {
+		c.holder.configRead(c.o.Clock.Now())
+	}
 }
 
 // configure puts a configuration in force unless a newer one is.
