quarantine, isolation, placer, peer: copies of an isolated request run one after the other over all nodes

Cause: an isolated request runs apart from others, but its copies ran together.

Change: Turns, one at each node and one at the holder, gives an isolated request's copies turns of 3 s at most; after a run that did not end well the next waits for Settle and Tell. A copy waits 500 ms with its place, then is told to come back. A node that gets no answer gives turns by itself.

--- /dev/null
+++ b/core/quarantine/turns_test.go
@@ -0,0 +1,80 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestTurns checks when the next copy of a request may run.
+func TestTurns(t *testing.T) {
+	f, g, now := Fingerprint{1}, Fingerprint{2}, time.Unix(1000, 0)
+	type step struct {
+		what  string
+		after time.Duration
+		do    func(t *Turns, now time.Time) time.Duration
+		want  time.Duration
+	}
+	take := func(f Fingerprint, by string) func(*Turns, time.Time) time.Duration {
+		return func(t *Turns, now time.Time) time.Duration { return t.Take(f, by, now) }
+	}
+	release := func(by string, well bool) func(*Turns, time.Time) time.Duration {
+		return func(t *Turns, now time.Time) time.Duration { t.Release(f, by, well, now); return 0 }
+	}
+	turns := NewTurns()
+	for _, s := range []step{
+		{"the first", 0, take(f, "a"), 0},
+		{"another request", 0, take(g, "b"), 0},
+		{"a copy meanwhile", time.Second, take(f, "b"), turnLife - time.Second},
+		{"the first was answered", 0, release("a", true), 0},
+		{"a copy after it", 0, take(f, "b"), 0},
+		{"its engine ended", time.Second, release("b", false), 0},
+		{"a copy right after that", 0, take(f, "c"), turnPause},
+		{"a copy after what that came to is known", turnPause, take(f, "c"), 0},
+		{"it takes long", turnLife, take(f, "d"), 0},
+		{"and ends in another's turn", 0, release("c", true), 0},
+		{"a copy in that turn", 0, take(f, "e"), turnLife},
+	} {
+		now = now.Add(s.after)
+		if diff := cmp.Diff(s.want, s.do(turns, now)); diff != "" {
+			t.Errorf("%s: time to wait (-want +got):\n%s", s.what, diff)
+		}
+	}
+}
+
+// TestOneCopyAtATime checks that within the life of a turn no two copies of a request run.
+func TestOneCopyAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		turns, now := NewTurns(), time.Unix(1000, 0)
+		running := make(map[Fingerprint]time.Time)
+		for i := range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			f := Fingerprint{byte(rapid.IntRange(0, 3).Draw(t, "request"))}
+			since, ok := running[f]
+			switch {
+			case ok && rapid.Bool().Draw(t, "ends"):
+				turns.Release(f, since.String(), rapid.Bool().Draw(t, "well"), now)
+				delete(running, f)
+			case turns.Take(f, now.String(), now) > 0:
+			case ok && now.Sub(since) < turnLife:
+				t.Fatalf("step %d: a second copy runs %v after the first", i, now.Sub(since))
+			default:
+				running[f] = now
+			}
+		}
+	})
+}
+
+// TestTurnsForgotten checks that turns that are over make way.
+func TestTurnsForgotten(t *testing.T) {
+	turns, now := NewTurns(), time.Unix(1000, 0)
+	for i := range 2 * mostTurns {
+		now = now.Add(turnLife / mostTurns)
+		turns.Take(Fingerprint{byte(i), byte(i >> 8)}, "a", now)
+	}
+	if n := len(turns.taken); n > mostTurns {
+		t.Errorf("%d turns are remembered, want %d at most", n, mostTurns)
+	}
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -203,6 +203,7 @@
 		Changed: func() { n.control.SuspectsChanged() },
 		Fresh:   func() bool { return n.control.SuspectsFresh() },
 		Claim:   func(ctx context.Context, e quarantine.Entry) error { return n.control.ClaimTrial(ctx, e) },
+		Turns:   turnTaker{n},
 	})
 	n.traffic = traffic.New(n.clock, s.Hall, queue.Limits{Items: queueItems, Bytes: queueBytes}, hooks)
 	n.control = placer.New(placer.Options{
@@ -222,6 +223,19 @@
 	}
 }
 
+// turnTaker gives turns by a node's control side, which is made after the guard that asks.
+type turnTaker struct{ n *Node }
+
+// TakeTurn implements isolation.TurnTaker.
+func (t turnTaker) TakeTurn(ctx context.Context, f quarantine.Fingerprint, run string) time.Duration {
+	return t.n.control.TakeTurn(ctx, f, run)
+}
+
+// ReleaseTurn implements isolation.TurnTaker.
+func (t turnTaker) ReleaseTurn(f quarantine.Fingerprint, run string, well bool) {
+	t.n.control.ReleaseTurn(f, run, well)
+}
+
 // weakDelay is how much longer the weakest machine waits before it takes the lease
 // than one with a whole core: the holder works for all nodes.
 const weakDelay = 400 * time.Millisecond
--- a/internal/isolation/guard.go
+++ b/internal/isolation/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -25,6 +26,8 @@
 	// Claim keeps the beginning of a trial for good, so that no other node begins it too; it
 	// returns an error where this node may not. Nil where there is only this node.
 	Claim func(ctx context.Context, e quarantine.Entry) error
+	// Turns are those of all nodes; nil where there is only this node.
+	Turns TurnTaker
 }
 
 // Guard is what a node knows of requests that end engines. It is safe for concurrent use.
@@ -41,6 +44,9 @@
 	expiredAt time.Time
 	// starts are the latest starts that engines told, by their ids.
 	starts map[string]int64
+	turns  *quarantine.Turns
+	// turnSeq tells this node's runs in turns apart.
+	turnSeq atomic.Int64
 }
 
 // New returns a guard that knows nothing.
@@ -53,7 +59,7 @@
 	}
 	return &Guard{
 		o: o, registry: quarantine.NewRegistry(o.Clock.Now()), tracker: quarantine.NewTracker(),
-		probes: make(map[quarantine.Life]chan struct{}), starts: make(map[string]int64),
+		probes: make(map[quarantine.Life]chan struct{}), starts: make(map[string]int64), turns: quarantine.NewTurns(),
 	}
 }
 
--- /dev/null
+++ b/internal/isolation/turn_test.go
@@ -0,0 +1,104 @@
+package isolation
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/quarantine"
+	"olivetiller/core/refusal"
+)
+
+// sharedTurns are the turns of some guards.
+type sharedTurns struct {
+	mu    sync.Mutex
+	clock clockwork.Clock
+	of    *quarantine.Turns
+}
+
+func (s *sharedTurns) TakeTurn(_ context.Context, f quarantine.Fingerprint, run string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.of.Take(f, run, s.clock.Now())
+}
+
+func (s *sharedTurns) ReleaseTurn(f quarantine.Fingerprint, run string, well bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.of.Release(f, run, well, s.clock.Now())
+}
+
+// isolatedAt returns guards of some nodes at which a request is isolated.
+func isolatedAt(clock clockwork.Clock, nodes int, f quarantine.Fingerprint) []*Guard {
+	turns := &sharedTurns{clock: clock, of: quarantine.NewTurns()}
+	blame := []quarantine.Blame{{End: quarantine.EndID{Engine: "e"}, Ran: 40 * time.Millisecond, Begun: true, At: clock.Now()}}
+	var guards []*Guard
+	for range nodes {
+		g := New(Options{Clock: clock, Logger: hclog.NewNullLogger(), Turns: turns})
+		g.SetWhole(false)
+		g.SetEngines(9)
+		g.Merge([]quarantine.Entry{{Request: f, At: clock.Now(), Blames: blame}}, "holder")
+		guards = append(guards, g)
+	}
+	return guards
+}
+
+// TestCopiesOfIsolatedRequest checks that copies of an isolated request, sent by callers to several
+// nodes while no engine had room, do not all go to engines together.
+func TestCopiesOfIsolatedRequest(t *testing.T) {
+	f, clock := quarantine.Fingerprint{1}, clockwork.NewFakeClock()
+	guards := isolatedAt(clock, 3, f)
+	for i, g := range guards {
+		if got := g.State(f); got != quarantine.Isolated {
+			t.Fatalf("node %d thinks of the request as %v, want isolated", i, got)
+		}
+	}
+	over, err := guards[0].Turn(t.Context(), f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	type result struct {
+		over func(bool)
+		err  error
+	}
+	results := make(chan result)
+	for i := range 6 {
+		go func() {
+			over, err := guards[i%3].Turn(context.Background(), f)
+			results <- result{over, err}
+		}()
+	}
+	for range turnWait/turnAgain - 1 {
+		if err := clock.BlockUntilContext(t.Context(), 6); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(turnAgain)
+	}
+	var kinds []refusal.Kind
+	for range 6 {
+		r := <-results
+		if r.err == nil {
+			t.Fatal("a copy may run beside another one")
+		}
+		kinds = append(kinds, refusal.As(r.err).Kind)
+	}
+	q := refusal.Quarantined
+	if diff := cmp.Diff([]refusal.Kind{q, q, q, q, q, q}, kinds); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+	over(false)
+	clock.Advance(quarantine.Settle + quarantine.Tell)
+	over, err = guards[1].Turn(t.Context(), f)
+	if err != nil {
+		t.Errorf("a copy after the first is refused: %v", err)
+	}
+	over(true)
+	if _, err = guards[2].Turn(t.Context(), f); err != nil {
+		t.Errorf("a copy after one that was answered is refused: %v", err)
+	}
+}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -13,6 +13,7 @@
 	"olivetiller/core/lease"
 	"olivetiller/core/logstore"
 	"olivetiller/core/placement"
+	"olivetiller/core/quarantine"
 	"olivetiller/core/quota"
 	"olivetiller/core/retry"
 	"olivetiller/core/route"
@@ -49,6 +50,7 @@
 	Lease(ctx context.Context, address string) (*peer.LeaseMark, error)
 	Exchange(ctx context.Context, address string, e *peer.Exchange) (*peer.Exchange, error)
 	Credit(ctx context.Context, address string, q *peer.CreditQuestion) (*peer.Credit, error)
+	Turn(ctx context.Context, address string, q *peer.TurnQuestion) (*peer.Turn, error)
 }
 
 // Options are what a controller is made of.
@@ -185,6 +187,7 @@
 	allowance *retry.Allowance
 	retries   retry.Limits
 	suspects  suspects
+	turns     turns
 }
 
 type missKey struct{ engine, pool string }
@@ -199,6 +202,7 @@
 	c.holder.init()
 	c.credits.init(o.Self.Life, o.Tolerance)
 	c.suspects.init(&c.o)
+	c.turns.of = quarantine.NewTurns()
 	c.leaseDoubt.Store(true)
 	c.allowance = retry.NewAllowance(o.Retries)
 	c.limitRetries(o.Clock.Now())
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -35,7 +35,7 @@
 	}()
 	var n tries
 	for {
-		slot, err := s.nextPlace(ctx, x, &ask)
+		slot, turnOver, err := s.nextPlace(ctx, x, &ask)
 		if err != nil {
 			if n.ran == 0 {
 				return err
@@ -48,6 +48,7 @@
 		run := s.Isolation.Send(x.Fingerprint, slot.Endpoint)
 		result, err := do(ctx, slot, ask, run)
 		result.Ended = settleRun(ctx, run, err)
+		turnOver(err == nil)
 		slot.Release(result)
 		s.noteAttempt(x, slot, n.sent, err)
 		if err == nil {
@@ -83,29 +84,35 @@
 
 // nextPlace waits for a place of the next attempt, unless the request is kept from engines: else one that
 // ends engines is sent at every node for ever, 30 times in 15 tries at 3 nodes where it is 4 now.
-// It is asked again once the place is there: the wait may have been long.
-func (s *Server) nextPlace(ctx context.Context, x *Exchange, ask *traffic.Ask) (*traffic.Slot, error) {
+// It is asked again once the place is there: the wait may have been long. The function returned
+// is to be called when the attempt is over, with whether an endpoint has answered it.
+func (s *Server) nextPlace(ctx context.Context, x *Exchange, ask *traffic.Ask) (slot *traffic.Slot, turnOver func(well bool), err error) {
 	if !x.trial {
 		trial, err := s.Isolation.Admit(ctx, x.Fingerprint)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		x.trial = trial
 	}
 	ask.Leaves, ask.State = s.leaves(x), s.Isolation.State(x.Fingerprint)
-	slot, err := s.place(ctx, x, *ask)
+	slot, err = s.place(ctx, x, *ask)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	err = x.good()
-	if err == nil && !x.trial {
-		err = s.Isolation.Held(x.Fingerprint)
+	turnOver = func(bool) {}
+	if !x.trial {
+		turnOver, err = s.Isolation.Turn(ctx, x.Fingerprint)
+	}
+	if err == nil {
+		if err = x.good(); err != nil {
+			turnOver(true)
+		}
 	}
 	if err != nil {
 		slot.Release(traffic.Result{NotBegun: true, Running: -1})
-		return nil, err
+		return nil, nil, err
 	}
-	return slot, nil
+	return slot, turnOver, nil
 }
 
 // settleRun tells a run how its attempt ended, and reports whether the endpoint's process
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -181,6 +181,8 @@
 	LeaseMark() *LeaseMark
 	// Credit answers what a node may spend of a customer's limit.
 	Credit(q *CreditQuestion) (*Credit, error)
+	// Turn answers whether a copy of an isolated request may run.
+	Turn(q *TurnQuestion) (*Turn, error)
 	Exchanger
 }
 
@@ -227,6 +229,7 @@
 		writeJSON(w, r, mark)
 	})
 	mux.HandleFunc("POST "+pathCredit, handleCredit(h))
+	mux.HandleFunc("POST "+pathTurn, handleTurn(h))
 	mux.HandleFunc("POST "+pathExchange, handleExchange(h))
 	return mux
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -19,13 +19,15 @@
 
 // fakeHolder answers with what it was given.
 type fakeHolder struct {
-	snapshot *Snapshot
-	question Question
-	report   Report
-	mark     *LeaseMark
-	exchange Exchange
-	asked    CreditQuestion
-	credit   *Credit
+	turn      *Turn
+	turnAsked TurnQuestion
+	snapshot  *Snapshot
+	question  Question
+	report    Report
+	mark      *LeaseMark
+	exchange  Exchange
+	asked     CreditQuestion
+	credit    *Credit
 }
 
 func (h *fakeHolder) Credit(q *CreditQuestion) (*Credit, error) {
@@ -36,6 +38,14 @@
 	return h.credit, nil
 }
 
+func (h *fakeHolder) Turn(q *TurnQuestion) (*Turn, error) {
+	if h.turn == nil {
+		return nil, ErrNotHolder
+	}
+	h.turnAsked = *q
+	return h.turn, nil
+}
+
 func (h *fakeHolder) Exchange(e *Exchange) *Exchange {
 	h.exchange = *e
 	return e
--- /dev/null
+++ b/io/peer/turn_test.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/quarantine"
+)
+
+// TestTurn checks that questions for turns and their answers arrive as they were sent, and that
+// bad ones are refused.
+func TestTurn(t *testing.T) {
+	h := &fakeHolder{}
+	srv := httptest.NewServer(Handler(h))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	c := NewClient(&net.Dialer{Timeout: time.Second})
+	q := &TurnQuestion{Request: quarantine.Fingerprint{1, 2}, Run: "n-1/7", Release: true, Well: true}
+	ask := func() (*Turn, error) { return c.Turn(t.Context(), address, q) }
+	if _, err := answered(t, ask); !errors.Is(err, ErrNotHolder) {
+		t.Errorf("a node that is no holder answered %v", err)
+	}
+	h.turn = &Turn{AfterMs: 450}
+	got, err := answered(t, ask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(h.turn, got); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(*q, h.turnAsked); diff != "" {
+		t.Errorf("question (-want +got):\n%s", diff)
+	}
+	for _, body := range []string{"", "{", `{"request":"00"}`, `{"request":7}`} {
+		resp, err := http.Post(srv.URL+pathTurn, "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%.20q was answered with %d", body, resp.StatusCode)
+		}
+	}
+}
