placer, peer: what all nodes get that ask for everything is encoded once

Cause: at a start of all at once a new holder encodes and compresses the whole list for each node apart, 6.0 ms of a core for 3,000 engines: 300 nodes wait 1.2 s for it, give up and ask for everything again; no holder ever serves them, each node reads the store, and the store refuses their calls.

Ruled out: the store's rate alone (first reads are answered by 0.3 s), configuration lost at the start (in force everywhere by 0.73 s).

On the wire two JSON values, or two members of one gzip stream; nodes of before would not read the second value.

--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -97,6 +97,9 @@
 	if b.peersVersion > after {
 		s.Peers = b.peers
 	}
+	if s.Whole {
+		b.wholeAt(now).fill(s)
+	}
 	urgent = b.addServing(s, after, b.interest[q.Node], now)
 	urgent = b.addFeed(s, q, after, now) || urgent || s.Whole
 	return s, urgent, true
@@ -105,6 +108,19 @@
 // addServing adds what the engines serve, and reports whether a pool of interest
 // is concerned.
 func (b *board) addServing(s *peer.Snapshot, after uint64, interest map[string]bool, now time.Time) (urgent bool) {
+	if !s.Whole {
+		urgent = b.addChanged(s, after, interest)
+	}
+	s.ReadyInMs = make(map[string]int64, len(b.readyAt))
+	for pool, at := range b.readyAt {
+		s.ReadyInMs[pool] = max(0, at.Sub(now).Milliseconds())
+		urgent = urgent || b.readyVersion > after && interest[pool]
+	}
+	return urgent
+}
+
+// addChanged adds the engines that changed, and reports whether a pool of interest is concerned.
+func (b *board) addChanged(s *peer.Snapshot, after uint64, interest map[string]bool) (urgent bool) {
 	s.Serving = make(map[string][]string)
 	for id, sh := range b.serving {
 		if sh.version <= after {
@@ -116,23 +132,17 @@
 		}
 	}
 	for id, v := range b.goneAt {
-		if v > after && !s.Whole {
+		if v > after {
 			s.Gone = append(s.Gone, id)
 		}
 	}
-	s.ReadyInMs = make(map[string]int64, len(b.readyAt))
-	for pool, at := range b.readyAt {
-		s.ReadyInMs[pool] = max(0, at.Sub(now).Milliseconds())
-		urgent = urgent || b.readyVersion > after && interest[pool]
-	}
 	return urgent
 }
 
 // addFeed adds what was read of the store, and reports whether it is news.
 func (b *board) addFeed(s *peer.Snapshot, q peer.Question, after uint64, now time.Time) (urgent bool) {
 	f := &b.feed
-	s.AgeMs = max(now.Sub(f.configAt), now.Sub(f.instancesAt)).Milliseconds()
-	s.Lease, s.LeaseOffset, s.ListedTo = f.lease, f.leaseOffset, f.listedTo
+	s.Lease, s.LeaseOffset = f.lease, f.leaseOffset
 	// The names, 2 KB for 77 nodes, go out when they change.
 	s.Lease.Nodes = nil
 	if f.takersVersion > after {
@@ -142,8 +152,13 @@
 		s.Config = f.config
 		urgent = true
 	}
+	if s.Whole {
+		s.AgeMs = max(now.Sub(f.configAt), now.Sub(b.whole.instancesAt)).Milliseconds()
+		return true
+	}
+	s.AgeMs, s.ListedTo = max(now.Sub(f.configAt), now.Sub(f.instancesAt)).Milliseconds(), f.listedTo
 	for _, in := range f.instances {
-		if in.version > after && (in.record.Instance != nil || !s.Whole) {
+		if in.version > after {
 			s.Instances = append(s.Instances, in.record)
 			urgent = true
 		}
--- /dev/null
+++ b/internal/placer/whole_test.go
@@ -0,0 +1,67 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/directory"
+	"olivetiller/io/peer"
+)
+
+// TestWholeSnapshotsShared checks that nodes which ask for everything at once get the same parts, and
+// what has changed since with their next question.
+func TestWholeSnapshotsShared(t *testing.T) {
+	var b board
+	b.init()
+	now := time.Unix(1000, 0)
+	record := func(id string, version uint64) directory.Record {
+		return directory.Record{ID: id, Version: version, Instance: instance(id)}
+	}
+	b.begin("a-1", 5, 1, []directory.Record{record("e", 3)}, 9)
+	b.instancesRead(now)
+	b.configRead(now)
+	first, _, _ := b.snapshot(peer.Question{Node: "n"}, now)
+	b.showInstances([]directory.Record{record("e", 3), record("f", 10)}, 11)
+	now = now.Add(wholeLife)
+	b.instancesRead(now)
+	b.configRead(now)
+	second, _, _ := b.snapshot(peer.Question{Node: "m"}, now)
+	if first.Shared != second.Shared {
+		t.Error("two nodes got parts that were encoded apart")
+	}
+	type told struct {
+		Instances []directory.Record
+		ListedTo  uint64
+		AgeMs     int64
+	}
+	tell := func(s *peer.Snapshot) told { return told{s.Instances, s.ListedTo, s.AgeMs} }
+	next, _, _ := b.snapshot(peer.Question{Node: "m", Life: "a-1", Version: second.Version}, now)
+	later, _, _ := b.snapshot(peer.Question{Node: "o"}, now.Add(time.Millisecond))
+	got := []told{tell(second), tell(next), {ListedTo: later.ListedTo}}
+	want := []told{{[]directory.Record{record("e", 3)}, 9, wholeLife.Milliseconds()}, {[]directory.Record{record("f", 10)}, 11, 0}, {ListedTo: 11}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("everything as of before, the change, everything anew (-want +got):\n%s", diff)
+	}
+}
+
+// BenchmarkWholeSnapshots measures what a holder of 3,000 engines does for one of the nodes that
+// ask for everything together: 6.0 ms with each snapshot encoded apart, 0.04 ms since.
+func BenchmarkWholeSnapshots(b *testing.B) {
+	var board board
+	board.init()
+	var records []directory.Record
+	for i := range 3000 {
+		id := fmt.Sprint("i-", i)
+		records = append(records, directory.Record{ID: id, Version: uint64(i), Instance: instance(id)})
+	}
+	board.begin("a-1", 5, 1, records, 3000)
+	for b.Loop() {
+		s, _, _ := board.snapshot(peer.Question{Node: "n"}, time.Unix(1000, 0))
+		if _, err := peer.EncodeSnapshot(s); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -127,6 +127,9 @@
 	// VerdictsKnown is true once the holder has read the verdicts that the store keeps.
 	VerdictsKnown bool `json:"verdictsKnown,omitempty"`
 	Feed
+	// Shared holds Serving and Instances of a whole snapshot once more, where many nodes get the
+	// same; nil where they are only this node's.
+	Shared *Shared `json:"-"`
 }
 
 // Feed is what the holder read of the store, so that the others need not.
@@ -218,7 +221,8 @@
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
-		writeJSON(w, r, s)
+		raw, encoding, err := snapshotBody(s, takesGzip(r))
+		writeBody(w, raw, encoding, err)
 	})
 	mux.HandleFunc("GET "+pathLease, func(w http.ResponseWriter, r *http.Request) {
 		mark := h.LeaseMark()
@@ -242,18 +246,32 @@
 // writeJSON answers with a message.
 func writeJSON(w http.ResponseWriter, r *http.Request, message any) {
 	raw, err := json.Marshal(message)
+	encoding := ""
+	if err == nil && len(raw) >= gzipFrom && takesGzip(r) {
+		raw, encoding = compress(raw), encodingGzip
+	}
+	writeBody(w, raw, encoding, err)
+}
+
+// encodingGzip is the name of the compressed form.
+const encodingGzip = "gzip"
+
+func takesGzip(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip)
+}
+
+// writeBody answers with a message that was encoded, or with why it could not be.
+func writeBody(w http.ResponseWriter, raw []byte, encoding string, err error) {
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	// A failed write means that the node is gone.
-	if len(raw) < gzipFrom || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		_, _ = w.Write(raw)
-		return
+	if encoding != "" {
+		w.Header().Set("Content-Encoding", encoding)
 	}
-	w.Header().Set("Content-Encoding", "gzip")
-	_, _ = w.Write(compress(raw))
+	// A failed write means that the node is gone.
+	_, _ = w.Write(raw)
 }
 
 // compressors holds gzip writers: each takes most of a megabyte.
@@ -389,5 +407,5 @@
 	case answer == nil:
 		return nil
 	}
-	return json.Unmarshal(raw, answer)
+	return decodeAll(raw, answer)
 }
--- /dev/null
+++ b/io/peer/shared.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+
+	"olivetiller/core/directory"
+)
+
+// Shared is the part of whole snapshots that is the same for all nodes. It is encoded and
+// compressed once: at 300 nodes and 3,000 engines a new holder else spends longer on its first
+// answers than the nodes wait for them. It must not be changed.
+type Shared struct {
+	Serving   map[string][]string `json:"serving,omitempty"`
+	Instances []directory.Record  `json:"instances,omitempty"`
+
+	once        sync.Once
+	plain, gzip []byte
+	err         error
+}
+
+// encoded returns the part as JSON, plain and compressed.
+func (s *Shared) encoded() (plain, gzip []byte, err error) {
+	s.once.Do(func() {
+		if s.plain, s.err = json.Marshal(s); s.err == nil {
+			s.gzip = compress(s.plain)
+		}
+	})
+	return s.plain, s.gzip, s.err
+}
+
+// snapshotBody encodes a snapshot. A whole one is two JSON values of one message, whose second
+// holds the fields that are the same for all; compressed, it is two members of one stream.
+func snapshotBody(s *Snapshot, compressed bool) (raw []byte, encoding string, err error) {
+	own := *s
+	if s.Shared != nil {
+		own.Serving, own.Instances = nil, nil
+	}
+	raw, err = json.Marshal(&own)
+	if err != nil {
+		return nil, "", err
+	}
+	if s.Shared == nil {
+		if !compressed || len(raw) < gzipFrom {
+			return raw, "", nil
+		}
+		return compress(raw), encodingGzip, nil
+	}
+	plain, zipped, err := s.Shared.encoded()
+	if err != nil {
+		return nil, "", err
+	}
+	if !compressed {
+		return append(raw, plain...), "", nil
+	}
+	return append(compress(raw), zipped...), encodingGzip, nil
+}
+
+// decodeAll decodes the JSON values of a message into one, one after the other.
+func decodeAll(raw []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	for {
+		switch err := d.Decode(into); {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// EncodeSnapshot returns a snapshot in the compressed form in which nodes get it.
+func EncodeSnapshot(s *Snapshot) ([]byte, error) {
+	raw, _, err := snapshotBody(s, true)
+	return raw, err
+}
--- /dev/null
+++ b/io/peer/shared_test.go
@@ -0,0 +1,57 @@
+package peer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"olivetiller/core/directory"
+)
+
+// TestSharedSnapshot checks that a snapshot whose parts are shared arrives as one that is not.
+func TestSharedSnapshot(t *testing.T) {
+	serving := map[string][]string{"e": {"a", "b"}}
+	records := []directory.Record{{ID: "e", Version: 3}, {ID: "f", Version: 4}}
+	shared := &Shared{Serving: serving, Instances: records}
+	for _, s := range []*Snapshot{
+		{Life: "a-1", Version: 7, Whole: true, Serving: serving, Feed: Feed{Instances: records, ListedTo: 9}},
+		{Life: "a-1", Version: 7, Whole: true, Serving: serving, Feed: Feed{Instances: records, ListedTo: 9}, Shared: shared},
+		{Life: "a-1", Version: 7, Whole: true, Shared: &Shared{}},
+	} {
+		for _, compressed := range []bool{false, true} {
+			raw, encoding, err := snapshotBody(s, compressed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if encoding == encodingGzip {
+				z, err := gzip.NewReader(bytes.NewReader(raw))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if raw, err = io.ReadAll(z); err != nil {
+					t.Fatal(err)
+				}
+			}
+			var got Snapshot
+			if err := decodeAll(raw, &got); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(s, &got, cmpopts.IgnoreFields(Snapshot{}, "Shared")); diff != "" {
+				t.Errorf("compressed %t: snapshot (-want +got):\n%s", compressed, diff)
+			}
+		}
+	}
+}
+
+// TestBadValues checks that a message of which one value is broken is none.
+func TestBadValues(t *testing.T) {
+	for _, raw := range []string{"", "{", `{} {`, `{"version":1}{"version":"x"}`, "{} x"} {
+		if err := decodeAll([]byte(raw), &Snapshot{}); err == nil {
+			t.Errorf("%q was taken", raw)
+		}
+	}
+}
