--- a/internal/placer/whole_test.go
+++ b/internal/placer/whole_test.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -46,22 +45,3 @@
 		t.Errorf("everything as of before, the change, everything anew (-want +got):\n%s", diff)
 	}
 }
-
-// BenchmarkWholeSnapshots measures what a holder of 3,000 engines does for one of the nodes that
-// ask for everything together: 6.0 ms with each snapshot encoded apart, 0.04 ms since.
-func BenchmarkWholeSnapshots(b *testing.B) {
-	var board board
-	board.init()
-	var records []directory.Record
-	for i := range 3000 {
-		id := fmt.Sprint("i-", i)
-		records = append(records, directory.Record{ID: id, Version: uint64(i), Instance: instance(id)})
-	}
-	board.begin("a-1", 5, 1, records, 3000)
-	for b.Loop() {
-		s, _, _ := board.snapshot(peer.Question{Node: "n"}, time.Unix(1000, 0))
-		if _, err := peer.EncodeSnapshot(s); err != nil {
-			b.Fatal(err)
-		}
-	}
-}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -100,7 +100,7 @@
 	Life    string `json:"life"`
 	Fence   uint64 `json:"fence"`
 	Version uint64 `json:"version"`
-	// Nodes is how many nodes the holder hears of, itself included.
+	// Nodes is the largest number of nodes, itself included, that the holder heard of lately.
 	Nodes int `json:"nodes"`
 	// Successor is the node that takes the lease when the holder is silent.
 	Successor string `json:"successor,omitempty"`
--- a/io/peer/shared.go
+++ b/io/peer/shared.go
@@ -74,9 +74,3 @@
 		}
 	}
 }
-
-// EncodeSnapshot returns a snapshot in the compressed form in which nodes get it.
-func EncodeSnapshot(s *Snapshot) ([]byte, error) {
-	raw, _, err := snapshotBody(s, true)
-	return raw, err
-}
--- a/io/peer/shared_test.go
+++ b/io/peer/shared_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"fmt"
 	"io"
 	"testing"
 
@@ -55,3 +56,20 @@
 		}
 	}
 }
+
+// BenchmarkWholeSnapshots measures what a holder of 3,000 engines does to encode the answer to one
+// of the nodes that ask for everything together: 5.0 ms with each snapshot encoded apart,
+// 0.03 ms since.
+func BenchmarkWholeSnapshots(b *testing.B) {
+	shared := &Shared{}
+	for i := range 3000 {
+		id := fmt.Sprint("i-", i)
+		shared.Instances = append(shared.Instances, directory.Record{ID: id, Version: uint64(i), Instance: &directory.Instance{ID: id, Service: "s", Address: "10.1.2.3:8000", Slots: 8}})
+	}
+	s := &Snapshot{Life: "a-1", Whole: true, Feed: Feed{Instances: shared.Instances}, Shared: shared}
+	for b.Loop() {
+		if _, _, err := snapshotBody(s, true); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
