--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -42,7 +42,6 @@
 	suspects uint64
 	// whole is what all nodes get that ask for everything; nil if nobody did lately.
 	whole *wholeBoard
-	news  boardNews
 	// watchers are the questions kept open.
 	watchers map[*watcher]bool
 }
@@ -62,7 +61,7 @@
 	defer b.mu.Unlock()
 	b.life, b.fence, b.nodes, b.peers = life, fence, nodes, nil
 	b.serving, b.goneAt, b.readyAt = make(map[string]shown), make(map[string]uint64), nil
-	b.feed.takers, b.feed.takersVersion, b.whole, b.news = nil, 0, nil, boardNews{}
+	b.feed.takers, b.feed.takersVersion, b.whole = nil, 0, nil
 	b.interest, b.feed.instances = make(map[string]map[string]bool), make(map[string]shownInstance)
 	// At once: nodes take a whole snapshot's list for all there is.
 	b.setInstances(records, listedTo)
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -149,8 +149,7 @@
 		s.Takers = f.takers
 	}
 	if f.config != nil && f.config.Version > q.Config {
-		part := b.configPart()
-		s.Config, s.Shared = part.Config, append(s.Shared, part)
+		s.Config = f.config
 		urgent = true
 	}
 	if s.Whole {
@@ -158,12 +157,13 @@
 		return true
 	}
 	s.AgeMs, s.ListedTo = max(now.Sub(f.configAt), now.Sub(f.instancesAt)).Milliseconds(), f.listedTo
-	part := b.newsSince(after)
-	s.Instances = part.Instances
-	if len(part.Instances) >= sharedFrom {
-		s.Shared = append(s.Shared, part)
+	for _, in := range f.instances {
+		if in.version > after {
+			s.Instances = append(s.Instances, in.record)
+			urgent = true
+		}
 	}
-	return urgent || len(part.Instances) > 0
+	return urgent
 }
 
 // News that is not urgent for a node may wait, so that many changes cost one
--- a/internal/placer/whole.go
+++ b/internal/placer/whole.go
@@ -11,46 +11,6 @@
 // what has changed since, so that it adds this much to the age of their first knowledge.
 const wholeLife = 200 * time.Millisecond
 
-// sharedFrom is how many entries of the list are encoded once for all nodes: fewer cost less than
-// a part of their own.
-const sharedFrom = 16
-
-// boardNews is what a board of one version tells nodes that have an older one.
-type boardNews struct {
-	version uint64
-	// since holds the entries that changed, by the version that a node has.
-	since map[uint64]*peer.Shared
-	// config is the configuration in force; nil before it was told.
-	config *peer.Shared
-}
-
-// newsSince returns the entries of the list that changed since a version.
-func (b *board) newsSince(after uint64) *peer.Shared {
-	n := &b.news
-	if n.version != b.version || n.since == nil {
-		n.version, n.since = b.version, make(map[uint64]*peer.Shared)
-	}
-	if part := n.since[after]; part != nil {
-		return part
-	}
-	part := &peer.Shared{}
-	for _, in := range b.feed.instances {
-		if in.version > after {
-			part.Instances = append(part.Instances, in.record)
-		}
-	}
-	n.since[after] = part
-	return part
-}
-
-// configPart returns the configuration in force.
-func (b *board) configPart() *peer.Shared {
-	if b.news.config == nil || b.news.config.Config != b.feed.config {
-		b.news.config = &peer.Shared{Config: b.feed.config}
-	}
-	return b.news.config
-}
-
 // wholeBoard is all that a board showed at a moment, in the form in which nodes get it.
 type wholeBoard struct {
 	at       time.Time
@@ -82,5 +42,5 @@
 // fill adds what the board showed to a snapshot.
 func (w *wholeBoard) fill(s *peer.Snapshot) {
 	s.Version, s.ListedTo = w.version, w.listedTo
-	s.Serving, s.Instances, s.Shared = w.shared.Serving, w.shared.Instances, append(s.Shared, w.shared)
+	s.Serving, s.Instances, s.Shared = w.shared.Serving, w.shared.Instances, w.shared
 }
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -127,8 +127,9 @@
 	// VerdictsKnown is true once the holder has read the verdicts that the store keeps.
 	VerdictsKnown bool `json:"verdictsKnown,omitempty"`
 	Feed
-	// Shared holds once more what many nodes get.
-	Shared []*Shared `json:"-"`
+	// Shared holds Serving and Instances of a whole snapshot once more, where many nodes get the
+	// same; nil where they are only this node's.
+	Shared *Shared `json:"-"`
 }
 
 // Feed is what the holder read of the store, so that the others need not.
--- a/io/peer/shared.go
+++ b/io/peer/shared.go
@@ -8,16 +8,14 @@
 	"sync"
 
 	"olivetiller/core/directory"
-	"olivetiller/core/route"
 )
 
-// Shared is a part of snapshots that many nodes get. It is encoded and compressed once: at 300
-// nodes and 3,000 engines a holder else spends longer on its answers than the nodes wait for
-// them. Its fields take the place of those of the snapshot; it must not be changed.
+// Shared is the part of whole snapshots that is the same for all nodes. It is encoded and
+// compressed once: at 300 nodes and 3,000 engines a new holder else spends longer on its first
+// answers than the nodes wait for them. It must not be changed.
 type Shared struct {
 	Serving   map[string][]string `json:"serving,omitempty"`
 	Instances []directory.Record  `json:"instances,omitempty"`
-	Config    *route.Config       `json:"config,omitempty"`
 
 	once        sync.Once
 	plain, gzip []byte
@@ -34,44 +32,31 @@
 	return s.plain, s.gzip, s.err
 }
 
-// withoutShared returns a snapshot without the fields that its shared parts hold.
-func withoutShared(s *Snapshot) *Snapshot {
+// snapshotBody encodes a snapshot. A whole one is two JSON values of one message, whose second
+// holds the fields that are the same for all; compressed, it is two members of one stream.
+func snapshotBody(s *Snapshot, compressed bool) (raw []byte, encoding string, err error) {
 	own := *s
-	for _, part := range s.Shared {
-		if part.Serving != nil {
-			own.Serving = nil
-		}
-		if part.Instances != nil {
-			own.Instances = nil
-		}
-		if part.Config != nil {
-			own.Config = nil
-		}
+	if s.Shared != nil {
+		own.Serving, own.Instances = nil, nil
 	}
-	return &own
-}
-
-// snapshotBody encodes a snapshot. Its shared parts follow as JSON values of their own in the same
-// message; compressed, as members of one stream.
-func snapshotBody(s *Snapshot, compressed bool) (raw []byte, encoding string, err error) {
-	raw, err = json.Marshal(withoutShared(s))
+	raw, err = json.Marshal(&own)
 	if err != nil {
 		return nil, "", err
 	}
-	if compressed = compressed && (len(raw) >= gzipFrom || len(s.Shared) > 0); compressed {
-		raw, encoding = compress(raw), encodingGzip
-	}
-	for _, part := range s.Shared {
-		plain, zipped, err := part.encoded()
-		if err != nil {
-			return nil, "", err
-		}
-		if compressed {
-			plain = zipped
+	if s.Shared == nil {
+		if !compressed || len(raw) < gzipFrom {
+			return raw, "", nil
 		}
-		raw = append(raw, plain...)
+		return compress(raw), encodingGzip, nil
+	}
+	plain, zipped, err := s.Shared.encoded()
+	if err != nil {
+		return nil, "", err
+	}
+	if !compressed {
+		return append(raw, plain...), "", nil
 	}
-	return raw, encoding, nil
+	return append(compress(raw), zipped...), encodingGzip, nil
 }
 
 // decodeAll decodes the JSON values of a message into one, one after the other.
--- a/io/peer/shared_test.go
+++ b/io/peer/shared_test.go
@@ -11,7 +11,6 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"olivetiller/core/directory"
-	"olivetiller/core/route"
 )
 
 // TestSharedSnapshot checks that a snapshot whose parts are shared arrives as one that is not.
@@ -19,12 +18,10 @@
 	serving := map[string][]string{"e": {"a", "b"}}
 	records := []directory.Record{{ID: "e", Version: 3}, {ID: "f", Version: 4}}
 	shared := &Shared{Serving: serving, Instances: records}
-	config := &route.Config{Version: 4}
 	for _, s := range []*Snapshot{
 		{Life: "a-1", Version: 7, Whole: true, Serving: serving, Feed: Feed{Instances: records, ListedTo: 9}},
-		{Life: "a-1", Version: 7, Whole: true, Serving: serving, Feed: Feed{Instances: records, ListedTo: 9}, Shared: []*Shared{shared}},
-		{Life: "a-1", Version: 7, Serving: serving, Feed: Feed{Instances: records, Config: config}, Shared: []*Shared{{Instances: records}, {Config: config}}},
-		{Life: "a-1", Version: 7, Whole: true, Shared: []*Shared{{}}},
+		{Life: "a-1", Version: 7, Whole: true, Serving: serving, Feed: Feed{Instances: records, ListedTo: 9}, Shared: shared},
+		{Life: "a-1", Version: 7, Whole: true, Shared: &Shared{}},
 	} {
 		for _, compressed := range []bool{false, true} {
 			raw, encoding, err := snapshotBody(s, compressed)
@@ -69,7 +66,7 @@
 		id := fmt.Sprint("i-", i)
 		shared.Instances = append(shared.Instances, directory.Record{ID: id, Version: uint64(i), Instance: &directory.Instance{ID: id, Service: "s", Address: "10.1.2.3:8000", Slots: 8}})
 	}
-	s := &Snapshot{Life: "a-1", Whole: true, Feed: Feed{Instances: shared.Instances}, Shared: []*Shared{shared}}
+	s := &Snapshot{Life: "a-1", Whole: true, Feed: Feed{Instances: shared.Instances}, Shared: shared}
 	for b.Loop() {
 		if _, _, err := snapshotBody(s, true); err != nil {
 			b.Fatal(err)
