--- a/internal/placer/credit.go
+++ b/internal/placer/credit.go
@@ -113,7 +113,7 @@
 func (c *Controller) ask(ctx context.Context, q *peer.CreditQuestion) (*peer.Credit, bool) {
 	k := &c.credits
 	sent := c.o.Clock.Now()
-	a, err := c.askHolder(ctx, q)
+	a, err := askHolder(ctx, c, q, c.Credit, c.o.Peers.Credit)
 	now := c.o.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -135,18 +135,20 @@
 	return a, true
 }
 
-// errNoHolderKnown is why nobody is asked for credit.
+// errNoHolderKnown is why nobody is asked.
 var errNoHolderKnown = errors.New("no holder of the lease is known")
 
-func (c *Controller) askHolder(ctx context.Context, q *peer.CreditQuestion) (*peer.Credit, error) {
+// askHolder asks the holder a question, which may be this node: here answers it then, and there
+// asks another one.
+func askHolder[Q, A any](ctx context.Context, c *Controller, q *Q, here func(*Q) (*A, error), there func(context.Context, string, *Q) (*A, error)) (*A, error) {
 	if c.leading.Load() {
-		return c.Credit(q)
+		return here(q)
 	}
 	h := c.remote.target()
 	if h.Holder == "" || h.Life == c.o.Self.Life {
 		return nil, errNoHolderKnown
 	}
-	return c.o.Peers.Credit(ctx, h.Address, q)
+	return there(ctx, h.Address, q)
 }
 
 // Charge charges a request to its customer, or says when to come back. It asks the
--- a/internal/placer/turn.go
+++ b/internal/placer/turn.go
@@ -35,21 +35,10 @@
 	return &peer.Turn{AfterMs: max(1, after.Milliseconds())}, nil
 }
 
-// askTurn asks the holder, which may be this node.
-func (c *Controller) askTurn(ctx context.Context, q *peer.TurnQuestion) (*peer.Turn, error) {
-	if c.leading.Load() {
-		return c.Turn(q)
-	}
-	h := c.remote.target()
-	if h.Holder == "" || h.Life == c.o.Self.Life {
-		return nil, errNoHolderKnown
-	}
-	return c.o.Peers.Turn(ctx, h.Address, q)
-}
-
 // TakeTurn implements isolation.TurnTaker. Without an answer each node gives turns by itself.
 func (c *Controller) TakeTurn(ctx context.Context, f quarantine.Fingerprint, run string) (after time.Duration) {
-	a, err := c.askTurn(ctx, &peer.TurnQuestion{Request: f, Run: c.o.Self.Life + "/" + run})
+	q := &peer.TurnQuestion{Request: f, Run: c.o.Self.Life + "/" + run}
+	a, err := askHolder(ctx, c, q, c.Turn, c.o.Peers.Turn)
 	if err != nil {
 		c.o.Logger.Info("no word on the turn of an isolated request", "fingerprint", f.String(), "error", err.Error())
 		return 0
@@ -62,7 +51,7 @@
 func (c *Controller) ReleaseTurn(f quarantine.Fingerprint, run string, well bool) {
 	q := &peer.TurnQuestion{Request: f, Run: c.o.Self.Life + "/" + run, Release: true, Well: well}
 	go func() {
-		if _, err := c.askTurn(context.Background(), q); err != nil {
+		if _, err := askHolder(context.Background(), c, q, c.Turn, c.o.Peers.Turn); err != nil {
 			c.o.Logger.Debug("turn of an isolated request not given back", "fingerprint", f.String(), "error", err.Error())
 		}
 	}()
