signal, endpoint, caller: what an answer says of its endpoint is decoded once, and logged when it changes

LIMIT: an endpoint that named 1.7 requests a second got 18 in 4 s.

Each answer, refusals too, now carries what it says of its endpoint (signal.Said), read by the adapter before the answer is dealt with. signal.Book keeps it by life of the endpoint. One line says when it changes (endpoint, life, limit, before, request id), one a while names values that cannot be read. Nothing acts on it yet.

--- /dev/null
+++ b/core/signal/book.go
@@ -0,0 +1,110 @@
+package signal
+
+import "time"
+
+// Life is one life of an endpoint.
+type Life struct {
+	Endpoint string
+	// Start tells the lives under one name apart, in Unix milliseconds; 0 where it is not told.
+	Start int64
+}
+
+// Change says what an answer changed of what is believed of an endpoint.
+type Change struct {
+	Life
+	// Limit is the limit from now on, in requests a second; 0 for none. Before is the one until now.
+	Limit, Before float64
+}
+
+// Times of a book.
+const (
+	// keepFor is how long the book remembers an endpoint that says nothing any more.
+	keepFor = 10 * time.Minute
+	// damageEvery is the least time between two reports of damaged signals of one endpoint.
+	damageEvery = 10 * time.Second
+)
+
+// Book keeps what the endpoints said. It is not safe for concurrent use.
+type Book struct {
+	entries map[string]*entry
+	// forgotAt is when the book last looked for what can be forgotten.
+	forgotAt time.Time
+}
+
+// entry is what one endpoint said.
+type entry struct {
+	start int64
+	// limit is the limit in force; 0 for none. namedAt is when an answer last named it.
+	limit   float64
+	namedAt time.Time
+	// heardAt is when anything was last heard of the endpoint.
+	heardAt time.Time
+	// damagedAt is when damage was last reported.
+	damagedAt time.Time
+}
+
+// NewBook returns a book in which nobody has said anything.
+func NewBook() *Book { return &Book{entries: make(map[string]*entry)} }
+
+// at returns the entry of a life, begun anew where it is a later one than the book's; nil for a life before.
+func (b *Book) at(l Life) *entry {
+	e := b.entries[l.Endpoint]
+	switch {
+	case e == nil, l.Start > e.start && e.start != 0:
+		e = &entry{start: l.Start}
+		b.entries[l.Endpoint] = e
+	case e.start == 0:
+		e.start = l.Start
+	case l.Start != 0 && l.Start < e.start:
+		return nil
+	}
+	return e
+}
+
+// Hear takes in what an answer says that came now to a request that was sent at a moment. It reports whether that
+// changed anything, and which of the damage is to be reported.
+func (b *Book) Hear(l Life, s Said, sent, now time.Time) (c Change, changed bool, damaged []Damage) {
+	b.forget(now)
+	if b.entries[l.Endpoint] == nil && s.Limit == 0 && len(s.Damaged) == 0 {
+		return Change{}, false, nil
+	}
+	e := b.at(l)
+	if e == nil {
+		return Change{}, false, nil
+	}
+	e.heardAt = now
+	if len(s.Damaged) > 0 && now.Sub(e.damagedAt) >= damageEvery {
+		e.damagedAt, damaged = now, s.Damaged
+	}
+	c = Change{Life: l, Limit: e.limit, Before: e.limit}
+	switch {
+	case s.Limit > 0:
+		c.Limit, e.namedAt = s.Limit, now
+	case s.Ran && len(s.Damaged) == 0 && sent.After(e.namedAt):
+		c.Limit = 0
+	}
+	e.limit = c.Limit
+	return c, c.Limit != c.Before, damaged
+}
+
+// Limit returns the limit that a life of an endpoint has named, in requests a second; 0 for none.
+func (b *Book) Limit(l Life) float64 {
+	e := b.entries[l.Endpoint]
+	if e == nil || e.start != l.Start && e.start != 0 {
+		return 0
+	}
+	return e.limit
+}
+
+// forget drops the endpoints that have said nothing for long.
+func (b *Book) forget(now time.Time) {
+	if now.Sub(b.forgotAt) < keepFor {
+		return
+	}
+	b.forgotAt = now
+	for name, e := range b.entries {
+		if now.Sub(e.heardAt) >= keepFor {
+			delete(b.entries, name)
+		}
+	}
+}
--- /dev/null
+++ b/core/signal/signal_test.go
@@ -0,0 +1,93 @@
+package signal
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func TestNumber(t *testing.T) {
+	tests := []struct {
+		name    string
+		values  []string
+		want    float64
+		ok      bool
+		damaged string
+	}{
+		{"absent", nil, 0, false, ""},
+		{"a number", []string{"1.8"}, 1.8, true, ""},
+		{"blanks around it", []string{" 2 "}, 2, true, ""},
+		{"empty", []string{""}, 0, false, `header H of an endpoint's answer is "", want one number above 0`},
+		{"zero", []string{"0"}, 0, false, `header H of an endpoint's answer is "0", want one number above 0`},
+		{"negative", []string{"-1"}, 0, false, `header H of an endpoint's answer is "-1", want one number above 0`},
+		{"no number", []string{"NaN"}, 0, false, `header H of an endpoint's answer is "NaN", want one number above 0`},
+		{"without end", []string{"1e999"}, 0, false, `header H of an endpoint's answer is "1e999", want one number above 0`},
+		{"twice", []string{"1", "2"}, 0, false, `header H of an endpoint's answer is "1, 2", want one number above 0`},
+		{"a date", []string{"Thu, 03 Dec 2026 10:00:00 GMT"}, 0, false, `header H of an endpoint's answer is "Thu, 03 Dec 2026 10:00:00 GMT", want one number above 0`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, ok, damage := Number("H", tt.values)
+			text := ""
+			if damage != nil {
+				text = damage.Error()
+			}
+			if got != tt.want || ok != tt.ok || text != tt.damaged {
+				t.Errorf("Number = %v, %t, %q; want %v, %t, %q", got, ok, text, tt.want, tt.ok, tt.damaged)
+			}
+		})
+	}
+}
+
+// TestLimitFollowsAnswers walks a limit through answers of one and of several lives.
+func TestLimitFollowsAnswers(t *testing.T) {
+	one, two := Life{"i-1", 1}, Life{"i-1", 2}
+	named := func(limit float64) Said { return Said{Limit: limit, Ran: true} }
+	steps := []struct {
+		name      string
+		of        Life
+		said      Said
+		sent, now time.Duration
+		// limits are those of both lives afterwards.
+		limits [2]float64
+		change bool
+	}{
+		{"nothing", one, named(0), 0, 1, [2]float64{0, 0}, false},
+		{"named", one, named(1.8), 1, 10, [2]float64{1.8, 0}, true},
+		{"named again", one, named(1.8), 2, 11, [2]float64{1.8, 0}, false},
+		{"an answer to a request of before", one, named(0), 5, 12, [2]float64{1.8, 0}, false},
+		{"a refusal that does not name it", one, Said{}, 12, 13, [2]float64{1.8, 0}, false},
+		{"damaged", one, Said{Ran: true, Damaged: []Damage{{"H", "x"}}}, 13, 14, [2]float64{1.8, 0}, false},
+		{"another one", one, named(1), 14, 15, [2]float64{1, 0}, true},
+		{"no longer named", one, named(0), 16, 17, [2]float64{0, 0}, true},
+		{"named once more", one, named(3), 18, 19, [2]float64{3, 0}, true},
+		{"the next life has said nothing", two, named(0), 20, 21, [2]float64{0, 0}, false},
+		{"a late answer of the life before", one, named(3), 19, 22, [2]float64{0, 0}, false},
+		{"the next life names one", two, named(2), 23, 24, [2]float64{0, 2}, true},
+	}
+	b := NewBook()
+	for _, s := range steps {
+		_, change, _ := b.Hear(s.of, s.said, at(s.sent), at(s.now))
+		if diff := cmp.Diff([2]float64{b.Limit(one), b.Limit(two)}, s.limits); diff != "" || change != s.change {
+			t.Errorf("%s: change = %t, want %t; limits (-got +want):\n%s", s.name, change, s.change, diff)
+		}
+	}
+}
+
+// TestDamageIsReportedNowAndThen checks that an endpoint whose signals cannot be read is reported once in a while.
+func TestDamageIsReportedNowAndThen(t *testing.T) {
+	b, reports := NewBook(), 0
+	s := Said{Ran: true, Damaged: []Damage{{"H", "x"}}}
+	for d := time.Duration(0); d < 3*damageEvery; d += damageEvery / 20 {
+		_, _, damaged := b.Hear(Life{Endpoint: "i-1"}, s, at(d), at(d))
+		reports += len(damaged)
+	}
+	if reports != 3 {
+		t.Errorf("%d reports in 3 periods of %v, want 3", reports, damageEvery)
+	}
+}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -11,6 +11,7 @@
 	"olivetiller/core/queue"
 	"olivetiller/core/refusal"
 	"olivetiller/core/retry"
+	"olivetiller/core/signal"
 	"olivetiller/core/view"
 )
 
@@ -43,6 +44,8 @@
 	budgets map[string]*retry.Budget
 	// retries is what the retry budgets allow.
 	retries retry.Limits
+	// book keeps what the endpoints say of themselves.
+	book *signal.Book
 	// stopped is closed when nobody may wait any longer.
 	stopped chan struct{}
 }
@@ -53,6 +56,7 @@
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
 		view: &view.View{}, pools: make(map[string]*pool), gates: make(map[string]*gate),
 		budgets: make(map[string]*retry.Budget), retries: retry.DefaultLimits,
+		book:    signal.NewBook(),
 		stopped: make(chan struct{}),
 	}
 }
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -108,7 +108,7 @@
 	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, ask traffic.Ask, run *isolation.Run) (traffic.Result, error) {
 		ctx, st := s.watchStall(ctx, x, slot, ask)
 		defer st.end()
-		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, ""))
+		resp, err := s.send(ctx, x, slot, "")
 		if err = st.explain(err); err != nil {
 			return failed(err), err
 		}
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -16,6 +16,9 @@
 	Wait, ColdStart, FirstToken, BetweenTokens *metric.Histogram
 	// ForecastError is by how much the first forecast of a wait for a model was wrong.
 	ForecastError *metric.Histogram
+	// Signals counts the answers that changed what is believed of their endpoint, DamagedSignals those
+	// that were reported as unreadable.
+	Signals, DamagedSignals expvar.Int
 }
 
 // NewMetrics returns metrics at zero.
@@ -37,6 +40,8 @@
 	t.Set("resumed", &m.Resumed)
 	t.Set("refused", &m.Refused)
 	t.Set("retries", &m.Retries)
+	t.Set("signals", &m.Signals)
+	t.Set("damagedSignals", &m.DamagedSignals)
 	t.Set("wait", m.Wait)
 	t.Set("coldStart", m.ColdStart)
 	t.Set("forecastError", m.ForecastError)
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -68,7 +68,7 @@
 		// Closing the connection ends the run there before another one begins.
 		defer st.end()
 		r.stall = st
-		resp, err := s.Endpoints.Do(ctx, s.request(x, slot, r.events.Position()))
+		resp, err := s.send(ctx, x, slot, r.events.Position())
 		if err = st.explain(err); err != nil {
 			return failed(err), err
 		}
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -29,6 +29,7 @@
 	"github.com/rotisserie/eris"
 
 	"olivetiller/core/retry"
+	"olivetiller/core/signal"
 )
 
 // Headers of the engines' protocol.
@@ -83,6 +84,8 @@
 	Answered bool
 	// Sends is how often the transport began to write the request; 0 where it never did.
 	Sends int
+	// Said is what the endpoint's answer says of the endpoint itself.
+	Said signal.Said
 	// Cause is what happened.
 	Cause error
 }
@@ -102,6 +105,8 @@
 	Leaving bool
 	// Sends is how often the transport began to write the request.
 	Sends int
+	// Said is what the answer says of the endpoint itself.
+	Said signal.Said
 }
 
 // Broken returns the error of an answer that did not come whole.
@@ -139,6 +144,8 @@
 	Running int
 	// Leaving is true when the endpoint said that it takes no more work.
 	Leaving bool
+	// Said is what the answer says of the endpoint itself; nothing where it is another endpoint's.
+	Said signal.Said
 }
 
 // Judge reads a verdict from the head of an answer.
@@ -307,11 +314,11 @@
 		}
 		resp.Body.Close()
 		return nil, &Error{
-			Outcome: retry.NotSent, Refused: true, Full: v.Full, Missing: v.Missing, Gone: v.Gone,
+			Outcome: retry.NotSent, Refused: true, Full: v.Full, Missing: v.Missing, Gone: v.Gone, Said: v.Said,
 			Cause: eris.Errorf("the endpoint did not begin (%d): %s", resp.StatusCode, bytes.TrimSpace(text)),
 		}
 	}
-	return &Response{Response: resp, Running: v.Running, Leaving: v.Leaving}, nil
+	return &Response{Response: resp, Running: v.Running, Leaving: v.Leaving, Said: v.Said}, nil
 }
 
 // judgeOwn reads the product's own protocol.
