traffic, quota, placer: nodes together keep the limit that an endpoint names

LIMIT: an endpoint that had named 1.7 requests a second got 18 in 4 s from nodes that it had told, 15 may come.

Cause: nobody heeded what endpoints say of themselves; what a node believes of one came from the store or the holder alone. Ruled out: that a view loses the limit (none was kept), that each node keeps it alone (the nodes sent 18 between them, and three nodes 120 in 4 s at a limit of 2, 17 allowed).

Change: a limit is one more shared allowance of core/quota. The granter that parts customers' limits has a bucket for each endpoint's life, a node that gets no answer spends its part at half the rate, and whoever gets a place at such an endpoint is charged before the request is sent; that is checked once more when its bytes leave. An endpoint without room is shut until the moment that the granter named, other endpoints are picked meanwhile, and requests that it would take after their callers have left are refused at once, each told to come back a pace later.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -33,6 +33,8 @@
 	Health *Health
 	// Avoid marks a replica that just failed the request: it is the last resort.
 	Avoid bool
+	// Shut marks a replica that wants nothing now, by its own word.
+	Shut bool
 	// Suspects is the node's own outstanding work there under which engines may end.
 	Suspects int
 	// Apart marks a request that is such a suspect itself, and Spread is a number that its
@@ -80,7 +82,7 @@
 	var bestScore int
 	for i := range replicas {
 		r := &replicas[i]
-		if !r.Window.HasRoom(r.Running, now) || !r.Health.Admits(now, r.Running) {
+		if r.Shut || !r.Window.HasRoom(r.Running, now) || !r.Health.Admits(now, r.Running) {
 			continue
 		}
 		if s := r.score(now); best < 0 || s < bestScore {
--- /dev/null
+++ b/core/quota/bound.go
@@ -0,0 +1,35 @@
+package quota
+
+import "olivetiller/core/customer"
+
+// Bound is what granters and purses keep: how much all nodes together may spend.
+type Bound struct {
+	// Rate is in units a second, and Full what a bucket holds at most, in units.
+	Rate, Full float64
+	// AloneRate is what nodes that spend their own parts may spend a second, all together, in units, and AloneStart
+	// what they begin with.
+	AloneRate, AloneStart float64
+	// Nodes is over how many nodes a node that is alone parts the bound at least. 0 where only a granter's word
+	// tells it, which then must not be older than [WordLife].
+	Nodes int
+}
+
+// Bound returns the bound of a customer's limit.
+func (t Tolerance) Bound(l customer.Limit) Bound {
+	return Bound{Rate: l.Rate, Full: t.full(l), AloneRate: l.Rate, AloneStart: l.Rate*aloneBurst.Seconds() + aloneSlack*t.Slack}
+}
+
+// Parts of the bound on requests to an endpoint that limits them. The platform bears half as much again as the endpoint
+// names over some seconds, and a few requests: nodes that are alone add aloneShare of it to what a granter that does
+// not hear of them grants.
+const (
+	aloneShare = 0.5
+	// endpointBurst is the time for which a bucket fills, beside one request.
+	endpointBurst = 0.5
+)
+
+// OfEndpoint returns the bound on requests to an endpoint that takes so many a second from all nodes together, where
+// at least nodes share the traffic.
+func OfEndpoint(perSecond float64, nodes int) Bound {
+	return Bound{Rate: perSecond, Full: 1 + endpointBurst*perSecond, AloneRate: aloneShare * perSecond, AloneStart: aloneShare, Nodes: nodes}
+}
--- a/core/quota/granter.go
+++ b/core/quota/granter.go
@@ -118,13 +118,18 @@
 // A request that needs more than the burst is granted where the bucket is full, and paid
 // for afterwards.
 func (g *Granter) Ask(name string, l customer.Limit, need, ahead float64, now time.Time) Answer {
-	need, ahead = max(0, need), max(0, ahead)
 	if !l.Limited() {
-		return Answer{Granted: need + ahead}
+		return Answer{Granted: max(0, need) + max(0, ahead)}
 	}
+	return g.AskBound(name, g.tolerance.Bound(l), need, ahead, now)
+}
+
+// AskBound is Ask of any bound.
+func (g *Granter) AskBound(name string, of Bound, need, ahead float64, now time.Time) Answer {
+	need, ahead = max(0, need), max(0, ahead)
 	part := g.part(now)
-	b := g.fill(name, l, part, now)
-	switch full := g.tolerance.full(l) * part; {
+	b := g.fill(name, of, part, now)
+	switch full := of.Full * part; {
 	case b.level >= need+ahead:
 		b.level -= need + ahead
 		return Answer{Granted: need + ahead}
@@ -132,19 +137,19 @@
 		b.level -= need
 		return Answer{Granted: need}
 	default:
-		return Answer{After: b.after(min(need, full), l.Rate*part, need)}
+		return Answer{After: b.after(min(need, full), of.Rate*part, need)}
 	}
 }
 
-// fill returns a customer's bucket as it is at a moment.
-func (g *Granter) fill(name string, l customer.Limit, part float64, now time.Time) *bucket {
+// fill returns a bucket as it is at a moment.
+func (g *Granter) fill(name string, of Bound, part float64, now time.Time) *bucket {
 	b := g.buckets[name]
 	if b == nil {
 		b = &bucket{at: g.begun}
 		g.buckets[name] = b
 	}
-	gained := l.Rate * part * max(0, now.Sub(b.at).Seconds())
-	b.level = min(b.level+gained, g.tolerance.full(l)*part)
+	gained := of.Rate * part * max(0, now.Sub(b.at).Seconds())
+	b.level = min(b.level+gained, of.Full*part)
 	b.owed = max(0, b.owed-gained)
 	b.at = now
 	return b
@@ -165,6 +170,14 @@
 	return time.Duration(math.Ceil(seconds * float64(time.Second)))
 }
 
+// idleLife is how long a bucket or an account is kept that nobody asks for.
+const idleLife = 10 * time.Minute
+
+// ForgetIdle drops the buckets that nobody asked for lately.
+func (g *Granter) ForgetIdle(now time.Time) {
+	maps.DeleteFunc(g.buckets, func(_ string, b *bucket) bool { return now.Sub(b.at) > idleLife })
+}
+
 // Forget drops the buckets of customers that there are no more.
 func (g *Granter) Forget(known func(name string) bool) {
 	maps.DeleteFunc(g.buckets, func(name string, _ *bucket) bool { return !known(name) })
--- a/core/quota/purse.go
+++ b/core/quota/purse.go
@@ -130,6 +130,11 @@
 	if !l.Limited() {
 		return Decision{}
 	}
+	return p.TakeBound(name, p.tolerance.Bound(l), need, now)
+}
+
+// TakeBound is Take of any bound.
+func (p *Purse) TakeBound(name string, of Bound, need float64, now time.Time) Decision {
 	a := p.account(name)
 	a.note(need, now)
 	switch {
@@ -137,7 +142,7 @@
 		a.held -= need
 		return Decision{}
 	case p.Alone():
-		return p.takeAlone(a, name, l, need, now)
+		return p.takeAlone(a, name, of, need, now)
 	case now.Before(a.closed) && need >= a.closedNeed:
 		return Decision{Step: Over, After: a.after}
 	}
@@ -164,14 +169,14 @@
 // takeAlone spends the node's own part. A part is mostly less than a request: which nodes
 // let the next one pass is drawn, so that all together let as much pass as their parts
 // come to.
-func (p *Purse) takeAlone(a *account, name string, l customer.Limit, need float64, now time.Time) Decision {
-	if p.members == 0 || now.Sub(p.heardAt) > WordLife {
+func (p *Purse) takeAlone(a *account, name string, of Bound, need float64, now time.Time) Decision {
+	nodes := p.nodes(of, now)
+	if nodes == 0 {
 		return Decision{Step: Unknown, After: unknownAfter}
 	}
-	rate := l.Rate / float64(p.members)
+	rate := of.AloneRate / float64(nodes)
 	if a.partAt.Before(p.aloneSince) {
-		slack := aloneSlack * p.tolerance.Slack / float64(p.members)
-		a.part, a.partAt = rate*aloneBurst.Seconds()+slack, p.aloneSince
+		a.part, a.partAt = of.AloneStart/float64(nodes), p.aloneSince
 		a.redraw(p.life, name, now)
 	}
 	a.part += rate * now.Sub(a.partAt).Seconds()
@@ -184,6 +189,26 @@
 	return Decision{}
 }
 
+// nodes returns over how many nodes a node that is alone parts a bound; 0 where that is not known.
+func (p *Purse) nodes(of Bound, now time.Time) int {
+	switch {
+	case of.Nodes > 0:
+		return max(of.Nodes, p.members)
+	case now.Sub(p.heardAt) > WordLife:
+		return 0
+	}
+	return p.members
+}
+
+// ForgetIdle drops the accounts that nothing was charged to lately.
+func (p *Purse) ForgetIdle(now time.Time) {
+	for name, a := range p.accounts {
+		if now.Sub(a.usedAt) > idleLife {
+			delete(p.accounts, name)
+		}
+	}
+}
+
 // redraw draws which part of the next request must be there, from 0 to 1.
 func (a *account) redraw(life, name string, now time.Time) {
 	h := xxhash.Sum64String(life + "\x00" + name + "\x00" + strconv.FormatInt(now.UnixNano(), 10))
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -66,7 +66,7 @@
 			g := NewGranter(Tolerance{}, tt.least, start)
 			tt.hear(g)
 			now := at(time.Second)
-			g.fill("c", l, g.part(now), now)
+			g.fill("c", g.tolerance.Bound(l), g.part(now), now)
 			if got := g.buckets["c"].level; got != tt.second || g.Members(now) != tt.members {
 				t.Errorf("a second brought %v of %d nodes, want %v of %d", got, g.Members(now), tt.second, tt.members)
 			}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -26,6 +26,7 @@
 	"olivetiller/core/quota"
 	"olivetiller/core/retry"
 	"olivetiller/core/route"
+	"olivetiller/core/view"
 	"olivetiller/internal/isolation"
 	"olivetiller/internal/placer"
 	"olivetiller/internal/traffic"
@@ -188,6 +189,9 @@
 		Waiting: func() { n.control.WakeDemand() },
 		Rare:    func() { n.control.WakeDemand() },
 		Leaving: func(id string) { go n.control.EndpointLeaving(id) },
+		Charge: func(ctx context.Context, e view.Endpoint, limit float64) time.Duration {
+			return n.control.ChargeEndpoint(ctx, e, limit)
+		},
 		Missing: func(id, pool string) { go n.control.EngineLacks(id, pool) },
 	}
 	endpoints := endpoint.NewClientWith(endpoint.Options{Judge: p.Judge, Dialer: p.Dialer(dialTimeout)})
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -145,6 +145,8 @@
 	// putBacks counts how often the store came back from a copy.
 	putBacks atomic.Int64
 	credits  credits
+	// nodesTold is over how many nodes limits are parted by a node that is alone; 0 where none is known.
+	nodesTold atomic.Int64
 
 	eras      eras
 	lease     *lease.Lease
--- a/internal/placer/credit.go
+++ b/internal/placer/credit.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"olivetiller/core/customer"
 	"olivetiller/core/quota"
+	"olivetiller/core/signal"
+	"olivetiller/core/view"
 	"olivetiller/io/peer"
 )
 
@@ -15,6 +20,9 @@
 // the limits: so long it may find out late that it is in touch again.
 const probeEvery = 200 * time.Millisecond
 
+// forgetEvery is the time between two looks for accounts that nobody uses any more.
+const forgetEvery = time.Minute
+
 // credits is what this node does for the limits of customers: as the holder it grants
 // to all nodes, as any node it charges its own requests. It is safe for concurrent use.
 type credits struct {
@@ -25,6 +33,20 @@
 	tolerance quota.Tolerance
 	probed    time.Time
 	probing   bool
+	// forgotAt is when accounts that nobody uses were last dropped.
+	forgotAt time.Time
+}
+
+// forgetIdle drops the accounts that nobody uses any more. It is called with the lock.
+func (c *credits) forgetIdle(now time.Time) {
+	if now.Sub(c.forgotAt) < forgetEvery {
+		return
+	}
+	c.forgotAt = now
+	c.purse.ForgetIdle(now)
+	if c.granter != nil {
+		c.granter.ForgetIdle(now)
+	}
 }
 
 func (c *credits) init(life string, tolerance quota.Tolerance) {
@@ -73,7 +95,8 @@
 }
 
 // forget drops what is kept of customers that there are no more.
-func (c *credits) forget(known func(name string) bool) {
+func (c *credits) forget(customer func(name string) bool) {
+	known := func(account string) bool { return strings.HasPrefix(account, endpointPrefix) || customer(account) }
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.purse.Forget(known)
@@ -96,7 +119,13 @@
 	// The answer puts an end to its spending by itself.
 	k.granter.Heard(q.Node, false, now)
 	a := &peer.Credit{Members: k.granter.Members(now)}
-	if q.Customer == "" {
+	switch {
+	case q.Endpoint != "":
+		life := signal.Life{Endpoint: q.Endpoint, Start: q.Born}
+		answer := k.granter.AskBound(endpointAccount(life), quota.OfEndpoint(q.Limit, a.Members), q.Need, q.Ahead, now)
+		a.Granted, a.AfterMs = answer.Granted, roundUp(answer.After)
+		return a, nil
+	case q.Customer == "":
 		return a, nil
 	}
 	t := c.table.Load()
@@ -154,30 +183,61 @@
 // Charge charges a request to its customer, or says when to come back. It asks the
 // holder where what is here is not enough.
 func (c *Controller) Charge(ctx context.Context, of *customer.Customer, need float64) quota.Decision {
+	if !of.Limit.Limited() {
+		return quota.Decision{}
+	}
+	return c.charge(ctx, of.Name, c.credits.tolerance.Bound(of.Limit), need, peer.CreditQuestion{Customer: of.Name})
+}
+
+// ChargeEndpoint charges a request to an endpoint that named a limit, in requests a second, and returns when it may
+// be asked again; 0 where the request may be sent.
+func (c *Controller) ChargeEndpoint(ctx context.Context, e view.Endpoint, limit float64) time.Duration {
+	life := signal.Life{Endpoint: e.Name, Start: e.Start}
+	d := c.charge(ctx, endpointAccount(life), quota.OfEndpoint(limit, int(c.nodesTold.Load())), 1, peer.CreditQuestion{Endpoint: e.Name, Born: e.Start, Limit: limit})
+	if d.Step == quota.Pass {
+		return 0
+	}
+	return max(time.Millisecond, d.After)
+}
+
+// endpointAccount names the account of an endpoint's life; no customer's name holds a NUL.
+func endpointAccount(l signal.Life) string {
+	return endpointPrefix + l.Endpoint + "@" + strconv.FormatInt(l.Start, 10)
+}
+
+const endpointPrefix = "\x00"
+
+// roundUp returns a time in milliseconds: who comes back a part of one too early is refused again.
+func roundUp(d time.Duration) int64 {
+	return int64(math.Ceil(float64(d) / float64(time.Millisecond)))
+}
+
+// charge charges a bound's account, by what is here or by the holder's answer to a question.
+func (c *Controller) charge(ctx context.Context, account string, of quota.Bound, need float64, q peer.CreditQuestion) quota.Decision {
 	k := &c.credits
 	sent := c.o.Clock.Now()
 	k.mu.Lock()
-	d := k.purse.Take(of.Name, of.Limit, need, sent)
-	alone := k.purse.Alone()
+	d := k.purse.TakeBound(account, of, need, sent)
+	q.Node, q.Alone, q.Need, q.Ahead = c.o.Self.Holder, k.purse.Alone(), need, d.Ahead
 	k.mu.Unlock()
 	if d.Step != quota.AskFor {
 		return d
 	}
-	a, ok := c.ask(ctx, &peer.CreditQuestion{Node: c.o.Self.Holder, Alone: alone, Customer: of.Name, Need: need, Ahead: d.Ahead})
+	a, ok := c.ask(ctx, &q)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := c.o.Clock.Now()
 	switch {
 	case !ok:
-		d = k.purse.Take(of.Name, of.Limit, need, now)
+		d = k.purse.TakeBound(account, of, need, now)
 	case a.Unknown:
 		// One of the two configurations is about to change.
 		d = quota.Decision{Step: quota.Unknown, After: probeEvery}
 	case a.Granted < need:
 		d = quota.Decision{Step: quota.Over, After: time.Duration(a.AfterMs) * time.Millisecond}
-		k.purse.Refused(of.Name, need, d.After, now)
+		k.purse.Refused(account, need, d.After, now)
 	default:
-		k.purse.Granted(of.Name, a.Granted, need, sent)
+		k.purse.Granted(account, a.Granted, need, sent)
 		return quota.Decision{}
 	}
 	if d.Step == quota.AskFor {
@@ -197,16 +257,19 @@
 // keepCredit asks the holder whether it answers while this node spends its own part, or
 // knows of no other.
 func (c *Controller) keepCredit(ctx context.Context, now time.Time) {
-	t := c.table.Load()
-	if t == nil || !t.Keyed() {
-		return
-	}
 	k := &c.credits
 	if c.held {
 		k.heard(c.o.Self.Holder, false, now)
 	}
+	t := c.table.Load()
+	keyed := t != nil && t.Keyed()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.forgetIdle(now)
+	if !keyed && !k.purse.Alone() {
+		// Nobody may ever ask.
+		return
+	}
 	if k.probing || !k.purse.Alone() && k.purse.Members() > 0 || now.Sub(k.probed) < probeEvery {
 		return
 	}
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -215,6 +215,7 @@
 	}
 	c.peers = n
 	c.allowance.Heard(n, now)
+	c.nodesTold.Store(int64(c.allowance.Nodes(now)))
 	c.limitRetries(now)
 }
 
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -27,6 +27,9 @@
 	// Missing is called when an engine says that it does not hold what the pool
 	// is for; nil where nobody wants to know.
 	Missing func(endpoint, pool string)
+	// Charge charges a request to an endpoint that takes so many a second from all nodes together, and returns when
+	// it may be asked again; 0 where the request may be sent. Nil where no endpoint names a limit.
+	Charge func(ctx context.Context, e view.Endpoint, limit float64) time.Duration
 }
 
 // Dispatcher holds the pools and gates. It is safe for concurrent use.
@@ -95,8 +98,8 @@
 		d.mu.Unlock()
 		return nil, err
 	}
-	s, err := d.admitted(ctx, p, a, start)
-	if a.Retry {
+	s, err := d.charged(ctx, p, a, start)
+	if a.Retry && !a.Again {
 		d.settleRetry(b, err == nil)
 	}
 	return s, err
@@ -113,19 +116,20 @@
 	b.Drop()
 }
 
-// admitted waits for a place. It is called with the lock, and gives it back.
-func (d *Dispatcher) admitted(ctx context.Context, p *pool, a Ask, start time.Time) (*Slot, error) {
+// admitted waits from now on for a place of a request that came at start. It is called with the lock, and gives it
+// back.
+func (d *Dispatcher) admitted(ctx context.Context, p *pool, a Ask, start, now time.Time) (*Slot, error) {
 	cold := len(p.endpoints) == 0
 	if p.queue.Len() == 0 {
-		if pl, ok := p.pick(start, d.hall, &a); ok {
+		if pl, ok := p.pick(now, d.hall, &a); ok {
 			p.occupy(pl, &a)
 			rare := p.rare() && p.running == 1
 			d.mu.Unlock()
 			d.noteRare(rare)
-			return d.slot(p, pl, &a, start, start, cold), nil
+			return d.slot(p, pl, &a, start, now, cold), nil
 		}
 	}
-	if err := p.hopeless(&a, start); err != nil {
+	if err := p.hopeless(&a, p.ahead(a.urgent(start), now), now); err != nil {
 		p.sentAway++
 		d.mu.Unlock()
 		return nil, err
@@ -143,20 +147,20 @@
 			p.coldSince = start
 		}
 	}
-	d.openLater(p, start)
+	d.openLater(p, now)
 	first := p.queue.Len() == 1
 	d.mu.Unlock()
 	if first {
 		// The home should hear of the demand before the request waits long.
 		d.hooks.Waiting()
 	}
-	return d.wait(ctx, p, w, start, cold)
+	return d.wait(ctx, p, w, start, now, cold)
 }
 
 func (d *Dispatcher) slot(p *pool, pl place, a *Ask, start, now time.Time, cold bool) *Slot {
 	return &Slot{
 		Endpoint: pl.Endpoint, Waited: now.Sub(start), Cold: cold,
-		Others: pl.others, dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt, suspect: a.suspect(),
+		Others: pl.others, dispatcher: d, pool: p, gate: pl.gate, at: now, prompt: a.Prompt, suspect: a.suspect(), limit: pl.limit,
 	}
 }
 
@@ -170,6 +174,8 @@
 	}
 	now := d.clock.Now()
 	a.Avoid = append(slices.Clip(a.Avoid), s.Endpoint.Name)
+	// To charge the request to an endpoint may take a while, in which the attempt in progress may end.
+	a.Unlimited = true
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := s.pool
@@ -212,6 +218,7 @@
 // occupy counts a request in.
 func (p *pool) occupy(pl place, a *Ask) {
 	pl.gate.running++
+	pl.gate.asking = pl.limit > 0
 	pl.gate.prompts += a.Prompt
 	if a.suspect() {
 		pl.gate.suspects++
@@ -237,17 +244,9 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s.gate.prompts -= s.prompt
-	s.prompt = 0
-	if s.suspect {
-		s.gate.suspects--
-	}
+	s.uncount()
 	s.gate.settle(r, now)
-	s.pool.running--
 	rareEnded = s.pool.rare() && s.pool.running == 0
-	if s.pool.runningAt[s.Endpoint.Name]--; s.pool.runningAt[s.Endpoint.Name] <= 0 {
-		delete(s.pool.runningAt, s.Endpoint.Name)
-	}
 	if r.Missing {
 		s.pool.remove(s.gate)
 	}
@@ -263,6 +262,19 @@
 	return rareEnded
 }
 
+// uncount counts the slot's request out, but for what the gate settles.
+func (s *Slot) uncount() {
+	s.gate.prompts -= s.prompt
+	s.prompt = 0
+	if s.suspect {
+		s.gate.suspects--
+	}
+	s.pool.running--
+	if s.pool.runningAt[s.Endpoint.Name]--; s.pool.runningAt[s.Endpoint.Name] <= 0 {
+		delete(s.pool.runningAt, s.Endpoint.Name)
+	}
+}
+
 // pumpGate lets requests of the pools that share a gate in, the pool with the
 // most urgent head first.
 func (d *Dispatcher) pumpGate(g *gate, now time.Time) {
@@ -316,6 +328,9 @@
 		if until := g.health.Until(); until.After(at) {
 			at = until
 		}
+		if g.shut.After(at) {
+			at = g.shut
+		}
 		if g.timer || !at.After(now) {
 			continue
 		}
@@ -385,6 +400,7 @@
 		if g == nil || g.incarnation != e.Incarnation {
 			share := e.Concurrency / max(1, len(v.Live))
 			g = newGate(e, share)
+			g.setLimit(d.book.Limit(g.life))
 			d.gates[e.Name] = g
 		}
 		out = append(out, place{Endpoint: e, gate: g})
--- a/internal/traffic/gate.go
+++ b/internal/traffic/gate.go
@@ -28,20 +28,21 @@
 	pools map[*pool]bool
 	// timer is set while a pump is due when the gate opens again.
 	timer bool
+	said
 }
 
 func newGate(e view.Endpoint, share int) *gate {
 	return &gate{
-		name: e.Name, incarnation: e.Incarnation, hall: e.Hall,
+		said: said{life: lifeOf(&e)}, name: e.Name, incarnation: e.Incarnation, hall: e.Hall,
 		window: choose.NewWindow(share, e.Concurrency), pools: make(map[*pool]bool),
 	}
 }
 
-// replica describes the gate to the chooser.
-func (g *gate) replica(hall string) choose.Replica {
+// replica describes the gate to the chooser as it is at a moment.
+func (g *gate) replica(hall string, now time.Time) choose.Replica {
 	return choose.Replica{
 		Engine: g.name, SameHall: g.hall == hall, Running: g.running, Prompts: g.prompts,
-		Suspects: g.suspects, Reported: g.reported, ReportedAt: g.reportedAt, Window: g.window, Health: &g.health,
+		Suspects: g.suspects, Reported: g.reported, ReportedAt: g.reportedAt, Window: g.window, Health: &g.health, Shut: g.asking || now.Before(g.shut),
 	}
 }
 
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -1,12 +1,36 @@
 package traffic
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"olivetiller/core/signal"
 	"olivetiller/core/view"
 )
 
+// said is what an endpoint says of itself, as a gate keeps it for the choice of endpoints.
+type said struct {
+	life signal.Life
+	// limit is how many requests a second it takes from all nodes together; 0 where it named no limit.
+	limit float64
+	// shut is until when it gets nothing, and asking is set while a request is being charged to its limit.
+	shut   time.Time
+	asking bool
+	// pace is the time between two requests of this node that the limit allows, by what was last refused.
+	pace time.Duration
+	// sentAway counts the callers that were told to come back since it was shut.
+	sentAway int
+}
+
+// setLimit takes a limit over; 0 for none.
+func (s *said) setLimit(perSecond float64) {
+	s.limit, s.shut, s.pace, s.sentAway = perSecond, time.Time{}, 0, 0
+	if perSecond > 0 {
+		s.pace = time.Duration(float64(time.Second) / perSecond)
+	}
+}
+
 // lifeOf names the life of an endpoint.
 func lifeOf(e *view.Endpoint) signal.Life { return signal.Life{Endpoint: e.Name, Start: e.Start} }
 
@@ -15,5 +39,101 @@
 func (d *Dispatcher) Hear(e view.Endpoint, s signal.Said, sent time.Time) (c signal.Change, changed bool, damaged []signal.Damage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.book.Hear(lifeOf(&e), s, sent, d.clock.Now())
+	now := d.clock.Now()
+	c, changed, damaged = d.book.Hear(lifeOf(&e), s, sent, now)
+	if changed {
+		d.heed(c.Life, now)
+	}
+	return c, changed, damaged
+}
+
+// heed puts what the book says of an endpoint in force.
+func (d *Dispatcher) heed(l signal.Life, now time.Time) {
+	g := d.gates[l.Endpoint]
+	if g == nil || g.life != l {
+		return
+	}
+	g.setLimit(d.book.Limit(l))
+	d.pumpGate(g, now)
+}
+
+// charged waits for a place and, where its endpoint limits its requests, charges the request to it. Where the limit
+// has no room, the endpoint is shut until it does, and another place is waited for.
+func (d *Dispatcher) charged(ctx context.Context, p *pool, a Ask, start time.Time) (*Slot, error) {
+	for {
+		// admitted gives the lock back.
+		s, err := d.admitted(ctx, p, a, start, d.clock.Now())
+		if err != nil || s.limit == 0 || d.hooks.Charge == nil {
+			return s, err
+		}
+		after := d.hooks.Charge(ctx, s.Endpoint, s.limit)
+		d.mu.Lock()
+		now := d.clock.Now()
+		s.gate.asking = false
+		if after == 0 {
+			d.pumpGate(s.gate, now)
+			d.mu.Unlock()
+			return s, nil
+		}
+		s.uncount()
+		s.gate.settle(Result{NotBegun: true, Running: -1}, now)
+		if ctx.Err() != nil {
+			d.pumpGate(s.gate, now)
+			d.mu.Unlock()
+			return nil, tooLong(p, now.Sub(start))
+		}
+		s.gate.shutFor(after, now)
+		for p := range s.gate.pools {
+			p.refuseHopeless(now)
+			d.pump(p, now)
+		}
+	}
+}
+
+// shutFor shuts the gate because its endpoint's limit has no room.
+func (s *said) shutFor(d time.Duration, now time.Time) {
+	s.shut, s.sentAway = now.Add(d), 0
+	if s.limit > 0 {
+		s.pace = max(d, time.Duration(float64(time.Second)/s.limit))
+	}
+}
+
+// errUncharged is why a request does not leave whose endpoint limits its requests by now.
+var errUncharged = errors.New("the endpoint has named a limit since the request got its place")
+
+// MaySend returns why a request must not leave for the endpoint of its slot, or nil.
+func (d *Dispatcher) MaySend(s *Slot) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s.limit == 0 && d.book.Limit(s.gate.life) > 0 && d.hooks.Charge != nil {
+		return errUncharged
+	}
+	return nil
+}
+
+// opensAt returns when a request behind others gets a place, where all endpoints of the pool limit their requests or
+// want none now; ok is false where one of them does neither, or there is none.
+func (p *pool) opensAt(ahead int, now time.Time) (at time.Time, ok bool) {
+	perSecond, unbound := 0.0, false
+	for i, pl := range p.endpoints {
+		g := pl.gate
+		if g.limit == 0 && !g.shut.After(now) {
+			return time.Time{}, false
+		}
+		if i == 0 || g.shut.Before(at) {
+			at = g.shut
+		}
+		if g.pace == 0 {
+			unbound = true
+			continue
+		}
+		perSecond += 1 / g.pace.Seconds()
+	}
+	if at.Before(now) {
+		at = now
+	}
+	if !unbound && perSecond > 0 {
+		at = at.Add(time.Duration(float64(ahead) / perSecond * float64(time.Second)))
+	}
+	return at, len(p.endpoints) > 0
 }
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -48,10 +48,15 @@
 	gate *gate
 	// others is how many other endpoints the pool had when the place was picked.
 	others int
+	// limit is the endpoint's limit then, in requests a second; 0 for none.
+	limit float64
 }
 
 // admit refuses what cannot make its deadline.
 func (p *pool) admit(a Ask, budget *retry.Budget, now time.Time) error {
+	if a.Again {
+		return nil
+	}
 	if a.Retry {
 		if !budget.Hold(now) {
 			return refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p.name)
@@ -100,7 +105,8 @@
 	replicas := make([]choose.Replica, 0, n)
 	for i := range n {
 		pl := p.endpoints[(i+p.turn)%n]
-		r := pl.gate.replica(hall)
+		r := pl.gate.replica(hall, now)
+		r.Shut = r.Shut || a.Unlimited && pl.gate.limit > 0
 		r.Avoid = n > 1 && slices.Contains(a.Avoid, pl.Name)
 		r.Home = pl.Name == home
 		if a.suspect() {
@@ -113,7 +119,7 @@
 		return place{}, false
 	}
 	pl := p.endpoints[(i+p.turn)%n]
-	pl.others = n - 1
+	pl.others, pl.limit = n-1, pl.gate.limit
 	return pl, true
 }
 
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -24,6 +24,10 @@
 	State   quarantine.State
 	// Retry marks a second attempt, which the retry budget must allow.
 	Retry bool
+	// Again marks a further attempt after one of which nothing was sent: it counts no more.
+	Again bool
+	// Unlimited leaves out the endpoints that limit their requests.
+	Unlimited bool
 	// Budget names the retry budget; "" takes that of the pool.
 	Budget string
 	// Objective is the time from now within which an answer is in time; 0 for
@@ -82,6 +86,9 @@
 	prompt int
 	// suspect is true where engines may end under the request.
 	suspect bool
+	// limit is what the endpoint takes, in requests a second, where the request is charged to it; 0 where it named no
+	// limit.
+	limit float64
 }
 
 // Result is what became of a request at its endpoint.
--- a/internal/traffic/wait.go
+++ b/internal/traffic/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"olivetiller/core/queue"
@@ -49,8 +50,8 @@
 }
 
 // wait blocks until the waiter is granted a place or refused, or its time is up.
-func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiter, start time.Time, cold bool) (*Slot, error) {
-	timer := d.clock.NewTimer(w.ask.until().Sub(start))
+func (d *Dispatcher) wait(ctx context.Context, p *pool, w *waiter, start, now time.Time, cold bool) (*Slot, error) {
+	timer := d.clock.NewTimer(w.ask.until().Sub(now))
 	defer timer.Stop()
 	var v verdict
 	select {
@@ -85,9 +86,13 @@
 	return <-w.ended
 }
 
-// hopeless returns why a request need not wait: by the forecast its model comes when
-// its caller will have left. The refusal tells when to come back.
-func (p *pool) hopeless(a *Ask, now time.Time) error {
+// hopeless returns why a request behind others need not wait: by the forecast its model comes, or by what the
+// endpoints say they take it again, when its caller will have left. The refusal tells when to come back.
+func (p *pool) hopeless(a *Ask, ahead int, now time.Time) error {
+	if at, ok := p.opensAt(ahead, now); ok && at.After(a.until()) {
+		return refusal.New(refusal.CannotMakeDeadline, "the endpoints of %s limit their requests and have room in %s, after its caller has left",
+			p.name, at.Sub(now).Round(time.Millisecond)).After(p.comeBack(at, a, now))
+	}
 	if len(p.endpoints) > 0 || !p.readyAt.After(a.until()) {
 		return nil
 	}
@@ -110,15 +115,47 @@
 
 // refuseHopeless ends the waits that have become hopeless.
 func (p *pool) refuseHopeless(now time.Time) {
-	if len(p.endpoints) > 0 || p.readyAt.IsZero() {
+	if _, bound := p.opensAt(0, now); !bound && (len(p.endpoints) > 0 || p.readyAt.IsZero()) {
 		return
 	}
-	for _, it := range p.queue.Items() {
+	items := p.queue.Items()
+	slices.SortFunc(items, func(a, b *queue.Item) int { return a.Deadline.Compare(b.Deadline) })
+	ahead := 0
+	for _, it := range items {
 		w := it.Value.(*waiter)
-		if err := p.hopeless(&w.ask, now); err != nil {
-			p.queue.Remove(it)
-			p.sentAway++
-			w.ended <- verdict{refused: err}
+		err := p.hopeless(&w.ask, ahead, now)
+		if err == nil {
+			ahead++
+			continue
+		}
+		p.queue.Remove(it)
+		p.sentAway++
+		w.ended <- verdict{refused: err}
+	}
+}
+
+// ahead returns how many of the waiting want their places sooner, where that decides when a request gets one.
+func (p *pool) ahead(urgent, now time.Time) int {
+	if _, bound := p.opensAt(0, now); !bound {
+		return 0
+	}
+	n := 0
+	for _, it := range p.queue.Items() {
+		if !it.Deadline.After(urgent) {
+			n++
 		}
 	}
+	return n
+}
+
+// comeBack returns when a caller is to come back whose pool has room at a moment, each a pace later than the one
+// before: told the same moment all but one would be refused again.
+func (p *pool) comeBack(at time.Time, a *Ask, now time.Time) time.Duration {
+	away := at.Sub(now) + returnMargin
+	for _, pl := range p.endpoints {
+		g := pl.gate
+		away += time.Duration(g.sentAway) * g.pace / time.Duration(len(p.endpoints))
+		g.sentAway++
+	}
+	return min(away, a.Deadline.Sub(now)/returnShare)
 }
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -65,6 +65,7 @@
 		if step != retry.Repeat {
 			return s.endOf(step, x, err)
 		}
+		ask.Again = withheld(err)
 		s.Metrics.Retries.Add(outcome.String(), 1)
 		ask.Avoid = append(ask.Avoid, slot.Endpoint.Name)
 		ask.Retry = outcome != retry.NotSent || x.Target.Budget != ""
@@ -218,6 +219,12 @@
 	return 0
 }
 
+// withheld reports whether nothing of an attempt was sent, because its check forbade it.
+func withheld(err error) bool {
+	var e *endpoint.Error
+	return errors.As(err, &e) && e.Withheld
+}
+
 func failed(err error) traffic.Result {
 	r := traffic.Result{Err: err, Running: -1}
 	var e *endpoint.Error
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -150,7 +150,12 @@
 func (s *Server) request(x *Exchange, slot *traffic.Slot, position string) *endpoint.Request {
 	now := s.Clock.Now()
 	r := s.protocol().Request(x, slot.Endpoint, x.Deadline.Sub(now), position)
-	r.Check = func() error { return s.mayLeave(x, now) }
+	r.Check = func() error {
+		if err := s.Dispatcher.MaySend(slot); err != nil {
+			return err
+		}
+		return s.mayLeave(x, now)
+	}
 	return r
 }
 
--- a/io/peer/credit.go
+++ b/io/peer/credit.go
@@ -19,16 +19,26 @@
 	maxQuestion = 4 << 10
 )
 
-// ErrBadAmount is returned for a question whose amounts are none.
-var ErrBadAmount = errors.New("the amounts asked for are no numbers of 0 or more; ask for what the request counts")
+// Errors of questions.
+var (
+	// ErrBadAmount is returned for a question whose amounts are none.
+	ErrBadAmount = errors.New("the amounts asked for are no numbers of 0 or more; ask for what the request counts")
+	// ErrBadLimit is returned for a question on an endpoint without a limit, or on an endpoint and a customer.
+	ErrBadLimit = errors.New("a question on an endpoint needs the limit that it named, above 0, and no customer")
+)
 
-// CreditQuestion asks what a node may spend of a customer's limit.
+// CreditQuestion asks what a node may spend of the limit of a customer or of an endpoint.
 type CreditQuestion struct {
 	Node string `json:"node"`
 	// Alone is true where the node has been spending its own part until now.
 	Alone bool `json:"alone,omitempty"`
 	// Customer is its name; "" only asks whether the holder answers.
 	Customer string `json:"customer,omitempty"`
+	// Endpoint is an endpoint that limits its requests, Born the start of its life, and Limit what it named, in
+	// requests a second.
+	Endpoint string  `json:"endpoint,omitempty"`
+	Born     int64   `json:"born,omitempty"`
+	Limit    float64 `json:"limit,omitempty"`
 	// Need is what one request counts, and Ahead what is wanted beyond, in the limit's units.
 	Need  float64 `json:"need,omitempty"`
 	Ahead float64 `json:"ahead,omitempty"`
@@ -41,6 +51,9 @@
 			return ErrBadAmount
 		}
 	}
+	if q.Endpoint != "" && (!(q.Limit > 0) || math.IsInf(q.Limit, 0) || q.Customer != "") {
+		return ErrBadLimit
+	}
 	return nil
 }
 
