quota: a property test of endpoints' limits over 7, 71 and 300 nodes, with planted faults

Nodes that send all they may to one endpoint, while the granter changes, is doubled, frozen or lost, and nodes start again, freeze and are cut off in islands. Four planted faults are found: a way that does not ask, parts rounded up, each node alone, buckets that begin full.

--- a/core/quota/bound.go
+++ b/core/quota/bound.go
@@ -24,12 +24,14 @@
 // not hear of them grants.
 const (
 	aloneShare = 0.5
-	// endpointBurst is the time for which a bucket fills, beside one request.
-	endpointBurst = 0.5
+	// endpointRequests is how many requests a bucket holds, beside endpointBurst of a second's: nodes come back
+	// for what there is at moments of their own, and what a full bucket does not hold is lost.
+	endpointRequests = 2
+	endpointBurst    = 0.5
 )
 
 // OfEndpoint returns the bound on requests to an endpoint that takes so many a second from all nodes together, where
 // at least nodes share the traffic.
 func OfEndpoint(perSecond float64, nodes int) Bound {
-	return Bound{Rate: perSecond, Full: 1 + endpointBurst*perSecond, AloneRate: aloneShare * perSecond, AloneStart: aloneShare, Nodes: nodes}
+	return Bound{Rate: perSecond, Full: endpointRequests + endpointBurst*perSecond, AloneRate: aloneShare * perSecond, AloneStart: aloneShare, Nodes: nodes}
 }
--- /dev/null
+++ b/core/quota/endpoint_test.go
@@ -0,0 +1,299 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// The platform's rule on limits of endpoints: in some window not more than share of what the limit allows, and slack.
+const (
+	ruleWindow = 4 * time.Second
+	ruleShare  = 1.5
+	ruleSlack  = 5
+)
+
+const (
+	// simStep is the time between two looks at a simulated deployment.
+	simStep = 10 * time.Millisecond
+	// simReport is the longest time between two reports of a node to the granter.
+	simReport = time.Second
+	// simTimeout is how long a question waits for its answer.
+	simTimeout = 250 * time.Millisecond
+)
+
+// simNode sends requests to one endpoint whenever it may.
+type simNode struct {
+	purse *Purse
+	// granter is set while the node holds the role.
+	granter *Granter
+	// holder is whom the node takes for the granter.
+	holder int
+	shut   time.Time
+	// asked is when the question in progress was sent, and answerAt when its answer comes; zero for none.
+	asked, answerAt time.Time
+	answer          *Answer
+	members         int
+	reportAt        time.Time
+	frozen          bool
+	// disturbedAt is when it was last frozen, cut off or started again: for a window after that the rule excuses it.
+	disturbedAt time.Time
+	// island tells who reaches whom: nodes of one island.
+	island int
+}
+
+// simDeployment is a deployment in virtual time in which all nodes have been told of the limit.
+type simDeployment struct {
+	r     *rand.Rand
+	now   time.Time
+	nodes []*simNode
+	bound func(nodes int) Bound
+	limit float64
+	// sent are the moments at which requests of undisturbed nodes leave, at most one window old; total counts all
+	// requests.
+	sent  []time.Time
+	total int
+	worst int
+	lives int
+	// plant spoils a node before it acts; nil for nothing.
+	plant func(s *simDeployment, n *simNode)
+}
+
+func newSimDeployment(nodes int, limit float64, seed uint64) *simDeployment {
+	s := &simDeployment{r: rand.New(rand.NewPCG(seed, 7)), now: start, limit: limit, bound: func(n int) Bound { return OfEndpoint(limit, n) }}
+	for range nodes {
+		s.nodes = append(s.nodes, &simNode{})
+	}
+	for i := range nodes {
+		s.restart(i)
+		s.nodes[i].disturbedAt = time.Time{}
+	}
+	s.hold(0)
+	return s
+}
+
+func (s *simDeployment) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.r.Int64N(int64(most-least)))
+}
+
+// restart starts a node's process anew.
+func (s *simDeployment) restart(i int) {
+	s.lives++
+	old := s.nodes[i]
+	*old = simNode{purse: NewPurse(strconv.Itoa(s.lives), Tolerance{}), holder: old.holder, island: old.island, disturbedAt: s.now, reportAt: s.now.Add(s.between(0, simReport))}
+}
+
+// hold gives a node the role; whoever it reaches learns so within half a second.
+func (s *simDeployment) hold(i int) {
+	n := s.nodes[i]
+	n.granter = NewGranter(Tolerance{}, len(s.nodes), s.now)
+	for _, m := range s.nodes {
+		if m.island == n.island {
+			m.holder = i
+		}
+	}
+}
+
+func (s *simDeployment) reaches(n *simNode) *Granter {
+	h := s.nodes[n.holder]
+	if h.frozen || h.island != n.island {
+		return nil
+	}
+	return h.granter
+}
+
+// run lets time pass.
+func (s *simDeployment) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(simStep) {
+		for _, i := range s.r.Perm(len(s.nodes)) {
+			n := s.nodes[i]
+			if n.frozen || n.island != 0 {
+				n.disturbedAt = s.now
+			}
+			if !n.frozen {
+				s.act(i, n)
+			}
+		}
+		for len(s.sent) > 0 && s.now.Sub(s.sent[0]) >= ruleWindow {
+			s.sent = s.sent[1:]
+		}
+		s.worst = max(s.worst, len(s.sent))
+	}
+}
+
+func (s *simDeployment) act(i int, n *simNode) {
+	if s.plant != nil {
+		s.plant(s, n)
+	}
+	name := strconv.Itoa(i)
+	if g := s.reaches(n); g != nil && !s.now.Before(n.reportAt) {
+		g.Heard(name, n.purse.Alone(), s.now)
+		n.reportAt = s.now.Add(s.between(simReport/4, simReport))
+	}
+	if !n.asked.IsZero() {
+		s.await(n)
+		return
+	}
+	if s.now.Before(n.shut) {
+		return
+	}
+	of := s.bound(len(s.nodes))
+	switch d := n.purse.TakeBound("e", of, 1, s.now); {
+	case d.Step == Pass:
+		s.send(n)
+	case d.Step == AskFor:
+		s.ask(name, n, of, d.Ahead)
+	case n.purse.Alone() && s.now.UnixNano()%int64(200*time.Millisecond) == 0:
+		s.ask(name, n, of, 0)
+	default:
+		n.shut = s.now.Add(d.After)
+	}
+}
+
+func (s *simDeployment) send(n *simNode) {
+	s.total++
+	if s.now.Sub(n.disturbedAt) >= ruleWindow {
+		s.sent = append(s.sent, s.now)
+	}
+}
+
+// ask asks the granter; the answer comes after the way there and back, or never.
+func (s *simDeployment) ask(name string, n *simNode, of Bound, ahead float64) {
+	n.asked, n.answer, n.answerAt = s.now, nil, s.now.Add(simTimeout)
+	g := s.reaches(n)
+	if g == nil {
+		return
+	}
+	g.Heard(name, false, s.now)
+	a := g.AskBound("e", of, 1, ahead, s.now)
+	n.answer, n.members, n.answerAt = &a, g.Members(s.now), s.now.Add(s.between(time.Millisecond, 60*time.Millisecond))
+}
+
+func (s *simDeployment) await(n *simNode) {
+	if s.now.Before(n.answerAt) {
+		return
+	}
+	asked := n.asked
+	n.asked = time.Time{}
+	switch {
+	case n.answer == nil:
+		n.purse.Lost(asked, s.now)
+	case n.answer.Granted > 0:
+		n.purse.Heard(asked, n.members)
+		n.purse.Granted("e", n.answer.Granted, 1, asked)
+		s.send(n)
+	default:
+		n.purse.Heard(asked, n.members)
+		n.purse.Refused("e", 1, n.answer.After, s.now)
+		n.shut = s.now.Add(n.answer.After)
+	}
+}
+
+// allowed is how many requests may come in a window.
+func (s *simDeployment) allowed() float64 { return ruleShare*s.limit*ruleWindow.Seconds() + ruleSlack }
+
+// playSeries has the role change, nodes start again, freeze, and be cut off in islands, in series.
+func playSeries(s *simDeployment) {
+	for range 30 {
+		switch i := s.r.IntN(len(s.nodes)); s.r.IntN(6) {
+		case 0:
+			s.hold(i)
+		case 1:
+			s.restart(i)
+		case 2:
+			for _, n := range s.nodes {
+				n.island = s.r.IntN(2)
+			}
+		case 3:
+			for _, n := range s.nodes {
+				n.island = 0
+			}
+			s.hold(i)
+		case 4:
+			s.nodes[i].frozen = true
+		case 5:
+			for _, n := range s.nodes {
+				n.frozen = false
+			}
+		}
+		s.run(s.between(100*time.Millisecond, 4*time.Second))
+	}
+}
+
+// TestLimitOfEndpointHolds checks that nodes which send all they may to one endpoint keep its limit together, while the
+// granter changes, is doubled or lost, and nodes start again, freeze and are cut off.
+func TestLimitOfEndpointHolds(t *testing.T) {
+	for _, nodes := range []int{7, 71, 300} {
+		for _, limit := range []float64{0.3, 1, 1.8, 10} {
+			for seed := range uint64(max(1, 42/nodes)) {
+				t.Run(fmt.Sprintf("%d nodes, %g a second, seed %d", nodes, limit, seed), func(t *testing.T) {
+					t.Parallel()
+					s := newSimDeployment(nodes, limit, seed)
+					playSeries(s)
+					if float64(s.worst) > s.allowed() {
+						t.Errorf("%d requests in %v, %.1f may come", s.worst, ruleWindow, s.allowed())
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestLimitOfEndpointIsUsed checks that nodes in touch with a granter use what an endpoint takes.
+func TestLimitOfEndpointIsUsed(t *testing.T) {
+	for _, nodes := range []int{7, 71, 300} {
+		for _, limit := range []float64{1, 1.8, 10} {
+			s := newSimDeployment(nodes, limit, 1)
+			s.run(5 * time.Second)
+			before := s.total
+			s.run(30 * time.Second)
+			if got := float64(s.total-before) / 30; got < 0.9*limit {
+				t.Errorf("%d nodes: %.2f requests a second, want nine tenths of %g", nodes, got, limit)
+			}
+		}
+	}
+}
+
+// TestLimitFaultsFound checks that the plays show faults that are planted.
+func TestLimitFaultsFound(t *testing.T) {
+	faults := []struct {
+		name  string
+		plant func(s *simDeployment, n *simNode)
+		bound func(limit float64, nodes int) Bound
+	}{
+		{"a way that does not ask", func(s *simDeployment, n *simNode) {
+			if s.r.IntN(len(s.nodes)*50) == 0 {
+				s.send(n)
+			}
+		}, OfEndpoint},
+		{"parts rounded up", nil, func(limit float64, nodes int) Bound {
+			b := OfEndpoint(limit, nodes)
+			b.AloneRate = float64(nodes) * max(1, limit/float64(nodes))
+			return b
+		}},
+		{"each node keeps the limit alone", func(_ *simDeployment, n *simNode) { n.granter = nil }, func(limit float64, _ int) Bound {
+			return Bound{Rate: limit, Full: 1, AloneRate: limit, Nodes: 1}
+		}},
+		{"buckets that begin full", func(s *simDeployment, n *simNode) {
+			if n.granter != nil && s.r.IntN(100) == 0 {
+				n.granter.buckets = make(map[string]*bucket)
+				n.granter.begun = s.now.Add(-time.Minute)
+			}
+		}, OfEndpoint},
+	}
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				s := newSimDeployment(7, 1, seed)
+				s.plant, s.bound = f.plant, func(nodes int) Bound { return f.bound(1, nodes) }
+				playSeries(s)
+				if float64(s.worst) > s.allowed() {
+					return
+				}
+			}
+			t.Error("not found in 20 plays")
+		})
+	}
+}
