signal, placer, peer: what one node hears of an endpoint's limit, all nodes hear

LIMIT, for the endpoint's sake: a node that was not told is free by the rule, and still harms an endpoint in need; each of 300 nodes had to find out by an answer of its own. The end of a limit is told too, and counts only where this node has not heard it named within half a second of it. Metrics show the limits known and the requests held back.

--- a/core/signal/book.go
+++ b/core/signal/book.go
@@ -27,6 +27,7 @@
 // Book keeps what the endpoints said. It is not safe for concurrent use.
 type Book struct {
 	entries map[string]*entry
+	version uint64
 	// forgotAt is when the book last looked for what can be forgotten.
 	forgotAt time.Time
 }
@@ -34,9 +35,12 @@
 // entry is what one endpoint said.
 type entry struct {
 	start int64
-	// limit is the limit in force; 0 for none. namedAt is when an answer last named it.
-	limit   float64
-	namedAt time.Time
+	// limit is the limit in force; 0 for none. saidAt is when an answer last named it, or the first one no longer
+	// did.
+	limit  float64
+	saidAt time.Time
+	// version is that of the latest change.
+	version uint64
 	// heardAt is when anything was last heard of the endpoint.
 	heardAt time.Time
 	// damagedAt is when damage was last reported.
@@ -79,14 +83,25 @@
 	c = Change{Life: l, Limit: e.limit, Before: e.limit}
 	switch {
 	case s.Limit > 0:
-		c.Limit, e.namedAt = s.Limit, now
-	case s.Ran && len(s.Damaged) == 0 && sent.After(e.namedAt):
+		c.Limit = s.Limit
+	case e.limit > 0 && s.Ran && len(s.Damaged) == 0 && sent.After(e.saidAt):
 		c.Limit = 0
+	default:
+		return c, false, damaged
 	}
-	e.limit = c.Limit
+	b.say(e, c.Limit, now)
 	return c, c.Limit != c.Before, damaged
 }
 
+// say notes a limit that was said at a moment.
+func (b *Book) say(e *entry, limit float64, at time.Time) {
+	if limit != e.limit {
+		b.version++
+		e.version = b.version
+	}
+	e.limit, e.saidAt = limit, at
+}
+
 // Limit returns the limit that a life of an endpoint has named, in requests a second; 0 for none.
 func (b *Book) Limit(l Life) float64 {
 	e := b.entries[l.Endpoint]
@@ -96,6 +111,17 @@
 	return e.limit
 }
 
+// Limits returns the limits in force by endpoint, in requests a second.
+func (b *Book) Limits() map[string]float64 {
+	out := make(map[string]float64)
+	for name, e := range b.entries {
+		if e.limit > 0 {
+			out[name] = e.limit
+		}
+	}
+	return out
+}
+
 // forget drops the endpoints that have said nothing for long.
 func (b *Book) forget(now time.Time) {
 	if now.Sub(b.forgotAt) < keepFor {
--- /dev/null
+++ b/core/signal/word.go
@@ -0,0 +1,68 @@
+package signal
+
+import (
+	"cmp"
+	"errors"
+	"math"
+	"slices"
+	"time"
+)
+
+// Word is what one node heard of an endpoint, for the others.
+type Word struct {
+	Life
+	// Limit is in requests a second; 0 where the endpoint no longer names one.
+	Limit float64
+	// At is when an answer last said so.
+	At time.Time
+}
+
+// ErrBadWord is returned for a word that no endpoint can have said.
+var ErrBadWord = errors.New("a word on an endpoint needs its name and a limit of 0 or more; leave it out")
+
+// Check returns an error for a word that no endpoint can have said.
+func (w *Word) Check() error {
+	if w.Endpoint == "" || !(w.Limit >= 0) || math.IsInf(w.Limit, 0) {
+		return ErrBadWord
+	}
+	return nil
+}
+
+// relaySlack is by how much the moment of another node's word may be too late: that a limit has ended counts only
+// where this node has not heard it named as late as that.
+const relaySlack = 500 * time.Millisecond
+
+// Version rises with each change that concerns other nodes.
+func (b *Book) Version() uint64 { return b.version }
+
+// Since returns what changed since a version, in the order of names.
+func (b *Book) Since(version uint64) []Word {
+	var out []Word
+	for name, e := range b.entries {
+		if e.version > version {
+			out = append(out, Word{Life: Life{Endpoint: name, Start: e.start}, Limit: e.limit, At: e.saidAt})
+		}
+	}
+	slices.SortFunc(out, func(a, b Word) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// Merge takes in what another node heard. It reports whether that changed what is believed here.
+func (b *Book) Merge(w Word, now time.Time) (c Change, changed bool) {
+	b.forget(now)
+	e := b.at(w.Life)
+	if e == nil {
+		return Change{}, false
+	}
+	e.heardAt = now
+	least := e.saidAt
+	if w.Limit == 0 && e.limit > 0 {
+		least = least.Add(relaySlack)
+	}
+	c = Change{Life: w.Life, Limit: w.Limit, Before: e.limit}
+	if !w.At.After(least) || c.Limit == c.Before {
+		return Change{}, false
+	}
+	b.say(e, w.Limit, w.At)
+	return c, true
+}
--- /dev/null
+++ b/core/signal/word_test.go
@@ -0,0 +1,68 @@
+package signal
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestMerge checks which words of other nodes change what this one believes, which heard a limit of 2 at 10 s.
+func TestMerge(t *testing.T) {
+	life := Life{"i-1", 5}
+	tests := []struct {
+		name string
+		word Word
+		want float64
+	}{
+		{"a newer limit", Word{life, 3, at(11 * time.Second)}, 3},
+		{"an older limit", Word{life, 3, at(9 * time.Second)}, 2},
+		{"its end, surely later", Word{life, 0, at(10*time.Second + relaySlack + 1)}, 0},
+		{"its end, at about the same time", Word{life, 0, at(10*time.Second + relaySlack)}, 2},
+		{"the life before", Word{Life{"i-1", 4}, 3, at(11 * time.Second)}, 2},
+		{"another endpoint", Word{Life{"i-2", 5}, 3, at(11 * time.Second)}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := NewBook()
+			b.Hear(life, Said{Limit: 2, Ran: true}, at(9*time.Second), at(10*time.Second))
+			c, changed := b.Merge(tt.word, at(12*time.Second))
+			if got := b.Limit(life); got != tt.want || changed != (tt.want != 2 || tt.word.Endpoint == "i-2") {
+				t.Errorf("limit = %g, want %g; change %+v, %t", got, tt.want, c, changed)
+			}
+		})
+	}
+}
+
+// TestSince checks that a node tells each change once, and the latest state of each endpoint only.
+func TestSince(t *testing.T) {
+	b := NewBook()
+	one, two := Life{Endpoint: "i-1"}, Life{Endpoint: "i-2"}
+	b.Hear(one, Said{Limit: 2, Ran: true}, at(0), at(1))
+	b.Hear(two, Said{Limit: 3, Ran: true}, at(0), at(2))
+	told := b.Version()
+	b.Hear(two, Said{Limit: 3, Ran: true}, at(3), at(4))
+	if words := b.Since(told); len(words) != 0 {
+		t.Errorf("nothing changed, and %v is told", words)
+	}
+	b.Hear(one, Said{Ran: true}, at(5), at(6))
+	if diff := cmp.Diff([]Word{{one, 0, at(6)}}, b.Since(told)); diff != "" {
+		t.Errorf("words since (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]Word{{one, 0, at(6)}, {two, 3, at(4)}}, b.Since(0)); diff != "" {
+		t.Errorf("all words (-want +got):\n%s", diff)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	bad := []Word{{}, {Life{"i-1", 0}, -1, start}, {Life{"i-1", 0}, math.NaN(), start}, {Life{"i-1", 0}, math.Inf(1), start}}
+	for _, w := range bad {
+		if w.Check() == nil {
+			t.Errorf("%+v passes for a word", w)
+		}
+	}
+	if good := (Word{Life{"i-1", 0}, 1, start}); good.Check() != nil {
+		t.Errorf("%+v does not pass: %v", good, good.Check())
+	}
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -192,6 +192,7 @@
 		Charge: func(ctx context.Context, e view.Endpoint, limit float64) time.Duration {
 			return n.control.ChargeEndpoint(ctx, e, limit)
 		},
+		Heard:   func() { n.control.SignalsChanged() },
 		Missing: func(id, pool string) { go n.control.EngineLacks(id, pool) },
 	}
 	endpoints := endpoint.NewClientWith(endpoint.Options{Judge: p.Judge, Dialer: p.Dialer(dialTimeout)})
--- a/internal/placer/board.go
+++ b/internal/placer/board.go
@@ -40,6 +40,8 @@
 	// suspects is the version of what is known of requests under which engines end, as far as it concerns
 	// all nodes.
 	suspects uint64
+	// signals is the version of what endpoints say of themselves.
+	signals uint64
 	// whole is what all nodes get that ask for everything; nil if nobody did lately.
 	whole *wholeBoard
 	// watchers are the questions kept open.
@@ -184,8 +186,20 @@
 func (b *board) setSuspects(version uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if version > b.suspects && b.life != "" {
-		b.suspects = version
+	b.raise(&b.suspects, version)
+}
+
+// setSignals wakes all nodes where more is known of what endpoints say.
+func (b *board) setSignals(version uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.raise(&b.signals, version)
+}
+
+// raise sets the version of something that all nodes should hear of at once, and wakes them.
+func (b *board) raise(of *uint64, version uint64) {
+	if version > *of && b.life != "" {
+		*of = version
 		b.wakeAll()
 	}
 }
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -189,6 +189,7 @@
 	allowance *retry.Allowance
 	retries   retry.Limits
 	suspects  suspects
+	signals   signals
 	turns     turns
 }
 
--- a/internal/placer/followers.go
+++ b/internal/placer/followers.go
@@ -19,6 +19,9 @@
 	if c.suspects.guard.Merge(peer.Entries(r.Suspects, c.o.Clock.Now()), r.Node) {
 		c.showSuspects()
 	}
+	if c.mergeSignals(r.Signals, r.Node, c.o.Clock.Now()) {
+		c.showSignals()
+	}
 	c.inbox.Send(context.Background(), nodeReport{r})
 	return nil
 }
--- a/internal/placer/remote.go
+++ b/internal/placer/remote.go
@@ -54,7 +54,7 @@
 // watch asks the holder for news until the context ends.
 func (c *Controller) watch(ctx context.Context) {
 	var life string
-	var version, suspectsTo uint64
+	var version, suspectsTo, signalsTo uint64
 	heard := true
 	for ctx.Err() == nil {
 		h := c.remote.target()
@@ -63,7 +63,7 @@
 			c.lookUp(ctx)
 			continue
 		}
-		q := peer.Question{Node: c.o.Self.Holder, Life: life, Version: version, SuspectsTo: suspectsTo, Wait: c.pace.watch}
+		q := peer.Question{Node: c.o.Self.Holder, Life: life, Version: version, SuspectsTo: suspectsTo, SignalsTo: signalsTo, Wait: c.pace.watch}
 		if t := c.table.Load(); t != nil {
 			q.Config = t.Config.Version
 		}
@@ -82,7 +82,7 @@
 			c.o.Logger.Info("holder regained", "holder", h.Holder, "fence", s.Fence)
 		}
 		heard = true
-		life, version, suspectsTo = s.Life, s.Version, s.SuspectsTo
+		life, version, suspectsTo, signalsTo = s.Life, s.Version, s.SuspectsTo, s.SignalsTo
 		took := c.o.Clock.Now().Sub(asked)
 		c.o.Logger.Trace("heard", "version", s.Version, "tookMs", took.Milliseconds())
 		// What the way here took is not known; the way there counts with it.
@@ -127,6 +127,7 @@
 	c.lookup.learn(s.Peers)
 	c.succeed(s.Successor)
 	c.hearSuspects(s, now)
+	c.mergeSignals(s.Signals, "holder", now)
 	c.feed(s, now, m)
 }
 
@@ -295,9 +296,10 @@
 	r := &peer.Report{Node: c.o.Self.Holder, Address: c.o.Self.Address, Strength: c.o.Strength, StoreAway: c.storeIsAway(now), Stopping: c.stopping.Load(), Alone: c.credits.alone(), Use: c.wireUses(now), Misses: c.newMiss}
 	c.newMiss = nil
 	to := c.reportSuspects(r, h.Life, now)
+	signalsTo := c.reportSignals(r, h.Life, now)
 	go func() {
 		err := c.o.Peers.Report(ctx, h.Address, r)
-		c.inbox.Send(ctx, reportSent{h.Life, to, err})
+		c.inbox.Send(ctx, reportSent{h.Life, to, signalsTo, err})
 	}()
 }
 
@@ -308,10 +310,10 @@
 }
 
 type reportSent struct {
-	// life is the holder's, and suspectsTo the version of the suspects that it was told.
-	life       string
-	suspectsTo uint64
-	err        error
+	// life is the holder's, and suspectsTo and signalsTo the versions up to which it was told.
+	life                  string
+	suspectsTo, signalsTo uint64
+	err                   error
 }
 
 func (m reportSent) handle(c *Controller) {
@@ -321,6 +323,7 @@
 		return
 	}
 	c.suspects.reportedLife, c.suspects.reportedTo = m.life, m.suspectsTo
+	c.signals.reportedLife, c.signals.reportedTo = m.life, m.signalsTo
 }
 
 // uses returns this node's own use.
--- /dev/null
+++ b/internal/placer/signals.go
@@ -0,0 +1,59 @@
+package placer
+
+import (
+	"time"
+
+	"olivetiller/io/peer"
+)
+
+// signals is how far the holder was told what endpoints say. It belongs to the owner.
+type signals struct {
+	// reportedTo is the version up to which the holder of the life reportedLife was told.
+	reportedTo   uint64
+	reportedLife string
+}
+
+// SignalsChanged has the others told of what endpoints say; it may be called from any goroutine.
+func (c *Controller) SignalsChanged() {
+	c.WakeDemand()
+	c.showSignals()
+}
+
+// showSignals wakes the nodes that wait for news of the holder, if there is some.
+func (c *Controller) showSignals() {
+	_, version := c.o.Dispatcher.SignalsSince(0)
+	c.holder.setSignals(version)
+}
+
+// mergeSignals takes in what another node heard of endpoints, and reports whether that was news.
+func (c *Controller) mergeSignals(told []peer.Signal, by string, now time.Time) bool {
+	if len(told) == 0 {
+		return false
+	}
+	changes := c.o.Dispatcher.MergeSignals(peer.Words(told, now))
+	for _, ch := range changes {
+		c.o.Logger.Info("endpoint says what it takes", "endpoint", ch.Endpoint, "born", ch.Start, "limit", ch.Limit, "before", ch.Before, "by", by)
+	}
+	return len(changes) > 0
+}
+
+// reportSignals adds what the holder is to be told, and returns the version to which it leads.
+func (c *Controller) reportSignals(r *peer.Report, life string, now time.Time) uint64 {
+	if c.signals.reportedLife != life {
+		c.signals.reportedTo = 0
+	}
+	words, to := c.o.Dispatcher.SignalsSince(c.signals.reportedTo)
+	r.Signals = peer.Signals(words, now)
+	return to
+}
+
+// addSignals adds what is new to the asker, and reports whether there is any.
+func (c *Controller) addSignals(s *peer.Snapshot, q peer.Question, now time.Time) bool {
+	after := q.SignalsTo
+	if s.Whole {
+		after = 0
+	}
+	words, to := c.o.Dispatcher.SignalsSince(after)
+	s.Signals, s.SignalsTo = peer.Signals(words, now), to
+	return len(words) > 0
+}
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -196,7 +196,9 @@
 	if !ok {
 		return nil, peer.ErrNotHolder
 	}
-	if c.addSuspects(s, q, asked) || urgent {
+	news := c.addSuspects(s, q, asked)
+	news = c.addSignals(s, q, asked) || news
+	if news || urgent {
 		return s, nil
 	}
 	timeout := c.o.Clock.After(q.Wait)
@@ -219,6 +221,7 @@
 		return nil, peer.ErrNotHolder
 	}
 	c.addSuspects(s, q, now)
+	c.addSignals(s, q, now)
 	s.HeldMs = now.Sub(asked).Milliseconds()
 	return s, nil
 }
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -30,6 +30,8 @@
 	// Charge charges a request to an endpoint that takes so many a second from all nodes together, and returns when
 	// it may be asked again; 0 where the request may be sent. Nil where no endpoint names a limit.
 	Charge func(ctx context.Context, e view.Endpoint, limit float64) time.Duration
+	// Heard is called when an answer has changed what is believed of its endpoint; nil where nobody wants to know.
+	Heard func()
 }
 
 // Dispatcher holds the pools and gates. It is safe for concurrent use.
@@ -49,6 +51,8 @@
 	retries retry.Limits
 	// book keeps what the endpoints say of themselves.
 	book *signal.Book
+	// heldByLimit is as in Totals.
+	heldByLimit int64
 	// stopped is closed when nobody may wait any longer.
 	stopped chan struct{}
 }
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -37,16 +37,46 @@
 // Hear takes in what an endpoint's answer to a request that was sent at a moment says of the endpoint. It returns
 // what that changed, and which damaged signals are to be reported.
 func (d *Dispatcher) Hear(e view.Endpoint, s signal.Said, sent time.Time) (c signal.Change, changed bool, damaged []signal.Damage) {
+	c, changed, damaged = d.hear(lifeOf(&e), s, sent)
+	if changed && d.hooks.Heard != nil {
+		d.hooks.Heard()
+	}
+	return c, changed, damaged
+}
+
+func (d *Dispatcher) hear(l signal.Life, s signal.Said, sent time.Time) (c signal.Change, changed bool, damaged []signal.Damage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	c, changed, damaged = d.book.Hear(lifeOf(&e), s, sent, now)
+	c, changed, damaged = d.book.Hear(l, s, sent, now)
 	if changed {
-		d.heed(c.Life, now)
+		d.heed(l, now)
 	}
 	return c, changed, damaged
 }
 
+// SignalsSince returns what changed of what endpoints say since a version, and the version that this leads to.
+func (d *Dispatcher) SignalsSince(version uint64) (words []signal.Word, to uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Since(version), d.book.Version()
+}
+
+// MergeSignals takes in what other nodes heard of endpoints, and returns what that changed.
+func (d *Dispatcher) MergeSignals(words []signal.Word) []signal.Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	var out []signal.Change
+	for _, w := range words {
+		if c, changed := d.book.Merge(w, now); changed {
+			d.heed(w.Life, now)
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // heed puts what the book says of an endpoint in force.
 func (d *Dispatcher) heed(l signal.Life, now time.Time) {
 	g := d.gates[l.Endpoint]
@@ -75,6 +105,7 @@
 			d.mu.Unlock()
 			return s, nil
 		}
+		d.heldByLimit++
 		s.uncount()
 		s.gate.settle(Result{NotBegun: true, Running: -1}, now)
 		if ctx.Err() != nil {
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -28,13 +28,17 @@
 	WaitingBytes int64 `json:"waitingBytes"`
 	// RetryReserve is what this node may retry in a window beyond its share of first attempts.
 	RetryReserve float64 `json:"retryReserve"`
+	// Limited are the endpoints that limit their requests, in requests a second by name.
+	Limited map[string]float64 `json:"limitedEndpoints"`
+	// HeldByLimit counts the times that a request got no place since its endpoint's limit had no room.
+	HeldByLimit int64 `json:"heldByLimit"`
 }
 
 // Totals returns the work of all pools.
 func (d *Dispatcher) Totals() Totals {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t := Totals{RetryReserve: d.retries.Reserve}
+	t := Totals{RetryReserve: d.retries.Reserve, Limited: d.book.Limits(), HeldByLimit: d.heldByLimit}
 	for _, p := range d.pools {
 		t.Waiting += p.queue.Len()
 		t.Running += p.running
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -92,6 +92,8 @@
 	// Suspects are what this node itself knows of requests under which engines ended, where that
 	// changed.
 	Suspects []Suspect `json:"suspects,omitempty"`
+	// Signals are what endpoints said of themselves, where that changed.
+	Signals []Signal `json:"signals,omitempty"`
 }
 
 // Snapshot is what the holder tells the nodes.
@@ -124,6 +126,9 @@
 	// changed; SuspectsTo is the version to which they lead.
 	Suspects   []Suspect `json:"suspects,omitempty"`
 	SuspectsTo uint64    `json:"suspectsTo,omitempty"`
+	// Signals are what endpoints said of themselves, where that changed; SignalsTo is the version to which they lead.
+	Signals   []Signal `json:"signals,omitempty"`
+	SignalsTo uint64   `json:"signalsTo,omitempty"`
 	// VerdictsKnown is true once the holder has read the verdicts that the store keeps.
 	VerdictsKnown bool `json:"verdictsKnown,omitempty"`
 	Feed
@@ -169,6 +174,8 @@
 	Config int64
 	// SuspectsTo is the version to which the node knows the holder's suspects, in that life.
 	SuspectsTo uint64
+	// SignalsTo is the same for what endpoints say.
+	SignalsTo uint64
 	// Wait is how long the holder may keep the question open.
 	Wait time.Duration
 }
@@ -297,7 +304,8 @@
 func (q Question) values() url.Values {
 	return url.Values{
 		"node": {q.Node}, "life": {q.Life}, "version": {strconv.FormatUint(q.Version, 10)}, "config": {strconv.FormatInt(q.Config, 10)}, "suspects": {strconv.FormatUint(q.SuspectsTo, 10)},
-		"waitMs": {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
+		"signals": {strconv.FormatUint(q.SignalsTo, 10)},
+		"waitMs":  {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
 	}
 }
 
@@ -310,23 +318,37 @@
 	if err != nil {
 		return Question{}, fmt.Errorf("config: %w", err)
 	}
-	suspects := uint64(0)
-	if raw := v.Get("suspects"); raw != "" {
-		// Nodes of before do not tell it.
-		if suspects, err = strconv.ParseUint(raw, 10, 64); err != nil {
-			return Question{}, fmt.Errorf("suspects: %w", err)
-		}
+	suspects, err := parseVersion(v, "suspects")
+	if err != nil {
+		return Question{}, err
+	}
+	signals, err := parseVersion(v, "signals")
+	if err != nil {
+		return Question{}, err
 	}
 	wait, err := strconv.ParseInt(v.Get("waitMs"), 10, 64)
 	if err != nil {
 		return Question{}, fmt.Errorf("waitMs: %w", err)
 	}
 	return Question{
-		Node: v.Get("node"), Life: v.Get("life"), Version: version, Config: config, SuspectsTo: suspects,
+		Node: v.Get("node"), Life: v.Get("life"), Version: version, Config: config, SuspectsTo: suspects, SignalsTo: signals,
 		Wait: time.Duration(max(0, min(maxWait.Milliseconds(), wait))) * time.Millisecond,
 	}, nil
 }
 
+// parseVersion reads a version that nodes of an earlier release do not tell; 0 stands for none.
+func parseVersion(v url.Values, name string) (uint64, error) {
+	raw := v.Get(name)
+	if raw == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(raw, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", name, err)
+	}
+	return n, nil
+}
+
 // Client speaks to the holder. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
