placement: what an engine says it takes counts as its capacity

LIMIT, for the callers' sake: a model whose only engine named 1 request a second was served by it alone, and its callers refused, although another engine kept a copy: throttled runs made it look idle. An engine that limits its requests counts as serving a model only where it takes what comes for it, and gets no further models while others of its service name no limit.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -17,6 +17,8 @@
 	// known.
 	start   directory.Start
 	startAt time.Time
+	// limit is how many requests a second the engine takes by its own word; 0 where it names no limit.
+	limit float64
 	// known is false while the engine's state is in doubt: it gets no orders
 	// until it has reported.
 	known bool
--- /dev/null
+++ b/core/placement/limits_test.go
@@ -0,0 +1,40 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/directory"
+)
+
+// TestLimitedEngines checks that a model is loaded elsewhere whose only engine takes fewer requests than come for it,
+// and that an engine which limits its requests gets no further models.
+func TestLimitedEngines(t *testing.T) {
+	tests := []struct {
+		name     string
+		limits   map[string]float64
+		arrivals int
+		use      Unit
+		want     []told
+	}{
+		{"no limit", nil, 30, unit("m0"), nil},
+		{"a limit below the demand", map[string]float64{"e1": 1}, 30, unit("m0"), []told{{"e2", "unit/s/m0", false, false}}},
+		{"a limit above the demand", map[string]float64{"e1": 9}, 30, unit("m0"), nil},
+		{"nothing new at a limited engine", map[string]float64{"e1": 9}, 1, unit("m1"), []told{{"e2", "unit/s/m1", false, false}}},
+		{"all are limited", map[string]float64{"e1": 9, "e2": 9}, 1, unit("m2"), []told{{"e1", "unit/s/m2", false, false}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := testPlanner(t, 3, map[string]Report{
+				"e1": {Holdings: directory.Holdings{Models: holds("m0"), OnDisk: []string{"m1", "m2"}}},
+				"e2": {Holdings: directory.Holdings{OnDisk: []string{"m0", "m1"}}},
+			})
+			p.SetLimits(func(engine string, _ directory.Start) float64 { return tt.limits[engine] })
+			p.Use("n", []Use{{Unit: tt.use, Waiting: 1, Arrivals: tt.arrivals, Urgent: at(2000), Last: at(2000)}}, at(10))
+			if diff := cmp.Diff(tt.want, orders(p.Plan(at(10), 1))); diff != "" {
+				t.Errorf("orders (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -48,6 +48,9 @@
 	soon int
 	// keepers counts the engines that hold the model or keep a copy of it.
 	keepers int
+	// limited counts the holders that limit their requests, and limits is what these take, in requests a second.
+	limited int
+	limits  float64
 }
 
 // model returns the state of a model, which begins with the first use of it or copy.
@@ -73,6 +76,7 @@
 func (m *modelState) tally(now time.Time) {
 	m.holders, m.loaders, m.soon, m.keepers = m.holders[:0], 0, 0, 0
 	m.due, m.rate, m.objective = due{}, 0, 0
+	m.limited, m.limits = 0, 0
 	m.lastUse, m.sentAwayAt = time.Time{}, time.Time{}
 	for _, u := range m.uses {
 		m.rate += rateBound(u.rateNow(now), now.Sub(u.lastUse))
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -32,6 +32,8 @@
 	actions []Action
 	// engineCounts counts the engines that do not leave, by service.
 	engineCounts map[string]int
+	// limitedCounts counts those of them that limit their requests.
+	limitedCounts map[string]int
 	// storeBusy counts the loads from the store in progress.
 	storeBusy int
 	// claimed is until when an engine's time is planned for models that wait.
@@ -52,7 +54,7 @@
 	p.endWork(now)
 	p.forgetStoreLoads(now)
 	p.followStore(now)
-	g := &planning{Planner: p, now: now, engineCounts: make(map[string]int), claimed: make(map[*engine]time.Time)}
+	g := &planning{Planner: p, now: now, engineCounts: make(map[string]int), limitedCounts: make(map[string]int), claimed: make(map[*engine]time.Time)}
 	g.storeBusy = p.store.busy
 	clear(p.readyAt)
 	g.tally()
@@ -79,6 +81,9 @@
 			continue
 		}
 		g.engineCounts[e.service]++
+		if e.limit > 0 {
+			g.limitedCounts[e.service]++
+		}
 		g.countHeld(e)
 		if w := e.work; w != nil && !w.unload && e.models[w.unit.Model] == nil {
 			g.awaits(w.unit, w.expected)
@@ -97,6 +102,7 @@
 		e.running += m.at[e.id]
 		if e.serves(name) {
 			m.holders = append(m.holders, e)
+			m.countLimit(e)
 		}
 		if e.known && !e.keepsCopy(name) {
 			m.keepers++
--- a/core/placement/site.go
+++ b/core/placement/site.go
@@ -149,6 +149,9 @@
 	if e.service != m.unit.Service || e.draining || e.shape == nil || !e.known {
 		return site{}, false
 	}
+	if g.passesOver(e) {
+		return site{}, false
+	}
 	if e.models[m.unit.Model] != nil || e.loads(m.unit.Model) || e.reserved == m.unit {
 		return site{}, false
 	}
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -11,7 +11,7 @@
 	var out []*modelState
 	for _, m := range g.list {
 		asked := m.waiting > 0 || !m.sentAwayAt.IsZero() && g.now.Sub(m.sentAwayAt) < returnTime
-		if asked && m.replicas() == 0 && m.loaders == 0 && m.spec != nil && !g.rests(m) {
+		if asked && m.serving() == 0 && m.loaders == 0 && m.spec != nil && !g.rests(m) {
 			out = append(out, m)
 		}
 	}
@@ -57,7 +57,7 @@
 func (g *planning) short() []replica {
 	var out []replica
 	for _, m := range g.list {
-		n := m.replicas() + m.soon
+		n := m.serving() + m.soon
 		if n == 0 || m.spec == nil || n >= g.engineCounts[m.unit.Service] || g.now.Before(m.restUntil) {
 			continue
 		}
--- a/internal/placer/signals.go
+++ b/internal/placer/signals.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"olivetiller/core/directory"
+	"olivetiller/core/signal"
 	"olivetiller/io/peer"
 )
 
@@ -25,6 +27,11 @@
 	c.holder.setSignals(version)
 }
 
+// limitOf returns how many requests a second an engine takes by its own word; 0 where it names no limit.
+func (c *Controller) limitOf(engine string, start directory.Start) float64 {
+	return c.o.Dispatcher.Limit(signal.Life{Endpoint: engine, Start: int64(start)})
+}
+
 // mergeSignals takes in what another node heard of endpoints, and reports whether that was news.
 func (c *Controller) mergeSignals(told []peer.Signal, by string, now time.Time) bool {
 	if len(told) == 0 {
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -55,6 +55,13 @@
 	return c, changed, damaged
 }
 
+// Limit returns the limit that a life of an endpoint has named, in requests a second; 0 for none.
+func (d *Dispatcher) Limit(l signal.Life) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Limit(l)
+}
+
 // SignalsSince returns what changed of what endpoints say since a version, and the version that this leads to.
 func (d *Dispatcher) SignalsSince(version uint64) (words []signal.Word, to uint64) {
 	d.mu.Lock()
