signal, traffic, placer: an endpoint that says that it leaves gets no more requests

Cause: Server-Leaving was not heard. Heard as the product's own protocol hears the like, it would have been undone by the next view: a pool dropped the endpoint until then, and the owner passed over an endpoint that was not on its list yet.

What is being written already goes on.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -178,6 +178,12 @@
 	return true
 }
 
+// DrainLife notes that a life of an endpoint said itself that it leaves; one that is not on the list is passed over.
+func (d *Directory) DrainLife(id string, start Start) bool {
+	e := d.entries[id]
+	return e != nil && e.Start == start && e.GoneAt.IsZero() && d.Drain(id)
+}
+
 // forgetAfter is how long an entry that is gone is remembered, so that a late
 // record of it does not bring it back unnoticed.
 const forgetAfter = time.Minute
--- a/core/signal/book.go
+++ b/core/signal/book.go
@@ -14,12 +14,19 @@
 	Life
 	// Limit is the limit from now on, in requests a second; 0 for none. Before is the one until now.
 	Limit, Before float64
+	// Leaves is true where the endpoint has just said that it leaves.
+	Leaves bool
 }
 
+// any reports whether anything changed.
+func (c *Change) any() bool { return c.Limit != c.Before || c.Leaves }
+
 // Times of a book.
 const (
 	// keepFor is how long the book remembers an endpoint that says nothing any more.
 	keepFor = 10 * time.Minute
+	// keepLeaving is the same for one that has said that it leaves: longer than any lives on after that.
+	keepLeaving = 24 * time.Hour
 	// damageEvery is the least time between two reports of damaged signals of one endpoint.
 	damageEvery = 10 * time.Second
 )
@@ -39,6 +46,8 @@
 	// did.
 	limit  float64
 	saidAt time.Time
+	// leaving is set once the life has said that it leaves.
+	leaving bool
 	// version is that of the latest change.
 	version uint64
 	// heardAt is when anything was last heard of the endpoint.
@@ -69,7 +78,7 @@
 // changed anything, and which of the damage is to be reported.
 func (b *Book) Hear(l Life, s Said, sent, now time.Time) (c Change, changed bool, damaged []Damage) {
 	b.forget(now)
-	if b.entries[l.Endpoint] == nil && s.Limit == 0 && len(s.Damaged) == 0 {
+	if b.entries[l.Endpoint] == nil && s.silent() {
 		return Change{}, false, nil
 	}
 	e := b.at(l)
@@ -80,26 +89,41 @@
 	if len(s.Damaged) > 0 && now.Sub(e.damagedAt) >= damageEvery {
 		e.damagedAt, damaged = now, s.Damaged
 	}
-	c = Change{Life: l, Limit: e.limit, Before: e.limit}
+	c = Change{Life: l, Limit: e.limit, Before: e.limit, Leaves: s.Leaving && !e.leaving}
 	switch {
 	case s.Limit > 0:
-		c.Limit = s.Limit
+		c.Limit, e.saidAt = s.Limit, now
 	case e.limit > 0 && s.Ran && len(s.Damaged) == 0 && sent.After(e.saidAt):
-		c.Limit = 0
-	default:
-		return c, false, damaged
+		c.Limit, e.saidAt = 0, now
 	}
-	b.say(e, c.Limit, now)
-	return c, c.Limit != c.Before, damaged
+	b.put(e, &c)
+	return c, c.any(), damaged
 }
 
-// say notes a limit that was said at a moment.
-func (b *Book) say(e *entry, limit float64, at time.Time) {
-	if limit != e.limit {
-		b.version++
-		e.version = b.version
+// put puts a change in force.
+func (b *Book) put(e *entry, c *Change) {
+	if !c.any() {
+		return
 	}
-	e.limit, e.saidAt = limit, at
+	b.version++
+	e.version, e.limit, e.leaving = b.version, c.Limit, e.leaving || c.Leaves
+}
+
+// Leaves reports whether a life of an endpoint has said that it leaves.
+func (b *Book) Leaves(l Life) bool {
+	e := b.entries[l.Endpoint]
+	return e != nil && (e.start == l.Start || e.start == 0) && e.leaving
+}
+
+// Leaving returns the lives that have said that they leave.
+func (b *Book) Leaving() []Life {
+	var out []Life
+	for name, e := range b.entries {
+		if e.leaving {
+			out = append(out, Life{Endpoint: name, Start: e.start})
+		}
+	}
+	return out
 }
 
 // Limit returns the limit that a life of an endpoint has named, in requests a second; 0 for none.
@@ -129,7 +153,7 @@
 	}
 	b.forgotAt = now
 	for name, e := range b.entries {
-		if now.Sub(e.heardAt) >= keepFor {
+		if silent := now.Sub(e.heardAt); silent >= keepLeaving || silent >= keepFor && !e.leaving {
 			delete(b.entries, name)
 		}
 	}
--- a/core/signal/signal.go
+++ b/core/signal/signal.go
@@ -12,24 +12,29 @@
 	// Limit is how many requests a second the endpoint takes from all nodes together, above 0; 0 where it names
 	// none.
 	Limit float64
+	// Leaving is true where the endpoint takes no new requests for as long as it lives.
+	Leaving bool
 	// Ran is true where the endpoint ran the request. Only such an answer ends a limit by not naming it.
 	Ran bool
 	// Damaged are the signals that could not be read; they change nothing.
 	Damaged []Damage
 }
 
+// silent reports whether nothing is said.
+func (s *Said) silent() bool { return s.Limit == 0 && !s.Leaving && len(s.Damaged) == 0 }
+
 // Damage is a signal whose value could not be read.
 type Damage struct {
-	// Name is the header's, and Value what it held, shortened to maxShown.
-	Name, Value string
+	// Name is the header's, Value what it held, and Want what it may hold.
+	Name, Value, Want string
 }
 
 // Error implements error.
 func (d Damage) Error() string {
-	return fmt.Sprintf("header %s of an endpoint's answer is %q, want one number above 0", d.Name, d.Value)
+	return fmt.Sprintf("header %s of an endpoint's answer is %q, want %s", d.Name, d.Value[:min(len(d.Value), maxShown)], d.Want)
 }
 
-// maxShown bounds what is kept of a damaged value, in bytes.
+// maxShown bounds what is shown of a damaged value, in bytes.
 const maxShown = 64
 
 // Number reads the values of a header that holds one number above 0; ok is false where it is absent or damaged, and
@@ -38,12 +43,11 @@
 	if len(values) == 0 {
 		return 0, false, nil
 	}
-	shown := strings.Join(values, ", ")
 	if len(values) == 1 {
 		v, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
 		if err == nil && v > 0 && !math.IsInf(v, 0) {
 			return v, true, nil
 		}
 	}
-	return 0, false, &Damage{Name: name, Value: shown[:min(len(shown), maxShown)]}
+	return 0, false, &Damage{Name: name, Value: strings.Join(values, ", "), Want: "one number above 0"}
 }
--- a/core/signal/signal_test.go
+++ b/core/signal/signal_test.go
@@ -62,7 +62,7 @@
 		{"named again", one, named(1.8), 2, 11, [2]float64{1.8, 0}, false},
 		{"an answer to a request of before", one, named(0), 5, 12, [2]float64{1.8, 0}, false},
 		{"a refusal that does not name it", one, Said{}, 12, 13, [2]float64{1.8, 0}, false},
-		{"damaged", one, Said{Ran: true, Damaged: []Damage{{"H", "x"}}}, 13, 14, [2]float64{1.8, 0}, false},
+		{"damaged", one, Said{Ran: true, Damaged: []Damage{{Name: "H", Value: "x"}}}, 13, 14, [2]float64{1.8, 0}, false},
 		{"another one", one, named(1), 14, 15, [2]float64{1, 0}, true},
 		{"no longer named", one, named(0), 16, 17, [2]float64{0, 0}, true},
 		{"named once more", one, named(3), 18, 19, [2]float64{3, 0}, true},
@@ -82,7 +82,7 @@
 // TestDamageIsReportedNowAndThen checks that an endpoint whose signals cannot be read is reported once in a while.
 func TestDamageIsReportedNowAndThen(t *testing.T) {
 	b, reports := NewBook(), 0
-	s := Said{Ran: true, Damaged: []Damage{{"H", "x"}}}
+	s := Said{Ran: true, Damaged: []Damage{{Name: "H", Value: "x"}}}
 	for d := time.Duration(0); d < 3*damageEvery; d += damageEvery / 20 {
 		_, _, damaged := b.Hear(Life{Endpoint: "i-1"}, s, at(d), at(d))
 		reports += len(damaged)
--- a/core/signal/word.go
+++ b/core/signal/word.go
@@ -15,6 +15,8 @@
 	Limit float64
 	// At is when an answer last said so.
 	At time.Time
+	// Leaving is true where the life has said that it leaves.
+	Leaving bool
 }
 
 // ErrBadWord is returned for a word that no endpoint can have said.
@@ -40,7 +42,7 @@
 	var out []Word
 	for name, e := range b.entries {
 		if e.version > version {
-			out = append(out, Word{Life: Life{Endpoint: name, Start: e.start}, Limit: e.limit, At: e.saidAt})
+			out = append(out, Word{Life: Life{Endpoint: name, Start: e.start}, Limit: e.limit, At: e.saidAt, Leaving: e.leaving})
 		}
 	}
 	slices.SortFunc(out, func(a, b Word) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
@@ -59,10 +61,10 @@
 	if w.Limit == 0 && e.limit > 0 {
 		least = least.Add(relaySlack)
 	}
-	c = Change{Life: w.Life, Limit: w.Limit, Before: e.limit}
-	if !w.At.After(least) || c.Limit == c.Before {
-		return Change{}, false
+	c = Change{Life: w.Life, Limit: e.limit, Before: e.limit, Leaves: w.Leaving && !e.leaving}
+	if w.At.After(least) && w.Limit != e.limit {
+		c.Limit, e.saidAt = w.Limit, w.At
 	}
-	b.say(e, w.Limit, w.At)
-	return c, true
+	b.put(e, &c)
+	return c, c.any()
 }
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -294,6 +294,7 @@
 	c.keepLease(ctx, now)
 	c.markLease()
 	c.noteStarts()
+	c.drainLeaving(now)
 	c.report(ctx, now)
 	c.keepCredit(ctx, now)
 	c.keepVerdicts(ctx, now)
--- a/internal/placer/signals.go
+++ b/internal/placer/signals.go
@@ -32,6 +32,21 @@
 	return c.o.Dispatcher.Limit(signal.Life{Endpoint: engine, Start: int64(start)})
 }
 
+// drainLeaving has the list heed the endpoints that have said that they leave, those too that came onto it later.
+func (c *Controller) drainLeaving(now time.Time) {
+	changed := false
+	for _, l := range c.o.Dispatcher.LeavingEndpoints() {
+		if c.directory.DrainLife(l.Endpoint, directory.Start(l.Start)) {
+			c.o.Logger.Info("endpoint leaves by its own word", "endpoint", l.Endpoint, "born", l.Start)
+			changed = true
+		}
+	}
+	if changed {
+		c.planner.SetEngines(c.directory.Live(now), now)
+		c.stale = true
+	}
+}
+
 // mergeSignals takes in what another node heard of endpoints, and reports whether that was news.
 func (c *Controller) mergeSignals(told []peer.Signal, by string, now time.Time) bool {
 	if len(told) == 0 {
@@ -39,7 +54,7 @@
 	}
 	changes := c.o.Dispatcher.MergeSignals(peer.Words(told, now))
 	for _, ch := range changes {
-		c.o.Logger.Info("endpoint says what it takes", "endpoint", ch.Endpoint, "born", ch.Start, "limit", ch.Limit, "before", ch.Before, "by", by)
+		c.o.Logger.Info("endpoint says what it takes", "endpoint", ch.Endpoint, "born", ch.Start, "limit", ch.Limit, "before", ch.Before, "leaves", ch.Leaves, "by", by)
 	}
 	return len(changes) > 0
 }
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -400,6 +400,9 @@
 	eps := v.Endpoints[name]
 	out := make([]place, 0, len(eps))
 	for _, e := range eps {
+		if d.book.Leaves(lifeOf(&e)) {
+			continue
+		}
 		g := d.gates[e.Name]
 		if g == nil || g.incarnation != e.Incarnation {
 			share := e.Concurrency / max(1, len(v.Live))
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -90,6 +90,12 @@
 	if g == nil || g.life != l {
 		return
 	}
+	if d.book.Leaves(l) {
+		for p := range g.pools {
+			p.remove(g)
+		}
+		return
+	}
 	g.setLimit(d.book.Limit(l))
 	d.pumpGate(g, now)
 }
@@ -136,14 +142,27 @@
 	}
 }
 
-// errUncharged is why a request does not leave whose endpoint limits its requests by now.
-var errUncharged = errors.New("the endpoint has named a limit since the request got its place")
+// LeavingEndpoints returns the lives that have said that they leave.
+func (d *Dispatcher) LeavingEndpoints() []signal.Life {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Leaving()
+}
+
+// Reasons why a request does not leave for its endpoint.
+var (
+	errUncharged = errors.New("the endpoint has named a limit since the request got its place")
+	errLeaves    = errors.New("the endpoint has said that it leaves since the request got its place")
+)
 
 // MaySend returns why a request must not leave for the endpoint of its slot, or nil.
 func (d *Dispatcher) MaySend(s *Slot) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s.limit == 0 && d.book.Limit(s.gate.life) > 0 && d.hooks.Charge != nil {
+	switch life := s.gate.life; {
+	case d.book.Leaves(life):
+		return errLeaves
+	case s.limit == 0 && d.book.Limit(life) > 0 && d.hooks.Charge != nil:
 		return errUncharged
 	}
 	return nil
--- a/internal/traffic/heard_test.go
+++ b/internal/traffic/heard_test.go
@@ -49,7 +49,7 @@
 }
 
 func limitedEndpoint(name string) view.Endpoint {
-	return view.Endpoint{Name: name, Hall: "h", Incarnation: 1, Concurrency: 8}
+	return view.Endpoint{Name: name, Hall: "h", Start: 1, Incarnation: 1, Concurrency: 8}
 }
 
 // name has an endpoint name a limit; 0 for none any more.
@@ -165,3 +165,30 @@
 		t.Errorf("a charged request: %v", err)
 	}
 }
+
+// TestLeavingEndpointStaysOut checks that neither a request with a place nor a view brings work to an endpoint that has
+// said that it leaves, until it is another life.
+func TestLeavingEndpointStaysOut(t *testing.T) {
+	s := newLimitedSite("i-1")
+	slot, err := s.Acquire(t.Context(), limitedPool, s.ask(time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Hear(limitedEndpoint("i-1"), signal.Said{Leaving: true, Ran: true}, s.clock.Now())
+	if err := s.MaySend(slot); err == nil {
+		t.Error("a request with a place may leave")
+	}
+	slot.Release(Result{NotBegun: true, Running: -1})
+	s.show("i-1")
+	forecast := &view.View{Endpoints: map[string][]view.Endpoint{limitedPool: {limitedEndpoint("i-1")}}, ReadyAt: map[string]time.Time{limitedPool: s.clock.Now().Add(time.Minute)}}
+	s.Update(forecast, nil)
+	if _, err := s.Acquire(t.Context(), limitedPool, s.ask(time.Second)); err == nil {
+		t.Error("a view brings it back")
+	}
+	next := limitedEndpoint("i-1")
+	next.Start, next.Incarnation = 2, 2
+	s.Update(&view.View{Endpoints: map[string][]view.Endpoint{limitedPool: {next}}}, nil)
+	if _, err := s.Acquire(t.Context(), limitedPool, s.ask(time.Second)); err != nil {
+		t.Errorf("the next life: %v", err)
+	}
+}
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -150,9 +150,14 @@
 func (s *Server) request(x *Exchange, slot *traffic.Slot, position string) *endpoint.Request {
 	now := s.Clock.Now()
 	r := s.protocol().Request(x, slot.Endpoint, x.Deadline.Sub(now), position)
+	begun := false
 	r.Check = func() error {
-		if err := s.Dispatcher.MaySend(slot); err != nil {
-			return err
+		if !begun {
+			// What is on its way goes on: to cut it off would leave unknown what became of it.
+			if err := s.Dispatcher.MaySend(slot); err != nil {
+				return err
+			}
+			begun = true
 		}
 		return s.mayLeave(x, now)
 	}
--- a/io/peer/signal.go
+++ b/io/peer/signal.go
@@ -13,13 +13,15 @@
 	// Limit is how many requests a second it takes from all nodes; 0 where it no longer names a limit.
 	Limit float64 `json:"limit,omitempty"`
 	AgeMs int64   `json:"ageMs"`
+	// Leaving is true where it has said that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Signals encodes what endpoints said at a moment.
 func Signals(words []signal.Word, now time.Time) []Signal {
 	out := make([]Signal, 0, len(words))
 	for _, w := range words {
-		out = append(out, Signal{Endpoint: w.Endpoint, Born: w.Start, Limit: w.Limit, AgeMs: now.Sub(w.At).Milliseconds()})
+		out = append(out, Signal{Endpoint: w.Endpoint, Born: w.Start, Limit: w.Limit, AgeMs: now.Sub(w.At).Milliseconds(), Leaving: w.Leaving})
 	}
 	return out
 }
@@ -28,7 +30,7 @@
 func Words(signals []Signal, now time.Time) []signal.Word {
 	out := make([]signal.Word, 0, len(signals))
 	for _, s := range signals {
-		w := signal.Word{Life: signal.Life{Endpoint: s.Endpoint, Start: s.Born}, Limit: s.Limit, At: before(now, s.AgeMs)}
+		w := signal.Word{Life: signal.Life{Endpoint: s.Endpoint, Start: s.Born}, Limit: s.Limit, At: before(now, s.AgeMs), Leaving: s.Leaving}
 		if w.Check() == nil {
 			out = append(out, w)
 		}
