signal, traffic: an endpoint that turns a node away and asks for rest gets it

Cause: Retry-After beside 503 was not heard. A refusal as full closed the endpoint for 4 to 250 ms, whatever it asked for; a refusal that did not begin counts in no bound of attempts, and an only replica is taken again after each pause.

Change: the book keeps until when a life wants nothing from this node; a shorter rest does not end a longer one, and no view does. Nothing is sent until then, by requests that have a place neither. Others are picked meanwhile; where there is none, requests wait for the end of the rest if their callers do, else they are refused at once and told when to come back, one after the other. The holder hears of the rest as of a limit that takes nothing: the model is loaded elsewhere.

--- a/core/signal/book.go
+++ b/core/signal/book.go
@@ -16,10 +16,12 @@
 	Limit, Before float64
 	// Leaves is true where the endpoint has just said that it leaves.
 	Leaves bool
+	// Rest is for how long it wants nothing from this node, where it did not rest before; 0 elsewhere.
+	Rest time.Duration
 }
 
 // any reports whether anything changed.
-func (c *Change) any() bool { return c.Limit != c.Before || c.Leaves }
+func (c *Change) any() bool { return c.Limit != c.Before || c.Leaves || c.Rest > 0 }
 
 // Times of a book.
 const (
@@ -48,6 +50,8 @@
 	saidAt time.Time
 	// leaving is set once the life has said that it leaves.
 	leaving bool
+	// rest is until when it wants nothing from this node, and restOfOthers the same for some other node.
+	rest, restOfOthers time.Time
 	// version is that of the latest change.
 	version uint64
 	// heardAt is when anything was last heard of the endpoint.
@@ -90,6 +94,12 @@
 		e.damagedAt, damaged = now, s.Damaged
 	}
 	c = Change{Life: l, Limit: e.limit, Before: e.limit, Leaves: s.Leaving && !e.leaving}
+	if until := now.Add(s.Rest); s.Rest > 0 && until.After(e.rest) {
+		if !now.Before(e.rest) {
+			c.Rest = s.Rest
+		}
+		e.rest = until
+	}
 	switch {
 	case s.Limit > 0:
 		c.Limit, e.saidAt = s.Limit, now
@@ -109,6 +119,30 @@
 	e.version, e.limit, e.leaving = b.version, c.Limit, e.leaving || c.Leaves
 }
 
+// Rest returns until when a life of an endpoint wants nothing from this node; a past time where it does not rest.
+func (b *Book) Rest(l Life) time.Time {
+	if e := b.entries[l.Endpoint]; e != nil && (e.start == l.Start || e.start == 0) {
+		return e.rest
+	}
+	return time.Time{}
+}
+
+// restingCapacity stands for what an endpoint takes while it rests, in requests a second: less than anyone asks for.
+const restingCapacity = 0.001
+
+// Capacity returns how many requests a second a life of an endpoint takes by its word to any node; 0 where it said
+// nothing of it.
+func (b *Book) Capacity(l Life, now time.Time) float64 {
+	e := b.entries[l.Endpoint]
+	switch {
+	case e == nil || e.start != l.Start && e.start != 0:
+		return 0
+	case now.Before(e.rest) || now.Before(e.restOfOthers):
+		return restingCapacity
+	}
+	return e.limit
+}
+
 // Leaves reports whether a life of an endpoint has said that it leaves.
 func (b *Book) Leaves(l Life) bool {
 	e := b.entries[l.Endpoint]
--- a/core/signal/signal.go
+++ b/core/signal/signal.go
@@ -5,6 +5,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Said is what one answer of an endpoint says of the endpoint itself.
@@ -14,6 +15,8 @@
 	Limit float64
 	// Leaving is true where the endpoint takes no new requests for as long as it lives.
 	Leaving bool
+	// Rest is for how long the endpoint wants nothing from this node; 0 where it does not say so.
+	Rest time.Duration
 	// Ran is true where the endpoint ran the request. Only such an answer ends a limit by not naming it.
 	Ran bool
 	// Damaged are the signals that could not be read; they change nothing.
@@ -21,7 +24,7 @@
 }
 
 // silent reports whether nothing is said.
-func (s *Said) silent() bool { return s.Limit == 0 && !s.Leaving && len(s.Damaged) == 0 }
+func (s *Said) silent() bool { return s.Limit == 0 && !s.Leaving && s.Rest == 0 && len(s.Damaged) == 0 }
 
 // Damage is a signal whose value could not be read.
 type Damage struct {
@@ -37,6 +40,23 @@
 // maxShown bounds what is shown of a damaged value, in bytes.
 const maxShown = 64
 
+// mostRest bounds the rest that an endpoint may ask for.
+const mostRest = time.Hour
+
+// Rest reads the values of a header that holds a rest in seconds; 0 where it is absent or damaged, and damage says why.
+func Rest(name string, values []string) (rest time.Duration, damage *Damage) {
+	if len(values) == 0 {
+		return 0, nil
+	}
+	if len(values) == 1 {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+		if err == nil && seconds >= 0 && seconds <= mostRest.Seconds() {
+			return time.Duration(seconds * float64(time.Second)), nil
+		}
+	}
+	return 0, &Damage{Name: name, Value: strings.Join(values, ", "), Want: fmt.Sprintf("a number of seconds from 0 to %v", mostRest.Seconds())}
+}
+
 // Number reads the values of a header that holds one number above 0; ok is false where it is absent or damaged, and
 // damage says why.
 func Number(name string, values []string) (v float64, ok bool, damage *Damage) {
--- a/core/signal/signal_test.go
+++ b/core/signal/signal_test.go
@@ -91,3 +91,60 @@
 		t.Errorf("%d reports in 3 periods of %v, want 3", reports, damageEvery)
 	}
 }
+
+func TestRest(t *testing.T) {
+	tests := []struct {
+		name    string
+		values  []string
+		want    time.Duration
+		damaged bool
+	}{
+		{"absent", nil, 0, false},
+		{"seconds", []string{"3"}, 3 * time.Second, false},
+		{"a part of one", []string{"0.25"}, 250 * time.Millisecond, false},
+		{"none", []string{"0"}, 0, false},
+		{"negative", []string{"-1"}, 0, true},
+		{"a date", []string{"Thu, 03 Dec 2026 10:00:00 GMT"}, 0, true},
+		{"beyond all use", []string{"1e300"}, 0, true},
+		{"no number", []string{"NaN"}, 0, true},
+		{"empty", []string{""}, 0, true},
+		{"twice", []string{"1", "2"}, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got, damage := Rest("H", tt.values); got != tt.want || (damage != nil) != tt.damaged {
+				t.Errorf("Rest = %v, %v; want %v, damaged %t", got, damage, tt.want, tt.damaged)
+			}
+		})
+	}
+}
+
+// TestRestsAddUp checks until when an endpoint rests that asks for it several times, and what other nodes' rests mean.
+func TestRestsAddUp(t *testing.T) {
+	life := Life{"i-1", 1}
+	b := NewBook()
+	hear := func(rest, now time.Duration) bool {
+		c, _, _ := b.Hear(life, Said{Rest: rest}, at(now), at(now))
+		return c.Rest > 0
+	}
+	if !hear(3*time.Second, 0) || hear(time.Second, time.Second) {
+		t.Error("a rest in a rest is said to begin")
+	}
+	if got := b.Rest(life); !got.Equal(at(3 * time.Second)) {
+		t.Errorf("a shorter rest ends it at %v", got.Sub(start))
+	}
+	hear(3*time.Second, 2*time.Second)
+	if got := b.Rest(life); !got.Equal(at(5 * time.Second)) {
+		t.Errorf("a longer rest ends at %v, want 5s", got.Sub(start))
+	}
+	other := NewBook()
+	for _, w := range b.Since(0) {
+		other.Merge(w, at(2*time.Second))
+	}
+	if got := other.Rest(life); got.After(at(2 * time.Second)) {
+		t.Error("another node's rest binds this one")
+	}
+	if got := [2]float64{other.Capacity(life, at(4*time.Second)), other.Capacity(life, at(6*time.Second))}; got != [2]float64{restingCapacity, 0} {
+		t.Errorf("capacity in the rest and after it = %v", got)
+	}
+}
--- a/core/signal/word.go
+++ b/core/signal/word.go
@@ -17,6 +17,8 @@
 	At time.Time
 	// Leaving is true where the life has said that it leaves.
 	Leaving bool
+	// RestUntil is until when it wants nothing from the node that heard it; a past time where it does not rest.
+	RestUntil time.Time
 }
 
 // ErrBadWord is returned for a word that no endpoint can have said.
@@ -42,7 +44,7 @@
 	var out []Word
 	for name, e := range b.entries {
 		if e.version > version {
-			out = append(out, Word{Life: Life{Endpoint: name, Start: e.start}, Limit: e.limit, At: e.saidAt, Leaving: e.leaving})
+			out = append(out, Word{Life: Life{Endpoint: name, Start: e.start}, Limit: e.limit, At: e.saidAt, Leaving: e.leaving, RestUntil: later(e.rest, e.restOfOthers)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Word) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
@@ -65,6 +67,19 @@
 	if w.At.After(least) && w.Limit != e.limit {
 		c.Limit, e.saidAt = w.Limit, w.At
 	}
+	if now.After(e.restOfOthers) && w.RestUntil.After(now) {
+		// It binds the node that was asked; here it says what the endpoint can take.
+		b.version++
+		e.version = b.version
+	}
+	e.restOfOthers = later(e.restOfOthers, w.RestUntil)
 	b.put(e, &c)
 	return c, c.any()
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/core/signal/word_test.go
+++ b/core/signal/word_test.go
@@ -16,12 +16,12 @@
 		word Word
 		want float64
 	}{
-		{"a newer limit", Word{life, 3, at(11 * time.Second), false}, 3},
-		{"an older limit", Word{life, 3, at(9 * time.Second), false}, 2},
-		{"its end, surely later", Word{life, 0, at(10*time.Second + relaySlack + 1), false}, 0},
-		{"its end, at about the same time", Word{life, 0, at(10*time.Second + relaySlack), false}, 2},
-		{"the life before", Word{Life{"i-1", 4}, 3, at(11 * time.Second), false}, 2},
-		{"another endpoint", Word{Life{"i-2", 5}, 3, at(11 * time.Second), false}, 2},
+		{"a newer limit", Word{Life: life, Limit: 3, At: at(11 * time.Second)}, 3},
+		{"an older limit", Word{Life: life, Limit: 3, At: at(9 * time.Second)}, 2},
+		{"its end, surely later", Word{Life: life, At: at(10*time.Second + relaySlack + 1)}, 0},
+		{"its end, at about the same time", Word{Life: life, At: at(10*time.Second + relaySlack)}, 2},
+		{"the life before", Word{Life: Life{"i-1", 4}, Limit: 3, At: at(11 * time.Second)}, 2},
+		{"another endpoint", Word{Life: Life{"i-2", 5}, Limit: 3, At: at(11 * time.Second)}, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -47,22 +47,22 @@
 		t.Errorf("nothing changed, and %v is told", words)
 	}
 	b.Hear(one, Said{Ran: true}, at(5), at(6))
-	if diff := cmp.Diff([]Word{{one, 0, at(6), false}}, b.Since(told)); diff != "" {
+	if diff := cmp.Diff([]Word{{Life: one, At: at(6)}}, b.Since(told)); diff != "" {
 		t.Errorf("words since (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff([]Word{{one, 0, at(6), false}, {two, 3, at(4), false}}, b.Since(0)); diff != "" {
+	if diff := cmp.Diff([]Word{{Life: one, At: at(6)}, {Life: two, Limit: 3, At: at(4)}}, b.Since(0)); diff != "" {
 		t.Errorf("all words (-want +got):\n%s", diff)
 	}
 }
 
 func TestCheck(t *testing.T) {
-	bad := []Word{{}, {Life{"i-1", 0}, -1, start, false}, {Life{"i-1", 0}, math.NaN(), start, false}, {Life{"i-1", 0}, math.Inf(1), start, false}}
+	bad := []Word{{}, {Life: Life{"i-1", 0}, Limit: -1, At: start}, {Life: Life{"i-1", 0}, Limit: math.NaN(), At: start}, {Life: Life{"i-1", 0}, Limit: math.Inf(1), At: start}}
 	for _, w := range bad {
 		if w.Check() == nil {
 			t.Errorf("%+v passes for a word", w)
 		}
 	}
-	if good := (Word{Life{"i-1", 0}, 1, start, false}); good.Check() != nil {
+	if good := (Word{Life: Life{"i-1", 0}, Limit: 1, At: start}); good.Check() != nil {
 		t.Errorf("%+v does not pass: %v", good, good.Check())
 	}
 }
@@ -80,11 +80,11 @@
 		{"an answer", func(b *Book) { b.Hear(one, Said{Ran: true}, at(0), at(1)) }, [2]bool{false, false}},
 		{"its word", func(b *Book) { b.Hear(one, Said{Leaving: true, Ran: true}, at(1), at(2)) }, [2]bool{true, false}},
 		{"an answer without it", func(b *Book) { b.Hear(one, Said{Ran: true}, at(3), at(4)) }, [2]bool{true, false}},
-		{"another node's word without it", func(b *Book) { b.Merge(Word{one, 2, at(5), false}, at(6)) }, [2]bool{true, false}},
+		{"another node's word without it", func(b *Book) { b.Merge(Word{Life: one, Limit: 2, At: at(5)}, at(6)) }, [2]bool{true, false}},
 		{"a long time", func(b *Book) { b.forget(at(keepFor)); b.forget(at(2 * keepFor)) }, [2]bool{true, false}},
 		{"the next life", func(b *Book) { b.Hear(two, Said{Limit: 1, Ran: true}, at(7), at(8)) }, [2]bool{false, false}},
-		{"a late word of the life before", func(b *Book) { b.Merge(Word{one, 0, at(9), true}, at(10)) }, [2]bool{false, false}},
-		{"another node's word", func(b *Book) { b.Merge(Word{two, 0, at(11), true}, at(12)) }, [2]bool{false, true}},
+		{"a late word of the life before", func(b *Book) { b.Merge(Word{Life: one, At: at(9), Leaving: true}, at(10)) }, [2]bool{false, false}},
+		{"another node's word", func(b *Book) { b.Merge(Word{Life: two, At: at(11), Leaving: true}, at(12)) }, [2]bool{false, true}},
 	}
 	b := NewBook()
 	for _, s := range steps {
--- a/internal/placer/signals.go
+++ b/internal/placer/signals.go
@@ -27,9 +27,9 @@
 	c.holder.setSignals(version)
 }
 
-// limitOf returns how many requests a second an engine takes by its own word; 0 where it names no limit.
-func (c *Controller) limitOf(engine string, start directory.Start) float64 {
-	return c.o.Dispatcher.Limit(signal.Life{Endpoint: engine, Start: int64(start)})
+// capacityOf returns how many requests a second an engine takes by its own word; 0 where it says nothing of it.
+func (c *Controller) capacityOf(engine string, start directory.Start) float64 {
+	return c.o.Dispatcher.Capacity(signal.Life{Endpoint: engine, Start: int64(start)})
 }
 
 // drainLeaving has the list heed the endpoints that have said that they leave, those too that came onto it later.
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -332,8 +332,8 @@
 		if until := g.health.Until(); until.After(at) {
 			at = until
 		}
-		if g.shut.After(at) {
-			at = g.shut
+		if shut := g.shutUntil(); shut.After(at) {
+			at = shut
 		}
 		if g.timer || !at.After(now) {
 			continue
@@ -408,6 +408,7 @@
 			share := e.Concurrency / max(1, len(v.Live))
 			g = newGate(e, share)
 			g.setLimit(d.book.Limit(g.life))
+			g.rest = d.book.Rest(g.life)
 			d.gates[e.Name] = g
 		}
 		out = append(out, place{Endpoint: e, gate: g})
--- a/internal/traffic/gate.go
+++ b/internal/traffic/gate.go
@@ -42,7 +42,7 @@
 func (g *gate) replica(hall string, now time.Time) choose.Replica {
 	return choose.Replica{
 		Engine: g.name, SameHall: g.hall == hall, Running: g.running, Prompts: g.prompts,
-		Suspects: g.suspects, Reported: g.reported, ReportedAt: g.reportedAt, Window: g.window, Health: &g.health, Shut: g.asking || now.Before(g.shut),
+		Suspects: g.suspects, Reported: g.reported, ReportedAt: g.reportedAt, Window: g.window, Health: &g.health, Shut: g.asking || now.Before(g.shutUntil()),
 	}
 }
 
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -14,23 +14,44 @@
 	life signal.Life
 	// limit is how many requests a second it takes from all nodes together; 0 where it named no limit.
 	limit float64
-	// shut is until when it gets nothing, and asking is set while a request is being charged to its limit.
-	shut   time.Time
+	// full is until when its limit has no room, and asking is set while a request is being charged to it.
+	full   time.Time
 	asking bool
+	// rest is until when it wants nothing from this node.
+	rest time.Time
 	// pace is the time between two requests of this node that the limit allows, by what was last refused.
 	pace time.Duration
 	// sentAway counts the callers that were told to come back since it was shut.
 	sentAway int
 }
 
+// shutUntil returns until when the endpoint gets nothing; a past time where it may.
+func (s *said) shutUntil() time.Time {
+	if s.rest.After(s.full) {
+		return s.rest
+	}
+	return s.full
+}
+
 // setLimit takes a limit over; 0 for none.
 func (s *said) setLimit(perSecond float64) {
-	s.limit, s.shut, s.pace, s.sentAway = perSecond, time.Time{}, 0, 0
+	if perSecond == s.limit {
+		return
+	}
+	s.limit, s.full, s.pace, s.sentAway = perSecond, time.Time{}, 0, 0
 	if perSecond > 0 {
 		s.pace = time.Duration(float64(time.Second) / perSecond)
 	}
 }
 
+// setRest takes over until when the endpoint wants nothing, as of a moment.
+func (s *said) setRest(until, now time.Time) {
+	if !now.Before(s.rest) {
+		s.sentAway = 0
+	}
+	s.rest = until
+}
+
 // lifeOf names the life of an endpoint.
 func lifeOf(e *view.Endpoint) signal.Life { return signal.Life{Endpoint: e.Name, Start: e.Start} }
 
@@ -49,17 +70,18 @@
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	c, changed, damaged = d.book.Hear(l, s, sent, now)
-	if changed {
+	if changed || s.Rest > 0 {
 		d.heed(l, now)
 	}
 	return c, changed, damaged
 }
 
-// Limit returns the limit that a life of an endpoint has named, in requests a second; 0 for none.
-func (d *Dispatcher) Limit(l signal.Life) float64 {
+// Capacity returns how many requests a second a life of an endpoint takes by its word to any node; 0 where it said
+// nothing of it.
+func (d *Dispatcher) Capacity(l signal.Life) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.book.Limit(l)
+	return d.book.Capacity(l, d.clock.Now())
 }
 
 // SignalsSince returns what changed of what endpoints say since a version, and the version that this leads to.
@@ -97,7 +119,8 @@
 		return
 	}
 	g.setLimit(d.book.Limit(l))
-	d.pumpGate(g, now)
+	g.setRest(d.book.Rest(l), now)
+	d.reconsider(g, now)
 }
 
 // charged waits for a place and, where its endpoint limits its requests, charges the request to it. Where the limit
@@ -126,17 +149,24 @@
 			d.mu.Unlock()
 			return nil, tooLong(p, now.Sub(start))
 		}
-		s.gate.shutFor(after, now)
-		for p := range s.gate.pools {
-			p.refuseHopeless(now)
-			d.pump(p, now)
-		}
+		s.gate.fillFor(after, now)
+		d.reconsider(s.gate, now)
+	}
+}
+
+// reconsider sends the requests of a gate's pools on, or away, after what is believed of the endpoint has changed.
+func (d *Dispatcher) reconsider(g *gate, now time.Time) {
+	d.pumpGate(g, now)
+	for p := range g.pools {
+		p.refuseHopeless(now)
+		d.pump(p, now)
+		d.openLater(p, now)
 	}
 }
 
-// shutFor shuts the gate because its endpoint's limit has no room.
-func (s *said) shutFor(d time.Duration, now time.Time) {
-	s.shut, s.sentAway = now.Add(d), 0
+// fillFor notes that the endpoint's limit has no room for a time.
+func (s *said) fillFor(d time.Duration, now time.Time) {
+	s.full, s.sentAway = now.Add(d), 0
 	if s.limit > 0 {
 		s.pace = max(d, time.Duration(float64(time.Second)/s.limit))
 	}
@@ -153,6 +183,7 @@
 var (
 	errUncharged = errors.New("the endpoint has named a limit since the request got its place")
 	errLeaves    = errors.New("the endpoint has said that it leaves since the request got its place")
+	errRests     = errors.New("the endpoint has asked for rest since the request got its place")
 )
 
 // MaySend returns why a request must not leave for the endpoint of its slot, or nil.
@@ -162,6 +193,8 @@
 	switch life := s.gate.life; {
 	case d.book.Leaves(life):
 		return errLeaves
+	case d.clock.Now().Before(d.book.Rest(life)):
+		return errRests
 	case s.limit == 0 && d.book.Limit(life) > 0 && d.hooks.Charge != nil:
 		return errUncharged
 	}
@@ -174,11 +207,12 @@
 	perSecond, unbound := 0.0, false
 	for i, pl := range p.endpoints {
 		g := pl.gate
-		if g.limit == 0 && !g.shut.After(now) {
+		shut := g.shutUntil()
+		if g.limit == 0 && !shut.After(now) {
 			return time.Time{}, false
 		}
-		if i == 0 || g.shut.Before(at) {
-			at = g.shut
+		if i == 0 || shut.Before(at) {
+			at = shut
 		}
 		if g.pace == 0 {
 			unbound = true
--- a/internal/traffic/heard_test.go
+++ b/internal/traffic/heard_test.go
@@ -192,3 +192,59 @@
 		t.Errorf("the next life: %v", err)
 	}
 }
+
+// TestRestIsKept checks that an endpoint which turned this node away and asked for rest gets nothing for that time, that
+// neither a shorter rest nor a view ends it, and that requests which cannot wait for its end are refused at once.
+func TestRestIsKept(t *testing.T) {
+	s := newLimitedSite("i-1")
+	turnAway := func(rest time.Duration) {
+		s.Hear(limitedEndpoint("i-1"), signal.Said{Rest: rest}, s.clock.Now())
+	}
+	slot, err := s.Acquire(t.Context(), limitedPool, s.ask(9*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	turnAway(3 * time.Second)
+	if err := s.MaySend(slot); err == nil {
+		t.Error("a request with a place may leave")
+	}
+	slot.Release(Result{Full: true, NotBegun: true, Running: -1})
+	s.clock.Advance(time.Second)
+	turnAway(time.Second)
+	s.show("i-1")
+	_, err = s.Acquire(t.Context(), limitedPool, s.ask(1900*time.Millisecond))
+	if got := kind(err).Kind; got != refusal.CannotMakeDeadline {
+		t.Errorf("a request that cannot wait: %v", err)
+	}
+	waiting := acquire(s.Dispatcher, limitedPool, s.ask(5*time.Second))
+	if err := s.clock.BlockUntilContext(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	s.clock.Advance(1900 * time.Millisecond)
+	select {
+	case err := <-waiting:
+		t.Errorf("the wait ended in the rest: %v", err)
+	default:
+	}
+	s.clock.Advance(100 * time.Millisecond)
+	if err := <-waiting; err != nil {
+		t.Errorf("after the rest: %v", err)
+	}
+}
+
+// TestRestSendsElsewhere checks that another endpoint serves while one rests.
+func TestRestSendsElsewhere(t *testing.T) {
+	s := newLimitedSite("i-1", "i-2")
+	s.Hear(limitedEndpoint("i-1"), signal.Said{Rest: time.Second}, s.clock.Now())
+	got := make(map[string]int)
+	for range 4 {
+		slot, err := s.Acquire(t.Context(), limitedPool, s.ask(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[slot.Endpoint.Name]++
+	}
+	if diff := cmp.Diff(map[string]int{"i-2": 4}, got); diff != "" {
+		t.Errorf("places (-want +got):\n%s", diff)
+	}
+}
--- a/internal/traffic/wait.go
+++ b/internal/traffic/wait.go
@@ -16,6 +16,8 @@
 	// returnMargin is added to the time at which a model is expected: who comes
 	// back a little too early waits, who comes later is served at once.
 	returnMargin = 150 * time.Millisecond
+	// restPace is the least time between two callers that come back to one endpoint.
+	restPace = 50 * time.Millisecond
 )
 
 // waiter is a request in a queue.
@@ -90,7 +92,7 @@
 // endpoints say they take it again, when its caller will have left. The refusal tells when to come back.
 func (p *pool) hopeless(a *Ask, ahead int, now time.Time) error {
 	if at, ok := p.opensAt(ahead, now); ok && at.After(a.until()) {
-		return refusal.New(refusal.CannotMakeDeadline, "the endpoints of %s limit their requests and have room in %s, after its caller has left",
+		return refusal.New(refusal.CannotMakeDeadline, "the endpoints of %s take requests again in %s by their own word, after its caller has left",
 			p.name, at.Sub(now).Round(time.Millisecond)).After(p.comeBack(at, a, now))
 	}
 	if len(p.endpoints) > 0 || !p.readyAt.After(a.until()) {
@@ -154,7 +156,7 @@
 	away := at.Sub(now) + returnMargin
 	for _, pl := range p.endpoints {
 		g := pl.gate
-		away += time.Duration(g.sentAway) * g.pace / time.Duration(len(p.endpoints))
+		away += time.Duration(g.sentAway) * max(g.pace, restPace) / time.Duration(len(p.endpoints))
 		g.sentAway++
 	}
 	return min(away, a.Deadline.Sub(now)/returnShare)
--- a/io/caller/send.go
+++ b/io/caller/send.go
@@ -36,5 +36,5 @@
 		return
 	}
 	s.Metrics.Signals.Add(1)
-	s.Logger.Info("endpoint says what it takes", "endpoint", c.Endpoint, "born", c.Start, "limit", c.Limit, "before", c.Before, "leaves", c.Leaves, "requestId", x.ID)
+	s.Logger.Info("endpoint says what it takes", "endpoint", c.Endpoint, "born", c.Start, "limit", c.Limit, "before", c.Before, "leaves", c.Leaves, "restMs", c.Rest.Milliseconds(), "requestId", x.ID)
 }
--- a/io/peer/signal.go
+++ b/io/peer/signal.go
@@ -15,13 +15,15 @@
 	AgeMs int64   `json:"ageMs"`
 	// Leaving is true where it has said that it leaves.
 	Leaving bool `json:"leaving,omitempty"`
+	// RestMs is for how much longer it wants nothing from some node.
+	RestMs int64 `json:"restMs,omitempty"`
 }
 
 // Signals encodes what endpoints said at a moment.
 func Signals(words []signal.Word, now time.Time) []Signal {
 	out := make([]Signal, 0, len(words))
 	for _, w := range words {
-		out = append(out, Signal{Endpoint: w.Endpoint, Born: w.Start, Limit: w.Limit, AgeMs: now.Sub(w.At).Milliseconds(), Leaving: w.Leaving})
+		out = append(out, Signal{Endpoint: w.Endpoint, Born: w.Start, Limit: w.Limit, AgeMs: now.Sub(w.At).Milliseconds(), Leaving: w.Leaving, RestMs: max(0, w.RestUntil.Sub(now).Milliseconds())})
 	}
 	return out
 }
@@ -30,7 +32,7 @@
 func Words(signals []Signal, now time.Time) []signal.Word {
 	out := make([]signal.Word, 0, len(signals))
 	for _, s := range signals {
-		w := signal.Word{Life: signal.Life{Endpoint: s.Endpoint, Start: s.Born}, Limit: s.Limit, At: before(now, s.AgeMs), Leaving: s.Leaving}
+		w := signal.Word{Life: signal.Life{Endpoint: s.Endpoint, Start: s.Born}, Limit: s.Limit, At: before(now, s.AgeMs), Leaving: s.Leaving, RestUntil: now.Add(span(s.RestMs))}
 		if w.Check() == nil {
 			out = append(out, w)
 		}
