--- a/core/signal/book.go
+++ b/core/signal/book.go
@@ -149,6 +149,12 @@
 	return e != nil && (e.start == l.Start || e.start == 0) && e.leaving
 }
 
+// Former reports whether a later life of the endpoint has spoken: what is meant for this one would reach that one.
+func (b *Book) Former(l Life) bool {
+	e := b.entries[l.Endpoint]
+	return e != nil && l.Start != 0 && e.start > l.Start
+}
+
 // Leaving returns the lives that have said that they leave.
 func (b *Book) Leaving() []Life {
 	var out []Life
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -183,6 +183,7 @@
 var (
 	errUncharged = errors.New("the endpoint has named a limit since the request got its place")
 	errLeaves    = errors.New("the endpoint has said that it leaves since the request got its place")
+	errFormer    = errors.New("the endpoint has started again since the request got its place")
 	errRests     = errors.New("the endpoint has asked for rest since the request got its place")
 )
 
@@ -191,6 +192,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch life := s.gate.life; {
+	case d.book.Former(life):
+		return errFormer
 	case d.book.Leaves(life):
 		return errLeaves
 	case d.clock.Now().Before(d.book.Rest(life)):
