platform, placer: what an engine says beside a report is heard, too

The same cause elsewhere: the holder asks engines for reports, and the head of these answers says that an engine leaves or limits its requests before any request shows it. A report names no end of a limit. TestReportTellsSignals.

--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"olivetiller/core/directory"
+	"olivetiller/core/signal"
 )
 
 // Order is an instruction for an engine.
@@ -106,6 +107,8 @@
 	// Coming holds the adapters on their way, by their models.
 	Coming           []directory.Held
 	Running, Waiting int
+	// Said is what the head of the answer says of the engine itself.
+	Said signal.Said
 	directory.Holdings
 }
 
--- a/internal/placer/ordering.go
+++ b/internal/placer/ordering.go
@@ -132,6 +132,7 @@
 		c.planner.ProbeFailed(m.engine, now)
 		return
 	}
+	c.hearReport(m.engine, &m.report, m.asked)
 	c.o.Logger.Info("report", "engine", m.engine, "born", int64(m.report.Start), "taken", m.report.Taken, "busy", m.report.Busy, "running", m.report.Running,
 		"models", len(m.report.Models), "adapters", m.report.Adapters(), "coming", len(m.report.Coming), "askedMsAgo", now.Sub(m.asked).Milliseconds(), "onDisk", len(m.report.OnDisk), "warm", len(m.report.Warm))
 	c.planner.Reported(m.engine, &m.report, m.asked, now)
--- a/internal/placer/signals.go
+++ b/internal/placer/signals.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"olivetiller/core/directory"
+	"olivetiller/core/placement"
 	"olivetiller/core/signal"
+	"olivetiller/core/view"
 	"olivetiller/io/peer"
 )
 
@@ -47,6 +49,14 @@
 	}
 }
 
+// hearReport takes in what the answer to a question for a report says of the engine itself.
+func (c *Controller) hearReport(engine string, r *placement.Report, asked time.Time) {
+	ch, changed, _ := c.o.Dispatcher.Hear(view.Endpoint{Name: engine, Start: int64(r.Start)}, r.Said, asked)
+	if changed {
+		c.o.Logger.Info("endpoint says what it takes", "endpoint", ch.Endpoint, "born", ch.Start, "limit", ch.Limit, "before", ch.Before, "leaves", ch.Leaves, "by", "report")
+	}
+}
+
 // mergeSignals takes in what another node heard of endpoints, and reports whether that was news.
 func (c *Controller) mergeSignals(told []peer.Signal, by string, now time.Time) bool {
 	if len(told) == 0 {
