placer, peer: nodes without a holder tell each other what endpoints say

The same cause elsewhere: while no node holds the lease, what one node hears of an endpoint reached no other. The exchange that carries requests under which engines end carries it, too. TestSignalsReachAllNodes, TestListHeedsLeaving.

--- a/internal/placer/isolation.go
+++ b/internal/placer/isolation.go
@@ -166,12 +166,13 @@
 	if c.suspects.guard.Merge(peer.Entries(e.Suspects, now), e.Node) {
 		c.SuspectsChanged()
 	}
+	c.mergeSignals(e.Signals, e.Node, now)
 	since := e.Since
 	if e.Of != c.o.Self.Life {
 		since = 0
 	}
 	entries, to := c.suspects.guard.Since(since, quarantine.All)
-	return &peer.Exchange{Node: c.o.Self.Holder, Life: c.o.Self.Life, Version: to, Suspects: peer.Suspects(entries, now)}
+	return &peer.Exchange{Node: c.o.Self.Holder, Life: c.o.Self.Life, Version: to, Suspects: peer.Suspects(entries, now), Signals: c.allSignals(now)}
 }
 
 // exchanged is how far two nodes have told each other.
@@ -200,9 +201,10 @@
 
 func (c *Controller) exchangeWith(ctx context.Context, address string, m exchanged) exchanged {
 	entries, to := c.suspects.guard.Since(m.mine, quarantine.All)
+	begun := c.o.Clock.Now()
 	mine := &peer.Exchange{
 		Node: c.o.Self.Holder, Life: c.o.Self.Life, Since: m.theirs, Of: m.life, Version: to,
-		Suspects: peer.Suspects(entries, c.o.Clock.Now()),
+		Suspects: peer.Suspects(entries, begun), Signals: c.allSignals(begun),
 	}
 	theirs, err := c.o.Peers.Exchange(ctx, address, mine)
 	if err != nil {
@@ -212,6 +214,7 @@
 	now := c.o.Clock.Now()
 	c.heardWord(now)
 	c.suspects.guard.Merge(peer.Entries(theirs.Suspects, now), theirs.Node)
+	c.mergeSignals(theirs.Signals, theirs.Node, now)
 	if theirs.Life != m.life && m.mine > 0 {
 		// It began anew, and knows nothing of what the one before was told.
 		return exchanged{life: theirs.Life, theirs: theirs.Version}
--- a/internal/placer/signals.go
+++ b/internal/placer/signals.go
@@ -79,6 +79,12 @@
 	return to
 }
 
+// allSignals returns all that is known of what endpoints say.
+func (c *Controller) allSignals(now time.Time) []peer.Signal {
+	words, _ := c.o.Dispatcher.SignalsSince(0)
+	return peer.Signals(words, now)
+}
+
 // addSignals adds what is new to the asker, and reports whether there is any.
 func (c *Controller) addSignals(s *peer.Snapshot, q peer.Question, now time.Time) bool {
 	after := q.SignalsTo
--- /dev/null
+++ b/internal/placer/signals_test.go
@@ -0,0 +1,65 @@
+package placer
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/signal"
+	"olivetiller/io/peer"
+)
+
+// TestSignalsReachAllNodes checks that what one node hears of endpoints reaches the holder with its report and other
+// nodes with the holder's word, and nodes without a holder by what they tell each other; rest binds who was asked.
+func TestSignalsReachAllNodes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := suspectNodes(clock, "h", "n", "o", "p")
+	h, n, o, p := d.nodes["h"], d.nodes["n"], d.nodes["o"], d.nodes["p"]
+	life := signal.Life{Endpoint: "e1", Start: 1}
+	n.o.Dispatcher.Hear(endpointOf("e1"), signal.Said{Limit: 1.5, Leaving: true, Rest: 1e9}, clock.Now())
+	r := &peer.Report{Node: "n"}
+	n.reportSignals(r, "h-1", clock.Now())
+	h.holder.begin("h-1", 1, 1, nil, 0)
+	if err := h.Reported(r); err != nil {
+		t.Fatal(err)
+	}
+	s := &peer.Snapshot{Life: "h-1", Whole: true}
+	if !h.addSignals(s, peer.Question{}, clock.Now()) {
+		t.Error("nothing to tell")
+	}
+	o.mergeSignals(s.Signals, "holder", clock.Now())
+	p.exchangeWith(t.Context(), "n", exchanged{})
+	want := []signal.Life{life}
+	for name, c := range d.nodes {
+		if diff := cmp.Diff(want, c.o.Dispatcher.LeavingEndpoints()); diff != "" {
+			t.Errorf("leaving endpoints known to %s (-want +got):\n%s", name, diff)
+		}
+		if got := c.o.Dispatcher.Capacity(life); got <= 0 || got >= 1 {
+			t.Errorf("capacity known to %s = %v, want that of an endpoint that rests", name, got)
+		}
+	}
+	if h.addSignals(&peer.Snapshot{Life: "h-1"}, peer.Question{SignalsTo: s.SignalsTo}, clock.Now()) {
+		t.Error("what was told is told again")
+	}
+}
+
+// TestListHeedsLeaving checks that an endpoint which said that it leaves before it came onto the list is drained once it
+// is there, and its next life is not.
+func TestListHeedsLeaving(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := suspectNodes(clock, "n").nodes["n"]
+	c.o.Dispatcher.Hear(endpointOf("e1"), signal.Said{Leaving: true, Ran: true}, clock.Now())
+	draining := func(start directory.Start, version uint64) bool {
+		c.directory.Apply(directory.Record{ID: "e1", Version: version, Instance: &directory.Instance{ID: "e1", Start: start, Service: "s"}}, clock.Now())
+		c.drainLeaving(clock.Now())
+		return c.directory.Live(clock.Now())[0].Draining
+	}
+	if !draining(1, 1) || !draining(1, 2) {
+		t.Error("the life that leaves is not drained")
+	}
+	if draining(2, 3) {
+		t.Error("the next life is drained")
+	}
+}
--- a/io/peer/quarantine.go
+++ b/io/peer/quarantine.go
@@ -89,6 +89,8 @@
 	// Version is that of the sender, to which Suspects lead.
 	Version  uint64    `json:"version"`
 	Suspects []Suspect `json:"suspects,omitempty"`
+	// Signals are what endpoints said of themselves, all that is known.
+	Signals []Signal `json:"signals,omitempty"`
 }
 
 // Exchanger answers other nodes' exchanges.
