--- /dev/null
+++ b/io/peer/signal_test.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/signal"
+)
+
+// TestSignalsKeepAges checks that moments come through as ages, whatever the clocks of two nodes show.
+func TestSignalsKeepAges(t *testing.T) {
+	here, there := time.Unix(1000, 0), time.Unix(5000, 0)
+	words := []signal.Word{
+		{Life: signal.Life{Endpoint: "i-1", Start: 7}, Limit: 1.5, At: here.Add(-time.Second), Leaving: true, RestUntil: here.Add(2 * time.Second)},
+		{Life: signal.Life{Endpoint: "i-2"}, At: here.Add(-time.Minute)},
+	}
+	want := []signal.Word{
+		{Life: signal.Life{Endpoint: "i-1", Start: 7}, Limit: 1.5, At: there.Add(-time.Second), Leaving: true, RestUntil: there.Add(2 * time.Second)},
+		{Life: signal.Life{Endpoint: "i-2"}, At: there.Add(-time.Minute), RestUntil: there},
+	}
+	raw, err := json.Marshal(Signals(words, here))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []Signal
+	if err := json.Unmarshal(raw, &told); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, Words(told, there)); diff != "" {
+		t.Errorf("words (-want +got):\n%s", diff)
+	}
+}
+
+// FuzzSignals expects that no message on endpoints ends a node, and that what is taken of it can have been said.
+func FuzzSignals(f *testing.F) {
+	f.Add([]byte(`[{"endpoint":"i-1","born":7,"limit":1.5,"ageMs":20,"leaving":true,"restMs":300}]`))
+	f.Add([]byte(`[{"endpoint":"","limit":-1,"ageMs":-9223372036854775808,"restMs":9223372036854775807}]`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var told []Signal
+		if json.Unmarshal(raw, &told) != nil {
+			return
+		}
+		now := time.Unix(1000, 0)
+		b := signal.NewBook()
+		for _, w := range Words(told, now) {
+			if w.Check() != nil || w.At.After(now) || w.RestUntil.Before(now) {
+				t.Errorf("taken: %+v", w)
+			}
+			b.Merge(w, now)
+		}
+	})
+}
