--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -16,7 +16,7 @@
 		if unit.Adapter == "" {
 			continue
 		}
-		if u.waiting > 0 {
+		if u.waiting > 0 || g.sentAwayByLimits(unit, u) {
 			wishes = append(wishes, wish{unit, u.dueAt(g.now).urgent})
 		}
 	}
@@ -40,7 +40,7 @@
 	var best *engine
 	bestLoad := 0
 	m := g.model(unit.Base())
-	for _, e := range m.holders {
+	for _, e := range g.adapterSites(m) {
 		a := e.models[unit.Model].adapters[unit.Adapter]
 		if a != nil && a.leaving {
 			continue
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -31,3 +31,25 @@
 func (g *planning) passesOver(e *engine) bool {
 	return e.limit > 0 && g.limitedCounts[e.service] < g.engineCounts[e.service]
 }
+
+// adapterSites returns the holders of a model at which an adapter serves and may be loaded: those that take what comes
+// for the model, if there are any.
+func (g *planning) adapterSites(m *modelState) []*engine {
+	if n := m.serving(); n == 0 || n == m.replicas() {
+		return m.holders
+	}
+	out := make([]*engine, 0, len(m.holders))
+	for _, e := range m.holders {
+		if e.limit == 0 {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// sentAwayByLimits reports whether callers of an adapter were sent away lately since the engines that hold it take less
+// than comes for its model.
+func (g *planning) sentAwayByLimits(unit Unit, u *use) bool {
+	m := u.model
+	return !u.sentAwayAt.IsZero() && g.now.Sub(u.sentAwayAt) < returnTime && m.serving() < m.replicas()
+}
--- a/core/placement/limits_test.go
+++ b/core/placement/limits_test.go
@@ -38,3 +38,39 @@
 		})
 	}
 }
+
+// TestAdapterOfLimitedEngine checks that an adapter is loaded at another holder of its model where the one that holds it
+// takes fewer requests than come, whether they wait or were sent away.
+func TestAdapterOfLimitedEngine(t *testing.T) {
+	adapter := Unit{Service: "s", Model: "m0", Adapter: "a1"}
+	tests := []struct {
+		name   string
+		limits map[string]float64
+		use    Use
+		want   []told
+	}{
+		{"no limit", nil, Use{Waiting: 1}, nil},
+		{"a limit below the demand", map[string]float64{"e1": 1}, Use{Waiting: 1}, []told{{"e2", "unit/s/m0/a1", false, false}}},
+		{"a limit above the demand", map[string]float64{"e1": 9}, Use{Waiting: 1}, nil},
+		{"callers sent away", map[string]float64{"e1": 1}, Use{SentAway: 1}, []told{{"e2", "unit/s/m0/a1", false, false}}},
+		{"all are limited", map[string]float64{"e1": 1, "e2": 1}, Use{Waiting: 1}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := testPlanner(t, 2, map[string]Report{
+				"e1": {Holdings: directory.Holdings{Models: []directory.Held{{Model: "m0", Adapters: []string{"a1"}}}, OnDisk: []string{"m1"}}},
+				"e2": {Holdings: directory.Holdings{Models: holds("m0", "m1")}},
+			})
+			p.SetLimits(func(engine string, _ directory.Start) float64 { return tt.limits[engine] })
+			use := tt.use
+			use.Unit, use.Arrivals = adapter, 30
+			if use.Waiting > 0 {
+				use.Urgent, use.Last = at(2000), at(2000)
+			}
+			p.Use("n", []Use{use}, at(10))
+			if diff := cmp.Diff(tt.want, orders(p.Plan(at(10), 1))); diff != "" {
+				t.Errorf("orders (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
