traffic, signal: a former life is out of the pools; one value for what an answer changed

By reading: a node whose list still has a former life, told of the next one by another node, went on picking it, withheld each request before its first byte, and picked it again 5 ms later until the list came. A life that another has followed is out of the pools now, as one that leaves.

Without a change of behaviour: Book.Hear returns one Change (news, fields for the log, damage) in place of three values, one line is written by one function at a node, and a dispatcher without a granter knows no limits.

--- a/core/signal/book.go
+++ b/core/signal/book.go
@@ -18,10 +18,17 @@
 	Leaves bool
 	// Rest is for how long it wants nothing from this node, where it did not rest before; 0 elsewhere.
 	Rest time.Duration
+	// Damaged are signals that could not be read and are to be reported.
+	Damaged []Damage
 }
 
-// any reports whether anything changed.
-func (c *Change) any() bool { return c.Limit != c.Before || c.Leaves || c.Rest > 0 }
+// News reports whether what is believed has changed.
+func (c *Change) News() bool { return c.Limit != c.Before || c.Leaves || c.Rest > 0 }
+
+// Fields are the change's names and values for a log line.
+func (c *Change) Fields() []any {
+	return []any{"endpoint", c.Endpoint, "born", c.Start, "limit", c.Limit, "before", c.Before, "leaves", c.Leaves, "restMs", c.Rest.Milliseconds()}
+}
 
 // Times of a book.
 const (
@@ -78,22 +85,21 @@
 	return e
 }
 
-// Hear takes in what an answer says that came now to a request that was sent at a moment. It reports whether that
-// changed anything, and which of the damage is to be reported.
-func (b *Book) Hear(l Life, s Said, sent, now time.Time) (c Change, changed bool, damaged []Damage) {
+// Hear takes in what an answer says that came now to a request that was sent at a moment, and returns what that changed.
+func (b *Book) Hear(l Life, s Said, sent, now time.Time) Change {
 	b.forget(now)
 	if b.entries[l.Endpoint] == nil && s.silent() {
-		return Change{}, false, nil
+		return Change{}
 	}
 	e := b.at(l)
 	if e == nil {
-		return Change{}, false, nil
+		return Change{}
 	}
 	e.heardAt = now
+	c := Change{Life: l, Limit: e.limit, Before: e.limit, Leaves: s.Leaving && !e.leaving}
 	if len(s.Damaged) > 0 && now.Sub(e.damagedAt) >= damageEvery {
-		e.damagedAt, damaged = now, s.Damaged
+		e.damagedAt, c.Damaged = now, s.Damaged
 	}
-	c = Change{Life: l, Limit: e.limit, Before: e.limit, Leaves: s.Leaving && !e.leaving}
 	if until := now.Add(s.Rest); s.Rest > 0 && until.After(e.rest) {
 		if !now.Before(e.rest) {
 			c.Rest = s.Rest
@@ -107,21 +113,29 @@
 		c.Limit, e.saidAt = 0, now
 	}
 	b.put(e, &c)
-	return c, c.any(), damaged
+	return c
 }
 
 // put puts a change in force.
 func (b *Book) put(e *entry, c *Change) {
-	if !c.any() {
+	if !c.News() {
 		return
 	}
 	b.version++
 	e.version, e.limit, e.leaving = b.version, c.Limit, e.leaving || c.Leaves
 }
 
+// of returns the entry of a life; nil where it has said nothing.
+func (b *Book) of(l Life) *entry {
+	if e := b.entries[l.Endpoint]; e != nil && (e.start == l.Start || e.start == 0) {
+		return e
+	}
+	return nil
+}
+
 // Rest returns until when a life of an endpoint wants nothing from this node; a past time where it does not rest.
 func (b *Book) Rest(l Life) time.Time {
-	if e := b.entries[l.Endpoint]; e != nil && (e.start == l.Start || e.start == 0) {
+	if e := b.of(l); e != nil {
 		return e.rest
 	}
 	return time.Time{}
@@ -133,9 +147,9 @@
 // Capacity returns how many requests a second a life of an endpoint takes by its word to any node; 0 where it said
 // nothing of it.
 func (b *Book) Capacity(l Life, now time.Time) float64 {
-	e := b.entries[l.Endpoint]
+	e := b.of(l)
 	switch {
-	case e == nil || e.start != l.Start && e.start != 0:
+	case e == nil:
 		return 0
 	case now.Before(e.rest) || now.Before(e.restOfOthers):
 		return restingCapacity
@@ -145,8 +159,8 @@
 
 // Leaves reports whether a life of an endpoint has said that it leaves.
 func (b *Book) Leaves(l Life) bool {
-	e := b.entries[l.Endpoint]
-	return e != nil && (e.start == l.Start || e.start == 0) && e.leaving
+	e := b.of(l)
+	return e != nil && e.leaving
 }
 
 // Former reports whether a later life of the endpoint has spoken: what is meant for this one would reach that one.
@@ -168,11 +182,10 @@
 
 // Limit returns the limit that a life of an endpoint has named, in requests a second; 0 for none.
 func (b *Book) Limit(l Life) float64 {
-	e := b.entries[l.Endpoint]
-	if e == nil || e.start != l.Start && e.start != 0 {
-		return 0
+	if e := b.of(l); e != nil {
+		return e.limit
 	}
-	return e.limit
+	return 0
 }
 
 // Limits returns the limits in force by endpoint, in requests a second.
--- a/core/signal/signal_test.go
+++ b/core/signal/signal_test.go
@@ -72,9 +72,9 @@
 	}
 	b := NewBook()
 	for _, s := range steps {
-		_, change, _ := b.Hear(s.of, s.said, at(s.sent), at(s.now))
-		if diff := cmp.Diff([2]float64{b.Limit(one), b.Limit(two)}, s.limits); diff != "" || change != s.change {
-			t.Errorf("%s: change = %t, want %t; limits (-got +want):\n%s", s.name, change, s.change, diff)
+		c := b.Hear(s.of, s.said, at(s.sent), at(s.now))
+		if diff := cmp.Diff([2]float64{b.Limit(one), b.Limit(two)}, s.limits); diff != "" || c.News() != s.change {
+			t.Errorf("%s: change = %t, want %t; limits (-got +want):\n%s", s.name, c.News(), s.change, diff)
 		}
 	}
 }
@@ -84,8 +84,7 @@
 	b, reports := NewBook(), 0
 	s := Said{Ran: true, Damaged: []Damage{{Name: "H", Value: "x"}}}
 	for d := time.Duration(0); d < 3*damageEvery; d += damageEvery / 20 {
-		_, _, damaged := b.Hear(Life{Endpoint: "i-1"}, s, at(d), at(d))
-		reports += len(damaged)
+		reports += len(b.Hear(Life{Endpoint: "i-1"}, s, at(d), at(d)).Damaged)
 	}
 	if reports != 3 {
 		t.Errorf("%d reports in 3 periods of %v, want 3", reports, damageEvery)
@@ -124,8 +123,7 @@
 	life := Life{"i-1", 1}
 	b := NewBook()
 	hear := func(rest, now time.Duration) bool {
-		c, _, _ := b.Hear(life, Said{Rest: rest}, at(now), at(now))
-		return c.Rest > 0
+		return b.Hear(life, Said{Rest: rest}, at(now), at(now)).Rest > 0
 	}
 	if !hear(3*time.Second, 0) || hear(time.Second, time.Second) {
 		t.Error("a rest in a rest is said to begin")
--- a/core/signal/word.go
+++ b/core/signal/word.go
@@ -51,19 +51,19 @@
 	return out
 }
 
-// Merge takes in what another node heard. It reports whether that changed what is believed here.
-func (b *Book) Merge(w Word, now time.Time) (c Change, changed bool) {
+// Merge takes in what another node heard, and returns what that changed here.
+func (b *Book) Merge(w Word, now time.Time) Change {
 	b.forget(now)
 	e := b.at(w.Life)
 	if e == nil {
-		return Change{}, false
+		return Change{}
 	}
 	e.heardAt = now
 	least := e.saidAt
 	if w.Limit == 0 && e.limit > 0 {
 		least = least.Add(relaySlack)
 	}
-	c = Change{Life: w.Life, Limit: e.limit, Before: e.limit, Leaves: w.Leaving && !e.leaving}
+	c := Change{Life: w.Life, Limit: e.limit, Before: e.limit, Leaves: w.Leaving && !e.leaving}
 	if w.At.After(least) && w.Limit != e.limit {
 		c.Limit, e.saidAt = w.Limit, w.At
 	}
@@ -74,7 +74,7 @@
 	}
 	e.restOfOthers = later(e.restOfOthers, w.RestUntil)
 	b.put(e, &c)
-	return c, c.any()
+	return c
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/signal/word_test.go
+++ b/core/signal/word_test.go
@@ -27,9 +27,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			b := NewBook()
 			b.Hear(life, Said{Limit: 2, Ran: true}, at(9*time.Second), at(10*time.Second))
-			c, changed := b.Merge(tt.word, at(12*time.Second))
-			if got := b.Limit(life); got != tt.want || changed != (tt.want != 2 || tt.word.Endpoint == "i-2") {
-				t.Errorf("limit = %g, want %g; change %+v, %t", got, tt.want, c, changed)
+			c := b.Merge(tt.word, at(12*time.Second))
+			if got := b.Limit(life); got != tt.want || c.News() != (tt.want != 2 || tt.word.Endpoint == "i-2") {
+				t.Errorf("limit = %g, want %g; change %+v", got, tt.want, c)
 			}
 		})
 	}
--- a/internal/placer/signals.go
+++ b/internal/placer/signals.go
@@ -25,8 +25,7 @@
 
 // showSignals wakes the nodes that wait for news of the holder, if there is some.
 func (c *Controller) showSignals() {
-	_, version := c.o.Dispatcher.SignalsSince(0)
-	c.holder.setSignals(version)
+	c.holder.setSignals(c.o.Dispatcher.SignalsVersion())
 }
 
 // capacityOf returns how many requests a second an engine takes by its own word; 0 where it says nothing of it.
@@ -51,9 +50,9 @@
 
 // hearReport takes in what the answer to a question for a report says of the engine itself.
 func (c *Controller) hearReport(engine string, r *placement.Report, asked time.Time) {
-	ch, changed, _ := c.o.Dispatcher.Hear(view.Endpoint{Name: engine, Start: int64(r.Start)}, r.Said, asked)
-	if changed {
-		c.o.Logger.Info("endpoint says what it takes", "endpoint", ch.Endpoint, "born", ch.Start, "limit", ch.Limit, "before", ch.Before, "leaves", ch.Leaves, "by", "report")
+	ch := c.o.Dispatcher.Hear(view.Endpoint{Name: engine, Start: int64(r.Start)}, r.Said, asked)
+	if ch.News() {
+		c.noteSignal(&ch, "report")
 	}
 }
 
@@ -63,12 +62,17 @@
 		return false
 	}
 	changes := c.o.Dispatcher.MergeSignals(peer.Words(told, now))
-	for _, ch := range changes {
-		c.o.Logger.Info("endpoint says what it takes", "endpoint", ch.Endpoint, "born", ch.Start, "limit", ch.Limit, "before", ch.Before, "leaves", ch.Leaves, "by", by)
+	for i := range changes {
+		c.noteSignal(&changes[i], by)
 	}
 	return len(changes) > 0
 }
 
+// noteSignal logs what another node, or a report, changed of what is believed of an endpoint.
+func (c *Controller) noteSignal(ch *signal.Change, by string) {
+	c.o.Logger.Info("endpoint says what it takes", append(ch.Fields(), "by", by)...)
+}
+
 // reportSignals adds what the holder is to be told, and returns the version to which it leads.
 func (c *Controller) reportSignals(r *peer.Report, life string, now time.Time) uint64 {
 	if c.signals.reportedLife != life {
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -400,14 +400,14 @@
 	eps := v.Endpoints[name]
 	out := make([]place, 0, len(eps))
 	for _, e := range eps {
-		if d.book.Leaves(lifeOf(&e)) {
+		if d.out(lifeOf(&e)) {
 			continue
 		}
 		g := d.gates[e.Name]
 		if g == nil || g.incarnation != e.Incarnation {
 			share := e.Concurrency / max(1, len(v.Live))
 			g = newGate(e, share)
-			g.setLimit(d.book.Limit(g.life))
+			g.setLimit(d.limitOf(g.life))
 			g.rest = d.book.Rest(g.life)
 			d.gates[e.Name] = g
 		}
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -55,25 +55,25 @@
 // lifeOf names the life of an endpoint.
 func lifeOf(e *view.Endpoint) signal.Life { return signal.Life{Endpoint: e.Name, Start: e.Start} }
 
-// Hear takes in what an endpoint's answer to a request that was sent at a moment says of the endpoint. It returns
-// what that changed, and which damaged signals are to be reported.
-func (d *Dispatcher) Hear(e view.Endpoint, s signal.Said, sent time.Time) (c signal.Change, changed bool, damaged []signal.Damage) {
-	c, changed, damaged = d.hear(lifeOf(&e), s, sent)
-	if changed && d.hooks.Heard != nil {
+// Hear takes in what an endpoint's answer to a request that was sent at a moment says of the endpoint, and returns what
+// that changed.
+func (d *Dispatcher) Hear(e view.Endpoint, s signal.Said, sent time.Time) signal.Change {
+	c := d.hear(lifeOf(&e), s, sent)
+	if c.News() && d.hooks.Heard != nil {
 		d.hooks.Heard()
 	}
-	return c, changed, damaged
+	return c
 }
 
-func (d *Dispatcher) hear(l signal.Life, s signal.Said, sent time.Time) (c signal.Change, changed bool, damaged []signal.Damage) {
+func (d *Dispatcher) hear(l signal.Life, s signal.Said, sent time.Time) signal.Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	c, changed, damaged = d.book.Hear(l, s, sent, now)
-	if changed || s.Rest > 0 {
+	c := d.book.Hear(l, s, sent, now)
+	if c.News() || s.Rest > 0 {
 		d.heed(l, now)
 	}
-	return c, changed, damaged
+	return c
 }
 
 // Capacity returns how many requests a second a life of an endpoint takes by its word to any node; 0 where it said
@@ -84,6 +84,13 @@
 	return d.book.Capacity(l, d.clock.Now())
 }
 
+// SignalsVersion rises with each change of what endpoints say.
+func (d *Dispatcher) SignalsVersion() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Version()
+}
+
 // SignalsSince returns what changed of what endpoints say since a version, and the version that this leads to.
 func (d *Dispatcher) SignalsSince(version uint64) (words []signal.Word, to uint64) {
 	d.mu.Lock()
@@ -98,7 +105,7 @@
 	now := d.clock.Now()
 	var out []signal.Change
 	for _, w := range words {
-		if c, changed := d.book.Merge(w, now); changed {
+		if c := d.book.Merge(w, now); c.News() {
 			d.heed(w.Life, now)
 			out = append(out, c)
 		}
@@ -109,18 +116,29 @@
 // heed puts what the book says of an endpoint in force.
 func (d *Dispatcher) heed(l signal.Life, now time.Time) {
 	g := d.gates[l.Endpoint]
-	if g == nil || g.life != l {
-		return
-	}
-	if d.book.Leaves(l) {
+	switch {
+	case g == nil:
+	case d.out(g.life):
 		for p := range g.pools {
 			p.remove(g)
 		}
-		return
+	case g.life == l:
+		g.setLimit(d.limitOf(l))
+		g.setRest(d.book.Rest(l), now)
+		d.reconsider(g, now)
+	}
+}
+
+// out reports whether a life of an endpoint gets no requests any more: it leaves, or a later one has spoken.
+func (d *Dispatcher) out(l signal.Life) bool { return d.book.Leaves(l) || d.book.Former(l) }
+
+// limitOf returns the limit that a life of an endpoint has named, in requests a second; 0 for none, or where nobody
+// charges requests to it.
+func (d *Dispatcher) limitOf(l signal.Life) float64 {
+	if d.hooks.Charge == nil {
+		return 0
 	}
-	g.setLimit(d.book.Limit(l))
-	g.setRest(d.book.Rest(l), now)
-	d.reconsider(g, now)
+	return d.book.Limit(l)
 }
 
 // charged waits for a place and, where its endpoint limits its requests, charges the request to it. Where the limit
@@ -129,7 +147,7 @@
 	for {
 		// admitted gives the lock back.
 		s, err := d.admitted(ctx, p, a, start, d.clock.Now())
-		if err != nil || s.limit == 0 || d.hooks.Charge == nil {
+		if err != nil || s.limit == 0 {
 			return s, err
 		}
 		after := d.hooks.Charge(ctx, s.Endpoint, s.limit)
@@ -198,7 +216,7 @@
 		return errLeaves
 	case d.clock.Now().Before(d.book.Rest(life)):
 		return errRests
-	case s.limit == 0 && d.book.Limit(life) > 0 && d.hooks.Charge != nil:
+	case s.limit == 0 && d.limitOf(life) > 0:
 		return errUncharged
 	}
 	return nil
--- a/internal/traffic/heard_property_test.go
+++ b/internal/traffic/heard_property_test.go
@@ -17,6 +17,8 @@
 
 // spoken is what one life of an endpoint has said, as the oracle of a play keeps it.
 type spoken struct {
+	// any is set once the life is known by its word: it said something, or answered after a former life had.
+	any    bool
 	leaves bool
 	rest   time.Time
 	limit  float64
@@ -88,6 +90,9 @@
 	e := rapid.SampledFrom(p.shown).Draw(t, "endpoint")
 	// The request was sent after the answer before.
 	p.clock.Advance(time.Millisecond)
+	if p.former(lifeOf(&e)) {
+		return
+	}
 	o, now := p.of(lifeOf(&e)), p.clock.Now()
 	said := signal.Said{Ran: true}
 	switch rapid.IntRange(0, 4).Draw(t, "what") {
@@ -104,6 +109,7 @@
 	default:
 		o.limit = 0
 	}
+	o.any = o.any || said.Leaving || said.Rest > 0 || said.Limit > 0 || p.known(lifeOf(&e))
 	p.Hear(e, said, now)
 	if g := p.gates[e.Name]; p.last && g != nil && said.Rest > 0 {
 		g.rest = now.Add(said.Rest)
@@ -138,7 +144,12 @@
 	if p.asks && p.MaySend(s) != nil {
 		return
 	}
-	switch o := p.of(lifeOf(&s.Endpoint)); {
+	life := lifeOf(&s.Endpoint)
+	if p.former(life) {
+		p.fault = fmt.Sprintf("a request left for a former life of %s", s.Endpoint.Name)
+		return
+	}
+	switch o := p.of(life); {
 	case o.leaves:
 		p.fault = fmt.Sprintf("a request left for %s, which had said that it leaves", s.Endpoint.Name)
 	case p.clock.Now().Before(o.rest):
@@ -148,23 +159,66 @@
 	}
 }
 
+// hearsay has another node tell what a life of an endpoint said, which may be later than the one shown.
+func (p *play) hearsay(t *rapid.T) {
+	l := signal.Life{Endpoint: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "endpoint"), Start: int64(rapid.IntRange(1, 4).Draw(t, "start"))}
+	p.clock.Advance(time.Millisecond)
+	w := signal.Word{Life: l, Leaving: rapid.Bool().Draw(t, "leaves"), At: p.clock.Now()}
+	if p.former(l) {
+		p.MergeSignals([]signal.Word{w})
+		return
+	}
+	o := p.of(l)
+	o.any = true
+	o.leaves = o.leaves || w.Leaving
+	if o.limit == 0 {
+		w.Limit = float64(rapid.IntRange(0, 3).Draw(t, "limit"))
+		o.limit = w.Limit
+	} else {
+		w.Limit = o.limit
+	}
+	p.MergeSignals([]signal.Word{w})
+}
+
+// former reports whether a later life of the endpoint has spoken.
+func (p *play) former(l signal.Life) bool {
+	for o := range p.said {
+		if o.Endpoint == l.Endpoint && o.Start > l.Start && p.said[o].any {
+			return true
+		}
+	}
+	return false
+}
+
+// known reports whether any life of the endpoint is known by its word.
+func (p *play) known(l signal.Life) bool {
+	for o, s := range p.said {
+		if o.Endpoint == l.Endpoint && s.any {
+			return true
+		}
+	}
+	return false
+}
+
 // idle reports whether an endpoint that is shown has said nothing that keeps requests from it, and has a place.
 func (p *play) idle() bool {
 	return slices.ContainsFunc(p.shown, func(e view.Endpoint) bool {
 		o := p.of(lifeOf(&e))
 		g := p.gates[e.Name]
-		return !o.leaves && !p.clock.Now().Before(o.rest) && o.limit == 0 && (g == nil || g.running == 0)
+		return !p.former(lifeOf(&e)) && !o.leaves && !p.clock.Now().Before(o.rest) && o.limit == 0 && (g == nil || g.running == 0)
 	})
 }
 
 func (p *play) step(t *rapid.T) {
-	switch rapid.IntRange(0, 7).Draw(t, "step") {
+	switch rapid.IntRange(0, 8).Draw(t, "step") {
 	case 0:
 		p.show(t)
 	case 1, 2:
 		p.speak(t)
 	case 3:
 		p.room = !p.room
+	case 8:
+		p.hearsay(t)
 	case 4:
 		p.clock.Advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
 	case 5, 6:
--- a/io/caller/send.go
+++ b/io/caller/send.go
@@ -27,14 +27,14 @@
 
 // hear takes in what an answer says of its endpoint, and logs what that changes.
 func (s *Server) hear(x *Exchange, slot *traffic.Slot, said signal.Said, sent time.Time) {
-	c, changed, damaged := s.Dispatcher.Hear(slot.Endpoint, said, sent)
-	for _, d := range damaged {
+	c := s.Dispatcher.Hear(slot.Endpoint, said, sent)
+	for _, d := range c.Damaged {
 		s.Metrics.DamagedSignals.Add(1)
 		s.Logger.Warn("signal of an endpoint passed over", "endpoint", slot.Endpoint.Name, "born", slot.Endpoint.Start, "requestId", x.ID, "error", d.Error())
 	}
-	if !changed {
+	if !c.News() {
 		return
 	}
 	s.Metrics.Signals.Add(1)
-	s.Logger.Info("endpoint says what it takes", "endpoint", c.Endpoint, "born", c.Start, "limit", c.Limit, "before", c.Before, "leaves", c.Leaves, "restMs", c.Rest.Milliseconds(), "requestId", x.ID)
+	s.Logger.Info("endpoint says what it takes", append(c.Fields(), "requestId", x.ID)...)
 }
