--- a/core/signal/book.go
+++ b/core/signal/book.go
@@ -1,6 +1,10 @@
 package signal
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Life is one life of an endpoint.
 type Life struct {
@@ -177,6 +181,7 @@
 			out = append(out, Life{Endpoint: name, Start: e.start})
 		}
 	}
+	slices.SortFunc(out, func(a, b Life) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return out
 }
 
@@ -199,6 +204,17 @@
 	return out
 }
 
+// Resting returns how much longer endpoints want nothing from this node, in milliseconds by name.
+func (b *Book) Resting(now time.Time) map[string]int64 {
+	out := make(map[string]int64)
+	for name, e := range b.entries {
+		if left := e.rest.Sub(now); left > 0 {
+			out[name] = left.Milliseconds()
+		}
+	}
+	return out
+}
+
 // forget drops the endpoints that have said nothing for long.
 func (b *Book) forget(now time.Time) {
 	if now.Sub(b.forgotAt) < keepFor {
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -53,6 +53,8 @@
 	book *signal.Book
 	// heldByLimit is as in Totals.
 	heldByLimit int64
+	// withheld is as in Totals.
+	withheld map[string]int64
 	// stopped is closed when nobody may wait any longer.
 	stopped chan struct{}
 }
@@ -63,7 +65,7 @@
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
 		view: &view.View{}, pools: make(map[string]*pool), gates: make(map[string]*gate),
 		budgets: make(map[string]*retry.Budget), retries: retry.DefaultLimits,
-		book:    signal.NewBook(),
+		book: signal.NewBook(), withheld: make(map[string]int64),
 		stopped: make(chan struct{}),
 	}
 }
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"olivetiller/core/signal"
@@ -197,29 +196,36 @@
 	return d.book.Leaving()
 }
 
-// Reasons why a request does not leave for its endpoint.
-var (
-	errUncharged = errors.New("the endpoint has named a limit since the request got its place")
-	errLeaves    = errors.New("the endpoint has said that it leaves since the request got its place")
-	errFormer    = errors.New("the endpoint has started again since the request got its place")
-	errRests     = errors.New("the endpoint has asked for rest since the request got its place")
-)
+// WithheldError is why a request does not leave for the endpoint of its slot: what the endpoint has said since.
+type WithheldError struct {
+	// By is what it said, as counted in Totals.
+	By string
+}
+
+// Error implements error.
+func (e *WithheldError) Error() string {
+	return "the endpoint has spoken since the request got its place: " + e.By
+}
 
 // MaySend returns why a request must not leave for the endpoint of its slot, or nil.
 func (d *Dispatcher) MaySend(s *Slot) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	by := ""
 	switch life := s.gate.life; {
 	case d.book.Former(life):
-		return errFormer
+		by = "startedAgain"
 	case d.book.Leaves(life):
-		return errLeaves
+		by = "leaving"
 	case d.clock.Now().Before(d.book.Rest(life)):
-		return errRests
+		by = "rest"
 	case s.limit == 0 && d.limitOf(life) > 0:
-		return errUncharged
+		by = "limit"
+	default:
+		return nil
 	}
-	return nil
+	d.withheld[by]++
+	return &WithheldError{by}
 }
 
 // opensAt returns when a request behind others gets a place, where all endpoints of the pool limit their requests or
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -30,15 +30,24 @@
 	RetryReserve float64 `json:"retryReserve"`
 	// Limited are the endpoints that limit their requests, in requests a second by name.
 	Limited map[string]float64 `json:"limitedEndpoints"`
-	// HeldByLimit counts the times that a request got no place since its endpoint's limit had no room.
-	HeldByLimit int64 `json:"heldByLimit"`
+	// Leaving are the endpoints that have said that they leave, and Resting those that asked this node for rest, in
+	// milliseconds left by name.
+	Leaving []string         `json:"leavingEndpoints"`
+	Resting map[string]int64 `json:"restingEndpoints"`
+	// HeldByLimit counts the times that a request got no place since its endpoint's limit had no room, and Withheld
+	// the requests that did not leave for their endpoint by what it had said meanwhile, by what that was.
+	HeldByLimit int64            `json:"heldByLimit"`
+	Withheld    map[string]int64 `json:"withheld"`
 }
 
 // Totals returns the work of all pools.
 func (d *Dispatcher) Totals() Totals {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t := Totals{RetryReserve: d.retries.Reserve, Limited: d.book.Limits(), HeldByLimit: d.heldByLimit}
+	t := Totals{RetryReserve: d.retries.Reserve, Limited: d.book.Limits(), Resting: d.book.Resting(d.clock.Now()), HeldByLimit: d.heldByLimit, Withheld: maps.Clone(d.withheld)}
+	for _, l := range d.book.Leaving() {
+		t.Leaving = append(t.Leaving, l.Endpoint)
+	}
 	for _, p := range d.pools {
 		t.Waiting += p.queue.Len()
 		t.Running += p.running
