--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -190,7 +190,6 @@
 	retries   retry.Limits
 	suspects  suspects
 	signals   signals
-	start     start
 	turns     turns
 }
 
@@ -208,7 +207,6 @@
 	c.suspects.init(&c.o)
 	c.turns.of = quarantine.NewTurns()
 	c.leaseDoubt.Store(true)
-	c.start.begin(o.Clock.Now())
 	c.allowance = retry.NewAllowance(o.Retries)
 	c.limitRetries(o.Clock.Now())
 	c.view.Store(&view.View{})
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -60,16 +60,16 @@
 func (c *Controller) startReaders(ctx context.Context) {
 	s := c.o.Store
 	go follow(ctx, c, reader[logstore.Config]{
-		name: "configuration", newest: s.NewestConfig, read: s.Configs, idle: c.needsNoStore,
+		name: "configuration", newest: s.NewestConfig, read: s.Configs, idle: c.isFed,
 		apply: func(p logstore.Page[logstore.Config], _ bool, asked time.Time) message { return configs{p, asked} },
 	})
 	go follow(ctx, c, reader[logstore.Instance]{
-		name: "endpoints", every: c.pace.instancesEvery, ownEvery: c.pace.ownInstancesEvery, newest: s.NewestInstances, read: s.Instances, idle: c.needsNoStore,
+		name: "endpoints", every: c.pace.instancesEvery, ownEvery: c.pace.ownInstancesEvery, newest: s.NewestInstances, read: s.Instances, idle: c.isFed,
 		apply: func(p logstore.Page[logstore.Instance], whole bool, _ time.Time) message { return instances{p, whole} },
 	})
 	go follow(ctx, c, reader[logstore.Verdict]{
 		name: "quarantine", ownEvery: c.pace.ownInstancesEvery, newest: s.NewestVerdicts, read: s.Verdicts,
-		idle:  func() bool { return c.needsNoStore() || c.leading.Load() && c.suspects.read.Load() },
+		idle:  func() bool { return c.isFed() || c.leading.Load() && c.suspects.read.Load() },
 		apply: func(p logstore.Page[logstore.Verdict], _ bool, _ time.Time) message { return verdicts{p} },
 	})
 	go follow(ctx, c, reader[[]byte]{
@@ -83,11 +83,6 @@
 	go c.exchangeSuspects(ctx)
 }
 
-// needsNoStore reports whether a holder relays the store to this node, or is awaited to.
-func (c *Controller) needsNoStore() bool {
-	return c.isFed() || !c.leading.Load() && c.start.awaits(c.o.Clock.Now())
-}
-
 // follow reads a topic until the context ends: first what is newest, where the
 // topic has keys, then what comes. When the platform dropped the records asked
 // for, it begins anew.
@@ -390,8 +385,6 @@
 	}
 	c.lease.CaughtUp(m.page.Next, now)
 	c.leaseDoubt.Store(false)
-	rec, _, known := c.lease.Latest()
-	c.start.heard(rec, known, c.o.Self, now)
 	c.followHolder(before, "store")
 }
 
