directory, placer: a fed node hears of an endpoint that it alone had believed gone

Evidence: its log has the entries of two engines gone at 50.982 s by its own read, and never back; the holder's log has both back at 51.067 and 52.687 s, as the node was fed from 50.98 s on (age of its configuration under 0.9 s). The holder had lost the store just before, so that it did not believe the entries gone until they were back: on its board nothing had changed, and a board tells what changed by place.

Class: two nodes' beliefs of one entry, one of which changed and changed back, compared by what stands and not by what happened.

Change: an entry keeps the version since which it has been there without a gap; one that was gone in between is news for all, wherever it was believed.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -49,6 +49,9 @@
 	Instance *Instance
 	// Relayed records come from another node and do not tell the holdings.
 	Relayed bool
+	// Since is the version since which the entry has been there without a gap, as far as the node knows that
+	// tells it; 0 where it is not told.
+	Since uint64 `json:",omitempty"`
 }
 
 // Change says what a record changed.
@@ -71,6 +74,8 @@
 	Version uint64
 	// GoneAt is when the entry is to be believed gone; zero while it is there.
 	GoneAt time.Time
+	// Since is as in Record.
+	Since uint64
 }
 
 // lapseGrace is how long a live endpoint may take to record itself anew once
@@ -99,7 +104,7 @@
 		d.entries[r.ID] = &Entry{Instance: Instance{ID: r.ID}, Version: r.Version, GoneAt: now}
 		return Unchanged
 	case e == nil:
-		d.entries[r.ID] = &Entry{Instance: *r.Instance, Version: r.Version}
+		d.entries[r.ID] = &Entry{Instance: *r.Instance, Version: r.Version, Since: r.Version}
 		return Place
 	case e.newerThan(r):
 		return Unchanged
@@ -115,7 +120,7 @@
 	}
 	change := changeOf(&e.Instance, &next)
 	if !e.GoneAt.IsZero() {
-		change = Place
+		change, e.Since = Place, r.Version
 	}
 	// An endpoint that leaves does not come back in the same life; one that started again has
 	// said nothing yet.
@@ -240,7 +245,7 @@
 	for _, e := range live {
 		in := e.Instance
 		in.Holdings = Holdings{}
-		out = append(out, Record{ID: e.ID, Version: e.Version, Instance: &in, Relayed: true})
+		out = append(out, Record{ID: e.ID, Version: e.Version, Instance: &in, Relayed: true, Since: e.Since})
 	}
 	return out
 }
--- a/internal/placer/feed.go
+++ b/internal/placer/feed.go
@@ -45,7 +45,7 @@
 	for _, r := range records {
 		live[r.ID] = true
 		old, ok := b.feed.instances[r.ID]
-		if !ok || old.record.Instance == nil || !directory.SamePlace(old.record.Instance, r.Instance) {
+		if !ok || old.record.Instance == nil || old.record.Since != r.Since || !directory.SamePlace(old.record.Instance, r.Instance) {
 			b.feed.instances[r.ID] = shownInstance{r, next}
 			news = true
 			continue
