placer: each term of a holder is told as one of its own

What vanished in between is on no list of what changed, so that a node that had heard of the former term kept such endpoints until its next whole list. Each term has a name now, and nodes that come from another one get all there is. TestVanishedBetweenTerms, red before (1 endpoint still known).

--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -160,6 +161,8 @@
 	listedTo uint64
 	// released is set once the lease was given up for a stop.
 	released bool
+	// terms counts how often this process has held the lease.
+	terms int
 	// heldSince is when this node last gained the lease; yielding is set while it hands it
 	// over.
 	heldSince time.Time
@@ -356,7 +359,7 @@
 			c.holder.showConfig(t.Config)
 		}
 		c.setNodes(len(c.nodes)+1, now)
-		c.holder.begin(c.o.Self.Life, fence, c.allowance.Nodes(now), c.directory.Records(now), c.listedTo)
+		c.beginTerm(fence, now)
 		c.holder.showLease(holder, c.lease.End()-1)
 	} else {
 		c.o.Logger.Info("lease lost", "holder", holder.Holder, "fence", fence, "why", why)
@@ -366,6 +369,13 @@
 	c.stale = true
 }
 
+// beginTerm shows this node's board. Each term has a name of its own: what vanished between two terms of one process
+// is told to nobody as gone, so that nodes must take the list for all there is.
+func (c *Controller) beginTerm(fence uint64, now time.Time) {
+	c.terms++
+	c.holder.begin(fmt.Sprintf("%s/%d", c.o.Self.Life, c.terms), fence, c.allowance.Nodes(now), c.directory.Records(now), c.listedTo)
+}
+
 // awayStep is how far ahead a holder without a lease allows itself orders. With
 // [lease.VouchFresh] it is less than holderFresh.
 const awayStep = 300 * time.Millisecond
--- a/internal/placer/returned_test.go
+++ b/internal/placer/returned_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"olivetiller/core/directory"
 	"olivetiller/io/peer"
 )
@@ -43,3 +45,32 @@
 		t.Errorf("the node knows %d endpoints, want the one that is back", n)
 	}
 }
+
+// TestVanishedBetweenTerms guards against endpoints that vanished while a process did not hold the lease, and are not told
+// as gone once it does again.
+func TestVanishedBetweenTerms(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := suspectNodes(clock, "h", "n")
+	h, n := d.nodes["h"], d.nodes["n"]
+	q := peer.Question{Node: "n"}
+	hear := func() {
+		s, _, ok := h.holder.snapshot(q, clock.Now())
+		if !ok {
+			t.Fatal("it does not hold the lease")
+		}
+		n.feed(s, clock.Now(), heardFrom{s: s, made: clock.Now()})
+		q.Life, q.Version = s.Life, s.Version
+	}
+	h.directory.Apply(directory.Record{ID: "i-0", Version: 1, Instance: &directory.Instance{ID: "i-0", Start: 1, Service: "s"}}, clock.Now())
+	h.listedTo = 1
+	h.beginTerm(1, clock.Now())
+	hear()
+	h.holder.end()
+	h.directory.Apply(directory.Record{ID: "i-0", Version: 2}, clock.Now())
+	h.listedTo = 2
+	h.beginTerm(1, clock.Now())
+	hear()
+	if live := n.directory.Live(clock.Now()); len(live) != 0 {
+		t.Errorf("the node still knows %d endpoints", len(live))
+	}
+}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -98,7 +98,7 @@
 
 // Snapshot is what the holder tells the nodes.
 type Snapshot struct {
-	// Life tells one holder from the next; Version rises within a life.
+	// Life tells one term of a holder from the next; Version rises within it.
 	Life    string `json:"life"`
 	Fence   uint64 `json:"fence"`
 	Version uint64 `json:"version"`
