--- a/internal/placer/credit.go
+++ b/internal/placer/credit.go
@@ -267,7 +267,7 @@
 	defer k.mu.Unlock()
 	k.forgetIdle(now)
 	if !keyed && !k.purse.Alone() {
-		// Nobody may ever ask.
+		// Limits of endpoints are asked for as requests come.
 		return
 	}
 	if k.probing || !k.purse.Alone() && k.purse.Members() > 0 || now.Sub(k.probed) < probeEvery {
