signal, placement, placer, traffic: one reader of numbers, one look at capacities a plan, one test of callers sent away

Change: one read with the bound as a function; Dispatcher.Capacities under one lock, looked up by the planner; planning.lately; spacing. Behaviour stays: the tests keep their assertions (ok is read off the value, a capacity off the map).

--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -16,7 +16,7 @@
 		if unit.Adapter == "" {
 			continue
 		}
-		if u.waiting > 0 || g.sentAwayByLimits(unit, u) {
+		if u.waiting > 0 || g.sentAwayByLimits(u) {
 			wishes = append(wishes, wish{unit, u.dueAt(g.now).urgent})
 		}
 	}
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -49,7 +49,6 @@
 
 // sentAwayByLimits reports whether callers of an adapter were sent away lately since the engines that hold it take less
 // than comes for its model.
-func (g *planning) sentAwayByLimits(unit Unit, u *use) bool {
-	m := u.model
-	return !u.sentAwayAt.IsZero() && g.now.Sub(u.sentAwayAt) < returnTime && m.serving() < m.replicas()
+func (g *planning) sentAwayByLimits(u *use) bool {
+	return g.lately(u.sentAwayAt) && u.model.serving() < u.model.replicas()
 }
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 )
 
 // wanted returns the models that requests wait for, or were sent away for lately,
@@ -10,7 +11,7 @@
 func (g *planning) wanted() []*modelState {
 	var out []*modelState
 	for _, m := range g.list {
-		asked := m.waiting > 0 || !m.sentAwayAt.IsZero() && g.now.Sub(m.sentAwayAt) < returnTime
+		asked := m.waiting > 0 || g.lately(m.sentAwayAt)
 		if asked && m.serving() == 0 && m.loaders == 0 && m.spec != nil && !g.rests(m) {
 			out = append(out, m)
 		}
@@ -28,6 +29,9 @@
 	return out
 }
 
+// lately reports whether callers that were sent away at a moment, zero for never, may still be back.
+func (g *planning) lately(at time.Time) bool { return !at.IsZero() && g.now.Sub(at) < returnTime }
+
 // serve places models that requests wait for. Those for which a request can still be
 // in time go first, and so do busy ones, of which later requests have the use: when
 // the engines cannot keep up, to serve the late ones first would make all late.
--- a/core/signal/book.go
+++ b/core/signal/book.go
@@ -148,17 +148,31 @@
 // restingCapacity stands for what an endpoint takes while it rests, in requests a second: less than anyone asks for.
 const restingCapacity = 0.001
 
-// Capacity returns how many requests a second a life of an endpoint takes by its word to any node; 0 where it said
-// nothing of it.
-func (b *Book) Capacity(l Life, now time.Time) float64 {
-	e := b.of(l)
-	switch {
-	case e == nil:
-		return 0
-	case now.Before(e.rest) || now.Before(e.restOfOthers):
-		return restingCapacity
+// Capacities are how many requests a second lives of endpoints take by their word, of those that said so.
+type Capacities map[Life]float64
+
+// Of returns the capacity of a life; 0 where it said nothing of it.
+func (c Capacities) Of(l Life) float64 {
+	if v, ok := c[l]; ok {
+		return v
 	}
-	return e.limit
+	// It spoke where its start was not told.
+	return c[Life{Endpoint: l.Endpoint}]
+}
+
+// Capacities returns what the endpoints take by their word to any node.
+func (b *Book) Capacities(now time.Time) Capacities {
+	out := make(Capacities)
+	for name, e := range b.entries {
+		l := Life{Endpoint: name, Start: e.start}
+		switch {
+		case now.Before(e.rest) || now.Before(e.restOfOthers):
+			out[l] = restingCapacity
+		case e.limit > 0:
+			out[l] = e.limit
+		}
+	}
+	return out
 }
 
 // Leaves reports whether a life of an endpoint has said that it leaves.
--- a/core/signal/signal.go
+++ b/core/signal/signal.go
@@ -45,29 +45,27 @@
 
 // Rest reads the values of a header that holds a rest in seconds; 0 where it is absent or damaged, and damage says why.
 func Rest(name string, values []string) (rest time.Duration, damage *Damage) {
-	if len(values) == 0 {
-		return 0, nil
-	}
-	if len(values) == 1 {
-		seconds, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
-		if err == nil && seconds >= 0 && seconds <= mostRest.Seconds() {
-			return time.Duration(seconds * float64(time.Second)), nil
-		}
-	}
-	return 0, &Damage{Name: name, Value: strings.Join(values, ", "), Want: fmt.Sprintf("a number of seconds from 0 to %v", mostRest.Seconds())}
+	seconds, damage := read(name, values, fmt.Sprintf("a number of seconds from 0 to %v", mostRest.Seconds()), func(v float64) bool {
+		return v >= 0 && v <= mostRest.Seconds()
+	})
+	return time.Duration(seconds * float64(time.Second)), damage
+}
+
+// Number reads the values of a header that holds one number above 0; 0 where it is absent or damaged, and damage says
+// why.
+func Number(name string, values []string) (v float64, damage *Damage) {
+	return read(name, values, "one number above 0", func(v float64) bool { return v > 0 && !math.IsInf(v, 0) })
 }
 
-// Number reads the values of a header that holds one number above 0; ok is false where it is absent or damaged, and
-// damage says why.
-func Number(name string, values []string) (v float64, ok bool, damage *Damage) {
+// read reads the values of a header that holds one number, which must be valid.
+func read(name string, values []string, want string, valid func(float64) bool) (float64, *Damage) {
 	if len(values) == 0 {
-		return 0, false, nil
+		return 0, nil
 	}
 	if len(values) == 1 {
-		v, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
-		if err == nil && v > 0 && !math.IsInf(v, 0) {
-			return v, true, nil
+		if v, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64); err == nil && valid(v) {
+			return v, nil
 		}
 	}
-	return 0, false, &Damage{Name: name, Value: strings.Join(values, ", "), Want: "one number above 0"}
+	return 0, &Damage{Name: name, Value: strings.Join(values, ", "), Want: want}
 }
--- a/core/signal/signal_test.go
+++ b/core/signal/signal_test.go
@@ -32,7 +32,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, ok, damage := Number("H", tt.values)
+			got, damage := Number("H", tt.values)
+			ok := got > 0
 			text := ""
 			if damage != nil {
 				text = damage.Error()
@@ -142,7 +143,7 @@
 	if got := other.Rest(life); got.After(at(2 * time.Second)) {
 		t.Error("another node's rest binds this one")
 	}
-	if got := [2]float64{other.Capacity(life, at(4*time.Second)), other.Capacity(life, at(6*time.Second))}; got != [2]float64{restingCapacity, 0} {
+	if got := [2]float64{other.Capacities(at(4 * time.Second)).Of(life), other.Capacities(at(6 * time.Second)).Of(life)}; got != [2]float64{restingCapacity, 0} {
 		t.Errorf("capacity in the rest and after it = %v", got)
 	}
 }
--- a/internal/placer/ordering.go
+++ b/internal/placer/ordering.go
@@ -25,7 +25,7 @@
 		c.planDue, c.planAt = false, end.Add(planShare*end.Sub(now))
 	}()
 	_, fence := c.lease.Holder()
-	c.planner.SetLimits(c.capacityOf)
+	c.limitEngines()
 	for _, a := range c.planner.Plan(now, fence) {
 		switch {
 		case a.Order != nil:
--- a/internal/placer/signals.go
+++ b/internal/placer/signals.go
@@ -28,9 +28,12 @@
 	c.holder.setSignals(c.o.Dispatcher.SignalsVersion())
 }
 
-// capacityOf returns how many requests a second an engine takes by its own word; 0 where it says nothing of it.
-func (c *Controller) capacityOf(engine string, start directory.Start) float64 {
-	return c.o.Dispatcher.Capacity(signal.Life{Endpoint: engine, Start: int64(start)})
+// limitEngines tells the planner how many requests a second engines take by their own word.
+func (c *Controller) limitEngines() {
+	capacities := c.o.Dispatcher.Capacities()
+	c.planner.SetLimits(func(engine string, start directory.Start) float64 {
+		return capacities.Of(signal.Life{Endpoint: engine, Start: int64(start)})
+	})
 }
 
 // drainLeaving has the list heed the endpoints that have said that they leave, those too that came onto it later.
--- a/internal/placer/signals_test.go
+++ b/internal/placer/signals_test.go
@@ -36,7 +36,7 @@
 		if diff := cmp.Diff(want, c.o.Dispatcher.LeavingEndpoints()); diff != "" {
 			t.Errorf("leaving endpoints known to %s (-want +got):\n%s", name, diff)
 		}
-		if got := c.o.Dispatcher.Capacity(life); got <= 0 || got >= 1 {
+		if got := c.o.Dispatcher.Capacities().Of(life); got <= 0 || got >= 1 {
 			t.Errorf("capacity known to %s = %v, want that of an endpoint that rests", name, got)
 		}
 	}
--- a/internal/traffic/heard.go
+++ b/internal/traffic/heard.go
@@ -39,10 +39,15 @@
 	}
 	s.limit, s.full, s.pace, s.sentAway = perSecond, time.Time{}, 0, 0
 	if perSecond > 0 {
-		s.pace = time.Duration(float64(time.Second) / perSecond)
+		s.pace = spacing(perSecond)
 	}
 }
 
+// spacing is the time between two requests at a rate above 0.
+func spacing(perSecond float64) time.Duration {
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
 // setRest takes over until when the endpoint wants nothing, as of a moment.
 func (s *said) setRest(until, now time.Time) {
 	if !now.Before(s.rest) {
@@ -75,12 +80,11 @@
 	return c
 }
 
-// Capacity returns how many requests a second a life of an endpoint takes by its word to any node; 0 where it said
-// nothing of it.
-func (d *Dispatcher) Capacity(l signal.Life) float64 {
+// Capacities returns how many requests a second lives of endpoints take by their word to any node, of those that said so.
+func (d *Dispatcher) Capacities() signal.Capacities {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.book.Capacity(l, d.clock.Now())
+	return d.book.Capacities(d.clock.Now())
 }
 
 // SignalsVersion rises with each change of what endpoints say.
@@ -185,7 +189,7 @@
 func (s *said) fillFor(d time.Duration, now time.Time) {
 	s.full, s.sentAway = now.Add(d), 0
 	if s.limit > 0 {
-		s.pace = max(d, time.Duration(float64(time.Second)/s.limit))
+		s.pace = max(d, spacing(s.limit))
 	}
 }
 
