placer: log and count when the configuration goes unconfirmed for longer than the bound

Each node now logs when no read and no relayed state has confirmed its configuration for the platform's bound, with the age of its feed, of the lease holder's state, whether it reads the store itself and whether the store answers, and again when it is confirmed; 'configuration in force' says who brought it; configurationsOverdue counts. No decision changes: internal/placer passes, no test is touched.

--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -160,6 +160,8 @@
 	holderLostStore atomic.Bool
 	// configConfirmedAt is when the configuration in force was last confirmed to be the newest; nil before.
 	configConfirmedAt atomic.Pointer[time.Time]
+	// configsOverdue counts how often the configuration went unconfirmed for longer than the bound.
+	configsOverdue atomic.Int64
 	// restores counts how often the store was restored from an older backup.
 	restores atomic.Int64
 	quotas   quotas
@@ -224,6 +226,8 @@
 	reportAcked reportMark
 	halls       hallState
 	runLocks    runLocks
+	// overdueConfig tracks whether the configuration is confirmed in time.
+	overdueConfig overdueConfig
 }
 
 type missKey struct{ engine, pool string }
@@ -313,6 +317,7 @@
 		c.planTree(now)
 	}
 	c.checkSuspects(now)
+	c.checkConfigAge(now)
 	c.limitRetries(now)
 	for k, until := range c.misses {
 		if now.After(until) {
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -272,7 +272,7 @@
 			configUsable = false
 			c.o.Logger.Error("relayed configuration rejected", "error", err.Error())
 		} else {
-			c.configure(t)
+			c.configure(t, "feed")
 		}
 	}
 	c.applyHolderEvacuations(s.Evacuations)
--- a/internal/placer/metrics.go
+++ b/internal/placer/metrics.go
@@ -23,6 +23,9 @@
 			// ConfigAge is how long ago, in milliseconds, the configuration was confirmed to be the newest; -1 if
 			// none was read.
 			ConfigAge int64 `json:"configurationAgeMs"`
+			// ConfigsOverdue is how often the configuration went unconfirmed for longer than the bound within which a
+			// change must take effect.
+			ConfigsOverdue int64 `json:"configurationsOverdue"`
 			// FeedAge is how old, in milliseconds, the lease holder's reads of the store are that this node received;
 			// -1 if it received none.
 			FeedAge int64 `json:"feedAgeMs"`
@@ -41,7 +44,7 @@
 			Cold      map[string]float64 `json:"coldEndpoints"`
 
 			Faults map[logstore.Reason]int `json:"recordsPassedOver"`
-		}{Ready: c.Ready(), Version: v.Revision, Pools: v.Pools(), Loading: len(v.ReadyAt), Holder: c.publishedIncarnation() != "", Store: c.storeLoads.Load(), Again: c.engineRestarts.Load(), PutBacks: c.restores.Load(), ConfigAge: c.configAgeMs(), FeedAge: c.relayAgeMs(), Faults: c.faults.all(),
+		}{Ready: c.Ready(), Version: v.Revision, Pools: v.Pools(), Loading: len(v.ReadyAt), Holder: c.publishedIncarnation() != "", Store: c.storeLoads.Load(), Again: c.engineRestarts.Load(), PutBacks: c.restores.Load(), ConfigAge: c.configAgeMs(), ConfigsOverdue: c.configsOverdue.Load(), FeedAge: c.relayAgeMs(), Faults: c.faults.all(),
 			Nodes: c.feeding.nodes.Load(), Feeders: len(c.feeding.plan()), Feeds: c.isFeeder(), Fed: c.published.openRequests() + c.relay.openRequests(), HolderAge: c.holderAgeMs(),
 			Evacuated: v.Evacuated, Cold: v.Cold}
 		return m
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -284,7 +284,7 @@
 	if c.mayApplyConfig(c.o.Clock.Now()) {
 		for _, r := range m.page.Records {
 			if r.Value.Table != nil {
-				c.configure(r.Value.Table)
+				c.configure(r.Value.Table, "store")
 			}
 		}
 	}
@@ -297,8 +297,9 @@
 	}
 }
 
-// configure puts a configuration in force unless its version is not newer than the one in force.
-func (c *Controller) configure(t *route.Table) {
+// configure puts a configuration in force unless its version is not newer than the one in force. by names its source,
+// for the log.
+func (c *Controller) configure(t *route.Table, by string) {
 	if old := c.table.Load(); old != nil && old.Config.Version >= t.Config.Version {
 		return
 	}
@@ -309,7 +310,7 @@
 	if c.held {
 		c.published.setConfig(t.Config)
 	}
-	c.o.Logger.Info("configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes), "services", len(t.Config.Services))
+	c.o.Logger.Info("configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes), "services", len(t.Config.Services), "by", by)
 	c.quotas.dropRemovedCustomers(func(name string) bool { return t.Customer(name) != nil })
 }
 
--- a/internal/placer/timing.go
+++ b/internal/placer/timing.go
@@ -5,6 +5,8 @@
 // timing holds the intervals and timeouts derived from the bound, the time within which the platform requires a changed
 // configuration or a draining endpoint to take effect.
 type timing struct {
+	// bound is the bound itself, within its limits.
+	bound time.Duration
 	// holderWait is how long the store holds a read of the lease holder open, and ownWait that of a node that reads
 	// for itself. holderWait is short, so that the relayed state is known to be fresh. Both bound how long a reader
 	// receives nothing after its connection has failed silently.
@@ -42,6 +44,7 @@
 	}
 	bound = max(minBound, min(maxBound, bound))
 	return timing{
+		bound:      bound,
 		holderWait: bound / 8, ownWait: bound / 4, instancesEvery: bound * 3 / 20, ownInstancesEvery: bound * 3 / 10,
 		watchWait: bound / 4, relayTTL: bound * 13 / 20, maxRetryPause: bound / 2,
 		silenceTimeout: bound / 5, maxSilenceTimeout: bound,
