--- a/core/logstore/logstore.go
+++ b/core/logstore/logstore.go
@@ -69,10 +69,31 @@
 	Next uint64
 	// First is the position of the first record that the store keeps, End the position after the last one.
 	First, End uint64
-	// Damaged holds an error for each record that could not be decoded.
-	Damaged []error
+	// Damaged holds the records that could not be decoded, ordered like Records.
+	Damaged []Damaged
 }
 
+// Damaged is a record that could not be decoded, with its position.
+type Damaged struct {
+	Offset uint64
+	Err    error
+}
+
+// Error implements error.
+func (d Damaged) Error() string { return d.Err.Error() }
+
+// Unwrap returns the cause.
+func (d Damaged) Unwrap() error { return d.Err }
+
+// UnreadableConfig is the error of a configuration that could not be decoded.
+type UnreadableConfig struct{ Cause error }
+
+// Error implements error.
+func (e *UnreadableConfig) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreadableConfig) Unwrap() error { return e.Cause }
+
 // Config is a record of the operators' topic: a configuration, or the evacuation of a data hall.
 type Config struct {
 	// Table is the configuration; nil if the record is an evacuation.
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -61,7 +61,7 @@
 func (c *Controller) startReaders(ctx context.Context) {
 	s := c.o.Store
 	go follow(ctx, c, reader[logstore.Config]{
-		name: "configuration", readFull: s.NewestConfig, read: s.Configs, idle: c.skipsStoreReads,
+		name: "configuration", readFull: s.NewestConfig, read: s.Configs, idle: c.skipsConfigReads,
 		apply: func(p logstore.Page[logstore.Config], full bool, asked time.Time) message {
 			return configPage{p, full, asked}
 		},
@@ -92,6 +92,9 @@
 // some.
 func (c *Controller) skipsStoreReads() bool { return c.relayFresh() || !c.shouldReadStore() }
 
+// skipsConfigReads reports whether this node need not read the operators' topic itself.
+func (c *Controller) skipsConfigReads() bool { return c.skipsStoreReads() }
+
 // follow reads a topic until ctx ends: first the full state, if the topic has keys, then the records that follow. It
 // starts again with a full read after the store has dropped the requested records, after a restore, and after the
 // reader was idle.
@@ -360,10 +363,10 @@
 func (c *Controller) directoryRecord(r logstore.Record[logstore.Instance]) directory.Record {
 	r.Value.Version = r.Offset + 1
 	if in := r.Value.Instance; in != nil && slices.Contains(c.o.Own, in.Address) {
-		c.countSkipped("endpoints", []error{&logstore.Fault{
+		c.countSkipped("endpoints", []logstore.Damaged{{Offset: r.Offset, Err: &logstore.Fault{
 			Reason: logstore.Invalid, Field: "address", Cause: fmt.Errorf("entry of endpoint %.60q names this node, %s", r.Value.ID, in.Address),
 			Remedy: "only endpoints may write to the list: find what else does",
-		}})
+		}}})
 		r.Value.Instance = nil
 	}
 	return r.Value
--- a/internal/placer/skipped.go
+++ b/internal/placer/skipped.go
@@ -35,8 +35,9 @@
 }
 
 // countSkipped counts the damaged records of a page and logs the first of them.
-func (c *Controller) countSkipped(topic string, damaged []error) {
-	for i, err := range damaged {
+func (c *Controller) countSkipped(topic string, damaged []logstore.Damaged) {
+	for i, d := range damaged {
+		err := d.Err
 		reason := logstore.Unreadable
 		var fault *logstore.Fault
 		if errors.As(err, &fault) {
