--- /dev/null
+++ b/internal/placer/unfed_test.go
@@ -0,0 +1,100 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/feedtree"
+	"olivetiller/core/lease"
+	"olivetiller/core/logstore"
+	"olivetiller/core/queue"
+	"olivetiller/internal/traffic"
+	"olivetiller/io/peer"
+)
+
+// unfedNodes returns the controllers of a fleet that have all received a snapshot, and nothing after it.
+func unfedNodes(clock clockwork.Clock, nodes int, bound time.Duration) []*Controller {
+	out := make([]*Controller, nodes)
+	for i := range out {
+		out[i] = New(Options{
+			Self: lease.Record{Holder: fmt.Sprint("n", i), Incarnation: fmt.Sprint("n", i, "-1")}, Clock: clock, Logger: hclog.NewNullLogger(),
+			Dispatcher: traffic.New(clock, "h", queue.Limits{Items: 9, Bytes: 999}, traffic.Hooks{}), Bound: bound,
+		})
+		snapshotReceived{&peer.Snapshot{Term: "h-1", Version: 1, Nodes: nodes}, 0, clock.Now()}.handle(out[i])
+	}
+	return out
+}
+
+// TestUnfedNodeReadsConfigLate guards against nodes of a fleet with feeders that are no longer fed and wait longer than
+// the bound before they read the configuration, and against reads of all nodes at the same moment.
+func TestUnfedNodeReadsConfigLate(t *testing.T) {
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		for _, nodes := range []int{9, 71, 195, 300, 984} {
+			t.Run(fmt.Sprint(nodes, " nodes, ", bound), func(t *testing.T) {
+				const step = 10 * time.Millisecond
+				clock := clockwork.NewFakeClock()
+				fleet := unfedNodes(clock, nodes, bound)
+				begun, first, last, most := make([]bool, nodes), time.Duration(0), time.Duration(0), 0
+				for age := time.Duration(0); age <= 4*bound; age += step {
+					n := 0
+					for i, c := range fleet {
+						if !begun[i] && !c.skipsConfigReads() {
+							begun[i], last = true, age
+							n++
+						}
+					}
+					if n > 0 && first == 0 {
+						first = age
+					}
+					most = max(most, n)
+					clock.Advance(step)
+				}
+				// The read begins at the next tick, and may fail once.
+				if worst := last + tickEvery + fleet[0].timing.silenceTimeout; worst >= bound {
+					t.Errorf("the last node begins to read after %v, and has read after %v if its first read fails; want less than %v", last, worst, bound)
+				}
+				if nodes > feedtree.FanOut && most > nodes/2 {
+					t.Errorf("%d of %d nodes begin within %v", most, nodes, step)
+				}
+			})
+		}
+	}
+}
+
+// TestReadAfterFailureWaits guards against a reader that learns of the store's return only from a read that waits for
+// news: while such reads hang, the other readers rest although reads without a wait are answered.
+func TestReadAfterFailureWaits(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newController(clock)
+	ctx, cancel := context.WithCancel(t.Context())
+	var waits []time.Duration
+	go func() {
+		// Ends the pause after the failed read.
+		for ctx.Err() == nil {
+			clock.Advance(tickEvery)
+		}
+	}()
+	follow(ctx, c, reader[[]byte]{
+		name: "lease", retriesInOutage: true, idle: func() bool { return false },
+		read: func(_ context.Context, _ uint64, wait time.Duration) (logstore.Page[[]byte], error) {
+			waits = append(waits, wait)
+			switch len(waits) {
+			case 2:
+				return logstore.Page[[]byte]{}, context.DeadlineExceeded
+			case 4:
+				cancel()
+			}
+			return logstore.Page[[]byte]{}, nil
+		},
+		apply: func(p logstore.Page[[]byte], _ bool, _ time.Time) message { return leasePage{p} },
+	})
+	if diff := cmp.Diff([]time.Duration{0, c.timing.ownWait, 0, c.timing.ownWait}, waits); diff != "" {
+		t.Errorf("waits of the reads, of which the second fails (-want +got):\n%s", diff)
+	}
+}
