placer, platform: a configuration and the time as of which it is the newest are one value

Callers saw: 404, not run, for a route that an acknowledged configuration has (CONFIG); a key that was removed could be accepted for as long. Cause: the table and its as-of time stood in two fields and were published from two places. Beyond 128 nodes, when feeds fail, a follower was told that version 1 was the newest 1 ms ago and got no version 2, for up to 2 s. Now one value, confirmedConfig, is stored, published and relayed; the age travels with the version that it belongs to (configVersion), and a node with an older one takes no notice of it and does not count as fed. A feeder relays what it has read itself at once. Peers that do not state the version are believed as before. TestEvacuationReachesAllNodes asks as a node that has the configuration: it is published now as soon as it is in force, and was not in that test.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -77,10 +77,9 @@
 
 // Config gives access to the configuration.
 type Config interface {
-	// Table returns the routing table of the configuration in force, or nil if none is known.
-	Table() *route.Table
-	// ConfigAsOf returns the moment since which a newer configuration may be in force; zero if none was read.
-	ConfigAsOf() time.Time
+	// ConfigInForce returns the routing table of the configuration in force, nil if none is known, and a time at which
+	// it was the newest; zero if it was never confirmed.
+	ConfigInForce() (t *route.Table, asOf time.Time)
 }
 
 // Limits of a hosted node.
--- a/internal/placer/confirmed_test.go
+++ b/internal/placer/confirmed_test.go
@@ -123,7 +123,7 @@
 // logNode logs what node i does, with its version and as-of time before.
 func (w *configWorld) logNode(i int, format string, args ...any) {
 	c := w.nodes[i]
-	w.logf("%8v n%d (version %d as of %v): %s", w.clock.Since(c.startedAt), i, c.tableVersion(), c.ConfigAsOf().Sub(c.startedAt), fmt.Sprintf(format, args...))
+	w.logf("%8v n%d (version %d as of %v): %s", w.clock.Since(c.startedAt), i, c.config.Load().version(), c.ConfigAsOf().Sub(c.startedAt), fmt.Sprintf(format, args...))
 }
 
 // schedule has do run after d.
@@ -258,10 +258,10 @@
 				p = &from.published
 			}
 		}
-		s, _, ok := from.snapshot(p, q, now)
+		s, _, ok := p.snapshot(q, now)
 		if ok && w.fault == ageOfAnotherNode && s.ConfigAgeMs != nil {
 			for _, c := range w.nodes {
-				if age, known := c.configAge(now); known && age.Milliseconds() < *s.ConfigAgeMs {
+				if age, known := c.config.Load().age(now); known && age.Milliseconds() < *s.ConfigAgeMs {
 					ms := age.Milliseconds() + 1
 					s.ConfigAgeMs = &ms
 				}
@@ -401,8 +401,8 @@
 	w.advance(0, func() {})
 	w.watch(2, 1, 0, 0, 0, false)
 	w.advance(0, func() {})
-	if wrong := w.olderTakenForNewest(); wrong != "" || follower.tableVersion() != 2 {
-		t.Errorf("the follower has version %d, want 2 from its feeder: %s", follower.tableVersion(), wrong)
+	if wrong := w.olderTakenForNewest(); wrong != "" || follower.config.Load().version() != 2 {
+		t.Errorf("the follower has version %d, want 2 from its feeder: %s", follower.config.Load().version(), wrong)
 	}
 }
 
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -17,7 +17,6 @@
 	"olivetiller/core/quarantine"
 	"olivetiller/core/quota"
 	"olivetiller/core/retry"
-	"olivetiller/core/route"
 	"olivetiller/core/view"
 	"olivetiller/internal/inbox"
 	"olivetiller/internal/isolation"
@@ -124,11 +123,12 @@
 // Controller is the control side of a node. The atomic fields and the types that lock themselves may be used from any
 // goroutine. The fields from eras on belong to the goroutine of Run.
 type Controller struct {
-	o         Options
-	timing    timing
-	inbox     *inbox.Inbox[message]
-	view      atomic.Pointer[view.View]
-	table     atomic.Pointer[route.Table]
+	o      Options
+	timing timing
+	inbox  *inbox.Inbox[message]
+	view   atomic.Pointer[view.View]
+	// config is the configuration in force; never nil. Only the owner replaces it.
+	config    atomic.Pointer[confirmedConfig]
 	stopping  atomic.Bool
 	published publication
 	// relay is what this node, as a feeder, publishes to its followers.
@@ -158,8 +158,6 @@
 	engineRestarts atomic.Int64
 	// holderLostStore is set while the lease holder reports that the store does not answer it.
 	holderLostStore atomic.Bool
-	// configConfirmedAt is when the configuration in force was last confirmed to be the newest; nil before.
-	configConfirmedAt atomic.Pointer[time.Time]
 	// configsOverdue counts how often the configuration went unconfirmed for longer than the bound.
 	configsOverdue atomic.Int64
 	// restores counts how often the store was restored from an older backup.
@@ -249,15 +247,13 @@
 	c.allowance = retry.NewAllowance(o.Retries)
 	c.limitRetries(o.Clock.Now())
 	c.view.Store(&view.View{})
+	c.config.Store(&confirmedConfig{})
 	return c
 }
 
 // View returns the view in force; never nil.
 func (c *Controller) View() *view.View { return c.view.Load() }
 
-// Table returns the configuration in force, or nil if none is known.
-func (c *Controller) Table() *route.Table { return c.table.Load() }
-
 // Stopping reports whether a planned stop has begun.
 func (c *Controller) Stopping() bool { return c.stopping.Load() }
 
@@ -410,11 +406,7 @@
 		c.listChanged(now)
 		c.planner.Reset(fence == lease.FirstFence, now)
 		c.quotas.begin(c.lease.Members(), now)
-		if t := c.table.Load(); t != nil {
-			// Set the configuration before the term begins: followers apply the age of the configuration to the one
-			// that they are sent.
-			c.published.setConfig(t.Config)
-		}
+		c.published.setConfig(*c.config.Load())
 		c.published.setEvacuations(c.halls.evacuated.Halls(), c.halls.evacuated.AsOf())
 		c.published.collectRequests(now, int(c.feeding.nodes.Load()), c.feeding.plan())
 		c.setNodes(len(c.nodes)+1, now)
--- a/internal/placer/feeding.go
+++ b/internal/placer/feeding.go
@@ -302,7 +302,7 @@
 	} else {
 		c.relay.mirror(s)
 	}
-	c.relay.mirrorCommon(s, c.table.Load(), c.halls.evacuations(), asOf, c.holderState.seenAt)
+	c.relay.mirrorCommon(s, *c.config.Load(), c.halls.evacuations(), asOf, c.holderState.seenAt)
 }
 
 // recordsOf returns the records as entries that changed at a version, by endpoint.
--- a/internal/placer/feeding_test.go
+++ b/internal/placer/feeding_test.go
@@ -188,7 +188,7 @@
 	} else {
 		f.relay.mirror(snap)
 	}
-	f.relay.mirrorCommon(snap, nil, nil, f.asOf, f.holderSeenAt)
+	f.relay.mirrorCommon(snap, confirmedConfig{}, nil, f.asOf, f.holderSeenAt)
 	f.incarnation, f.version = snap.Term, snap.Version
 }
 
@@ -326,15 +326,14 @@
 // TestFeederRelaysConfig checks that a feeder relays the configuration and the evacuations that it has in force.
 func TestFeederRelaysConfig(t *testing.T) {
 	s := newFeedSite()
-	cfg := &route.Config{Version: 9}
-	s.holder.setConfig(cfg)
 	f := s.feeders[0]
-	table, err := route.New(cfg)
+	table, err := route.New(&route.Config{Version: 9})
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.holder.setConfig(confirmedConfig{table: table})
 	s.fetch(f, &s.holder, 0, false)
-	f.relay.mirrorCommon(&peer.Snapshot{Term: f.incarnation, Version: f.version}, table, &peer.Evacuations{Halls: []string{"a"}, AsOf: 3}, s.now, s.now)
+	f.relay.mirrorCommon(&peer.Snapshot{Term: f.incarnation, Version: f.version}, confirmedConfig{table: table}, &peer.Evacuations{Halls: []string{"a"}, AsOf: 3}, s.now, s.now)
 	snap, _, _ := f.relay.snapshot(peer.WatchRequest{Node: "n", Config: 8}, s.now)
 	if snap.Config == nil || snap.Config.Version != 9 || snap.Evacuations == nil || !slices.Equal(snap.Evacuations.Halls, []string{"a"}) {
 		t.Errorf("configuration %v, evacuations %v", snap.Config, snap.Evacuations)
--- a/internal/placer/halls.go
+++ b/internal/placer/halls.go
@@ -125,7 +125,7 @@
 // setCold sets until when an endpoint of a view is cold, and how many requests per second it accepts until then. An
 // endpoint is cold after its own start, and after the evacuation of its data hall has ended.
 func (c *Controller) setCold(ep *view.Endpoint, e *directory.Entry, now time.Time) {
-	s := c.table.Load().Service(e.Service)
+	s := c.Table().Service(e.Service)
 	if s == nil || s.ColdRate <= 0 {
 		return
 	}
--- a/internal/placer/halls_test.go
+++ b/internal/placer/halls_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.table.Store(table)
+	c.config.Store(&confirmedConfig{table: table})
 	for i, id := range []string{"e-1", "e-2"} {
 		c.directory.Apply(directory.Record{ID: id, Version: 1, Instance: &directory.Instance{ID: id, Service: "s", Address: id, Hall: []string{"a", "b"}[i]}}, clock.Now())
 	}
@@ -124,7 +124,7 @@
 	ask(peer.WatchRequest{Node: "n"})
 	var got [][]string
 	got = append(got, n.halls.evacuated.Halls())
-	q := peer.WatchRequest{Node: "n", Life: "h-1", Version: h.published.version}
+	q := peer.WatchRequest{Node: "n", Life: "h-1", Version: h.published.version, Config: h.config.Load().version()}
 	if ask(q) {
 		t.Error("a snapshot without any change is urgent")
 	}
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -93,9 +93,7 @@
 		Node: c.o.Self.Holder, Life: w.incarnation, Version: w.version, SuspectsTo: w.suspectsTo, SignalsTo: w.signalsTo, Wait: c.timing.watchWait,
 		Address: c.o.Self.Address, Hall: c.o.Hall, Strength: c.o.Strength, Feeder: from.feeder, Orphan: from.noFeeder,
 	}
-	if t := c.table.Load(); t != nil {
-		q.Config = t.Config.Version
-	}
+	q.Config = c.config.Load().version()
 	return q
 }
 
@@ -265,11 +263,8 @@
 		c.lease.Apply(s.LeaseOffset, s.Lease, now)
 		c.watchNewHolder(before, "feed")
 	}
-	// configUsable is false if a configuration newer than the one in force is known but cannot be used.
-	configUsable := true
 	if s.Config != nil {
 		if t, err := route.New(s.Config); err != nil {
-			configUsable = false
 			c.o.Logger.Error("relayed configuration rejected", "error", err.Error())
 		} else {
 			c.configure(t, "feed")
@@ -301,12 +296,13 @@
 	if changed || len(changes.changes) > 0 {
 		c.listChanged(now)
 	}
-	if !configUsable {
-		// The relayed state does not count as fresh, so that this node reads the configuration itself.
+	if c.config.Load().version() < s.ConfigVersion || s.Config != nil && c.config.Load().version() < s.Config.Version {
+		// A newer configuration is known but cannot be used: the relayed state does not count as fresh, so that this
+		// node reads the configuration itself.
 		return
 	}
 	if s.ConfigAgeMs != nil {
-		c.confirmConfig(m.madeAt.Add(-time.Duration(*s.ConfigAgeMs) * time.Millisecond))
+		c.confirmConfig(s.ConfigVersion, m.madeAt.Add(-time.Duration(*s.ConfigAgeMs)*time.Millisecond))
 	}
 	// Computed from now, on which the limits in timing are based. The use of removed keys is bounded by the stricter
 	// time confirmed above.
--- a/internal/placer/isolation.go
+++ b/internal/placer/isolation.go
@@ -96,7 +96,7 @@
 func (c *Controller) checkSuspects(now time.Time) {
 	s := &c.suspects
 	c.evaluateSuspects()
-	if s.inputsReadyAt.IsZero() && c.listed && c.table.Load() != nil {
+	if s.inputsReadyAt.IsZero() && c.listed && c.Table() != nil {
 		s.inputsReadyAt = now
 	}
 	if !s.known.Load() && !s.inputsReadyAt.IsZero() && now.Sub(s.inputsReadyAt) > verdictsTimeout {
--- a/internal/placer/memory_test.go
+++ b/internal/placer/memory_test.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.table.Store(table)
+	c.config.Store(&confirmedConfig{table: table})
 	s, err := peer.DecodeSnapshot(raw)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/placer/mirror.go
+++ b/internal/placer/mirror.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"olivetiller/core/directory"
-	"olivetiller/core/route"
 	"olivetiller/io/peer"
 )
 
@@ -72,17 +71,27 @@
 	}
 }
 
+// relayConfig sets the configuration that a feeder relays, which it may have read itself. The version is that of the
+// lease holder's state and stays: followers state which configuration they have.
+func (p *publication) relayConfig(cc confirmedConfig) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newer := cc.version() > p.store.config.version()
+	p.store.config = cc
+	if newer {
+		p.wakeWatchers()
+	}
+}
+
 // mirrorCommon applies what every snapshot of the lease holder contains. asOf is when the holder had read the store to
 // its end, and seenAt is when it had sent its state.
-func (p *publication) mirrorCommon(s *peer.Snapshot, t *route.Table, evacuations *peer.Evacuations, asOf, seenAt time.Time) {
+func (p *publication) mirrorCommon(s *peer.Snapshot, config confirmedConfig, evacuations *peer.Evacuations, asOf, seenAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fence, p.nodes, p.successor, p.holderLostStore, p.holderSeenAt = s.Fence, s.Nodes, s.Successor, s.StoreUnconfirmed, seenAt
 	st := &p.store
 	st.lease, st.leaseOffset, st.configAt, st.instancesAt, st.evacuations = s.Lease, s.LeaseOffset, asOf, asOf, evacuations
-	if t != nil {
-		st.config = t.Config
-	}
+	st.config = config
 	if len(s.Takers) > 0 {
 		st.takers, st.takersVersion = s.Takers, s.Version
 	}
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -23,7 +23,7 @@
 // publish builds a view of the current state and puts it in force. It updates only the endpoints that were touched
 // since the last view, unless rebuildAll is set.
 func (c *Controller) publish(now time.Time) {
-	t := c.table.Load()
+	t := c.Table()
 	v := &view.View{Ready: t != nil && c.listed && c.suspects.known.Load(), ReadyAt: c.readyAt(now)}
 	if recorded := c.directory.StartsPublished(); recorded != c.startsRecorded {
 		// This determines which entries count as endpoints, so that the view is built anew.
@@ -82,7 +82,7 @@
 	if ep.Concurrency <= 0 {
 		ep.Concurrency = defaultSlots
 	}
-	s := c.table.Load().Service(e.Service)
+	s := c.Table().Service(e.Service)
 	if s == nil || e.Draining || c.halls.evacuated.Evacuated(e.Hall) {
 		c.index.set(ep, nil)
 		return
--- a/internal/placer/quota.go
+++ b/internal/placer/quota.go
@@ -135,7 +135,7 @@
 	case q.Customer == "":
 		return a, nil
 	}
-	t := c.table.Load()
+	t := c.Table()
 	if t == nil || t.Customer(q.Customer) == nil {
 		a.Unknown = true
 		return a, nil
@@ -292,7 +292,7 @@
 	if c.held {
 		qs.noteReport(c.o.Self.Holder, false, now)
 	}
-	t := c.table.Load()
+	t := c.Table()
 	limited := t != nil && t.Keyed()
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -293,7 +293,7 @@
 	}
 	c.applyEvacuationRecords(m.page, m.full)
 	if c.confirmsNewest(m) {
-		c.confirmConfig(m.asked)
+		c.confirmConfig(c.config.Load().version(), m.asked)
 	}
 	if m.page.Next >= m.page.End {
 		c.published.configRead(c.o.Clock.Now())
@@ -303,16 +303,14 @@
 // configure puts a configuration in force unless its version is not newer than the one in force. by names its source,
 // for the log.
 func (c *Controller) configure(t *route.Table, by string) {
-	if old := c.table.Load(); old != nil && old.Config.Version >= t.Config.Version {
+	old := *c.config.Load()
+	if old.table != nil && old.version() >= t.Config.Version {
 		return
 	}
-	c.table.Store(t)
+	c.setConfig(confirmedConfig{table: t, asOf: old.asOf})
 	c.planner.SetTable(t)
 	c.touchAll()
 	c.listChanged(c.o.Clock.Now())
-	if c.held {
-		c.published.setConfig(t.Config)
-	}
 	c.o.Logger.Info("configuration in force", "version", t.Config.Version, "routes", len(t.Config.Routes), "services", len(t.Config.Services), "by", by)
 	c.quotas.dropRemovedCustomers(func(name string) bool { return t.Customer(name) != nil })
 }
--- a/internal/placer/restore.go
+++ b/internal/placer/restore.go
@@ -73,7 +73,7 @@
 // Shortly after a restore the operator may not have written the newest version again, and has not if the store's
 // version is older than the one in force.
 func (c *Controller) confirmsNewest(m configPage) bool {
-	t := c.table.Load()
+	t := c.Table()
 	switch {
 	case t == nil, len(m.page.Damaged) > 0, m.page.Next < m.page.End:
 		// A version that could not be read, or is on a later page, may have removed keys.
@@ -88,5 +88,5 @@
 // recognize an old version that a restore brought back: it waits for the lease holder's configuration, or until the
 // operator has had the time to write the newest one again.
 func (c *Controller) mayApplyConfig(now time.Time) bool {
-	return c.table.Load() != nil || c.rewriteGraceOver(now)
+	return c.Table() != nil || c.rewriteGraceOver(now)
 }
--- a/internal/placer/storestate.go
+++ b/internal/placer/storestate.go
@@ -6,13 +6,12 @@
 
 	"olivetiller/core/directory"
 	"olivetiller/core/lease"
-	"olivetiller/core/route"
 	"olivetiller/io/peer"
 )
 
 // storeState is the part of a publication that originates in the store.
 type storeState struct {
-	config    *route.Config
+	config    confirmedConfig
 	instances map[string]instanceEntry
 	// configAt and instancesAt are when the topics were last read to their end.
 	configAt, instancesAt time.Time
@@ -83,11 +82,14 @@
 const coldSlack = 1500 * time.Millisecond
 
 // setConfig publishes the configuration in force.
-func (p *publication) setConfig(c *route.Config) {
+func (p *publication) setConfig(cc confirmedConfig) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.store.config = c
-	p.wakeAll()
+	newer := cc.version() > p.store.config.version()
+	p.store.config = cc
+	if newer {
+		p.wakeAll()
+	}
 }
 
 // configRead records that the configuration topic was read to its end.
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -170,10 +170,15 @@
 	if st.takersVersion > after {
 		s.Takers = st.takers
 	}
-	if st.config != nil && st.config.Version > q.Config {
-		s.Config = st.config
+	if st.config.version() > q.Config {
+		s.Config = st.config.table.Config
 		urgent = true
 	}
+	if age, known := st.config.age(now); known {
+		// Rounded up, so that a removed key is not accepted any longer because of it.
+		ms := age.Milliseconds() + 1
+		s.ConfigAgeMs, s.ConfigVersion = &ms, st.config.version()
+	}
 	if st.evacuations != nil && (s.Full || st.evacuationsVersion > after) {
 		s.Evacuations = st.evacuations
 		urgent = true
@@ -199,19 +204,6 @@
 	pushDelayPerNode = 4 * time.Millisecond
 )
 
-// snapshot returns a snapshot of p together with the age of the configuration. The age is determined first: a
-// confirmation in between may be for a newer configuration than the one in p.
-func (c *Controller) snapshot(p *publication, q peer.WatchRequest, now time.Time) (s *peer.Snapshot, urgent, ok bool) {
-	age, known := c.configAge(now)
-	s, urgent, ok = p.snapshot(q, now)
-	if ok && known {
-		// Rounded up, so that a removed key is not accepted any longer because of it.
-		ms := age.Milliseconds() + 1
-		s.ConfigAgeMs = &ms
-	}
-	return s, urgent, ok
-}
-
 // Watch implements [peer.Holder]: it answers as the lease holder, or as a feeder if q.Feeder is set. The snapshot
 // states how old the lease holder's state is.
 func (c *Controller) Watch(ctx context.Context, q peer.WatchRequest) (*peer.Snapshot, error) {
@@ -280,7 +272,7 @@
 // change or q.Wait is over.
 func (c *Controller) answer(ctx context.Context, p *publication, w *watcher, q peer.WatchRequest) (*peer.Snapshot, error) {
 	asked := c.o.Clock.Now()
-	s, urgent, ok := c.snapshot(p, q, asked)
+	s, urgent, ok := p.snapshot(q, asked)
 	if !ok {
 		return nil, peer.ErrNotHolder
 	}
@@ -304,7 +296,7 @@
 		}
 	}
 	now := c.o.Clock.Now()
-	s, _, ok = c.snapshot(p, q, now)
+	s, _, ok = p.snapshot(q, now)
 	if !ok {
 		return nil, peer.ErrNotHolder
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -163,9 +163,12 @@
 type StoreState struct {
 	// AgeMs is the time since the holder last read the store to its end, in milliseconds.
 	AgeMs int64 `json:"feedAgeMs"`
-	// ConfigAgeMs is the longest time, in milliseconds, for which a configuration newer than the holder's may have
-	// been in force; nil if the holder has not read one or does not report it.
+	// ConfigAgeMs is the longest time, in milliseconds, for which a configuration newer than ConfigVersion may have
+	// been in force; nil if the sender has none or does not report it.
 	ConfigAgeMs *int64 `json:"configAgeMs,omitempty"`
+	// ConfigVersion is the version of the sender's configuration, to which ConfigAgeMs belongs; 0 if the sender does not
+	// state it, which then belongs to the version that the requester has.
+	ConfigVersion int64 `json:"configVersion,omitempty"`
 	// Lease is the latest record of the lease topic, at LeaseOffset, without its list of nodes. That list is Takers, if
 	// it changed.
 	Lease       lease.Record `json:"lease"`
