placer: an unreadable configuration keeps the one before it from counting as the newest

Callers saw: 404 for a route of a version that a node could not decode, and a key accepted that this version may have removed. Cause: a page with a damaged record was not confirmed, but the next, empty one was: that the newest version had been passed over was known for one page only.

--- a/internal/placer/restore.go
+++ b/internal/placer/restore.go
@@ -1,8 +1,10 @@
 package placer
 
 import (
+	"errors"
 	"time"
 
+	"olivetiller/core/logstore"
 	"olivetiller/core/position"
 )
 
@@ -18,6 +20,9 @@
 	since time.Time
 	// configVersion is the newest configuration version that was read in this era.
 	configVersion int64
+	// unreadableTo is the position after the latest configuration that could not be decoded, and readableTo after the
+	// latest one that could.
+	unreadableTo, readableTo uint64
 }
 
 // storeRestored reports that a reader found the store restored: the reader had read up to next, and the new era
@@ -39,7 +44,7 @@
 	if !first && era <= c.eras.known {
 		return
 	}
-	c.eras = eras{known: era, since: now}
+	c.eras.known, c.eras.since, c.eras.configVersion = era, now, 0
 	if first {
 		return
 	}
@@ -58,13 +63,20 @@
 	return c.eras.known == 0 || now.Sub(c.eras.since) >= rewriteGrace
 }
 
-// recordConfigRead records the era and the newest configuration version of a page.
+// recordConfigRead records the era and the newest configuration version of a page, and the configurations that could
+// not be decoded.
 func (c *Controller) recordConfigRead(m configPage) {
 	c.enterEra(position.Era(m.page.Next), c.o.Clock.Now())
+	for _, d := range m.page.Damaged {
+		if unreadable := new(logstore.UnreadableConfig); errors.As(d.Err, &unreadable) {
+			c.eras.unreadableTo = max(c.eras.unreadableTo, d.Offset+1)
+		}
+	}
 	for _, r := range m.page.Records {
 		if r.Value.Table == nil {
 			continue
 		}
+		c.eras.readableTo = max(c.eras.readableTo, r.Offset+1)
 		c.eras.configVersion = max(c.eras.configVersion, r.Value.Table.Config.Version)
 	}
 }
@@ -75,7 +87,7 @@
 func (c *Controller) confirmsNewest(m configPage) bool {
 	t := c.Table()
 	switch {
-	case t == nil, len(m.page.Damaged) > 0, m.page.Next < m.page.End:
+	case t == nil, len(m.page.Damaged) > 0, m.page.Next < m.page.End, c.eras.unreadableTo > c.eras.readableTo:
 		// A version that could not be read, or is on a later page, may have removed keys.
 		return false
 	case c.eras.known == 0:
