placer: a page of before a restore does not count as read after it

Callers saw: 404, or a removed key accepted, by a version that a restored store had lost and that nobody had written again. Cause: a page that was read before the restore and handled after it raised the newest version read in the new era, so that the next page of that era confirmed a version that it may lack. Only pages of the era that is known count now.

--- a/internal/placer/restore.go
+++ b/internal/placer/restore.go
@@ -73,7 +73,7 @@
 		}
 	}
 	for _, r := range m.page.Records {
-		if r.Value.Table == nil {
+		if r.Value.Table == nil || position.Era(m.page.Next) != c.eras.known {
 			continue
 		}
 		c.eras.readableTo = max(c.eras.readableTo, r.Offset+1)
