placer: a version that was passed over after a restore keeps an older one from counting as the newest

Callers saw: 404 for a route of a version that the node had read and passed over. Cause: a node without a configuration puts none in force that it reads within 2 s of a restore, but counted its version as read. If the lease holder then sent it an older one, its next empty read confirmed that one, since a version at least as new had been read.

--- a/internal/placer/restore.go
+++ b/internal/placer/restore.go
@@ -90,6 +90,9 @@
 	case t == nil, len(m.page.Damaged) > 0, m.page.Next < m.page.End, c.eras.unreadableTo > c.eras.readableTo:
 		// A version that could not be read, or is on a later page, may have removed keys.
 		return false
+	case c.eras.configVersion > t.Config.Version:
+		// A newer version was read, but mayApplyConfig kept it from being put in force.
+		return false
 	case c.eras.known == 0:
 		return true
 	}
