placer: relayed state is as old as the read that brought it, not as its handling

Callers saw: routes, services and draining endpoints of before, at nodes that took their feed for up to date. Each age now counts from the read that was sent last and reached the end. That ages are true makes them longer, so that a feeder asks for at most an eighth of the bound: TestTiming adds up list, feeder and follower (0.65 of the bound, which is relayTTL), where it had the configuration's read and one wait.

--- a/internal/placer/feeding.go
+++ b/internal/placer/feeding.go
@@ -296,7 +296,7 @@
 		c.relay.end()
 		return
 	}
-	asOf := now.Add(-m.transit - time.Duration(s.AgeMs)*time.Millisecond)
+	asOf := m.storeReadAt(now)
 	if !c.relay.mirrors(s.Term) || s.Full {
 		c.relay.mirrorAll(s, c.holderState.serving, c.directory.Records(now), c.listedTo)
 	} else {
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -93,6 +93,9 @@
 		Node: c.o.Self.Holder, Life: w.incarnation, Version: w.version, SuspectsTo: w.suspectsTo, SignalsTo: w.signalsTo, Wait: c.timing.watchWait,
 		Address: c.o.Self.Address, Hall: c.o.Hall, Strength: c.o.Strength, Feeder: from.feeder, Orphan: from.noFeeder,
 	}
+	if c.isFeeder() {
+		q.Wait = c.timing.feederWatchWait
+	}
 	q.Config = c.config.Load().version()
 	return q
 }
@@ -178,6 +181,15 @@
 	madeAt time.Time
 }
 
+// storeReadAt returns when the store had been read to its end, for a snapshot that is handled at now.
+func (m snapshotReceived) storeReadAt(now time.Time) time.Time {
+	at := now.Add(-m.transit)
+	if m.madeAt.Before(at) {
+		at = m.madeAt
+	}
+	return at.Add(-time.Duration(m.s.AgeMs) * time.Millisecond)
+}
+
 func (m snapshotReceived) handle(c *Controller) {
 	r, s, now := &c.holderState, m.s, c.o.Clock.Now()
 	if s.Term != r.incarnation || s.Full {
@@ -304,9 +316,7 @@
 	if s.ConfigAgeMs != nil {
 		c.confirmConfig(s.ConfigVersion, m.madeAt.Add(-time.Duration(*s.ConfigAgeMs)*time.Millisecond))
 	}
-	// Computed from now, on which the limits in timing are based. The use of removed keys is bounded by the stricter
-	// time confirmed above.
-	c.relayed.Store(&relayMark{at: now.Add(-m.transit - time.Duration(s.AgeMs)*time.Millisecond)})
+	c.relayed.Store(&relayMark{at: m.storeReadAt(now)})
 }
 
 // setNodes records how many nodes share the traffic, as counted by the lease holder.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -120,7 +120,8 @@
 		if blind := p.ownInstancesEvery + p.ownWait + readSlack; bound >= 2*time.Second && blind >= limit {
 			t.Errorf("bound %v: a node that reads for itself receives nothing for %v if a read fails, want less than %v", bound, blind, limit)
 		}
-		if steady := p.holderWait + p.watchWait; steady >= p.relayTTL {
+		// A read counts from when it was sent, so that the age is that of the read before the one under way.
+		if steady := p.instancesEvery + p.holderWait + p.feederWatchWait + p.watchWait; steady > p.relayTTL {
 			t.Errorf("bound %v: relayed state is up to %v old, and is used for %v", bound, steady, p.relayTTL)
 		}
 	}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -68,8 +68,8 @@
 	})
 	go follow(ctx, c, reader[logstore.Instance]{
 		name: "endpoints", holderInterval: c.timing.instancesEvery, ownInterval: c.timing.ownInstancesEvery, readFull: s.NewestInstances, read: s.Instances, idle: c.skipsStoreReads,
-		apply: func(p logstore.Page[logstore.Instance], full bool, _ time.Time) message {
-			return instancePage{p, full}
+		apply: func(p logstore.Page[logstore.Instance], full bool, asked time.Time) message {
+			return instancePage{p, full, asked}
 		},
 	})
 	go follow(ctx, c, reader[logstore.Verdict]{
@@ -296,7 +296,7 @@
 		c.confirmConfig(c.config.Load().version(), m.asked)
 	}
 	if m.page.Next >= m.page.End {
-		c.published.configRead(c.o.Clock.Now())
+		c.published.configRead(m.asked)
 	}
 }
 
@@ -316,8 +316,9 @@
 }
 
 type instancePage struct {
-	page logstore.Page[logstore.Instance]
-	full bool
+	page  logstore.Page[logstore.Instance]
+	full  bool
+	asked time.Time
 }
 
 func (m instancePage) handle(c *Controller) {
@@ -325,7 +326,7 @@
 	c.enterEra(position.Era(m.page.Next), now)
 	if m.full && c.listed && !c.rewriteGraceOver(now) {
 		// The store was restored from a backup, and this node's state is newer. What is written again is read later.
-		c.published.instancesRead(now)
+		c.published.instancesRead(m.asked)
 		return
 	}
 	changes := &listChanges{source: "store"}
@@ -353,7 +354,9 @@
 			c.publishInstances(now)
 		}
 	}
-	c.published.instancesRead(now)
+	if m.page.Next >= m.page.End {
+		c.published.instancesRead(m.asked)
+	}
 }
 
 // directoryRecord returns a record of the list with its version, which is the offset after it. An entry whose address
--- a/internal/placer/restore_test.go
+++ b/internal/placer/restore_test.go
@@ -87,10 +87,10 @@
 		}
 		return p
 	}
-	instancePage{page(0, "a", "b"), true}.handle(c)
+	instancePage{page(0, "a", "b"), true, clock.Now()}.handle(c)
 	c.directory.Drain("a")
 	clock.Advance(time.Second)
-	instancePage{page(1, "a"), true}.handle(c)
+	instancePage{page(1, "a"), true, clock.Now()}.handle(c)
 	if diff := cmp.Diff([]string{"a", "b"}, live(c)); diff != "" {
 		t.Errorf("just after the restore (-want +got):\n%s", diff)
 	}
@@ -98,7 +98,7 @@
 		t.Error("the backup undid a drain")
 	}
 	clock.Advance(rewriteGrace)
-	instancePage{page(1, "a"), true}.handle(c)
+	instancePage{page(1, "a"), true, clock.Now()}.handle(c)
 	clock.Advance(time.Minute)
 	if diff := cmp.Diff([]string{"a"}, live(c)); diff != "" {
 		t.Errorf("after the grace period (-want +got):\n%s", diff)
--- a/internal/placer/storestate.go
+++ b/internal/placer/storestate.go
@@ -13,7 +13,7 @@
 type storeState struct {
 	config    confirmedConfig
 	instances map[string]instanceEntry
-	// configAt and instancesAt are when the topics were last read to their end.
+	// configAt and instancesAt are when the latest reads of the topics up to their ends were sent.
 	configAt, instancesAt time.Time
 	// listedTo is the version up to which the list of endpoints was read.
 	listedTo    uint64
@@ -92,17 +92,18 @@
 	}
 }
 
-// configRead records that the configuration topic was read to its end.
-func (p *publication) configRead(now time.Time) {
+// configRead records that the configuration topic was read to its end by a read that was sent at a time.
+func (p *publication) configRead(asked time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.store.configAt = now
+	p.store.configAt = asked
 }
 
-func (p *publication) instancesRead(now time.Time) {
+// instancesRead records that the list of endpoints was read to its end by a read that was sent at a time.
+func (p *publication) instancesRead(asked time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.store.instancesAt = now
+	p.store.instancesAt = asked
 }
 
 // setLease publishes the latest lease record.
--- a/internal/placer/timing.go
+++ b/internal/placer/timing.go
@@ -15,10 +15,12 @@
 	// ownInstancesEvery by a node that reads for itself. Engines rewrite their entries all the time, and the list is
 	// behind by more than these intervals anyway.
 	instancesEvery, ownInstancesEvery time.Duration
-	// watchWait is how long a follower's watch request is held open.
-	watchWait time.Duration
+	// watchWait is how long a follower's watch request is held open, and feederWatchWait that of a feeder, which adds to
+	// the age of what its followers receive.
+	watchWait, feederWatchWait time.Duration
 	// relayTTL is how old relayed store state may be before a node reads the store itself: more than the lease
-	// holder's reads and the delays of its answers add up to, and less than the bound by the duration of a read.
+	// holder's reads and the waits of a feeder and its follower add up to, and less than the bound by the duration of a
+	// read.
 	relayTTL time.Duration
 	// maxRetryPause is the longest pause after a failed read.
 	maxRetryPause time.Duration
@@ -46,7 +48,7 @@
 	return timing{
 		bound:      bound,
 		holderWait: bound / 8, ownWait: bound / 4, instancesEvery: bound * 3 / 20, ownInstancesEvery: bound * 3 / 10,
-		watchWait: bound / 4, relayTTL: bound * 13 / 20, maxRetryPause: bound / 2,
+		watchWait: bound / 4, feederWatchWait: bound / 8, relayTTL: bound * 13 / 20, maxRetryPause: bound / 2,
 		silenceTimeout: bound / 5, maxSilenceTimeout: bound,
 	}
 }
--- a/internal/placer/unfed_test.go
+++ b/internal/placer/unfed_test.go
@@ -98,3 +98,30 @@
 		t.Errorf("waits of the reads, of which the second fails (-want +got):\n%s", diff)
 	}
 }
+
+// TestRelayedAgeCountsFromHandling guards against relayed state that counts as fresh because a read of the store, or a
+// snapshot, was handled long after it was made.
+func TestRelayedAgeCountsFromHandling(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newController(clock)
+	c.published.begin("a-1", 1, 1, nil, 0)
+	asked := clock.Now()
+	clock.Advance(time.Second)
+	configPage{logstore.Page[logstore.Config]{}, false, asked}.handle(c)
+	instancePage{page: logstore.Page[logstore.Instance]{}, asked: clock.Now()}.handle(c)
+	s, _, _ := c.published.snapshot(peer.WatchRequest{}, clock.Now())
+	got := []int64{s.AgeMs}
+	instancePage{page: logstore.Page[logstore.Instance]{Next: 3, End: 9}, asked: clock.Now()}.handle(c)
+	clock.Advance(2 * time.Second)
+	configPage{logstore.Page[logstore.Config]{}, false, clock.Now()}.handle(c)
+	instancePage{page: logstore.Page[logstore.Instance]{Next: 4, End: 9}, asked: clock.Now()}.handle(c)
+	s, _, _ = c.published.snapshot(peer.WatchRequest{}, clock.Now())
+	if diff := cmp.Diff([]int64{1000, 2000}, append(got, s.AgeMs)); diff != "" {
+		t.Errorf("ages after a page of the configuration that was asked for 1 s ago, and 2 s after the list was last read to its end (-want +got):\n%s", diff)
+	}
+	f := newController(clock)
+	snapshotReceived{&peer.Snapshot{Term: "b-1", Version: 1}, 0, clock.Now().Add(-3 * time.Second)}.handle(f)
+	if f.relayFresh() {
+		t.Error("a snapshot that is handled 3 s after it was made counts as fresh")
+	}
+}
