placer: the read after a failed one does not wait for news

Cause: while the store counts as unavailable only the lease's reader asks, and its read waits for news; each such read hung for 1.2 s and failed, and the configuration was not read although the store answered. A read after a failure returns at once if the store answers at all, and the other readers go on.

--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -102,9 +102,10 @@
 	var next uint64
 	full, available, pause := r.readFull != nil, true, retryPause
 	silence := c.timing.silenceTimeout
-	// The first read does not wait at the store. Otherwise a node would notice a free lease two seconds late, and all
-	// nodes would read the store themselves until then.
-	first := true
+	// The first read, and the first one after a failure, does not wait at the store. Otherwise a node would notice a
+	// free lease two seconds late, and all nodes would read the store themselves until then. After a failure all other
+	// readers wait for it, and the store may answer reads that do not wait while those that do get no answer.
+	immediate := true
 	var era readerEra
 	for ctx.Err() == nil {
 		if r.idle() || !r.retriesInOutage && c.storeHealth.unavailable() {
@@ -119,7 +120,7 @@
 		switch {
 		case full:
 			wait, slack = 0, silence
-		case first:
+		case immediate:
 			wait = 0
 		}
 		page, err := readOnce(ctx, c.o.Clock, r, next, full, wait, slack)
@@ -129,7 +130,7 @@
 			if !available {
 				c.o.Logger.Info("store available again", "topic", r.name, "next", page.Next)
 			}
-			available, pause, silence, first = true, retryPause, c.timing.silenceTimeout, false
+			available, pause, silence, immediate = true, retryPause, c.timing.silenceTimeout, false
 			if r.retriesInOutage {
 				c.storeHealth.succeeded(started)
 				c.inbox.Send(ctx, leaseReadSucceeded{})
@@ -159,7 +160,7 @@
 			if available {
 				c.o.Logger.Warn("store unavailable", "topic", r.name, "error", err.Error())
 			}
-			available = false
+			available, immediate = false, true
 			if r.retriesInOutage {
 				c.storeHealth.failed(started)
 			}
