placer: a node that is no longer fed reads the configuration on within the bound

Cause: beyond 128 nodes one that has lost its feed waited 1.5 s and its share of 40 full reads a second before it read anything but the lease, 8.97 s after what it was fed last at 195 nodes and a bound of 4 s, 16 s at 984. That pace protects the store from full lists of 10,000 endpoints; the configuration waited with it. Class: a wait that is derived from the size of the fleet and not from the bound that it must keep. The lease holder publishes the position of the operators' topic up to which its configuration is complete, beside the configuration, and feeders pass it on. A node whose feed is older than 0.65 of the bound reads on from there, by hash within 1/25 of the bound: an answer of 16 bytes where nothing has changed, in place of the whole configuration. A position behind an unreadable or passed over version is not published (without that TestOlderConfigTakenForNewest fails after 238 schedules); after a restore all is read in full.

--- a/internal/placer/confirmed.go
+++ b/internal/placer/confirmed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"olivetiller/core/position"
 	"olivetiller/core/route"
 )
 
@@ -16,6 +17,9 @@
 	// time; zero if none is known, and while table is nil. It bounds the use of removed keys and the refusal of routes
 	// as unknown.
 	asOf time.Time
+	// readTo is a position of the operators' topic before which every configuration can be read and is not newer than
+	// table, and every evacuation is known; 0 if none is known. A node that is no longer fed reads on from there.
+	readTo position.Position
 }
 
 // version returns the version of the configuration; 0 if there is none.
@@ -62,6 +66,21 @@
 	c.relay.relayConfig(cc)
 }
 
+// recordReadTo records that all records of the operators' topic before a position are known and in force.
+func (c *Controller) recordReadTo(p position.Position) {
+	if cc := *c.config.Load(); p > cc.readTo {
+		cc.readTo = p
+		c.setConfig(cc)
+	}
+}
+
+// resumeConfigAt returns the position from which this node can read the operators' topic on; ok is false if it must
+// read the newest records in full. After a restore it must: what the store lost is only known from a full read.
+func (c *Controller) resumeConfigAt() (p position.Position, ok bool) {
+	p = c.config.Load().readTo
+	return p, p > 0 && position.Era(p) == 0
+}
+
 // confirmConfig records that no version newer than version had been acknowledged at a time.
 func (c *Controller) confirmConfig(version int64, asOf time.Time) {
 	if old := *c.config.Load(); old.confirmed(version, asOf) != old {
--- a/internal/placer/confirmed_test.go
+++ b/internal/placer/confirmed_test.go
@@ -214,11 +214,15 @@
 	return page, true
 }
 
-// read has node i read the operators' topic. The page is made after there, and handled after back more.
-func (w *configWorld) read(i int, full bool, limit int, there, back time.Duration) {
+// read has node i read the operators' topic, on from where its feed had read if it rested. The page is made after there,
+// and handled after back more.
+func (w *configWorld) read(i int, full, rested bool, limit int, there, back time.Duration) {
 	if w.reading[i].inFlight {
 		return
 	}
+	if from, ok := w.nodes[i].resumeConfigAt(); rested && ok && position.Era(from) == position.Era(w.next[i]) {
+		w.next[i] = max(w.next[i], from)
+	}
 	turn, asked, from := w.reading[i].begin(), w.clock.Now(), w.next[i]
 	full = full || from == 0
 	w.schedule(there, func() {
@@ -342,7 +346,7 @@
 		for i := range w.nodes {
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0, 1:
-				w.read(i, rapid.IntRange(0, 3).Draw(t, "full") == 0, rapid.IntRange(1, 3).Draw(t, "limit"), ms(300, "there"), ms(500, "back"))
+				w.read(i, rapid.IntRange(0, 3).Draw(t, "full") == 0, rapid.Bool().Draw(t, "rested"), rapid.IntRange(1, 3).Draw(t, "limit"), ms(300, "there"), ms(500, "back"))
 			case 2, 3:
 				w.watch(i, node("from"), ms(200, "there"), ms(500, "held"), ms(rapid.SampledFrom([]int{200, 3000}).Draw(t, "late"), "back"), rapid.IntRange(0, 4).Draw(t, "lost") == 0)
 			}
@@ -416,7 +420,7 @@
 	for _, c := range w.nodes {
 		c.applyFeedPlan([]feedtree.Node{{Name: feeder.o.Self.Holder, Address: feeder.o.Self.Address}})
 	}
-	w.read(0, true, 1, 0, 0)
+	w.read(0, true, false, 1, 0, 0)
 	w.advance(0, func() {})
 	w.watch(1, 0, 0, 0, 0, false)
 	w.advance(0, func() {})
@@ -424,7 +428,7 @@
 	w.advance(100*time.Millisecond, func() {})
 	w.write(false)
 	w.advance(100*time.Millisecond, func() {})
-	w.read(1, true, 1, 0, 0)
+	w.read(1, true, false, 1, 0, 0)
 	w.advance(0, func() {})
 	w.watch(2, 1, 0, 0, 0, false)
 	w.advance(0, func() {})
@@ -445,7 +449,7 @@
 		}
 		for range 2 {
 			w.advance(time.Second, func() {})
-			w.read(0, false, 9, 0, 0)
+			w.read(0, false, false, 9, 0, 0)
 			w.advance(0, func() {})
 		}
 		got = append(got, w.nodes[0].ConfigAsOf().Equal(w.clock.Now()))
--- a/internal/placer/feeding.go
+++ b/internal/placer/feeding.go
@@ -125,6 +125,16 @@
 	return c.leading.Load() || c.timeSinceRelay() >= feedtree.ReadDelay(int(c.feeding.nodes.Load()), c.hashFraction())
 }
 
+// shouldReadConfig reports whether this node should read the operators' topic itself. A node that was fed reads on from
+// the position up to which its feed had read, which costs the store little, so that all nodes may do so within
+// timing.configSpread.
+func (c *Controller) shouldReadConfig() bool {
+	if c.leading.Load() || c.relayed.Load() == nil || c.feeding.nodes.Load() <= feedtree.FanOut {
+		return c.shouldReadStore()
+	}
+	return c.timeSinceRelay() >= time.Duration(c.hashFraction()*float64(c.timing.configSpread))
+}
+
 // shouldReadLease reports whether this node should read the lease topic itself. In a large fleet a node that has lost
 // its source waits for its turn, at a rate of leaseReadsPerSecond; a feeder, or a node that never received relayed
 // state, reads at once.
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -316,6 +316,9 @@
 	if s.ConfigAgeMs != nil {
 		c.confirmConfig(s.ConfigVersion, m.madeAt.Add(-time.Duration(*s.ConfigAgeMs)*time.Millisecond))
 	}
+	if s.ConfigVersion > 0 {
+		c.recordReadTo(s.ConfigReadTo)
+	}
 	c.relayed.Store(&relayMark{at: m.storeReadAt(now)})
 }
 
--- a/internal/placer/mirror.go
+++ b/internal/placer/mirror.go
@@ -72,11 +72,13 @@
 }
 
 // relayConfig sets the configuration that a feeder relays, which it may have read itself. The version is that of the
-// lease holder's state and stays: followers state which configuration they have.
+// lease holder's state and stays: followers state which configuration they have. readTo stays too, since evacuations
+// that this node has read itself are not relayed.
 func (p *publication) relayConfig(cc confirmedConfig) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	newer := cc.version() > p.store.config.version()
+	cc.readTo = p.store.config.readTo
 	p.store.config = cc
 	if newer {
 		p.wakeWatchers()
@@ -92,6 +94,7 @@
 	st := &p.store
 	st.lease, st.leaseOffset, st.configAt, st.instancesAt, st.evacuations = s.Lease, s.LeaseOffset, asOf, asOf, evacuations
 	st.config = config
+	st.config.readTo = s.ConfigReadTo
 	if len(s.Takers) > 0 {
 		st.takers, st.takersVersion = s.Takers, s.Version
 	}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -56,12 +56,23 @@
 	apply func(page logstore.Page[T], full bool, asked time.Time) message
 	// idle reports whether the topic need not be read now.
 	idle func() bool
+	// resumeAt returns the position from which an idle reader reads on, if ok. Without it, a reader that was idle reads
+	// in full.
+	resumeAt func() (next uint64, ok bool)
+}
+
+// resumePosition returns the position from which the reader reads on after it was idle, if ok.
+func (r *reader[T]) resumePosition() (next uint64, ok bool) {
+	if r.resumeAt == nil {
+		return 0, false
+	}
+	return r.resumeAt()
 }
 
 func (c *Controller) startReaders(ctx context.Context) {
 	s := c.o.Store
 	go follow(ctx, c, reader[logstore.Config]{
-		name: "configuration", readFull: s.NewestConfig, read: s.Configs, idle: c.skipsConfigReads,
+		name: "configuration", readFull: s.NewestConfig, read: s.Configs, idle: c.skipsConfigReads, resumeAt: c.resumeConfigAt,
 		apply: func(p logstore.Page[logstore.Config], full bool, asked time.Time) message {
 			return configPage{p, full, asked}
 		},
@@ -93,11 +104,11 @@
 func (c *Controller) skipsStoreReads() bool { return c.relayFresh() || !c.shouldReadStore() }
 
 // skipsConfigReads reports whether this node need not read the operators' topic itself.
-func (c *Controller) skipsConfigReads() bool { return c.skipsStoreReads() }
+func (c *Controller) skipsConfigReads() bool { return c.relayFresh() || !c.shouldReadConfig() }
 
 // follow reads a topic until ctx ends: first the full state, if the topic has keys, then the records that follow. It
 // starts again with a full read after the store has dropped the requested records, after a restore, and after the
-// reader was idle.
+// reader was idle and knows of no position to read on from.
 func follow[T any](ctx context.Context, c *Controller, r reader[T]) {
 	var next uint64
 	full, available, pause := r.readFull != nil, true, retryPause
@@ -106,14 +117,21 @@
 	// free lease two seconds late, and all nodes would read the store themselves until then. After a failure all other
 	// readers wait for it, and the store may answer reads that do not wait while those that do get no answer.
 	immediate := true
+	rested := false
 	var era readerEra
 	for ctx.Err() == nil {
 		if r.idle() || !r.retriesInOutage && c.storeHealth.unavailable() {
-			// Records may have been missed; a full read also contains what engines hold.
-			full = r.readFull != nil
+			rested = true
 			c.pause(ctx, tickEvery)
 			continue
 		}
+		if rested {
+			// Records may have been missed; a full read also contains what engines hold.
+			rested, full = false, r.readFull != nil
+			if from, ok := r.resumePosition(); ok && position.Era(next) == position.Era(from) {
+				next, full, immediate = max(next, from), false, true
+			}
+		}
 		started := c.o.Clock.Now()
 		full = full || r.readFull != nil && era.rereadDue(started)
 		wait, slack := c.readWait()
@@ -296,6 +314,9 @@
 	if c.confirmsNewest(m) {
 		c.confirmConfig(c.config.Load().version(), m.asked)
 	}
+	if c.knowsRecords() {
+		c.recordReadTo(m.page.Next)
+	}
 	if m.page.Next >= m.page.End {
 		c.published.configRead(m.asked)
 	}
--- a/internal/placer/restore.go
+++ b/internal/placer/restore.go
@@ -87,11 +87,9 @@
 func (c *Controller) confirmsNewest(m configPage) bool {
 	t := c.Table()
 	switch {
-	case t == nil, len(m.page.Damaged) > 0, m.page.Next < m.page.End, c.eras.unreadableTo > c.eras.readableTo:
-		// A version that could not be read, or is on a later page, may have removed keys.
-		return false
-	case c.eras.configVersion > t.Config.Version:
-		// A newer version was read, but mayApplyConfig kept it from being put in force.
+	case t == nil, len(m.page.Damaged) > 0, m.page.Next < m.page.End, !c.knowsRecords():
+		// A version that could not be read, was kept from being put in force by mayApplyConfig, or is on a later page,
+		// may have removed keys.
 		return false
 	case c.eras.known == 0:
 		return true
@@ -99,6 +97,12 @@
 	return m.asked.Sub(c.eras.since) >= rewriteGrace && c.eras.configVersion >= t.Config.Version
 }
 
+// knowsRecords reports whether every configuration that was read is in force or older than the one in force. A node
+// that reads on after one that is not would take it for unchanged.
+func (c *Controller) knowsRecords() bool {
+	return c.eras.unreadableTo <= c.eras.readableTo && c.eras.configVersion <= c.config.Load().version()
+}
+
 // mayApplyConfig reports whether a configuration read from the store may be put in force. A node without any cannot
 // recognize an old version that a restore brought back: it waits for the lease holder's configuration, or until the
 // operator has had the time to write the newest one again.
--- a/internal/placer/timing.go
+++ b/internal/placer/timing.go
@@ -22,6 +22,9 @@
 	// holder's reads and the waits of a feeder and its follower add up to, and less than the bound by the duration of a
 	// read.
 	relayTTL time.Duration
+	// configSpread is the time over which the nodes of a large fleet that are no longer fed begin to read the
+	// configuration.
+	configSpread time.Duration
 	// maxRetryPause is the longest pause after a failed read.
 	maxRetryPause time.Duration
 	// silenceTimeout is how long a full read may receive no data at first. A node whose relayed state is outdated
@@ -48,7 +51,7 @@
 	return timing{
 		bound:      bound,
 		holderWait: bound / 8, ownWait: bound / 4, instancesEvery: bound * 3 / 20, ownInstancesEvery: bound * 3 / 10,
-		watchWait: bound / 4, feederWatchWait: bound / 8, relayTTL: bound * 13 / 20, maxRetryPause: bound / 2,
+		watchWait: bound / 4, feederWatchWait: bound / 8, relayTTL: bound * 13 / 20, configSpread: bound / 25, maxRetryPause: bound / 2,
 		silenceTimeout: bound / 5, maxSilenceTimeout: bound,
 	}
 }
--- a/internal/placer/unfed_test.go
+++ b/internal/placer/unfed_test.go
@@ -14,6 +14,7 @@
 	"olivetiller/core/lease"
 	"olivetiller/core/logstore"
 	"olivetiller/core/queue"
+	"olivetiller/core/route"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
 )
@@ -125,3 +126,50 @@
 		t.Error("a snapshot that is handled 3 s after it was made counts as fresh")
 	}
 }
+
+// TestUnfedNodesReadInFull guards against nodes that are no longer fed and each read the newest records of the
+// operators' topic in full, although they know up to where their feed had read.
+func TestUnfedNodesReadInFull(t *testing.T) {
+	const relayedTo = 7
+	c := newController(clockwork.NewFakeClock())
+	s := &peer.Snapshot{Term: "b-1"}
+	s.Config, s.ConfigVersion, s.ConfigReadTo = &route.Config{Version: 3}, 3, relayedTo
+	snapshotReceived{s, 0, c.o.Clock.Now()}.handle(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	type call struct {
+		Full bool
+		From uint64
+		Wait time.Duration
+	}
+	var got []call
+	done := func(c call) (logstore.Page[logstore.Config], error) {
+		if got = append(got, c); len(got) == 2 {
+			cancel()
+		}
+		return logstore.Page[logstore.Config]{Next: relayedTo + 1, End: relayedTo + 1}, nil
+	}
+	idle := []bool{true, false, false}
+	clock := c.o.Clock.(*clockwork.FakeClock)
+	go func() {
+		for ctx.Err() == nil {
+			clock.Advance(tickEvery)
+		}
+	}()
+	follow(ctx, c, reader[logstore.Config]{
+		name: "configuration", resumeAt: c.resumeConfigAt,
+		idle: func() bool { first := idle[0]; idle = idle[1:]; return first },
+		read: func(_ context.Context, from uint64, wait time.Duration) (logstore.Page[logstore.Config], error) {
+			return done(call{From: from, Wait: wait})
+		},
+		readFull: func(context.Context, time.Duration) (logstore.Page[logstore.Config], error) {
+			return done(call{Full: true})
+		},
+		apply: func(p logstore.Page[logstore.Config], full bool, asked time.Time) message {
+			return configPage{p, full, asked}
+		},
+	})
+	want := []call{{From: relayedTo}, {From: relayedTo + 1, Wait: c.timing.ownWait}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("reads of a node that was fed (-want +got):\n%s", diff)
+	}
+}
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -174,6 +174,7 @@
 		s.Config = st.config.table.Config
 		urgent = true
 	}
+	s.ConfigReadTo = st.config.readTo
 	if age, known := st.config.age(now); known {
 		// Rounded up, so that a removed key is not accepted any longer because of it.
 		ms := age.Milliseconds() + 1
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -169,6 +169,9 @@
 	// ConfigVersion is the version of the sender's configuration, to which ConfigAgeMs belongs; 0 if the sender does not
 	// state it, which then belongs to the version that the requester has.
 	ConfigVersion int64 `json:"configVersion,omitempty"`
+	// ConfigReadTo is a position of the operators' topic before which all records are known to the sender and can be
+	// read: a requester that has ConfigVersion and Evacuations may read on from there. 0 if the sender knows none.
+	ConfigReadTo uint64 `json:"configReadTo,omitempty"`
 	// Lease is the latest record of the lease topic, at LeaseOffset, without its list of nodes. That list is Takers, if
 	// it changed.
 	Lease       lease.Record `json:"lease"`
