feedtree, placer: nodes without a feed read a short list of endpoints within the bound

Cause: the same as for the configuration: one pace for the list of any length, 40 full reads a second, after 1.5 s. 195 nodes need 63 ms to read 129 entries each at the rate that 10,000 entries were given. Evidence: TestUnfedNodeReadsListLate failed for 195 and 300 nodes (8.97 and 11.59 s at a bound of 4 s). The pace is one of entries now, 400,000 a second, with the least delay only where all reads together take over 0.2 s: TestReadDelayOfShortLists. Lists of 10,000 entries, and those of unknown length, are read as before.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -282,6 +282,9 @@
 	return out
 }
 
+// Len returns the number of entries that are not gone.
+func (d *Directory) Len() int { return d.present }
+
 // StartsPublished reports whether endpoints here publish their starts, which holds if most entries have one. An
 // entry without a start is then not an endpoint's. One entry with a start is not enough: if it were, a
 // foreign entry with a start would hide all endpoints where none publishes a start.
--- a/core/feedtree/feedtree.go
+++ b/core/feedtree/feedtree.go
@@ -101,22 +101,35 @@
 	unknownSizeDelay = 3 * time.Second
 	// unknownSizeSpread is the range of the random part of that delay. It spreads nodes that start at the same time.
 	unknownSizeSpread = 6 * time.Second
-	// readsPerSecond is the rate of complete reads of the store by all nodes of a large fleet together.
-	readsPerSecond = 40
-	// largeFleetDelay is the least delay in a fleet with feeders.
+	// entriesPerSecond is the rate at which all nodes of a large fleet together read entries of the list of endpoints,
+	// and readsPerSecond the rate of their complete reads for a list of unknown length. An entry takes some 300 bytes.
+	entriesPerSecond = 400_000
+	readsPerSecond   = 40
+	// largeFleetDelay is the least delay in a fleet with feeders whose reads take longer than quickReads together: a
+	// new holder feeds the nodes within a few seconds.
 	largeFleetDelay = 1500 * time.Millisecond
+	quickReads      = 200 * time.Millisecond
 )
 
 // ReadDelay returns how long a node that follows no other node waits before it reads the store itself. Nodes is the
-// size of the fleet, 0 if unknown. Draw is the node's own constant number between 0 and 1, spread evenly over all
-// nodes, so that they do not read at the same time. The delay is 0 in a fleet of at most FanOut nodes, which the holder
-// can serve alone.
-func ReadDelay(nodes int, draw float64) time.Duration {
+// size of the fleet, 0 if unknown. Entries is the length of the list of endpoints, 0 if unknown. Draw is the node's own
+// constant number between 0 and 1, spread evenly over all nodes, so that they do not read at the same time. The delay is
+// 0 in a fleet of at most FanOut nodes, which the holder can serve alone.
+func ReadDelay(nodes, entries int, draw float64) time.Duration {
 	switch {
 	case nodes <= 0:
 		return unknownSizeDelay + time.Duration(draw*float64(unknownSizeSpread))
 	case nodes <= FanOut:
 		return 0
 	}
-	return largeFleetDelay + time.Duration(draw*float64(nodes)/readsPerSecond*float64(time.Second))
+	rate := float64(readsPerSecond)
+	if entries > 0 {
+		rate = max(rate, entriesPerSecond/float64(entries))
+	}
+	spread := time.Duration(float64(nodes) / rate * float64(time.Second))
+	delay := time.Duration(draw * float64(spread))
+	if spread > quickReads {
+		delay += largeFleetDelay
+	}
+	return delay
 }
--- a/core/feedtree/feedtree_test.go
+++ b/core/feedtree/feedtree_test.go
@@ -92,13 +92,13 @@
 // TestReadDelay checks that nodes of a large fleet that all lose their feeders make at most readsPerSecond complete
 // reads a second of the store, and that small fleets do not wait.
 func TestReadDelay(t *testing.T) {
-	if diff := cmp.Diff([]time.Duration{0, 0}, []time.Duration{ReadDelay(1, 0.9), ReadDelay(FanOut, 0.9)}); diff != "" {
+	if diff := cmp.Diff([]time.Duration{0, 0}, []time.Duration{ReadDelay(1, 12, 0.9), ReadDelay(FanOut, 91, 0.9)}); diff != "" {
 		t.Errorf("delay in small fleets (-want +got):\n%s", diff)
 	}
 	for _, nodes := range []int{300, 984, 2000} {
 		reads := make(map[time.Duration]int)
 		for i := range nodes {
-			reads[ReadDelay(nodes, float64(i)/float64(nodes)).Truncate(time.Second)]++
+			reads[ReadDelay(nodes, 0, float64(i)/float64(nodes)).Truncate(time.Second)]++
 		}
 		for at, n := range reads {
 			if n > readsPerSecond+1 {
@@ -107,3 +107,32 @@
 		}
 	}
 }
+
+// TestReadDelayOfShortLists checks that nodes of a large fleet that all lose their feeders read at most entriesPerSecond
+// entries a second of the store in any tenth of a second, and begin within quickReads where the list is short.
+func TestReadDelayOfShortLists(t *testing.T) {
+	tests := []struct {
+		nodes, entries int
+		quick          bool
+	}{
+		{195, 129, true}, {300, 200, true}, {300, 3000, false}, {984, 129, false}, {984, 9998, false}, {2000, 20000, false},
+	}
+	for _, tt := range tests {
+		const window = 100 * time.Millisecond
+		reads, last := make(map[time.Duration]int), time.Duration(0)
+		for i := range tt.nodes {
+			d := ReadDelay(tt.nodes, tt.entries, float64(i)/float64(tt.nodes))
+			reads[d.Truncate(window)]++
+			last = max(last, d)
+		}
+		limit := max(readsPerSecond, entriesPerSecond/tt.entries)/10 + 1
+		for at, n := range reads {
+			if n > limit {
+				t.Errorf("%d nodes, %d entries: %d reads within %v from %v, want %d at most", tt.nodes, tt.entries, n, window, at, limit)
+			}
+		}
+		if quick := last <= quickReads; quick != tt.quick {
+			t.Errorf("%d nodes, %d entries: the last read begins after %v, want quick %t", tt.nodes, tt.entries, last, tt.quick)
+		}
+	}
+}
--- a/internal/placer/feeding.go
+++ b/internal/placer/feeding.go
@@ -42,6 +42,8 @@
 	feeders atomic.Pointer[[]feedtree.Node]
 	// nodes is how many nodes share the traffic; 0 if unknown.
 	nodes atomic.Int64
+	// endpoints is the length of the list of endpoints; 0 if unknown.
+	endpoints atomic.Int64
 	// plannedAt is when this node, as the lease holder, last made a plan. It belongs to the owner.
 	plannedAt time.Time
 }
@@ -122,7 +124,7 @@
 // shouldReadStore reports whether this node should read the store itself: it holds the lease, or has received no
 // relayed state for longer than its share of feedtree.ReadDelay, which spreads the reads of a large fleet over time.
 func (c *Controller) shouldReadStore() bool {
-	return c.leading.Load() || c.timeSinceRelay() >= feedtree.ReadDelay(int(c.feeding.nodes.Load()), c.hashFraction())
+	return c.leading.Load() || c.timeSinceRelay() >= feedtree.ReadDelay(int(c.feeding.nodes.Load()), int(c.feeding.endpoints.Load()), c.hashFraction())
 }
 
 // shouldReadConfig reports whether this node should read the operators' topic itself. A node that was fed reads on from
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -417,6 +417,7 @@
 
 // applyListChanges marks the changed endpoints, informs the guard and logs the changes.
 func (c *Controller) applyListChanges(changes *listChanges) {
+	c.feeding.endpoints.Store(int64(c.directory.Len()))
 	gone := 0
 	for i := range changes.changes {
 		r := &changes.changes[i]
--- a/internal/placer/unfed_test.go
+++ b/internal/placer/unfed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"olivetiller/core/directory"
 	"olivetiller/core/feedtree"
 	"olivetiller/core/lease"
 	"olivetiller/core/logstore"
@@ -19,49 +21,78 @@
 	"olivetiller/io/peer"
 )
 
-// unfedNodes returns the controllers of a fleet that have all received a snapshot, and nothing after it.
-func unfedNodes(clock clockwork.Clock, nodes int, bound time.Duration) []*Controller {
+// unfedNodes returns the controllers of a fleet that have all received a snapshot with some endpoints, and nothing after
+// it.
+func unfedNodes(clock clockwork.Clock, nodes, endpoints int, bound time.Duration) []*Controller {
 	out := make([]*Controller, nodes)
+	var list []directory.Record
+	for i := range endpoints {
+		id := fmt.Sprint("e", i)
+		list = append(list, directory.Record{ID: id, Version: 1, Relayed: true, Instance: instance(id)})
+	}
 	for i := range out {
 		out[i] = New(Options{
 			Self: lease.Record{Holder: fmt.Sprint("n", i), Incarnation: fmt.Sprint("n", i, "-1")}, Clock: clock, Logger: hclog.NewNullLogger(),
 			Dispatcher: traffic.New(clock, "h", queue.Limits{Items: 9, Bytes: 999}, traffic.Hooks{}), Bound: bound,
 		})
-		snapshotReceived{&peer.Snapshot{Term: "h-1", Version: 1, Nodes: nodes}, 0, clock.Now()}.handle(out[i])
+		s := &peer.Snapshot{Term: "h-1", Version: 1, Nodes: nodes, Full: true}
+		s.Instances, s.DirectoryVersion = slices.Clone(list), 1
+		snapshotReceived{s, 0, clock.Now()}.handle(out[i])
 	}
 	return out
 }
 
+// begunReads advances the clock step by step until each node begins to read, or for four bounds, and returns after how
+// long the last one does, and the most that begin within one step.
+func begunReads(clock *clockwork.FakeClock, fleet []*Controller, bound time.Duration, skips func(c *Controller) bool) (last time.Duration, most int) {
+	const step = 10 * time.Millisecond
+	begun := make([]bool, len(fleet))
+	for age := time.Duration(0); age <= 4*bound; age += step {
+		n := 0
+		for i, c := range fleet {
+			if !begun[i] && !skips(c) {
+				begun[i], last = true, age
+				n++
+			}
+		}
+		most = max(most, n)
+		clock.Advance(step)
+	}
+	return last, most
+}
+
 // TestUnfedNodeReadsConfigLate guards against nodes of a fleet with feeders that are no longer fed and wait longer than
 // the bound before they read the configuration, and against reads of all nodes at the same moment.
 func TestUnfedNodeReadsConfigLate(t *testing.T) {
 	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
 		for _, nodes := range []int{9, 71, 195, 300, 984} {
 			t.Run(fmt.Sprint(nodes, " nodes, ", bound), func(t *testing.T) {
-				const step = 10 * time.Millisecond
 				clock := clockwork.NewFakeClock()
-				fleet := unfedNodes(clock, nodes, bound)
-				begun, first, last, most := make([]bool, nodes), time.Duration(0), time.Duration(0), 0
-				for age := time.Duration(0); age <= 4*bound; age += step {
-					n := 0
-					for i, c := range fleet {
-						if !begun[i] && !c.skipsConfigReads() {
-							begun[i], last = true, age
-							n++
-						}
-					}
-					if n > 0 && first == 0 {
-						first = age
-					}
-					most = max(most, n)
-					clock.Advance(step)
-				}
+				fleet := unfedNodes(clock, nodes, 0, bound)
+				last, most := begunReads(clock, fleet, bound, (*Controller).skipsConfigReads)
 				// The read begins at the next tick, and may fail once.
 				if worst := last + tickEvery + fleet[0].timing.silenceTimeout; worst >= bound {
 					t.Errorf("the last node begins to read after %v, and has read after %v if its first read fails; want less than %v", last, worst, bound)
 				}
 				if nodes > feedtree.FanOut && most > nodes/2 {
-					t.Errorf("%d of %d nodes begin within %v", most, nodes, step)
+					t.Errorf("%d of %d nodes begin together", most, nodes)
+				}
+			})
+		}
+	}
+}
+
+// TestUnfedNodeReadsListLate guards against nodes of a fleet with feeders that are no longer fed and wait longer than the
+// bound before they read the list of endpoints, although it is short.
+func TestUnfedNodeReadsListLate(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		for _, size := range []struct{ nodes, endpoints int }{{9, 12}, {71, 91}, {195, 129}, {300, 200}} {
+			t.Run(fmt.Sprint(size.nodes, " nodes, ", size.endpoints, " endpoints, ", bound), func(t *testing.T) {
+				clock := clockwork.NewFakeClock()
+				fleet := unfedNodes(clock, size.nodes, size.endpoints, bound)
+				last, _ := begunReads(clock, fleet, bound, (*Controller).skipsStoreReads)
+				if worst := last + tickEvery + fleet[0].timing.silenceTimeout; worst >= bound {
+					t.Errorf("the last node begins to read after %v, and has read after %v if its first read fails; want less than %v", last, worst, bound)
 				}
 			})
 		}
