placer: say when nodes without a feed may miss the platform's bound on changes

What a fleet can hold follows from the bound, the number of nodes and the length of the list; nothing said so. TestUnheldBound. No decision changes.

--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -226,6 +226,8 @@
 	runLocks    runLocks
 	// overdueConfig tracks whether the configuration is confirmed in time.
 	overdueConfig overdueConfig
+	// boundUnheld is true if a node of this fleet may miss the platform's bound.
+	boundUnheld bool
 }
 
 type missKey struct{ engine, pool string }
@@ -314,6 +316,7 @@
 	}
 	c.checkSuspects(now)
 	c.checkConfigAge(now)
+	c.logUnheldBound()
 	c.limitRetries(now)
 	for k, until := range c.misses {
 		if now.After(until) {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -127,6 +127,32 @@
 	}
 }
 
+// TestUnheldBound checks for which fleets and bounds a node reports that it may miss the bound once it is no longer fed.
+func TestUnheldBound(t *testing.T) {
+	tests := []struct {
+		bound            time.Duration
+		nodes, endpoints int
+		want             bool
+	}{
+		{2 * time.Second, 9, 12, false},
+		{2 * time.Second, 195, 129, false},
+		{4 * time.Second, 195, 129, false},
+		{5 * time.Second, 984, 9998, true},
+		{500 * time.Millisecond, 9, 12, true},
+		{0, 9, 12, false},
+	}
+	for _, tt := range tests {
+		c := newController(clockwork.NewFakeClock())
+		c.o.Bound, c.timing = tt.bound, timingFor(tt.bound)
+		c.feeding.nodes.Store(int64(tt.nodes))
+		c.feeding.endpoints.Store(int64(tt.endpoints))
+		c.logUnheldBound()
+		if c.boundUnheld != tt.want {
+			t.Errorf("%d nodes, %d endpoints, bound %v: may miss it %t, want %t", tt.nodes, tt.endpoints, tt.bound, c.boundUnheld, tt.want)
+		}
+	}
+}
+
 func instance(id string) *directory.Instance {
 	return &directory.Instance{ID: id, Service: "s", Address: id + ":1"}
 }
--- a/internal/placer/timing.go
+++ b/internal/placer/timing.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"olivetiller/core/feedtree"
+)
 
 // timing holds the intervals and timeouts derived from the bound, the time within which the platform requires a changed
 // configuration or a draining endpoint to take effect.
@@ -55,3 +59,26 @@
 		silenceTimeout: bound / 5, maxSilenceTimeout: bound,
 	}
 }
+
+// unfed returns how old the configuration and the list of endpoints may become at a node of a fleet that is no longer fed
+// and whose first read fails.
+func (t timing) unfed(nodes, endpoints int) (config, list time.Duration) {
+	config = t.relayTTL + tickEvery + t.silenceTimeout
+	list = config + feedtree.ReadDelay(max(1, nodes), endpoints, 1)
+	if nodes > feedtree.FanOut {
+		config += t.configSpread
+	}
+	return config, list
+}
+
+// logUnheldBound logs, whenever the answer changes, whether a node of this fleet may miss the platform's bound when it is
+// no longer fed.
+func (c *Controller) logUnheldBound() {
+	nodes, endpoints := int(c.feeding.nodes.Load()), int(c.feeding.endpoints.Load())
+	config, list := c.timing.unfed(nodes, endpoints)
+	if unheld := c.o.Bound > 0 && max(config, list) > c.o.Bound; unheld != c.boundUnheld {
+		c.boundUnheld = unheld
+		c.o.Logger.Warn("bound on changes may be missed by nodes that are no longer fed", "missed", unheld, "boundMs", c.o.Bound.Milliseconds(),
+			"configurationMs", config.Milliseconds(), "endpointsMs", list.Milliseconds(), "nodes", nodes, "endpoints", endpoints)
+	}
+}
