lease, placer, placement: the first renewal after a restore raises the fencing number

Engines would refuse all orders of such a holder, or, where they check no fences, take orders of a lower number after those of a higher one. Cause: a holder that renewed in a restored store kept the fencing number of its takeover. Evidence: the trace of the kept fail file: node 2 takes the lease at offset 0 of era 0 (number 1); node 0 takes it at offset 0 of era 1; era 2 begins with an empty log; node 2, which reads on from era 0, still knows itself as the holder, waits TTL and renews at offset 0 of era 2: held with number 1. A fault of the lease, not of the model. The holder that held all the while goes on in its term with the raised number (TestFenceRisesWithinTerm: without that it refused its own orders), and the refusal of an order under its earlier one does not make it step down (TestRefusalOfEarlierFence).

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -79,7 +79,8 @@
 	formerAt time.Time
 	// latestPos is the position of the record holder.
 	latestPos uint64
-	// fence is the fencing number: 1 + the position of the holder's takeover record.
+	// fence is the fencing number: 1 + the position of the holder's takeover record, or of its first record in a later
+	// era.
 	fence uint64
 	// seenAt is when this node read the record holder.
 	seenAt time.Time
@@ -147,10 +148,14 @@
 		l.holder, l.until, l.freeSince = Record{}, time.Time{}, time.Time{}
 	case r.Release:
 		// A release by a previous holder changes nothing.
-	case same && !l.fromEarlierEra:
+	case same && !l.fromEarlierEra && position.Era(l.fence-1) == position.Era(offset):
 		l.holder, l.latestPos, l.seenAt = r, offset, now
 	default:
-		l.retire()
+		// The first renewal in an era counts as a takeover: the restore may have lost the takeover of another node, with
+		// a higher fencing number than that of an earlier era.
+		if !same {
+			l.retire()
+		}
 		l.holder, l.latestPos, l.fence, l.seenAt, l.fromEarlierEra = r, offset, offset+1, now, false
 	}
 	if !l.heldBySelf() {
--- a/core/placement/replies.go
+++ b/core/placement/replies.go
@@ -55,7 +55,8 @@
 		if r == Unanswered {
 			p.recordUnanswered(o, now)
 		}
-		p.fenced = p.fenced || r == Fenced
+		// A refusal of an order under an earlier fencing number may be due to this node's own later one.
+		p.fenced = p.fenced || r == Fenced && o.Fence == p.fence
 		e.invalidate(now, maxReportAge)
 		e.backoffUntil = now.Add(refusalBackoff)
 	}
--- a/core/placement/work_test.go
+++ b/core/placement/work_test.go
@@ -185,3 +185,18 @@
 		t.Error("the adapter that the engine took is missing from its state")
 	}
 }
+
+// TestRefusalOfEarlierFence guards against a lease holder whose fencing number rose within its term and that takes the
+// refusal of an order under the earlier number for another holder's.
+func TestRefusalOfEarlierFence(t *testing.T) {
+	for _, raised := range []bool{true, false} {
+		p, o := swapPlanner(t)
+		if raised {
+			p.Plan(at(20), o.Fence+1)
+		}
+		p.HandleReply(o, Fenced, at(30))
+		if p.Fenced() == raised {
+			t.Errorf("Fenced() = %t after a refusal, want %t (fencing number raised before: %t)", p.Fenced(), !raised, raised)
+		}
+	}
+}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -389,6 +389,9 @@
 	if held && c.held && c.listed && !c.termPublished {
 		c.beginTerm(fence, now)
 	}
+	if held && c.published.raiseFence(fence) {
+		c.o.Logger.Info("fencing number raised, the store was restored during this term", "fence", fence)
+	}
 	if held == c.held {
 		return
 	}
--- a/internal/placer/publication.go
+++ b/internal/placer/publication.go
@@ -103,6 +103,18 @@
 	p.until = until
 }
 
+// raiseFence sets the fencing number of the term that is published, and reports whether it rose.
+func (p *publication) raiseFence(fence uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.incarnation == "" || fence <= p.fence {
+		return false
+	}
+	p.fence = fence
+	p.wakeAll()
+	return true
+}
+
 // mayOrder reports whether an order under a fence may be sent at now.
 func (p *publication) mayOrder(fence uint64, now time.Time) bool {
 	p.mu.Lock()
--- a/internal/placer/restore_test.go
+++ b/internal/placer/restore_test.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"olivetiller/core/directory"
+	"olivetiller/core/lease"
 	"olivetiller/core/logstore"
 	"olivetiller/core/position"
 	"olivetiller/core/route"
@@ -117,3 +118,27 @@
 		t.Errorf("steps (-want +got):\n%s", diff)
 	}
 }
+
+// TestFenceRisesWithinTerm guards against a lease holder that renews its lease in a restored store and then sends no
+// orders, because its fencing number is no longer the one under which its term was published.
+func TestFenceRisesWithinTerm(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newController(clock)
+	c.listed = true
+	hold := func(at uint64) uint64 {
+		c.lease.Begin(clock.Now(), nil)
+		c.lease.Acknowledged(at, clock.Now())
+		c.maintainLease(t.Context(), clock.Now())
+		_, fence := c.lease.Holder()
+		if err := c.mayOrder(fence); err != nil {
+			t.Errorf("an order under fencing number %d is refused: %v", fence, err)
+		}
+		return fence
+	}
+	before := hold(4)
+	clock.Advance(lease.RenewEvery)
+	c.lease.CaughtUp(position.Begin(1), clock.Now())
+	if after := hold(position.Begin(1)); after <= before {
+		t.Errorf("fencing number %d follows %d in the restored store, want it to rise", after, before)
+	}
+}
