--- a/core/feedtree/feedtree_test.go
+++ b/core/feedtree/feedtree_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	_ "olivetiller/internal/fixedseed"
 )
 
 // fleet returns nodes spread evenly over data halls, about one in twenty of them strong.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"olivetiller/core/position"
+	_ "olivetiller/internal/fixedseed"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/core/ledger/property_test.go
+++ b/core/ledger/property_test.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "olivetiller/internal/fixedseed"
 	pb "olivetiller/proto/olivetiller/v1"
 )
 
--- a/core/placement/value_test.go
+++ b/core/placement/value_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"olivetiller/core/directory"
+	_ "olivetiller/internal/fixedseed"
 )
 
 // TestLateShare checks the properties that decisions depend on: the late share is between 0 and
--- a/core/position/position_test.go
+++ b/core/position/position_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "olivetiller/internal/fixedseed"
 )
 
 // TestOrder checks that positions are ordered by era and then by offset, that both can be extracted again, and that
--- a/core/quarantine/registry_test.go
+++ b/core/quarantine/registry_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	_ "olivetiller/internal/fixedseed"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	_ "olivetiller/internal/fixedseed"
 )
 
 var zero = time.Unix(0, 0)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"olivetiller/core/customer"
+	_ "olivetiller/internal/fixedseed"
 )
 
 var start = time.Unix(1000, 0)
--- a/core/rendezvous/table_test.go
+++ b/core/rendezvous/table_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "olivetiller/internal/fixedseed"
 )
 
 // TestTableAgreesWithHome checks that a table has the homes that Home computes, after nodes have joined and left.
--- a/core/retry/budget_test.go
+++ b/core/retry/budget_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "olivetiller/internal/fixedseed"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/placer/confirmed_test.go
+++ b/internal/placer/confirmed_test.go
@@ -19,6 +19,7 @@
 	"olivetiller/core/position"
 	"olivetiller/core/queue"
 	"olivetiller/core/route"
+	_ "olivetiller/internal/fixedseed"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
 )
--- a/internal/traffic/signals_property_test.go
+++ b/internal/traffic/signals_property_test.go
@@ -13,6 +13,7 @@
 	"olivetiller/core/queue"
 	"olivetiller/core/signal"
 	"olivetiller/core/view"
+	_ "olivetiller/internal/fixedseed"
 )
 
 // reported is what one incarnation of an endpoint has reported, kept as the test's oracle.
