traffic, retry: a stream that broke off waits for the retry budget

Callers saw: streams cut in the middle although another engine could have taken them up. Cause: a retry without budget is refused at once, which serves a caller that has received nothing (it repeats) and truncates the answer of one that has. Evidence: TestBegunStreamWaitsForBudget failed before. A begun stream waits until the budget allows a retry, if that is before its caller gives up; otherwise it ends at once as before. Budget.AvailableAt says when, exact over random windows (TestAvailableAt). The budget itself is as strict.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -61,6 +61,21 @@
 	return true
 }
 
+// AvailableAt returns when the budget next allows a retry if nothing happens until then; ok is false if it does not.
+func (b *Budget) AvailableAt(now time.Time) (at time.Time, ok bool) {
+	if b.Left(now) >= minBudget {
+		return now, true
+	}
+	for n := range countSpans + 1 {
+		firsts, end := b.firsts.sumWithout(n+1, now, b.limits.Window)
+		spent, _ := b.spent.sumWithout(n+1, now, b.limits.Window)
+		if b.limits.Share*float64(firsts)+b.limits.Reserve-float64(spent+b.reserved) >= minBudget {
+			return end, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Sent records that a reserved retry is sent: it counts in the window from now on.
 func (b *Budget) Sent(now time.Time) {
 	b.reserved--
@@ -92,6 +107,15 @@
 	return &c.spans[c.last%int64(len(c.spans))]
 }
 
+// sumWithout returns the sum without the n oldest spans, and when the last of these leaves the window.
+func (c *windowCounter) sumWithout(n int, now time.Time, window time.Duration) (sum int, leavesAt time.Time) {
+	c.advance(now, window)
+	for i := range int64(len(c.spans) - n) {
+		sum += c.spans[(c.last-i)%int64(len(c.spans))]
+	}
+	return sum, time.Unix(0, (c.last+int64(n))*max(1, int64(window)/countSpans))
+}
+
 func (c *windowCounter) add(now time.Time, window time.Duration) { *c.advance(now, window)++ }
 
 // sum returns the number of events in the window and in the span that is partly outside of it.
--- a/core/retry/budget_test.go
+++ b/core/retry/budget_test.go
@@ -82,3 +82,31 @@
 		}
 	})
 }
+
+// TestAvailableAt checks that the budget allows a retry at the time that it states and not before.
+func TestAvailableAt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		b := NewBudget(Limits{Share: 0.2, Reserve: float64(rapid.IntRange(0, 3).Draw(t, "reserve")), Window: 10 * time.Second})
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.AddFirst(now)
+			} else {
+				b.Spend(now)
+			}
+		}
+		at, ok := b.AvailableAt(now)
+		if !ok {
+			at = now.Add(time.Minute)
+		}
+		for t0 := now; t0.Before(at); t0 = t0.Add(50 * time.Millisecond) {
+			if b.Left(t0) >= minBudget {
+				t.Fatalf("a retry is allowed after %v, AvailableAt = %v, %t", t0.Sub(now), at.Sub(now), ok)
+			}
+		}
+		if ok && b.Left(at) < minBudget {
+			t.Fatalf("%v retries are left at %v, the time stated", b.Left(at), at.Sub(now))
+		}
+	})
+}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -108,9 +108,23 @@
 	d.mu.Lock()
 	p := d.pool(name)
 	b := d.budget(p, req.Budget)
-	if err := p.admit(req, b, start); err != nil {
+	for {
+		now := d.clock.Now()
+		err := p.admit(req, b, now)
+		if err == nil {
+			break
+		}
+		at, ok := b.AvailableAt(now)
 		d.mu.Unlock()
-		return nil, err
+		if !req.Retry || !req.Began || !ok || at.After(req.waitDeadline()) {
+			return nil, err
+		}
+		select {
+		case <-d.clock.After(at.Sub(now)):
+		case <-ctx.Done():
+			return nil, err
+		}
+		d.mu.Lock()
 	}
 	s, err := d.acquireCharged(ctx, p, req, start)
 	if req.Retry && !req.Resend {
--- a/internal/traffic/dispatcher_test.go
+++ b/internal/traffic/dispatcher_test.go
@@ -324,3 +324,51 @@
 		})
 	}
 }
+
+// TestBegunStreamWaitsForBudget guards against a stream that breaks off and is cut short at its caller because the retry
+// budget is used up at that moment, although it allows a retry before the caller gives up.
+func TestBegunStreamWaitsForBudget(t *testing.T) {
+	type result struct {
+		Kind   refusal.Kind
+		Waited time.Duration
+	}
+	tests := []struct {
+		name     string
+		began    bool
+		patience time.Duration
+		want     result
+	}{
+		{"the budget allows it in time", true, 3 * time.Second, result{"", 2100 * time.Millisecond}},
+		{"not before the caller gives up", true, time.Second, result{refusal.NoEndpoint, 0}},
+		{"nothing was sent to the caller", false, 3 * time.Second, result{refusal.NoEndpoint, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+			d := newDispatcher(clock)
+			d.LimitRetries(retry.Limits{Reserve: 1, Window: 2 * time.Second})
+			d.Update(&view.View{Endpoints: map[string][]view.Endpoint{"a": {{Name: "e", Concurrency: 9}}}}, nil)
+			retryOnce := func() (*Slot, error) {
+				return d.Acquire(t.Context(), "a", SlotRequest{Deadline: clock.Now().Add(time.Minute), AbandonAt: clock.Now().Add(tt.patience), Retry: true, Began: tt.began, Budget: "s"})
+			}
+			if _, err := retryOnce(); err != nil {
+				t.Fatal(err)
+			}
+			start, done := clock.Now(), make(chan error, 1)
+			waiting, ended := context.WithCancel(t.Context())
+			go func() {
+				defer ended()
+				_, err := retryOnce()
+				done <- err
+			}()
+			// Returns an error if the retry does not wait.
+			if clock.BlockUntilContext(waiting, 1) == nil {
+				clock.Advance(2100 * time.Millisecond)
+			}
+			err := <-done
+			if diff := cmp.Diff(tt.want, result{summaryOf(err).Kind, clock.Since(start)}); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -25,6 +25,9 @@
 	State              quarantine.State
 	// Retry marks a further attempt that the retry budget must allow.
 	Retry bool
+	// Began is true if the caller has received a part of the answer. A retry then waits for the retry budget: refused, the
+	// caller would be left with a truncated answer.
+	Began bool
 	// Resend marks an attempt after one of which nothing was sent. It is admitted without a deadline check and not
 	// counted as an arrival or retry again.
 	Resend bool
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -98,7 +98,7 @@
 		}
 		x.trial = trial
 	}
-	req.AbandonAt, req.State = s.abandonAt(x), s.Isolation.State(x.Fingerprint)
+	req.AbandonAt, req.Began, req.State = s.abandonAt(x), x.Began, s.Isolation.State(x.Fingerprint)
 	slot, err = s.acquireSlot(ctx, x, *req)
 	if err != nil {
 		return nil, nil, err
