placer: a reader that was idle forgets the patience of its earlier failures

Cause: pauses and the time without data double with each failure, up to the bound, and went back only with a success; a reader that became idle kept them, so that its first read after the feed was lost could wait for a silent connection as long as the whole bound. Evidence: TestRestedReaderIsImpatient failed before (4 times the first patience in place of the first). Idle readers begin anew.

--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -120,8 +120,12 @@
 	rested := false
 	var era readerEra
 	for ctx.Err() == nil {
-		if r.idle() || !r.retriesInOutage && c.storeHealth.unavailable() {
+		if idle := r.idle(); idle || !r.retriesInOutage && c.storeHealth.unavailable() {
 			rested = true
+			if idle {
+				// Earlier failures say nothing about the store when the topic must be read again.
+				pause, silence = retryPause, c.timing.silenceTimeout
+			}
 			c.pause(ctx, tickEvery)
 			continue
 		}
--- a/internal/placer/unfed_test.go
+++ b/internal/placer/unfed_test.go
@@ -204,3 +204,32 @@
 		t.Errorf("reads of a node that was fed (-want +got):\n%s", diff)
 	}
 }
+
+// TestRestedReaderIsImpatient guards against a reader that failed, was idle while its node was fed, and then waits for
+// its first answer as long as after its last failure.
+func TestRestedReaderIsImpatient(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newController(clock)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for ctx.Err() == nil {
+			clock.Advance(tickEvery)
+		}
+	}()
+	var got []time.Duration
+	rounds := 0
+	follow(ctx, c, reader[logstore.Config]{
+		name: "configuration",
+		idle: func() bool { rounds++; return rounds == 3 },
+		readFull: func(_ context.Context, silence time.Duration) (logstore.Page[logstore.Config], error) {
+			if got = append(got, silence); len(got) == 3 {
+				cancel()
+			}
+			return logstore.Page[logstore.Config]{}, context.DeadlineExceeded
+		},
+	})
+	first := c.timing.silenceTimeout
+	if diff := cmp.Diff([]time.Duration{first, 2 * first, first}, got); diff != "" {
+		t.Errorf("patience of two reads that fail, and of one after a rest (-want +got):\n%s", diff)
+	}
+}
