placer: a reader whose history was dropped reads in full also after a rest

TestDroppedHistoryIsSkipped fails without the mark (reads from 9 in place of in full). A new version also keeps the position up to which the topic is known. ConfigAsOf had no caller but tests.

--- a/internal/placer/confirmed.go
+++ b/internal/placer/confirmed.go
@@ -54,9 +54,6 @@
 // Table returns the configuration in force, or nil if none is known.
 func (c *Controller) Table() *route.Table { return c.config.Load().table }
 
-// ConfigAsOf returns the time of [Controller.ConfigInForce].
-func (c *Controller) ConfigAsOf() time.Time { return c.config.Load().asOf }
-
 // setConfig replaces the configuration in force and publishes it, at the lease holder and at a feeder.
 func (c *Controller) setConfig(cc confirmedConfig) {
 	c.config.Store(&cc)
--- a/internal/placer/confirmed_test.go
+++ b/internal/placer/confirmed_test.go
@@ -125,7 +125,7 @@
 // logNode logs what node i does, with its version and as-of time before.
 func (w *configWorld) logNode(i int, format string, args ...any) {
 	c := w.nodes[i]
-	w.logf("%8v n%d (version %d as of %v): %s", w.clock.Since(c.startedAt), i, c.config.Load().version(), c.ConfigAsOf().Sub(c.startedAt), fmt.Sprintf(format, args...))
+	w.logf("%8v n%d (version %d as of %v): %s", w.clock.Since(c.startedAt), i, c.config.Load().version(), c.config.Load().asOf.Sub(c.startedAt), fmt.Sprintf(format, args...))
 }
 
 // schedule has do run after d.
@@ -314,7 +314,7 @@
 // newer one had been acknowledged; empty if none does.
 func (w *configWorld) olderTakenForNewest() string {
 	for _, c := range w.nodes {
-		asOf, version := c.ConfigAsOf(), int64(0)
+		asOf, version := c.config.Load().asOf, int64(0)
 		if t := c.Table(); t != nil {
 			version = t.Config.Version
 		}
@@ -453,7 +453,7 @@
 			w.read(0, false, false, 9, 0, 0)
 			w.advance(0, func() {})
 		}
-		got = append(got, w.nodes[0].ConfigAsOf().Equal(w.clock.Now()))
+		got = append(got, w.nodes[0].config.Load().asOf.Equal(w.clock.Now()))
 	}
 	if diff := cmp.Diff([]bool{true, false, true}, got); diff != "" {
 		t.Errorf("confirmed after a configuration, an unreadable one and another one (-want +got):\n%s", diff)
@@ -471,7 +471,7 @@
 	configPage{pageInEra(t, 0, 9), false, asked}.handle(c)
 	clock.Advance(rewriteGrace)
 	configPage{pageInEra(t, 1, 0), false, clock.Now()}.handle(c)
-	if c.ConfigAsOf().After(asked) {
+	if c.config.Load().asOf.After(asked) {
 		t.Error("the configuration is confirmed, although no version was read since the restore")
 	}
 }
@@ -487,7 +487,7 @@
 	snapshotReceived{s, 0, clock.Now()}.handle(c)
 	clock.Advance(rewriteGrace)
 	configPage{pageInEra(t, 1, 0), false, clock.Now()}.handle(c)
-	if asOf := c.ConfigAsOf(); !asOf.IsZero() {
+	if asOf := c.config.Load().asOf; !asOf.IsZero() {
 		t.Error("version 7 is confirmed as the newest, although version 9 was read")
 	}
 }
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -117,7 +117,8 @@
 	// free lease two seconds late, and all nodes would read the store themselves until then. After a failure all other
 	// readers wait for it, and the store may answer reads that do not wait while those that do get no answer.
 	immediate := true
-	rested := false
+	// rested is true after the reader was idle, and lost while records before next may be missing.
+	var rested, lost bool
 	var era readerEra
 	for ctx.Err() == nil {
 		if idle := r.idle(); idle || !r.retriesInOutage && c.storeHealth.unavailable() {
@@ -132,7 +133,7 @@
 		if rested {
 			// Records may have been missed; a full read also contains what engines hold.
 			rested, full = false, r.readFull != nil
-			if from, ok := r.resumePosition(); ok && position.Era(next) == position.Era(from) {
+			if from, ok := r.resumePosition(); ok && !lost && position.Era(next) == position.Era(from) {
 				next, full, immediate = max(next, from), false, true
 			}
 		}
@@ -164,6 +165,7 @@
 			if !c.inbox.Send(ctx, r.apply(page, full, started)) {
 				return
 			}
+			lost = lost && !full
 			next, full = page.Next, false
 		case errors.As(err, &failed) && failed.Kind == logstore.Dropped:
 			c.o.Logger.Info("records dropped by the store", "topic", r.name, "from", next, "first", failed.First)
@@ -171,12 +173,12 @@
 				// No record has been written at that position yet.
 				c.pause(ctx, retryPause)
 			}
-			next, full = failed.First, r.readFull != nil
+			next, full, lost = failed.First, r.readFull != nil, true
 			continue
 		case errors.As(err, &failed) && failed.Kind == logstore.Restored:
 			era.enter(failed.First, c.o.Clock.Now())
 			c.inbox.Send(ctx, storeRestored{r.name, next, failed.First})
-			next, full = failed.First, r.readFull != nil
+			next, full, lost = failed.First, r.readFull != nil, true
 			continue
 		default:
 			if available {
@@ -333,7 +335,9 @@
 	if old.table != nil && old.version() >= t.Config.Version {
 		return
 	}
-	c.setConfig(confirmedConfig{table: t, asOf: old.asOf})
+	next := old
+	next.table = t
+	c.setConfig(next)
 	c.planner.SetTable(t)
 	c.touchAll()
 	c.listChanged(c.o.Clock.Now())
--- a/internal/placer/restore_test.go
+++ b/internal/placer/restore_test.go
@@ -69,8 +69,8 @@
 			if table := c.Table(); table != nil {
 				version = table.Config.Version
 			}
-			if version != tt.inForce || c.ConfigAsOf().Equal(clock.Now()) != tt.confirmed {
-				t.Errorf("version %d, newest as of %v before now; want %d, confirmed %t", version, clock.Now().Sub(c.ConfigAsOf()), tt.inForce, tt.confirmed)
+			if version != tt.inForce || c.config.Load().asOf.Equal(clock.Now()) != tt.confirmed {
+				t.Errorf("version %d, newest as of %v before now; want %d, confirmed %t", version, clock.Now().Sub(c.config.Load().asOf), tt.inForce, tt.confirmed)
 			}
 		})
 	}
--- a/internal/placer/unfed_test.go
+++ b/internal/placer/unfed_test.go
@@ -233,3 +233,42 @@
 		t.Errorf("patience of two reads that fail, and of one after a rest (-want +got):\n%s", diff)
 	}
 }
+
+// TestDroppedHistoryIsSkipped guards against a reader that learns that its history was dropped, is idle before it can read
+// in full, and then reads on behind the dropped records.
+func TestDroppedHistoryIsSkipped(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newController(clock)
+	c.recordReadTo(4)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for ctx.Err() == nil {
+			clock.Advance(tickEvery)
+		}
+	}()
+	var got []string
+	rounds := 0
+	follow(ctx, c, reader[logstore.Config]{
+		name: "configuration", resumeAt: c.resumeConfigAt,
+		// The reader is idle at first, and after its first read.
+		idle: func() bool { rounds++; return rounds != 2 && rounds < 4 },
+		read: func(_ context.Context, from uint64, _ time.Duration) (logstore.Page[logstore.Config], error) {
+			got = append(got, fmt.Sprint("from ", from))
+			if len(got) > 1 {
+				cancel()
+			}
+			return logstore.Page[logstore.Config]{}, &logstore.Error{Kind: logstore.Dropped, First: 9, Cause: context.DeadlineExceeded}
+		},
+		readFull: func(context.Context, time.Duration) (logstore.Page[logstore.Config], error) {
+			got = append(got, "in full")
+			cancel()
+			return logstore.Page[logstore.Config]{Next: 9, End: 9}, nil
+		},
+		apply: func(p logstore.Page[logstore.Config], full bool, asked time.Time) message {
+			return configPage{p, full, asked}
+		},
+	})
+	if diff := cmp.Diff([]string{"from 4", "in full"}, got); diff != "" {
+		t.Errorf("reads (-want +got):\n%s", diff)
+	}
+}
