quota, placer: a granter keeps counting silent nodes unless its lease makes it the only one

Cause: a granter stopped counting nodes that were silent for 10 s and took their shares. Where two granters exist side by side, each is silent to the nodes of the other, so each took the whole limit. In the product a holder that cannot reach the store continues for up to 15 s while half of the nodes follow it (lease.Outage); the other half can have a new holder. Evidence: a log of both granters in the plays that went over: share 1.00 at each, attached {1,2,3,5} and {4}, all requests of the worst 4 s are grants, none a partitioned share. Fix: silent nodes stop counting only before the end of an acknowledged lease. A holder that loses nodes for good forgets them after 10 s as before; a holder in an outage of the store keeps them. TestShares: the row 'one forgotten' asserted that any granter forgets; it now states its lease, and a row beside it that without one the node keeps counting. Left: a new holder may forget nodes that follow a holder in an outage of more than 10 s; both then grant for up to 5 s.

--- a/core/quota/granter.go
+++ b/core/quota/granter.go
@@ -59,6 +59,8 @@
 	// initialMembers is how many nodes were known at the start; it is a lower bound for the first memberTTL.
 	initialMembers int
 	startedAt      time.Time
+	// exclusiveUntil is until when no other node is known to hold the role; see Exclusive.
+	exclusiveUntil time.Time
 	buckets        map[string]*bucket
 }
 
@@ -86,14 +88,20 @@
 	g.attachedAt[node] = now
 }
 
-// Members returns the number of nodes over which limits are divided, at least 1.
+// Exclusive records that this node alone holds the granter's role until the given time.
+func (g *Granter) Exclusive(until time.Time) { g.exclusiveUntil = until }
+
+// Members returns the number of nodes over which limits are divided, at least 1. A node that is silent for memberTTL
+// stops counting only while the granter is exclusive: otherwise it may have moved to another granter, which spends its
+// share.
 func (g *Granter) Members(now time.Time) int {
-	maps.DeleteFunc(g.seenAt, func(_ string, at time.Time) bool { return now.Sub(at) > memberTTL })
-	n := len(g.seenAt)
-	if now.Sub(g.startedAt) <= memberTTL {
-		n = max(n, g.initialMembers)
+	if now.Before(g.exclusiveUntil) {
+		maps.DeleteFunc(g.seenAt, func(_ string, at time.Time) bool { return now.Sub(at) > memberTTL })
+		if now.Sub(g.startedAt) > memberTTL {
+			g.initialMembers = 0
+		}
 	}
-	return max(1, n)
+	return max(1, len(g.seenAt), g.initialMembers)
 }
 
 // share returns the fraction of every limit that belongs to the granter, from 0 to 1.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -63,7 +63,17 @@
 			g.Observe("a", false, at(AttachmentTTL))
 			g.Observe("b", false, start.Add(-time.Second))
 		}, 2, 50},
-		{"one forgotten", 0, func(g *Granter) { g.Observe("a", false, start); g.Observe("b", false, start.Add(-memberTTL)) }, 1, 100},
+		{"one forgotten", 0, func(g *Granter) {
+			g.Exclusive(at(time.Minute))
+			g.Observe("a", false, start)
+			g.Observe("b", false, start.Add(-memberTTL))
+		}, 1, 100},
+		// Guards against two granters that each take the shares of the nodes that moved to the other one.
+		{"one at another granter", 0, func(g *Granter) {
+			g.Exclusive(at(time.Second))
+			g.Observe("a", false, start)
+			g.Observe("b", false, start.Add(-memberTTL))
+		}, 2, 50},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -376,6 +376,7 @@
 	switch {
 	case held:
 		c.published.extend(c.lease.Until())
+		c.quotas.extend(c.lease.Until())
 		c.outage.Acting(now)
 	case c.held:
 		var verdict lease.Decision
--- a/internal/placer/quota.go
+++ b/internal/placer/quota.go
@@ -61,6 +61,15 @@
 	q.granter = quota.NewGranter(q.tolerance, max(known, q.allowance.Members()), now)
 }
 
+// extend records that this node is the only granter until its lease ends.
+func (q *quotas) extend(until time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.granter != nil {
+		q.granter.Exclusive(until)
+	}
+}
+
 // end stops granting at this node.
 func (q *quotas) end() {
 	q.mu.Lock()
--- a/internal/quotalab/simulation.go
+++ b/internal/quotalab/simulation.go
@@ -139,7 +139,7 @@
 // Simulate runs a load with a design and returns its figures.
 func Simulate(d Design, l Load) Result {
 	sim := &simulation{design: d, load: l, rnd: rand.New(rand.NewPCG(l.Seed, 1)), start: time.Unix(1000, 0), reportedAt: make([]time.Time, l.Nodes)}
-	sim.granter = quota.NewGranter(Shifted.Tolerance, l.Nodes, sim.start)
+	sim.newGranter(sim.start)
 	for i := range l.Nodes {
 		sim.allowances = append(sim.allowances, quota.NewAllowance(strconv.Itoa(i), Shifted.Tolerance))
 	}
@@ -151,6 +151,12 @@
 	return sim.result()
 }
 
+// newGranter starts a granter, the only one until the end of the run or its loss.
+func (sim *simulation) newGranter(now time.Time) {
+	sim.granter = quota.NewGranter(Shifted.Tolerance, sim.load.Nodes, now)
+	sim.granter.Exclusive(sim.start.Add(sim.load.For))
+}
+
 // addCustomers creates customers whose usual traffic follows a power law.
 func (sim *simulation) addCustomers() {
 	sum := 0.0
@@ -179,7 +185,7 @@
 func (sim *simulation) maintain(now time.Time) {
 	d, l := now.Sub(sim.start), &sim.load
 	if l.LostFor > 0 && d <= l.LostFrom+l.LostFor && d+step > l.LostFrom+l.LostFor {
-		sim.granter = quota.NewGranter(Shifted.Tolerance, l.Nodes, now)
+		sim.newGranter(now)
 	}
 	if sim.design == FixedShares {
 		return
