quota: a partitioned node loses the share that it did not spend

Cause: the bucket of a partitioned node's share had no capacity. A node that froze, or had no requests, while partitioned kept the refill of all that time and spent it within milliseconds. Fix: where nothing else bounds it (a bound with a least number of nodes), a node that comes back later than its latest refusal said plus a second keeps the refill of one second and draws a new threshold, so that all nodes together can hold one second of the partitioned rate, whatever their number. Customers' limits are bounded by PartitionedTTL and unchanged. Tried: 300 and 500 ms in place of a second; TestColdLimitDetectsFaults then no longer finds a planted fault.

--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -27,6 +27,8 @@
 	maxLocalRefusal = 100 * time.Millisecond
 	// partitionedBurstTime is the time whose share of the rate a node may spend at once when it becomes partitioned.
 	partitionedBurstTime = 200 * time.Millisecond
+	// shareTTL is how long a partitioned node keeps what it does not spend of its share.
+	shareTTL = time.Second
 	// unknownRetryAfter is the retry delay where the number of nodes is not known, so that no share can be computed.
 	unknownRetryAfter = 500 * time.Millisecond
 )
@@ -84,10 +86,11 @@
 	retryAfter  time.Duration
 	// share is the level as of shareAt of the bucket that holds the node's own share; it is reset whenever the node
 	// becomes partitioned. threshold is the random fraction, from 0 to 1, of a request's need that the bucket must
-	// hold to let it pass.
-	share     float64
-	shareAt   time.Time
-	threshold float64
+	// hold to let it pass. After shareUntil, what the bucket gained before the latest shareTTL is lost.
+	share      float64
+	shareAt    time.Time
+	shareUntil time.Time
+	threshold  float64
 }
 
 // NewAllowance returns the allowance of a node's process, which has had no answer yet. The incarnation identifies the
@@ -172,6 +175,10 @@
 
 // takePartitioned spends the node's own share. A share is mostly smaller than one request. Each node therefore draws
 // a random threshold for its next request, so that all nodes together admit as much as the sum of their shares.
+//
+// A node that was suspended, or had no requests, has not spent its share meanwhile. It loses what is older than
+// shareTTL: nodes that resume together would otherwise spend the shares of all that time at once. A node that waited
+// as long as its latest refusal told it to loses nothing. Without MinNodes, PartitionedTTL bounds what a node saves.
 func (p *Allowance) takePartitioned(a *account, name string, of Bound, need float64, now time.Time) Decision {
 	nodes := p.nodes(of, now)
 	if nodes == 0 {
@@ -179,15 +186,22 @@
 	}
 	rate := of.PartitionedRate / float64(nodes)
 	if a.shareAt.Before(p.partitionedSince) {
-		a.share, a.shareAt = of.PartitionedBurst/float64(nodes), p.partitionedSince
+		a.share, a.shareAt, a.shareUntil = of.PartitionedBurst/float64(nodes), p.partitionedSince, p.partitionedSince.Add(shareTTL)
 		a.drawThreshold(p.incarnation, name, now)
 	}
 	a.share += rate * now.Sub(a.shareAt).Seconds()
 	a.shareAt = now
+	if of.MinNodes > 0 && now.After(a.shareUntil) {
+		a.share = min(a.share, rate*shareTTL.Seconds())
+		a.drawThreshold(p.incarnation, name, now)
+	}
 	if short := a.threshold*need - a.share; short > 0 {
-		return Decision{Step: OverLimit, RetryAfter: min(maxRetryAfter, time.Duration(short/rate*float64(time.Second)))}
+		wait := min(maxRetryAfter, time.Duration(short/rate*float64(time.Second)))
+		a.shareUntil = now.Add(wait + shareTTL)
+		return Decision{Step: OverLimit, RetryAfter: wait}
 	}
 	a.share -= need
+	a.shareUntil = now.Add(shareTTL)
 	a.drawThreshold(p.incarnation, name, now)
 	return Decision{}
 }
