caller: an attempt that reached no endpoint costs no retry budget

Cause: every further attempt was charged, also one whose connection could not be made, and also the second one where the first had not reached any engine. Nothing arrives at the service then, which is what the budget bounds. The engines crash together, so the budget is spent on dead addresses at the moment it is needed. Fix: such an attempt is sent again without another charge (SlotRequest.Resend), as one that was withheld already was. A retry that an engine refused is charged as before, since it arrived. Test: TestUnsentRetryCostsNoBudget failed before in the two cases without a connection.

--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -66,7 +66,7 @@
 		if step != retry.Repeat {
 			return s.refusalFor(step, x, err)
 		}
-		req.Resend = withheld(err)
+		req.Resend = nothingSent(err)
 		s.Metrics.Retries.Add(outcome.String(), 1)
 		req.Avoid = append(req.Avoid, slot.Endpoint.Name)
 		req.Retry = outcome != retry.NotSent || x.Target.Budget != ""
@@ -221,10 +221,10 @@
 	return 0
 }
 
-// withheld reports whether nothing of the request was sent because its check failed.
-func withheld(err error) bool {
+// nothingSent reports whether no byte of the request was sent, because its check failed or no connection was made.
+func nothingSent(err error) bool {
 	var e *endpoint.Error
-	return errors.As(err, &e) && e.Withheld
+	return errors.As(err, &e) && (e.Withheld || e.ConnectFailed)
 }
 
 // failedResult converts the error of an attempt to its result for the dispatcher.
