quota, retry, traffic: the lease holder grants retries from a pool of all nodes

What callers saw: requests that failed for good although the platform's retry budget was hardly used: in the first ten seconds of a process none was repeated, on 300 nodes with few requests none ever was. Cause: the reserve was divided by the number of nodes, and a new process had no part of it for a window, since what its predecessor had spent is not known. Since, where nodes begin their turns at different endpoints, the first request of TestEngineRestart meets the restarted engine in half of the runs and needs a retry. Fix: five sevenths of the reserve are a pool at the lease holder, which grants what a node's budget lacks for one retry, to whichever node asks. Its buckets begin empty, so that nothing need be known of predecessors; a partitioned node spends its share of the refill. Two sevenths are divided as before. A quarter of the pool is kept for streams that have begun, whose callers cannot be refused any more. All together use 0.7 of the platform's bound, as before. TestReserveOfAllNodes and the tests of the budget are unchanged, but for a context that Switch takes now.

--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -156,6 +156,20 @@
 	return Decision{Step: NeedsGrant, Prefetch: a.prefetch(need)}
 }
 
+// TakeRetry decides on need units for a retry under a bound from [RetryBound]; name is that of its account. An urgent
+// retry asks the granter also where that has refused another one a moment ago.
+func (p *Allowance) TakeRetry(name string, of Bound, need float64, urgent bool, now time.Time) Decision {
+	a := p.account(name)
+	a.usageAt = now
+	switch {
+	case p.Partitioned():
+		return p.takePartitioned(a, name, of, need, now)
+	case !urgent && now.Before(a.refuseUntil):
+		return Decision{Step: OverLimit, RetryAfter: a.retryAfter}
+	}
+	return Decision{Step: NeedsGrant}
+}
+
 // prefetch returns how many units to request beyond a request's need. It is 0 where few requests are expected, since
 // units that are not spent in time are lost to other nodes.
 func (a *account) prefetch(need float64) float64 {
--- a/core/quota/bound.go
+++ b/core/quota/bound.go
@@ -68,3 +68,18 @@
 func EndpointBound(perSecond float64, minNodes int) Bound {
 	return Bound{Rate: perSecond, Capacity: endpointBaseCapacity + endpointBurstSeconds*perSecond, PartitionedRate: partitionedShare * perSecond, PartitionedBurst: partitionedShare, MinNodes: minNodes}
 }
+
+// minRetryNodes is the least number of nodes over which retries are divided. A granter that reaches no other node
+// counts only itself; with this divisor, what it grants fits beside the grants of another one.
+const minRetryNodes = 3
+
+// retryCapacity is the fraction of the retries of a window that may be granted at once. The rest is refilled during the
+// window.
+const retryCapacity = 0.5
+
+// RetryBound returns the bound on the retries that all nodes together may make for one service: at most n in any
+// window of the given length. At least minNodes nodes share the traffic.
+func RetryBound(n float64, window time.Duration, minNodes int) Bound {
+	rate := (1 - retryCapacity) * n / window.Seconds()
+	return Bound{Rate: rate, Capacity: retryCapacity * n, PartitionedRate: rate, MinNodes: max(minRetryNodes, minNodes)}
+}
--- a/core/quota/endpoint_test.go
+++ b/core/quota/endpoint_test.go
@@ -70,6 +70,27 @@
 	incarnations int
 	// inject injects a fault into a node before it acts; nil for none.
 	inject func(s *simDeployment, n *simNode)
+	// retries is set if the nodes send retries, a part of them urgent, with pauses of retryPause seconds.
+	retries bool
+}
+
+// take decides on the next request of a node.
+func (s *simDeployment) take(n *simNode, of Bound) Decision {
+	switch {
+	case s.retries && s.now.Unix()/retryPause%2 == 0:
+		return Decision{Step: OverLimit, RetryAfter: simStep}
+	case s.retries:
+		return n.allowance.TakeRetry("e", of, 1, s.r.IntN(4) == 0, s.now)
+	}
+	return n.allowance.TakeBound("e", of, 1, s.now)
+}
+
+// grant returns the granter's answer to a grant request.
+func (s *simDeployment) grant(g *Granter, of Bound, ahead float64) Answer {
+	if s.retries {
+		return g.GrantRetry("e", of, 1, s.r.IntN(4) == 0, s.now)
+	}
+	return g.GrantBound("e", of, 1, ahead, s.now)
 }
 
 func newSimDeployment(nodes int, limit float64, seed uint64) *simDeployment {
@@ -151,7 +172,7 @@
 		return
 	}
 	of := s.bound(len(s.nodes))
-	switch d := n.allowance.TakeBound("e", of, 1, s.now); {
+	switch d := s.take(n, of); {
 	case d.Step == Admitted:
 		s.send(n)
 	case d.Step == NeedsGrant:
@@ -178,7 +199,7 @@
 		return
 	}
 	g.Observe(name, false, s.now)
-	a := g.GrantBound("e", of, 1, ahead, s.now)
+	a := s.grant(g, of, ahead)
 	n.answer, n.members, n.answerAt = &a, g.Members(s.now), s.now.Add(s.randomBetween(time.Millisecond, 60*time.Millisecond))
 }
 
--- a/core/quota/granter.go
+++ b/core/quota/granter.go
@@ -146,6 +146,39 @@
 	}
 }
 
+// urgentShare is the fraction of a bound on retries that only urgent ones may use.
+const urgentShare = 0.25
+
+// urgentSuffix follows the name of a bucket of retries in that of the bucket for urgent ones.
+const urgentSuffix = "\x00urgent"
+
+// GrantRetry grants need units, at most 1, for one retry under a bound from [RetryBound]; name is that of its bucket.
+// Urgent retries have a bucket of their own for when that of the others is empty. They wait as long as they are told to,
+// so they are scheduled one after the other.
+func (g *Granter) GrantRetry(name string, of Bound, need float64, urgent bool, now time.Time) Answer {
+	share := g.share(now) * min(1, float64(g.Members(now))/float64(max(1, of.MinNodes)))
+	need = min(max(0, need), 1)
+	take := func(name string, fraction float64) Answer {
+		b, capacity, rate := g.fill(name, of, share*fraction, now), of.Capacity*share*fraction, of.Rate*share*fraction
+		switch room := min(need, capacity); {
+		case b.level >= room:
+			b.level -= need
+			return Answer{Granted: need}
+		case urgent:
+			return Answer{RetryAfter: b.retryAfter(room, rate, need)}
+		default:
+			return Answer{RetryAfter: b.waitFor(room, rate)}
+		}
+	}
+	a := take(name, 1-urgentShare)
+	if a.Granted > 0 || !urgent {
+		return a
+	}
+	own := take(name+urgentSuffix, urgentShare)
+	own.RetryAfter = min(own.RetryAfter, a.RetryAfter)
+	return own
+}
+
 // fill returns the named bucket after refilling it up to now.
 func (g *Granter) fill(name string, of Bound, share float64, now time.Time) *bucket {
 	b := g.buckets[name]
@@ -163,6 +196,15 @@
 // retryAfter returns the delay until the bucket holds room units beyond what earlier refused requests wait for, and
 // adds need to the deferred units.
 func (b *bucket) retryAfter(room, rate, need float64) time.Duration {
+	wait := b.waitFor(room, rate)
+	if wait < maxRetryAfter {
+		b.deferred += need
+	}
+	return wait
+}
+
+// waitFor returns the delay until the bucket holds room units beyond what earlier refused requests wait for.
+func (b *bucket) waitFor(room, rate float64) time.Duration {
 	if rate <= 0 {
 		return maxRetryAfter
 	}
@@ -170,7 +212,6 @@
 	if seconds >= maxRetryAfter.Seconds() {
 		return maxRetryAfter
 	}
-	b.deferred += need
 	// Rounded up: a delay below one nanosecond would become 0, and the caller would retry at once.
 	return time.Duration(math.Ceil(seconds * float64(time.Second)))
 }
--- a/core/retry/allowance.go
+++ b/core/retry/allowance.go
@@ -6,6 +6,9 @@
 	// usedFraction is the fraction of the common bound that the nodes use. The rest covers retries that arrive
 	// later than they were admitted, and nodes that have not received reports of all others yet.
 	usedFraction = 0.7
+	// pooledFraction is the fraction of the reserve that the lease holder grants to whichever node asks for it. The
+	// rest is divided among the nodes, which may use it without an answer from the holder.
+	pooledFraction = 5.0 / 7
 	// shareTTL is how long a node keeps its share of the reserve after the lease holder last sent a count.
 	shareTTL = 30 * time.Second
 	// minNodes is the minimum divisor of the reserve. A holder that is partitioned from all other nodes
@@ -18,6 +21,17 @@
 	countTTL = 5 * time.Minute
 )
 
+// Split divides the limits on the retries of all nodes. Each node follows divided by means of its [Allowance]. pooled is
+// the number of retries in any window that the lease holder may grant in addition; 0 without a window.
+func (l Limits) Split() (divided Limits, pooled float64) {
+	divided = l
+	if l.Window <= 0 {
+		return divided, 0
+	}
+	divided.Reserve *= 1 - pooledFraction
+	return divided, l.Reserve * pooledFraction * usedFraction
+}
+
 // Allowance computes the limits of one node's retry budget, such that all nodes together keep a common
 // bound. It is not safe for concurrent use.
 //
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -19,8 +19,8 @@
 	limits Limits
 	// firsts counts the first attempts, spent the retries that were sent.
 	firsts, spent windowCounter
-	// reserved is the number of retries that are reserved and not sent yet.
-	reserved int
+	// reserved is the sum of what is reserved for retries that are not sent yet.
+	reserved float64
 }
 
 // minBudget is the least budget that pays for one retry. It is slightly less than 1 to allow for rounding
@@ -34,31 +34,32 @@
 func (b *Budget) Limit(l Limits) { b.limits = l }
 
 // AddFirst records a first attempt.
-func (b *Budget) AddFirst(now time.Time) { b.firsts.add(now, b.limits.Window) }
+func (b *Budget) AddFirst(now time.Time) { b.firsts.add(1, now, b.limits.Window) }
 
 // Left returns the number of retries that may be made now; it may be fractional or negative.
 func (b *Budget) Left(now time.Time) float64 {
-	earned := b.limits.Share * float64(b.firsts.sum(now, b.limits.Window))
-	return earned + b.limits.Reserve - float64(b.spent.sum(now, b.limits.Window)+b.reserved)
+	earned := b.limits.Share * b.firsts.sum(now, b.limits.Window)
+	return earned + b.limits.Reserve - b.spent.sum(now, b.limits.Window) - b.reserved
 }
 
 // Spend takes one retry that is sent now. It reports false if the budget is exhausted.
 func (b *Budget) Spend(now time.Time) bool {
-	if !b.Reserve(now) {
+	if b.Left(now) < minBudget {
 		return false
 	}
-	b.Sent(now)
+	b.spent.add(1, now, b.limits.Window)
 	return true
 }
 
-// Reserve reserves one retry that is sent later. It reports false if the budget is exhausted. A call of
-// Sent or Release must follow if it returns true.
-func (b *Budget) Reserve(now time.Time) bool {
-	if b.Left(now) < minBudget {
-		return false
+// Reserve reserves what is left for one retry that is sent later, and returns the reserved part, from 0 to 1. If it is
+// less than 1, the remainder must come from elsewhere. A call of Sent or Release with the same part must follow.
+func (b *Budget) Reserve(now time.Time) (part float64) {
+	part = min(1, max(0, b.Left(now)))
+	if part >= minBudget {
+		part = 1
 	}
-	b.reserved++
-	return true
+	b.reserved += part
+	return part
 }
 
 // AvailableAt returns when the budget next allows a retry if nothing happens until then; ok is false if it does not.
@@ -69,59 +70,67 @@
 	for n := range countSpans + 1 {
 		firsts, end := b.firsts.sumWithout(n+1, now, b.limits.Window)
 		spent, _ := b.spent.sumWithout(n+1, now, b.limits.Window)
-		if b.limits.Share*float64(firsts)+b.limits.Reserve-float64(spent+b.reserved) >= minBudget {
+		if b.limits.Share*firsts+b.limits.Reserve-spent-b.reserved >= minBudget {
 			return end, true
 		}
 	}
 	return time.Time{}, false
 }
 
-// Sent records that a reserved retry is sent: it counts in the window from now on.
-func (b *Budget) Sent(now time.Time) {
-	b.reserved--
-	b.spent.add(now, b.limits.Window)
+// Sent records that a retry is sent for which the part was reserved: it counts in the window from now on.
+func (b *Budget) Sent(part float64, now time.Time) {
+	b.reserved -= part
+	b.spent.add(part, now, b.limits.Window)
 }
 
-// Release returns a reserved retry that was not sent to the budget.
-func (b *Budget) Release() { b.reserved-- }
+// Release returns the part that was reserved for a retry that was not sent.
+func (b *Budget) Release(part float64) { b.reserved -= part }
 
 // countSpans is the number of spans into which the window of a counter is divided. Events leave the window
 // one span at a time.
 const countSpans = 20
 
-// windowCounter is a sliding-window counter of events.
+// windowCounter is a sliding-window counter of events, or of parts of them.
 type windowCounter struct {
-	spans [countSpans + 1]int
+	spans [countSpans + 1]float64
 	// last is the number of the newest span, counted from the Unix epoch.
 	last int64
 }
 
+// spanIndex returns the index of a span, whose number is negative before the Unix epoch.
+func spanIndex(span int64) int64 {
+	const n = countSpans + 1
+	return (span%n + n) % n
+}
+
 // advance clears the spans that have left the window and returns the counter of the current span.
-func (c *windowCounter) advance(now time.Time, window time.Duration) *int {
+func (c *windowCounter) advance(now time.Time, window time.Duration) *float64 {
 	span := now.UnixNano() / max(1, int64(window)/countSpans)
 	// If the clock was set back, events count in the newest span.
 	for n := min(span-c.last, int64(len(c.spans))); n > 0; n-- {
-		c.spans[(span-n+1)%int64(len(c.spans))] = 0
+		c.spans[spanIndex(span-n+1)] = 0
 	}
 	c.last = max(c.last, span)
-	return &c.spans[c.last%int64(len(c.spans))]
+	return &c.spans[spanIndex(c.last)]
 }
 
 // sumWithout returns the sum without the n oldest spans, and when the last of these leaves the window.
-func (c *windowCounter) sumWithout(n int, now time.Time, window time.Duration) (sum int, leavesAt time.Time) {
+func (c *windowCounter) sumWithout(n int, now time.Time, window time.Duration) (sum float64, leavesAt time.Time) {
 	c.advance(now, window)
 	for i := range int64(len(c.spans) - n) {
-		sum += c.spans[(c.last-i)%int64(len(c.spans))]
+		sum += c.spans[spanIndex(c.last-i)]
 	}
 	return sum, time.Unix(0, (c.last+int64(n))*max(1, int64(window)/countSpans))
 }
 
-func (c *windowCounter) add(now time.Time, window time.Duration) { *c.advance(now, window)++ }
+func (c *windowCounter) add(n float64, now time.Time, window time.Duration) {
+	*c.advance(now, window) += n
+}
 
 // sum returns the number of events in the window and in the span that is partly outside of it.
-func (c *windowCounter) sum(now time.Time, window time.Duration) int {
+func (c *windowCounter) sum(now time.Time, window time.Duration) float64 {
 	c.advance(now, window)
-	n := 0
+	n := 0.0
 	for _, k := range c.spans {
 		n += k
 	}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -5,7 +5,9 @@
 // retries must not multiply an overload. Every attempt therefore ends with an [Outcome] that states what is
 // known about it, and [Next] derives the next step from it. Retries of every kind are charged to a [Budget],
 // whose size follows the number of first attempts. An [Allowance] computes the limits of one node's budget
-// such that all nodes together stay within a common bound.
+// such that all nodes together stay within a common bound. What a node's budget lacks for a retry, the lease holder
+// grants from a pool (package quota), because equal parts of a common reserve are too small to use in a large
+// deployment.
 package retry
 
 // Outcome states what is known about an attempt that gave no complete answer.
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -198,6 +198,9 @@
 		Charge: func(ctx context.Context, e view.Endpoint, limit float64) time.Duration {
 			return n.control.ChargeEndpoint(ctx, e, limit)
 		},
+		GrantRetry: func(ctx context.Context, service string, need float64, urgent bool) time.Duration {
+			return n.control.GrantRetry(ctx, service, need, urgent)
+		},
 		SignalsChanged: func() { n.control.SignalsChanged() },
 		ModelMissing:   func(id, pool string) { go n.control.UnitMissing(id, pool) },
 	}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -218,12 +218,14 @@
 	// nodeCount is the number of nodes that share the traffic, by the lease holder's latest count.
 	nodeCount int
 	// allowance computes this node's share of the retry limits, and retries is the share in force.
-	allowance   *retry.Allowance
-	retries     retry.Limits
-	suspects    suspects
-	reportAcked reportMark
-	halls       hallState
-	runLocks    runLocks
+	allowance *retry.Allowance
+	retries   retry.Limits
+	// pooledRetries is how many retries for one service the lease holder may grant to all nodes within a window.
+	pooledRetries float64
+	suspects      suspects
+	reportAcked   reportMark
+	halls         hallState
+	runLocks      runLocks
 	// overdueConfig tracks whether the configuration is confirmed in time.
 	overdueConfig overdueConfig
 	// boundUnheld is true if a node of this fleet may miss the platform's bound.
@@ -247,7 +249,8 @@
 	c.suspects.init(&c.o)
 	c.runLocks.locks = quarantine.NewRunLocks()
 	c.leaseUncertain.Store(true)
-	c.allowance = retry.NewAllowance(o.Retries)
+	divided, pooled := o.Retries.Split()
+	c.allowance, c.pooledRetries = retry.NewAllowance(divided), pooled
 	c.limitRetries(o.Clock.Now())
 	c.view.Store(&view.View{})
 	c.config.Store(&confirmedConfig{})
--- a/internal/placer/quota.go
+++ b/internal/placer/quota.go
@@ -141,6 +141,10 @@
 		answer := qs.granter.GrantBound(account, bound, q.Need, q.Prefetch, now)
 		a.Granted, a.AfterMs = answer.Granted, roundUp(answer.RetryAfter)
 		return a, nil
+	case q.Retry != "" && c.pooledRetries > 0:
+		answer := qs.granter.GrantRetry(retryAccount(q.Retry), c.retryBound(a.Nodes), q.Need, q.Urgent, now)
+		a.Granted, a.AfterMs = answer.Granted, roundUp(answer.RetryAfter)
+		return a, nil
 	case q.Customer == "":
 		return a, nil
 	}
@@ -231,6 +235,38 @@
 	return max(time.Millisecond, d.RetryAfter)
 }
 
+// GrantRetry asks for need retries, at most 1, for a service from the pool of all nodes. It returns 0 if they are
+// granted, otherwise the time after which to ask again.
+func (c *Controller) GrantRetry(ctx context.Context, service string, need float64, urgent bool) time.Duration {
+	if c.pooledRetries <= 0 {
+		return maxRetryWait
+	}
+	account, bound := retryAccount(service), c.retryBound(int(c.memberCount.Load()))
+	take := func(now time.Time) quota.Decision {
+		return c.quotas.allowance.TakeRetry(account, bound, need, urgent, now)
+	}
+	d := c.chargeWith(ctx, account, take, need, peer.GrantRequest{Retry: service, Urgent: urgent})
+	if d.Step == quota.Admitted {
+		return 0
+	}
+	return max(minRetryWait, d.RetryAfter)
+}
+
+// The delay after which to ask for a retry again: at least minRetryWait, as a holder of an older release names none, and
+// maxRetryWait where no retries are pooled.
+const (
+	minRetryWait = 10 * time.Millisecond
+	maxRetryWait = time.Minute
+)
+
+// retryBound returns the bound on the pooled retries for one service.
+func (c *Controller) retryBound(nodes int) quota.Bound {
+	return quota.RetryBound(c.pooledRetries, c.o.Retries.Window, nodes)
+}
+
+// retryAccount returns the account name of the retries for a service. Like endpointAccount, it begins with a NUL.
+func retryAccount(service string) string { return retryPrefix + service }
+
 // endpointAccount returns the account name of an endpoint's incarnation. It begins with a NUL, which no customer's
 // name contains.
 func endpointAccount(l signal.Incarnation) string {
@@ -243,6 +279,7 @@
 const (
 	endpointPrefix = "\x00"
 	coldSuffix     = "\x00cold"
+	retryPrefix    = endpointPrefix + "\x00retry\x00"
 )
 
 // roundUp returns d in milliseconds, rounded up: a caller that retries a fraction of a millisecond too early is
@@ -254,10 +291,16 @@
 // charge charges need to an account under a bound, from the amount held by this node or by a grant that it asks the
 // lease holder for with q.
 func (c *Controller) charge(ctx context.Context, account string, bound quota.Bound, need float64, q peer.GrantRequest) quota.Decision {
+	take := func(now time.Time) quota.Decision { return c.quotas.allowance.TakeBound(account, bound, need, now) }
+	return c.chargeWith(ctx, account, take, need, q)
+}
+
+// chargeWith is like charge. take decides by what this node holds, and is called with the lock of the quotas held.
+func (c *Controller) chargeWith(ctx context.Context, account string, take func(now time.Time) quota.Decision, need float64, q peer.GrantRequest) quota.Decision {
 	qs := &c.quotas
 	sent := c.o.Clock.Now()
 	qs.mu.Lock()
-	d := qs.allowance.TakeBound(account, bound, need, sent)
+	d := take(sent)
 	q.Node, q.Partitioned, q.Need, q.Prefetch = c.o.Self.Holder, qs.allowance.Partitioned(), need, d.Prefetch
 	qs.mu.Unlock()
 	if d.Step != quota.NeedsGrant {
@@ -269,7 +312,7 @@
 	now := c.o.Clock.Now()
 	switch {
 	case !ok:
-		d = qs.allowance.TakeBound(account, bound, need, now)
+		d = take(now)
 	case a.Unknown:
 		// This node and the lease holder have different configurations, one of which is about to change.
 		d = quota.Decision{Step: quota.ShareUnknown, RetryAfter: probeEvery}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -32,6 +32,10 @@
 	// returns 0 when the request may be sent, or else the time until the limit has capacity again. If it is nil, rate
 	// limits of endpoints are not enforced.
 	Charge func(ctx context.Context, e view.Endpoint, limit float64) time.Duration
+	// GrantRetry asks for need retries, at most 1, that the named retry budget lacks for one retry; the lease holder
+	// grants them from a pool of all nodes. It returns 0 when they are granted, or else the time after which to ask again.
+	// urgent marks a request whose caller cannot send it again. If it is nil, nothing is granted.
+	GrantRetry func(ctx context.Context, budget string, need float64, urgent bool) time.Duration
 	// SignalsChanged is called when the answer to a request of this node changed the recorded signals of its endpoint.
 	// It may be nil.
 	SignalsChanged func()
@@ -61,6 +65,8 @@
 	heldByLimit int64
 	// withheld is Totals.Withheld.
 	withheld map[string]int64
+	// retriesGranted and retriesDenied are Totals.RetriesGranted and Totals.RetriesDenied.
+	retriesGranted, retriesDenied int64
 	// evacuated is the set of data halls whose endpoints get no requests.
 	evacuated map[string]bool
 	// regions maps each data hall to its region.
@@ -99,11 +105,17 @@
 	}
 }
 
-// budget returns the named retry budget, or that of the pool if name is empty, and creates it on first use.
-func (d *Dispatcher) budget(p *pool, name string) *retry.Budget {
-	if name == "" {
-		name = p.name
+// budgetName returns the name of a request's retry budget, which is that of its pool by default.
+func budgetName(p *pool, req *SlotRequest) string {
+	if req.Budget == "" {
+		return p.name
 	}
+	return req.Budget
+}
+
+// budget returns the retry budget of a request, and creates it on first use.
+func (d *Dispatcher) budget(p *pool, req *SlotRequest) *retry.Budget {
+	name := budgetName(p, req)
 	b := d.budgets[name]
 	if b == nil {
 		b = retry.NewBudget(d.retries)
@@ -118,42 +130,29 @@
 	start := d.clock.Now()
 	d.mu.Lock()
 	p := d.pool(name)
-	b := d.budget(p, req.Budget)
-	for {
-		now := d.clock.Now()
-		err := p.admit(req, b, now)
-		if err == nil {
-			break
-		}
-		at, ok := b.AvailableAt(now)
-		d.mu.Unlock()
-		if !req.Retry || !req.Began || !ok || at.After(req.waitDeadline()) {
-			return nil, err
-		}
-		select {
-		case <-d.clock.After(at.Sub(now)):
-		case <-ctx.Done():
+	b := d.budget(p, &req)
+	if !req.Retry || req.Resend {
+		if err := p.admit(req, b, start); err != nil {
+			d.mu.Unlock()
 			return nil, err
 		}
-		d.mu.Lock()
+		return d.acquireCharged(ctx, p, req, start)
 	}
-	s, err := d.acquireCharged(ctx, p, req, start)
-	if req.Retry && !req.Resend {
-		d.finishRetry(b, err == nil)
+	part, err := d.reserveRetry(ctx, p, b, &req)
+	if err != nil {
+		d.mu.Unlock()
+		return nil, err
 	}
-	return s, err
-}
-
-// finishRetry settles the retry that admit reserved in the budget: it counts from now on if it is sent, and not at
-// all otherwise.
-func (d *Dispatcher) finishRetry(b *retry.Budget, sent bool) {
+	s, err := d.acquireCharged(ctx, p, req, start)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if sent {
-		b.Sent(d.clock.Now())
-		return
+	if err != nil {
+		// A retry that is not sent does not count.
+		b.Release(part)
+		return nil, err
 	}
-	b.Release()
+	b.Sent(part, d.clock.Now())
+	return s, nil
 }
 
 // acquireAdmitted returns a slot for an admitted request that arrived at start, at once if an endpoint is free and
@@ -207,31 +206,48 @@
 }
 
 // Switch acquires a second slot at another endpoint for a request that already holds s. It succeeds only if another
-// endpoint is free now, no request is queued, and the retry budget allows the attempt. The request keeps s until it
-// is released.
-func (d *Dispatcher) Switch(s *Slot, req SlotRequest) (*Slot, bool) {
+// endpoint is free now, no request is queued, and the retry budget or the lease holder allows the attempt. The request
+// keeps s until it is released.
+func (d *Dispatcher) Switch(ctx context.Context, s *Slot, req SlotRequest) (*Slot, bool) {
 	if req.mayCrashEngine() {
 		// The endpoint may be silent because this request crashed its engine.
 		return nil, false
 	}
-	now := d.clock.Now()
 	req.Avoid = append(slices.Clip(req.Avoid), s.Endpoint.Name)
 	// Charging a limited endpoint may take a while, and the attempt in progress may end meanwhile.
 	req.SkipLimited = true
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := s.pool
-	if p.queue.Len() > 0 {
+	if _, ok := d.pickOther(p, &req); !ok {
 		return nil, false
 	}
-	cand, ok := p.pick(now, d.hall, &req)
-	if !ok || slices.Contains(req.Avoid, cand.Name) || !d.budget(p, req.Budget).Spend(now) {
+	b := d.budget(p, &req)
+	part, _, ok := d.tryRetry(ctx, p, b, &req, false)
+	if !ok {
 		return nil, false
 	}
+	// The endpoint may have been taken while the lease holder was asked.
+	cand, ok := d.pickOther(p, &req)
+	if !ok {
+		b.Release(part)
+		return nil, false
+	}
+	now := d.clock.Now()
+	b.Sent(part, now)
 	p.addRunning(cand, &req)
 	return d.slot(p, cand, &req, now, now, false), true
 }
 
+// pickOther picks a free endpoint that the request does not avoid, unless another request is queued.
+func (d *Dispatcher) pickOther(p *pool, req *SlotRequest) (candidate, bool) {
+	if p.queue.Len() > 0 {
+		return candidate{}, false
+	}
+	cand, ok := p.pick(d.clock.Now(), d.hall, req)
+	return cand, ok && !slices.Contains(req.Avoid, cand.Name)
+}
+
 // maxScarceEndpoints is the largest number of endpoints of a scarce pool. The start and end of a scarce pool's work are
 // reported at once, because which of its replicas are busy decides which model is unloaded to free capacity.
 const maxScarceEndpoints = 2
--- a/internal/traffic/dispatcher_test.go
+++ b/internal/traffic/dispatcher_test.go
@@ -233,7 +233,7 @@
 			}
 			ask.Avoid = nil
 			got := ""
-			if next, ok := d.Switch(first, ask); ok {
+			if next, ok := d.Switch(t.Context(), first, ask); ok {
 				got = next.Endpoint.Name
 			}
 			if got != tt.want {
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -62,18 +62,11 @@
 	limit float64
 }
 
-// admit refuses a request that cannot meet its deadline, or a retry for which the budget has nothing left. An admitted
-// retry is reserved in the budget, which finishRetry settles.
+// admit refuses a request that cannot meet its deadline. The first attempt counts in the retry budget.
 func (p *pool) admit(req SlotRequest, budget *retry.Budget, now time.Time) error {
 	if req.Resend {
 		return nil
 	}
-	if req.Retry {
-		if !budget.Reserve(now) {
-			return refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p.name)
-		}
-		return nil
-	}
 	p.arrivals++
 	if p.objective == 0 || req.Objective > 0 && req.Objective < p.objective {
 		p.objective = req.Objective
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -30,6 +30,10 @@
 	// RetryReserve is how many retries in a window each retry budget of this node allows beyond its share of first
 	// attempts.
 	RetryReserve float64 `json:"retryReserve"`
+	// RetriesGranted and RetriesDenied count the answers of the lease holder, or of this node while it is partitioned
+	// from it, about retries that the node's own budget did not allow.
+	RetriesGranted int64 `json:"retriesGranted"`
+	RetriesDenied  int64 `json:"retriesDenied"`
 	// Limited holds the rate limits that endpoints reported, in requests a second by name.
 	Limited map[string]float64 `json:"limitedEndpoints"`
 	// Draining names the draining endpoints. Backoffs holds the time left, in milliseconds by name, of the backoffs
@@ -46,7 +50,8 @@
 func (d *Dispatcher) Totals() Totals {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t := Totals{RetryReserve: d.retries.Reserve, Limited: d.signals.Limits(), Backoffs: d.signals.Backoffs(d.clock.Now()), HeldByLimit: d.heldByLimit, Withheld: maps.Clone(d.withheld)}
+	t := Totals{RetryReserve: d.retries.Reserve, Limited: d.signals.Limits(), Backoffs: d.signals.Backoffs(d.clock.Now()), HeldByLimit: d.heldByLimit, Withheld: maps.Clone(d.withheld),
+		RetriesGranted: d.retriesGranted, RetriesDenied: d.retriesDenied}
 	for _, l := range d.signals.DrainingIncarnations() {
 		t.Draining = append(t.Draining, l.Endpoint)
 	}
--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -37,6 +37,8 @@
 	mu    sync.Mutex
 	timer clockwork.Timer
 	ended bool
+	// events counts the calls of progress.
+	events int
 	// stalled is set once a slot at another endpoint is reserved and the attempt canceled.
 	stalled bool
 }
@@ -58,22 +60,35 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.timer = s.Clock.AfterFunc(first, func() {
-		st.mu.Lock()
-		defer st.mu.Unlock()
-		if st.ended {
-			return
-		}
-		reserved, ok := s.Dispatcher.Switch(slot, req)
-		if !ok {
-			// No other endpoint has a slot. Canceling now would leave the caller with nothing.
-			st.timer.Reset(first)
-			return
+	st.timer = s.Clock.AfterFunc(first, func() { s.switchStalled(ctx, x, st, slot, req, first) })
+	return ctx, st
+}
+
+// switchStalled reserves a slot at another endpoint and cancels the stalled attempt, or tries again after a while. It
+// does not hold st.mu while it reserves, because that may take as long as an answer of the lease holder.
+func (s *Server) switchStalled(ctx context.Context, x *Exchange, st *stall, slot *traffic.Slot, req traffic.SlotRequest, again time.Duration) {
+	st.mu.Lock()
+	ended, events := st.ended, st.events
+	st.mu.Unlock()
+	if ended {
+		return
+	}
+	reserved, ok := s.Dispatcher.Switch(ctx, slot, req)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	switch {
+	case st.ended || st.events != events:
+		// The attempt has ended or gone on meanwhile; progress has set the timer.
+		if ok {
+			reserved.Release(traffic.Result{NotStarted: true, Running: -1})
 		}
+	case !ok:
+		// No other endpoint has a slot. Canceling now would leave the caller with nothing.
+		st.timer.Reset(again)
+	default:
 		x.reserved, st.stalled = reserved, true
-		cancel()
-	})
-	return ctx, st
+		st.cancel()
+	}
 }
 
 // stallTimeout returns the objective d times a factor, but at least minStallTimeout.
@@ -85,6 +100,7 @@
 func (st *stall) progress() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.events++
 	switch {
 	case st.timer == nil:
 	case st.gapTimeout > 0:
--- a/io/peer/grant.go
+++ b/io/peer/grant.go
@@ -25,14 +25,18 @@
 	ErrBadAmount = errors.New("the requested amounts must be finite numbers of at least 0; request what the admitted request costs")
 	// ErrBadLimit is returned for an endpoint without a positive finite limit, or for an endpoint and a customer at once.
 	ErrBadLimit = errors.New("a grant request for an endpoint needs the endpoint's published limit, above 0, and no customer")
+	// ErrBadRetry is returned for a retry of more than one request, or for a retry and an endpoint or customer at once.
+	ErrBadRetry = errors.New("a grant request for a retry needs an amount of at most 1, and no endpoint or customer")
 )
 
-// GrantRequest is a node's request to the lease holder for a grant from the limit of a customer or of an endpoint.
+// GrantRequest is a node's request to the lease holder for a grant from the limit of a customer or of an endpoint, or
+// from the retries that all nodes may make for a service.
 type GrantRequest struct {
 	Node string `json:"node"`
 	// Partitioned is true if the node has been spending its local share of the limit until now.
 	Partitioned bool `json:"alone,omitempty"`
-	// Customer is the customer's name. If it and Endpoint are empty, the request only probes whether the holder answers.
+	// Customer is the customer's name. If it, Endpoint and Retry are empty, the request only probes whether the holder
+	// answers.
 	Customer string `json:"customer,omitempty"`
 	// Endpoint names an endpoint that limits its request rate, Born is the start of its incarnation, and Limit is the
 	// rate that it published, in requests per second.
@@ -41,12 +45,15 @@
 	Limit    float64 `json:"limit,omitempty"`
 	// Cold is true if Limit is the rate that the endpoint accepts while it is cold.
 	Cold bool `json:"cold,omitempty"`
+	// Retry names the service for which a request is to be sent again. Urgent is true if its caller cannot send it again.
+	Retry  string `json:"retry,omitempty"`
+	Urgent bool   `json:"urgent,omitempty"`
 	// Need is the cost of one request, and Prefetch the additional amount to prefetch, in the units of the limit.
 	Need     float64 `json:"need,omitempty"`
 	Prefetch float64 `json:"ahead,omitempty"`
 }
 
-// Check returns ErrBadAmount or ErrBadLimit if the request is invalid.
+// Check returns ErrBadAmount, ErrBadLimit or ErrBadRetry if the request is invalid.
 func (q *GrantRequest) Check() error {
 	for _, x := range []float64{q.Need, q.Prefetch} {
 		if !(x >= 0) || math.IsInf(x, 0) {
@@ -56,6 +63,9 @@
 	if q.Endpoint != "" && (!(q.Limit > 0) || math.IsInf(q.Limit, 0) || q.Customer != "") {
 		return ErrBadLimit
 	}
+	if q.Retry != "" && (q.Need > 1 || q.Endpoint != "" || q.Customer != "") {
+		return ErrBadRetry
+	}
 	return nil
 }
 
--- a/io/peer/grant_test.go
+++ b/io/peer/grant_test.go
@@ -44,7 +44,7 @@
 	h := &fakeHolder{grant: &Grant{}}
 	srv := httptest.NewServer(Handler(h))
 	defer srv.Close()
-	for _, body := range []string{"", "{", `{"need":-1}`, `{"ahead":-0.5}`, `{"need":1e999}`, `{"need":"1"}`, strings.Repeat(" ", maxRequestBytes) + "{}"} {
+	for _, body := range []string{"", "{", `{"need":-1}`, `{"ahead":-0.5}`, `{"need":1e999}`, `{"need":"1"}`, `{"retry":"s","need":2}`, `{"retry":"s","customer":"c"}`, strings.Repeat(" ", maxRequestBytes) + "{}"} {
 		resp, err := http.Post(srv.URL+pathGrant, "application/json", strings.NewReader(body))
 		if err != nil {
 			t.Fatal(err)
