caller, placer: a node that has just started holds requests until it is ready

What callers saw: after all nodes were killed, 'not ready' (503) for as long as the new processes read the state: 0.7 s at 100 nodes, one to two at 300. A caller with one further attempt is often lost by then, since its first one met the kill. Cause: a node refused at once what came before it was ready. That serves a caller where another node is ready; where all start together, none is. Fix: a process that is younger than 5 s and whose store answers holds a request for up to 0.9 s, and for three tenths of its caller's time at most, since callers give up a node that has not read their request by then. Otherwise it refuses at once as before. Test: TestStartingNodeHoldsRequests; without the wait its first case is refused.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -235,7 +235,7 @@
 			BodyBytes: bodyBytes, AnswerBytes: answerBytes, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 			Connections: s.Descriptors * callerShare / 100, HeldBytes: s.MemoryBytes * heldShare / 100,
 		},
-		Endpoints: endpoints, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control,
+		Endpoints: endpoints, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
 	}
 }
 
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -138,6 +138,9 @@
 	holderSeenAt atomic.Pointer[time.Time]
 	// startedAt is when this controller was created.
 	startedAt time.Time
+	// firstReady is closed when the first view that is ready is in force, which wasReady records.
+	firstReady chan struct{}
+	wasReady   bool
 	// relayed is the age mark of the latest relayed store state; nil if none was received.
 	relayed atomic.Pointer[relayMark]
 	// latestLease is the latest lease record known here; nil if there is none.
@@ -241,7 +244,7 @@
 		lease: lease.New(o.Self, o.TakeoverDelay), planner: placement.New(o.Limits), directory: directory.New(),
 		misses: make(map[missKey]time.Time), touched: make(map[string]bool), names: make(interner), index: newIndex(), rebuildAll: true, nodes: make(map[string]follower), outage: lease.NewOutage(o.Self.Holder, o.Fenced), timing: timingFor(o.Bound),
 	}
-	c.startedAt = o.Clock.Now()
+	c.startedAt, c.firstReady = o.Clock.Now(), make(chan struct{})
 	c.peers.init(o.Self.Incarnation)
 	c.published.init()
 	c.relay.init()
@@ -266,6 +269,15 @@
 // Ready reports whether the platform's load balancer may send traffic to this node.
 func (c *Controller) Ready() bool { return c.View().Ready && !c.Stopping() }
 
+// startupTime is how long after its start a node is expected to be ready within moments.
+const startupTime = 5 * time.Second
+
+// AwaitReady implements caller.Starting.
+func (c *Controller) AwaitReady() (ready <-chan struct{}, soon bool) {
+	soon = !c.storeHealth.unavailable() && c.o.Clock.Now().Sub(c.startedAt) < startupTime
+	return c.firstReady, soon
+}
+
 // HoldsLease reports whether this node orders the engines now.
 func (c *Controller) HoldsLease() bool { return c.leading.Load() }
 
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -56,6 +56,10 @@
 	clear(c.touched)
 	c.view.Store(v)
 	c.o.Dispatcher.Update(v, changed)
+	if v.Ready && !c.wasReady {
+		c.wasReady = true
+		close(c.firstReady)
+	}
 }
 
 // updateEndpoint updates the pools of an endpoint, and removes it from all of them if its entry is gone.
--- a/io/caller/identify.go
+++ b/io/caller/identify.go
@@ -11,20 +11,6 @@
 	"olivetiller/core/refusal"
 )
 
-// ready refuses requests while the node has not read the current state, or its state differs from that of other
-// nodes.
-func (s *Server) ready(next Handler) Handler {
-	return func(ctx context.Context, x *Exchange) error {
-		if !x.View.Ready {
-			if x.View.Diverged {
-				return refusal.New(refusal.NotReady, "this node's state has diverged")
-			}
-			return refusal.New(refusal.NotReady, "this node has not read the current state yet")
-		}
-		return next(ctx, x)
-	}
-}
-
 // identify sets the caller of the request by its bearer token.
 func (s *Server) identify(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) error {
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -10,6 +10,8 @@
 type Metrics struct {
 	// Answered counts answered requests, and Resumed streams that were continued at another endpoint.
 	Answered, Resumed expvar.Int
+	// AwaitedReady counts the requests that were held until the node had read the current state.
+	AwaitedReady expvar.Int
 	// Refused counts refusals by kind. Retries counts further attempts by the outcome of the attempt before.
 	Refused, Retries expvar.Map
 	// Histograms of times in milliseconds. Wait is the wait for a slot, and ColdStart the same for requests that
@@ -39,6 +41,7 @@
 	t := new(expvar.Map).Init()
 	t.Set("answered", &m.Answered)
 	t.Set("resumed", &m.Resumed)
+	t.Set("awaitedReady", &m.AwaitedReady)
 	t.Set("refused", &m.Refused)
 	t.Set("retries", &m.Retries)
 	t.Set("signals", &m.Signals)
--- a/io/caller/protocol.go
+++ b/io/caller/protocol.go
@@ -13,6 +13,8 @@
 // Protocol is a wire protocol between callers, this node and endpoints. Filters, queueing and retries are the same
 // for all protocols.
 type Protocol interface {
+	// Patience returns how long the caller of a request waits for its answer; 0 if the request does not say.
+	Patience(r *http.Request) time.Duration
 	// Accept reads the request's head and sets the exchange's id, deadline and target. The default protocol uses
 	// filters instead.
 	Accept(x *Exchange) error
@@ -41,6 +43,15 @@
 // defaultProtocol is the protocol of this product, with problem+json refusals and token events.
 type defaultProtocol struct{}
 
+// Patience implements Protocol.
+func (defaultProtocol) Patience(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // Accept implements Protocol. It does nothing, since the filters identify, deadline and resolve do this.
 func (defaultProtocol) Accept(*Exchange) error { return nil }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -62,6 +62,8 @@
 	// Stopping reports whether a planned shutdown has begun. Answers then ask the load balancer to close its
 	// connection.
 	Stopping func() bool
+	// Starting tells whether a node that is not ready is about to be; nil to refuse requests until it is.
+	Starting Starting
 	// TLS configures TLS; nil to serve plain HTTP.
 	TLS *tls.Config
 	// Protocol replaces the default protocol of this product; nil selects the default.
