quota: partitioned nodes have no burst for cold endpoints

Cause: a node got a burst each time it became partitioned, several times within a second where links flap. Evidence: a list of what the requests of the worst second were sent for: shares of five nodes and one grant. Fix: the bucket of a partitioned node's share begins empty for cold endpoints. Its refill is unchanged.

--- a/core/quota/bound.go
+++ b/core/quota/bound.go
@@ -36,10 +36,11 @@
 
 // Fractions of the requests that a cold endpoint may get in one second. Two granters at once must fit: a node that
 // moves from one to the other counts at both for [AttachmentTTL], which is longer than that second. The remainder
-// covers credit that nodes hold and requests in flight.
+// covers credit that nodes hold and requests in flight. Partitioned nodes have no burst: a node may become partitioned
+// several times within that second.
 const (
-	coldRate, coldCapacity                    = 0.3, 0.1
-	coldPartitionedRate, coldPartitionedBurst = 0.1, 0.05
+	coldRate, coldCapacity = 0.3, 0.1
+	coldPartitionedRate    = 0.1
 )
 
 // Bound returns the bound on requests to a cold endpoint that accepts perSecond requests per second from all nodes
@@ -48,7 +49,7 @@
 	allowed := perSecond*max(1, t.Share) + t.Slack
 	return Bound{
 		Rate: min(perSecond, coldRate*allowed), Capacity: max(1, coldCapacity*allowed),
-		PartitionedRate: coldPartitionedRate * allowed, PartitionedBurst: coldPartitionedBurst * allowed, MinNodes: minNodes,
+		PartitionedRate: coldPartitionedRate * allowed, MinNodes: minNodes,
 	}
 }
 
--- a/core/quota/plays_test.go
+++ b/core/quota/plays_test.go
@@ -105,3 +105,11 @@
 		})
 	}
 }
+
+// TestPartitionedNodesHaveNoBurst guards against nodes that become partitioned from a cold endpoint's granter several
+// times and spend a burst at each.
+func TestPartitionedNodesHaveNoBurst(t *testing.T) {
+	for _, r := range []faultRun{{true, 7, 0.3, 2430}, {true, 7, 0.3, 3129}} {
+		r.check(t)
+	}
+}
