directory, caller: log the software version of endpoints and the streams that callers take up

An entry's config_version is decoded now (directory.Build; of whatever type, since an endpoint must not be lost because of it), and stands in the lines of attempts, answers, refusals and changed endpoints. A stream's first event has a line of its own: if its node is killed, it is the only one. Requests that take a stream up have the id that they name and their position.

No decision changes: nothing reads a build but the log and the comparison of entries.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -12,6 +12,7 @@
 	ID string
 	// Start identifies the incarnation.
 	Start   Start
+	Build   Build `json:",omitzero"`
 	Service string
 	Address string
 	Hall    string
@@ -340,7 +341,7 @@
 // SameRouting reports whether two instances are equal apart from their holdings.
 func SameRouting(a, b *Instance) bool {
 	return a.Start == b.Start && a.Service == b.Service && a.Address == b.Address && a.Hall == b.Hall && a.Slots == b.Slots &&
-		a.Draining == b.Draining && a.Remaining == b.Remaining
+		a.Build == b.Build && a.Draining == b.Draining && a.Remaining == b.Remaining
 }
 
 // SameHoldings reports whether two holdings are equal.
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"olivetiller/core/catalog"
+	"olivetiller/core/directory"
 	"olivetiller/core/ledger"
 	"olivetiller/core/plan"
 )
@@ -23,6 +24,8 @@
 	Hall    string
 	// Version is the version of the unit that the endpoint serves; empty for a plain service.
 	Version string
+	// Build is the version of the endpoint's software.
+	Build directory.Build
 	// Start is when the endpoint's process started, in Unix milliseconds by its own clock; 0 if unknown.
 	Start int64
 	// Incarnation distinguishes a restarted or replaced endpoint from its predecessor of the same name.
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -84,7 +84,7 @@
 
 // indexEndpoint adds an endpoint to the pools that it serves and removes it from all others.
 func (c *Controller) indexEndpoint(e *directory.Entry, now time.Time) {
-	ep := view.Endpoint{Name: e.ID, Address: e.Address, Hall: e.Hall, Start: int64(e.Start), Incarnation: incarnation(e), Concurrency: e.Slots}
+	ep := view.Endpoint{Name: e.ID, Address: e.Address, Hall: e.Hall, Build: e.Build, Start: int64(e.Start), Incarnation: incarnation(e), Concurrency: e.Slots}
 	if ep.Concurrency <= 0 {
 		ep.Concurrency = defaultSlots
 	}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -452,7 +452,7 @@
 	case change == directory.HoldingsChanged:
 		c.o.Logger.Debug("units held by the engine changed", "endpoint", r.ID, "models", len(in.Models), "version", r.Version)
 	default:
-		c.o.Logger.Info("endpoint changed", "endpoint", r.ID, "born", int64(in.Start), "service", in.Service, "address", in.Address, "draining", in.Draining,
+		c.o.Logger.Info("endpoint changed", "endpoint", r.ID, "born", int64(in.Start), "build", in.Build.String(), "service", in.Service, "address", in.Address, "draining", in.Draining,
 			"remainingMs", in.Remaining.Milliseconds(), "version", r.Version, "relayed", r.Relayed)
 	}
 }
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -170,11 +170,11 @@
 
 // logAttempt records an attempt in the exchange and logs it if it failed. n is the number of the attempt, from 1.
 func (s *Server) logAttempt(x *Exchange, slot *traffic.Slot, n int, err error) {
-	x.Progress.Sent, x.Progress.Endpoint = n, slot.Endpoint.Name
+	x.Progress.Sent, x.Progress.Endpoint, x.Progress.Build = n, slot.Endpoint.Name, slot.Endpoint.Build
 	if err == nil {
 		return
 	}
-	s.Logger.Info("attempt failed", "requestId", x.ID, "fingerprint", x.Fingerprint.String(), "attempt", n, "endpoint", slot.Endpoint.Name, "address", slot.Endpoint.Address,
+	s.Logger.Info("attempt failed", "requestId", x.ID, "fingerprint", x.Fingerprint.String(), "attempt", n, "endpoint", slot.Endpoint.Name, "build", slot.Endpoint.Build.String(), "address", slot.Endpoint.Address,
 		"pool", x.Target.Pool, "waitedMs", slot.Waited.Milliseconds(), "outcome", outcomeOf(err).String(),
 		"heldMs", s.Clock.Now().Sub(slot.GrantedAt()).Milliseconds(), "events", x.Progress.Events, "sends", sendsOf(err), "gateway", x.Progress.Gateway, "parts", partNames(x.parts()), "error", err.Error())
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"olivetiller/core/customer"
+	"olivetiller/core/directory"
 	"olivetiller/core/quarantine"
 	"olivetiller/core/view"
 	"olivetiller/internal/traffic"
@@ -62,6 +63,8 @@
 	subjects []quarantine.Fingerprint
 	// Target is set by the resolve filters or Protocol.Accept.
 	Target Target
+	// Resumes is set by Protocol.Accept if the caller takes up a stream that an earlier request of it began.
+	Resumes Resumption
 	// Began is true once part of an answer was written to the caller.
 	Began bool
 	// Progress is what has happened to the request so far, for logs.
@@ -73,6 +76,17 @@
 	reserved *traffic.Slot
 }
 
+// Resumption is a caller's statement that it takes up a stream that broke off.
+type Resumption struct {
+	// Of is the id of the request that brought the first event of the stream; "" if the caller did not say.
+	Of string
+	// Position is the id of the last event that the caller has; "" if the caller did not say.
+	Position string
+}
+
+// Stated reports whether the caller takes a stream up.
+func (r Resumption) Stated() bool { return r != Resumption{} }
+
 // parts returns the subjects that are parts of the prompt.
 func (x *Exchange) parts() []quarantine.Fingerprint { return x.subjects[min(1, len(x.subjects)):] }
 
@@ -89,6 +103,8 @@
 	// Sent counts the attempts. Endpoint is the name of the latest attempt's endpoint.
 	Sent     int
 	Endpoint string
+	// Build is the version of that endpoint's software.
+	Build directory.Build
 	// Gateway is the address of the node by way of which the latest attempt went; "" if it went directly.
 	Gateway string
 	// Waited is the total time spent waiting for slots.
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -62,10 +62,13 @@
 	t := &x.Progress
 	args := []any{
 		"requestId", x.ID, "fingerprint", x.Fingerprint.String(), "customer", x.customerName(), "route", x.Target.Route, "version", x.Target.Version, "pool", x.Target.Pool, "attempts", t.Sent,
-		"endpoint", t.Endpoint, "status", t.Status, "cold", t.Cold, "waitedMs", t.Waited.Milliseconds(),
+		"endpoint", t.Endpoint, "build", t.Build.String(), "status", t.Status, "cold", t.Cold, "waitedMs", t.Waited.Milliseconds(),
 		"expectedMs", t.Expected.Milliseconds(), "firstEventMs", t.FirstEvent.Milliseconds(),
 		"longestPauseMs", t.LongestPause.Milliseconds(),
 	}
+	if x.Resumes.Stated() {
+		args = append(args, "resumes", x.Resumes.Of, "position", x.Resumes.Position)
+	}
 	if t.Gateway != "" {
 		args = append(args, "gateway", t.Gateway)
 	}
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"olivetiller/core/retry"
+	"olivetiller/core/view"
 	"olivetiller/internal/isolation"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/endpoint"
@@ -50,8 +51,9 @@
 	// answers.
 	head     http.Header
 	fallback *answer
-	// slot is the slot of the current attempt until its first event.
-	slot *traffic.Slot
+	// slot is the slot of the current attempt until its first event, and endpoint is that attempt's endpoint.
+	slot     *traffic.Slot
+	endpoint view.Endpoint
 	// stall is the stall watch of the current attempt.
 	stall *stall
 	s     *Server
@@ -81,7 +83,7 @@
 		if r.relayed > 0 {
 			s.Metrics.Resumed.Add(1)
 		}
-		r.head, r.slot = resp.Header, slot
+		r.head, r.slot, r.endpoint = resp.Header, slot, slot.Endpoint
 		if err := r.copy(ctx, resp.Body); err != nil {
 			err = st.withStallCause(resp.BrokenError(err))
 			if callerCtx.Err() != nil || r.callerGone {
@@ -126,6 +128,7 @@
 		return
 	}
 	r.x.Began = true
+	r.s.logBegan(r.x, r.endpoint)
 	h := r.x.W.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
@@ -134,6 +137,12 @@
 	r.x.W.WriteHeader(http.StatusOK)
 }
 
+// logBegan logs the endpoint that begins a stream: its build is the only one at which the stream may go on.
+func (s *Server) logBegan(x *Exchange, e view.Endpoint) {
+	s.Logger.Info("stream began", "requestId", x.ID, "endpoint", e.Name, "born", e.Start, "build", e.Build.String(), "pool", x.Target.Pool,
+		"resumes", x.Resumes.Of, "position", x.Resumes.Position)
+}
+
 // copy forwards events until the stream is complete. It drops an incomplete event of an earlier attempt, since the
 // endpoint that resumes the stream sends that token again from its start.
 func (r *relay) copy(ctx context.Context, body io.Reader) error {
