--- a/cmd/olivebench/main.go
+++ b/cmd/olivebench/main.go
@@ -42,6 +42,7 @@
 	Overload    overloadCmd    `cmd:"" help:"Send multiples of what one engine can serve, as an open loop."`
 	Quarantine  quarantineCmd  `cmd:"" help:"Simulate requests that crash engines, with and without the quarantine, in virtual time."`
 	Quota       quotaCmd       `cmd:"" help:"Simulate designs of keeping customers' limits over several nodes, in virtual time."`
+	Streams     streamsCmd     `cmd:"" help:"Simulate designs of learning at which software version a stream began, in virtual time."`
 	Once        onceCmd        `cmd:"" help:"Send requests that must not run twice, each through two nodes, under faults."`
 }
 
