--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/uuid"
 
+	"olivetiller/core/origin"
 	"olivetiller/core/position"
 )
 
@@ -17,6 +18,8 @@
 	Margin = 700 * time.Millisecond
 	// RenewEvery is the interval between two renewals.
 	RenewEvery = 600 * time.Millisecond
+	// urgentEvery is the least interval between two renewals of which the second has to change the ledger.
+	urgentEvery = 50 * time.Millisecond
 	// RetryEvery is the pause after a failed append. It limits the load on the store: refused appends
 	// cost it as much as accepted ones.
 	RetryEvery = 400 * time.Millisecond
@@ -49,6 +52,8 @@
 	// Era is the store's era in which the record was sent. A record at a position of a later era was
 	// copied there by a restore, or took effect late; it gives nobody the lease.
 	Era uint64 `json:"era,omitempty"`
+	// Ledger names the builds at which streams may have begun; nil if the holder keeps none.
+	Ledger *origin.Ledger `json:"ledger,omitempty"`
 }
 
 // SameIncarnation reports whether two records were written by the same incarnation of the same node.
@@ -105,6 +110,12 @@
 	// while the store is unreachable; it is zero once another holder is known or an engine has refused
 	// the fencing number.
 	heldUntil time.Time
+	// ledger is that of the latest record of this era that was read, whoever wrote it; nil if it had none. ledgerRead is
+	// true if a record of this era was read.
+	ledger     *origin.Ledger
+	ledgerRead bool
+	// urgent is true if the holder's next record must not wait for RenewEvery.
+	urgent bool
 }
 
 // New returns the lease of a node that has read nothing yet. The node waits for delay in addition to
@@ -124,6 +135,8 @@
 	if era := position.Era(p); l.eraSeenAt.IsZero() || era > position.Era(l.end) {
 		// A takeover in an era without records waits for TTL from here.
 		l.eraSeenAt, l.eraWritten = now, era == 0
+		// A restore may have lost the latest ledgers.
+		l.ledger, l.ledgerRead = nil, false
 	}
 	l.end = p
 }
@@ -140,6 +153,7 @@
 		return
 	}
 	l.eraWritten = true
+	l.ledger, l.ledgerRead = r.Ledger, true
 	same := r.SameIncarnation(l.holder)
 	switch {
 	case r.Release && same:
@@ -225,7 +239,7 @@
 	case l.readAt.IsZero() && !relayed || !l.sentAt.IsZero() || now.Before(l.retryAt):
 		return false
 	case l.heldBySelf() && now.Before(l.until):
-		return now.Sub(l.seenAt) >= RenewEvery
+		return now.Sub(l.seenAt) >= RenewEvery || l.urgent && now.Sub(l.seenAt) >= urgentEvery
 	case !l.eraWritten && now.Sub(l.eraSeenAt) < TTL:
 		// Another node may have taken the lease by a record that the restore lost, and may send orders
 		// until its term is over.
@@ -257,6 +271,19 @@
 	return l.self
 }
 
+// Ledger returns the ledger of the latest record that was read. It is nil if that record has none, if no record of the
+// store's era is known, or if an earlier one was lost; first is true if no record was ever written.
+func (l *Lease) Ledger() (ledger *origin.Ledger, first bool) {
+	return l.ledger, !l.ledgerRead && !l.readAt.IsZero() && l.end == 0
+}
+
+// SetLedger sets [Record.Ledger] of the records that this node writes.
+func (l *Lease) SetLedger(ledger *origin.Ledger) { l.self.Ledger = ledger }
+
+// SetUrgent sets whether the holder's next record must not wait for the interval of renewals, because the ledger has to
+// change.
+func (l *Lease) SetUrgent(urgent bool) { l.urgent = urgent }
+
 // SetMembers sets [Record.Members] of the records that this node writes.
 func (l *Lease) SetMembers(n int) { l.self.Members = n }
 
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -76,6 +76,11 @@
 	StillRunning Kind = "stillRunning"
 	// EndpointFailed means that the endpoints that were tried failed, and the request may have run.
 	EndpointFailed Kind = "endpointFailed"
+	// StreamUnknown means that nobody knows at which software version the stream began that the caller takes up.
+	StreamUnknown Kind = "streamUnknown"
+	// BuildGone means that no endpoint of the software version at which the stream began takes requests, so that it cannot
+	// go on.
+	BuildGone Kind = "buildGone"
 	// Quarantined means that the request is withheld from engines because it is suspected of crashing them.
 	Quarantined Kind = "quarantined"
 	// TimedOut means that the deadline passed during an attempt.
@@ -123,6 +128,8 @@
 	OutcomeUnknown:     {http.StatusConflict, false, "check at the service whether the request ran before making a new one", 0},
 	StillRunning:       {http.StatusConflict, false, "ask again with the same key after the hint", time.Second},
 	EndpointFailed:     {http.StatusBadGateway, false, "repeat the request if it may run twice", time.Second},
+	StreamUnknown:      {http.StatusServiceUnavailable, true, "begin a new stream, without the events that you have; if there is a hint, this one may go on after it", 0},
+	BuildGone:          {http.StatusServiceUnavailable, true, "begin a new stream, without the events that you have", 0},
 	Quarantined:        {http.StatusServiceUnavailable, true, "do not send it again as it is: engines end under it; operators can release it", 10 * time.Minute},
 	TimedOut:           {http.StatusGatewayTimeout, false, "allow more time; repeat the request if it may run twice", 0},
 	Internal:           {http.StatusInternalServerError, false, "report the request id to the operators", 0},
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -114,6 +115,11 @@
 // Model returns a model of a service by name, or nil.
 func (t *Table) Model(service, model string) *Model { return t.models[ModelKey{service, model}] }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s Share) bool { return s.Service == service && (s.Weight > 0 || len(r.Services) == 1) })
+}
+
 // Pick returns the name of the service for a request, at random by weight. It depends only on the request's id, so
 // that all attempts of a request go to the same service.
 func (r *Route) Pick(id string) string {
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -13,6 +13,7 @@
 	"olivetiller/core/catalog"
 	"olivetiller/core/directory"
 	"olivetiller/core/ledger"
+	"olivetiller/core/origin"
 	"olivetiller/core/plan"
 )
 
@@ -64,6 +65,10 @@
 	// in requests a second, by endpoint name.
 	Evacuated []string
 	Cold      map[string]float64
+	// Builds counts the endpoints that may take requests by service and build, whatever models they hold; nil if builds
+	// are not tracked. NewBuilds are those of them at which no stream may begin yet.
+	Builds    map[origin.Origin]int
+	NewBuilds map[origin.Origin]bool
 	// Live are the names of the live nodes, sorted.
 	Live []string
 }
@@ -88,6 +93,18 @@
 // contains no slash.
 func ServicePool(name string) string { return "service/" + name }
 
+// BoundPool returns the key in [View.ReadyAt] of the part of a pool that is restricted to a build; the pool itself if it
+// is not bound.
+func BoundPool(pool string, bound bool, build directory.Build) string {
+	if !bound {
+		return pool
+	}
+	return pool + boundSeparator + build.String()
+}
+
+// boundSeparator is in no name of a unit.
+const boundSeparator = "\x00"
+
 // Service is a live instance of a plain service.
 type Service struct {
 	Service string
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -28,6 +28,7 @@
 	"olivetiller/core/route"
 	"olivetiller/core/view"
 	"olivetiller/internal/isolation"
+	"olivetiller/internal/origins"
 	"olivetiller/internal/paths"
 	"olivetiller/internal/placer"
 	"olivetiller/internal/traffic"
@@ -135,6 +136,8 @@
 	isolation *isolation.Guard
 	// paths connects to endpoints, for this node and for nodes that do not reach them.
 	paths *paths.Paths
+	// origins knows where streams began.
+	origins *origins.Tracker
 	// shedder chooses the connections of callers that are closed unread because this node is overloaded.
 	shedder *shedder
 	caller  *caller.Server
@@ -182,7 +185,7 @@
 		n.Kill()
 		return nil, err
 	}
-	if err := n.serve(s.PeerAddress, peer.Handler(n.control, n.paths, n.clock)); err != nil {
+	if err := n.serve(s.PeerAddress, peer.Handler(n.control, n.paths, n.origins, n.clock)); err != nil {
 		n.Kill()
 		return nil, err
 	}
@@ -194,6 +197,7 @@
 	}
 	n.wg.Go(func() { n.control.Run(ctx) })
 	n.wg.Go(func() { n.paths.Run(ctx) })
+	n.wg.Go(func() { n.origins.Run(ctx) })
 	n.wg.Go(func() { n.shedder.run(ctx) })
 	n.wg.Go(func() { n.logServerError("callers", n.caller.Serve(callers)) })
 	n.logger.Info("started", "dataHall", s.Hall, "callerAddress", s.CallerAddress, "peerAddress", s.PeerAddress, "stopTimeoutMs", s.StopTimeout.Milliseconds())
@@ -250,6 +254,9 @@
 		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Hall: s.Hall, Strength: s.Cores * s.LinkMbps, Bound: s.ReactionBound, Fenced: s.Fenced, Tolerance: s.Tolerance, ColdTolerance: s.Cold,
 		Own: []string{s.CallerAddress, s.ReadyAddress, s.PeerAddress, s.MetricsAddress},
 	})
+	n.origins = origins.New(origins.Options{
+		Clock: n.clock, Logger: n.logger.Named("origins"), Self: s.PeerAddress, Nodes: n.control.Nodes, Peers: peers, Concluder: n.control,
+	})
 	n.shedder = &shedder{clock: n.clock}
 	n.caller = &caller.Server{
 		Clock: n.clock, Logger: n.logger.Named("caller"), Dispatcher: n.traffic, TakeConnection: n.shedder.take,
@@ -257,7 +264,7 @@
 			BodyBytes: bodyBytes, AnswerBytes: answerBytes, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 			Connections: s.Descriptors * callerShare / 100, HeldBytes: s.MemoryBytes * heldShare / 100,
 		},
-		Endpoints: endpoints, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
+		Endpoints: endpoints, Origins: n.origins, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
 	}
 }
 
@@ -334,6 +341,7 @@
 	tree.Set("control", n.control.Metrics())
 	tree.Set("isolation", n.isolation.Tree())
 	tree.Set("paths", n.paths.Tree())
+	tree.Set("origins", n.origins.Tree())
 	mux := http.NewServeMux()
 	n.handleQuarantine(mux)
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
@@ -357,6 +365,7 @@
 	n.logger.Info("stopping", "active", n.caller.Active())
 	n.paths.Stop()
 	n.control.BeginStop(ctx)
+	n.origins.HandOver()
 	timer := n.clock.AfterFunc(n.s.StopTimeout-waitReserve, n.traffic.StopWaiting)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/internal/placer/builds.go
@@ -0,0 +1,261 @@
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"olivetiller/core/directory"
+	"olivetiller/core/lease"
+	"olivetiller/core/origin"
+	"olivetiller/core/position"
+	"olivetiller/core/route"
+	"olivetiller/core/view"
+)
+
+// builds is what the owner keeps for the ledger of builds.
+type builds struct {
+	// ledger is the ledger that the view in force was built with; nil if none is known.
+	ledger *origin.Ledger
+	// table is the configuration that this node, as the lease holder, has taken into account in its latest ledger, and at
+	// is when it sent that.
+	table *route.Table
+	at    time.Time
+	// changed is set if the ledger has changed since the view in force was built.
+	changed bool
+}
+
+// followLedger takes over the ledger of the latest lease record.
+func (c *Controller) followLedger() {
+	next, _ := c.lease.Ledger()
+	if next.Equal(c.builds.ledger) {
+		return
+	}
+	c.builds.ledger, c.builds.changed, c.viewStale = next, true, true
+	if next != nil {
+		c.o.Logger.Info("builds admitted", "builds", admittedNames(next), "unsettled", next.UnsettledMs > 0, "config", next.Config)
+	}
+}
+
+// admittedNames returns the builds of a ledger by service, for the log.
+func admittedNames(l *origin.Ledger) map[string][]string {
+	out := make(map[string][]string, len(l.Services))
+	for service, b := range l.Services {
+		out[service] = []string{}
+		for _, a := range b.Admitted {
+			out[service] = append(out[service], a.Build.String())
+		}
+	}
+	return out
+}
+
+// setBuilds sets the builds of a view.
+func (c *Controller) setBuilds(v *view.View) {
+	v.Builds = c.index.builds()
+	l := c.builds.ledger
+	if l == nil {
+		// Holders of earlier releases keep no ledger, and nothing can be told of any build.
+		return
+	}
+	for o := range v.Builds {
+		if !l.Admits(o.Service, o.Build) {
+			if v.NewBuilds == nil {
+				v.NewBuilds = make(map[origin.Origin]bool)
+			}
+			v.NewBuilds[o] = true
+		}
+	}
+}
+
+// lacksBuild reports whether the ledger of the latest record lacks a build of an endpoint that takes requests.
+func (c *Controller) lacksBuild() bool {
+	l, _ := c.lease.Ledger()
+	if l == nil {
+		return true
+	}
+	for o := range c.index.builds() {
+		if !l.Admits(o.Service, o.Build) {
+			return true
+		}
+	}
+	return false
+}
+
+// nextLedger returns the ledger for the next lease record of this node.
+func (c *Controller) nextLedger(now time.Time) *origin.Ledger {
+	last, first := c.lease.Ledger()
+	switch {
+	case first:
+		last = origin.First()
+	case last == nil:
+		last = origin.Unknown()
+	}
+	o := origin.Observed{Present: make(origin.Present)}
+	for in := range c.index.builds() {
+		o.Present[in.Service] = append(o.Present[in.Service], in.Build)
+	}
+	if t := c.Table(); t != nil {
+		o.Config = t.Config.Version
+		o.Moved = movedServices(c.builds.table, t, last.Config)
+		c.builds.table = t
+	}
+	if c.held && !c.builds.at.IsZero() {
+		o.Elapsed = now.Sub(c.builds.at)
+	}
+	c.builds.at = now
+	return last.Next(o)
+}
+
+// movedServices returns the services to or from which streams on routes may have moved between two configurations. known
+// is the version up to which moves were taken into account; if old, which may be nil, is not of that version, any stream
+// may have moved.
+func movedServices(old, next *route.Table, known int64) []string {
+	switch {
+	case known == 0 || known >= next.Config.Version:
+		return nil
+	case old == nil || old.Config.Version != known:
+		return resumableServices(next)
+	}
+	moved := make(map[string]bool)
+	note := func(from, to *route.Route) {
+		if from == nil || to == nil || !from.Resumable || !to.Resumable || slices.Equal(from.Services, to.Services) {
+			return
+		}
+		for _, r := range []*route.Route{from, to} {
+			for _, s := range r.Services {
+				moved[s.Service] = true
+			}
+		}
+	}
+	for i := range old.Config.Routes {
+		r := &old.Config.Routes[i]
+		note(r, next.Match(r.Host, r.Prefix))
+	}
+	for i := range next.Config.Routes {
+		r := &next.Config.Routes[i]
+		note(old.Match(r.Host, r.Prefix), r)
+	}
+	out := make([]string, 0, len(moved))
+	for s := range moved {
+		out = append(out, s)
+	}
+	return out
+}
+
+// resumableServices returns the services of all routes whose streams may be taken up.
+func resumableServices(t *route.Table) []string {
+	var out []string
+	for i := range t.Config.Routes {
+		for _, s := range t.Config.Routes[i].Services {
+			if t.Config.Routes[i].Resumable && !slices.Contains(out, s.Service) {
+				out = append(out, s.Service)
+			}
+		}
+	}
+	return out
+}
+
+// soleBuildTimeout bounds the reads by which the origin of a stream is concluded; the store answers within milliseconds.
+const soleBuildTimeout = 500 * time.Millisecond
+
+// Errors of SoleBuild.
+var (
+	errNoLedger      = errors.New("no ledger of builds is known")
+	errSeveralBuilds = errors.New("streams may have begun at several builds or services")
+	errConfigBehind  = errors.New("the configuration of this node is not the newest, or not taken into account in the ledger")
+)
+
+// SoleBuild implements [origins.Concluder]: it reads the latest lease record and the operators' topic to their ends. No
+// stream begins at a build that the lease record does not name, and a request that arrived before the reads takes up a
+// stream that began before them.
+func (c *Controller) SoleBuild(ctx context.Context, service string, version int64) (directory.Build, error) {
+	ctx, cancel := context.WithTimeout(ctx, soleBuildTimeout)
+	defer cancel()
+	l, err := c.newestLedger(ctx)
+	if err != nil {
+		return directory.Build{}, err
+	}
+	if err := c.checkNewestConfig(ctx, version); err != nil {
+		return directory.Build{}, err
+	}
+	if l.Config < version {
+		return directory.Build{}, errConfigBehind
+	}
+	build, ok := l.Sole(service)
+	if !ok {
+		return directory.Build{}, errSeveralBuilds
+	}
+	return build, nil
+}
+
+// newestLedger returns the ledger of the newest lease record in the store.
+func (c *Controller) newestLedger(ctx context.Context) (*origin.Ledger, error) {
+	mark := c.leaseRead.Load()
+	if mark == nil {
+		return nil, errNoLedger
+	}
+	ledger, next := mark.ledger, mark.end
+	for {
+		page, err := c.o.Store.Lease(ctx, next, 0)
+		if err != nil {
+			return nil, fmt.Errorf("the newest ledger of builds cannot be read: %w", err)
+		}
+		if position.Era(page.Next) != position.Era(mark.end) {
+			return nil, errNoLedger
+		}
+		for _, r := range page.Records {
+			var rec lease.Record
+			if err := json.Unmarshal(r.Value, &rec); err != nil || rec.Era != position.Era(r.Offset) {
+				ledger = nil
+				continue
+			}
+			ledger = rec.Ledger
+		}
+		if page.Next >= page.End {
+			break
+		}
+		next = page.Next
+	}
+	if ledger == nil {
+		return nil, errNoLedger
+	}
+	return ledger, nil
+}
+
+// checkNewestConfig returns an error unless a version of the configuration is shown to be the newest in the store.
+func (c *Controller) checkNewestConfig(ctx context.Context, version int64) error {
+	cc := c.config.Load()
+	if cc.version() != version || cc.readTo == 0 {
+		return errConfigBehind
+	}
+	page, err := c.o.Store.Configs(ctx, cc.readTo, 0)
+	if err != nil {
+		return fmt.Errorf("the newest configuration cannot be read: %w", err)
+	}
+	if page.Next < page.End || len(page.Damaged) > 0 || position.Era(page.Next) != position.Era(cc.readTo) {
+		return errConfigBehind
+	}
+	for _, r := range page.Records {
+		if t := r.Value.Table; t != nil && t.Config.Version > version {
+			return errConfigBehind
+		}
+	}
+	return nil
+}
+
+// leaseRead is up to where the lease topic is known, with the ledger of the latest record before.
+type leaseRead struct {
+	end    position.Position
+	ledger *origin.Ledger
+}
+
+// updateLeaseRead updates what SoleBuild reads on from.
+func (c *Controller) updateLeaseRead() {
+	ledger, _ := c.lease.Ledger()
+	if m := c.leaseRead.Load(); m == nil || m.end != c.lease.End() || m.ledger != ledger {
+		c.leaseRead.Store(&leaseRead{c.lease.End(), ledger})
+	}
+}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -149,7 +149,9 @@
 	gateways gatewayState
 	// latestLease is the latest lease record known here; nil if there is none.
 	latestLease atomic.Pointer[peer.LeaseMark]
-	peers       peerList
+	// leaseRead is up to where the lease topic is known; nil if nothing is.
+	leaseRead atomic.Pointer[leaseRead]
+	peers     peerList
 	// leading is set while this node holds the lease. leaseUncertain is set until the lease topic was read, and again
 	// after a failed append, a handover or a restore of the store. The lease reader is idle while leading is set and
 	// leaseUncertain is not, since a holder knows the end of the topic from its own appends.
@@ -237,6 +239,7 @@
 	runLocks      runLocks
 	// overdueConfig tracks whether the configuration is confirmed in time.
 	overdueConfig overdueConfig
+	builds        builds
 	// boundUnheld is true if a node of this fleet may miss the platform's bound.
 	boundUnheld bool
 }
@@ -368,6 +371,8 @@
 	now := c.o.Clock.Now()
 	c.maintainLease(ctx, now)
 	c.updateLatestLease()
+	c.updateLeaseRead()
+	c.followLedger()
 	c.logRestarts()
 	c.applyDraining(now)
 	c.sendReport(ctx, now)
@@ -385,8 +390,10 @@
 // maintainLease renews or takes the lease, and starts or ends this node's term when the lease is gained or lost.
 func (c *Controller) maintainLease(ctx context.Context, now time.Time) {
 	c.handOver(ctx, now)
+	c.lease.SetUrgent(c.held && c.listed && c.lacksBuild())
 	if c.lease.ShouldAppend(now) && !c.handingOver && !c.stopping.Load() && !c.defersToHolder(now) && !c.listTimedOut(now) {
 		c.lease.SetMembers(c.quotas.members(now))
+		c.lease.SetLedger(c.nextLedger(now))
 		rec := c.lease.Begin(now, c.outage.Others(now))
 		go c.append(ctx, c.lease.End(), rec)
 	}
--- a/internal/placer/followers.go
+++ b/internal/placer/followers.go
@@ -40,7 +40,7 @@
 		return
 	}
 	now := c.o.Clock.Now()
-	c.nodes[m.r.Node] = follower{reportedAt: now, strength: m.r.Strength, storeUnavailable: m.r.StoreUnreachable, address: m.r.Address, hall: m.r.Hall, cutOff: m.r.CutOff}
+	c.nodes[m.r.Node] = follower{reportedAt: now, strength: m.r.Strength, storeUnavailable: m.r.StoreUnreachable, address: m.r.Address, hall: m.r.Hall, cutOff: m.r.CutOff, stopping: m.r.Stopping}
 	c.outage.ReportReceived(m.r.Node, lease.Report{At: now, StoreUnreachable: m.r.StoreUnreachable, Stopping: m.r.Stopping})
 	uses := make([]placement.Usage, 0, len(m.r.Use))
 	for _, w := range m.r.Use {
--- a/internal/placer/gateways.go
+++ b/internal/placer/gateways.go
@@ -73,6 +73,14 @@
 	g.gateways = gateways
 }
 
+// Nodes returns the nodes that all nodes know of, which include this one if it is among them.
+func (c *Controller) Nodes() []reach.Gateway {
+	g := &c.gateways
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gateways
+}
+
 // TakesRequests reports whether the address is that of an endpoint that takes requests.
 func (c *Controller) TakesRequests(address string) bool {
 	g := &c.gateways
--- a/internal/placer/index.go
+++ b/internal/placer/index.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"olivetiller/core/origin"
 	"olivetiller/core/view"
 )
 
@@ -19,43 +20,112 @@
 	shared bool
 	// changedPools are the pools that changed since the last call of changed.
 	changedPools map[string]bool
+	// pooled counts the endpoints that are in at least one pool.
+	pooled int
+	// counts holds the number of endpoints of each build, and published is the copy of it that views use; nil after a
+	// change.
+	counts    map[origin.Origin]*buildCount
+	published map[origin.Origin]int
 }
 
 type indexed struct {
 	endpoint *view.Endpoint
 	pools    []string
+	build    *buildCount
+}
+
+// buildCount counts the endpoints of one build.
+type buildCount struct {
+	origin.Origin
+	n int
 }
 
 func newIndex() *index {
-	return &index{byEndpoint: make(map[string]indexed), byPool: make(map[string][]*view.Endpoint), changedPools: make(map[string]bool)}
+	return &index{
+		byEndpoint: make(map[string]indexed), byPool: make(map[string][]*view.Endpoint), changedPools: make(map[string]bool),
+		counts: make(map[origin.Origin]*buildCount),
+	}
+}
+
+// remove removes an endpoint, which takes no requests any more.
+func (x *index) remove(name string) {
+	old, known := x.byEndpoint[name]
+	if !known {
+		return
+	}
+	x.move(old.pools, name, nil, nil, false)
+	x.count(old.build, -1)
+	delete(x.byEndpoint, name)
 }
 
-// set adds an endpoint to the given pools and removes it from all others.
-func (x *index) set(ep view.Endpoint, pools []string) {
+// set adds an endpoint of a service to the given pools and removes it from all others. An endpoint may be in none.
+func (x *index) set(ep view.Endpoint, service string, pools []string) {
 	old, known := x.byEndpoint[ep.Name]
 	same := known && *old.endpoint == ep
-	if same && slices.Equal(old.pools, pools) {
+	build := x.buildCount(origin.Origin{Service: service, Build: ep.Build})
+	if same && old.build == build && slices.Equal(old.pools, pools) {
 		return
 	}
 	next := &ep
 	if same {
 		next = old.endpoint
 	}
-	for _, pool := range old.pools {
-		if !slices.Contains(pools, pool) {
-			x.change(pool, ep.Name, nil)
+	x.move(old.pools, ep.Name, next, pools, same)
+	if old.build != build {
+		x.count(old.build, -1)
+		x.count(build, 1)
+	}
+	x.byEndpoint[ep.Name] = indexed{next, pools, build}
+}
+
+// move moves an endpoint from some pools to others. same is true if it has not changed itself.
+func (x *index) move(from []string, name string, ep *view.Endpoint, to []string, same bool) {
+	for _, pool := range from {
+		if !slices.Contains(to, pool) {
+			x.change(pool, name, nil)
 		}
 	}
-	for _, pool := range pools {
-		if !same || !slices.Contains(old.pools, pool) {
-			x.change(pool, ep.Name, next)
+	for _, pool := range to {
+		if !same || !slices.Contains(from, pool) {
+			x.change(pool, name, ep)
 		}
 	}
-	if len(pools) == 0 {
-		delete(x.byEndpoint, ep.Name)
+	x.pooled += min(1, len(to)) - min(1, len(from))
+}
+
+// buildCount returns the counter of a build.
+func (x *index) buildCount(o origin.Origin) *buildCount {
+	c := x.counts[o]
+	if c == nil {
+		c = &buildCount{Origin: o}
+		x.counts[o] = c
+	}
+	return c
+}
+
+// count adds to the counter of a build, which may be nil.
+func (x *index) count(c *buildCount, by int) {
+	if c == nil {
 		return
 	}
-	x.byEndpoint[ep.Name] = indexed{next, pools}
+	c.n += by
+	x.published = nil
+	if c.n == 0 {
+		delete(x.counts, c.Origin)
+	}
+}
+
+// builds returns the number of endpoints of each build. The result is not modified later.
+func (x *index) builds() map[origin.Origin]int {
+	if x.published == nil {
+		x.published = make(map[origin.Origin]int, len(x.counts))
+		for o, c := range x.counts {
+			if c.n > 0 {
+				x.published[o] = c.n
+			}
+		}
+	}
+	return x.published
 }
 
 // change adds an endpoint to a pool, or removes it if ep is nil.
@@ -107,11 +177,11 @@
 	return out
 }
 
-// has reports whether an endpoint is in any pool.
+// has reports whether an endpoint takes requests.
 func (x *index) has(endpoint string) bool {
 	_, ok := x.byEndpoint[endpoint]
 	return ok
 }
 
 // endpoints returns how many endpoints are in at least one pool.
-func (x *index) endpoints() int { return len(x.byEndpoint) }
+func (x *index) endpoints() int { return x.pooled }
--- a/internal/placer/index_test.go
+++ b/internal/placer/index_test.go
@@ -24,8 +24,8 @@
 			name := fmt.Sprint("e", rapid.IntRange(0, 6).Draw(t, "endpoint"))
 			pools := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"p", "q", "r"}), rapid.ID[string]).Draw(t, "pools")
 			ep := view.Endpoint{Name: name, Concurrency: rapid.IntRange(1, 3).Draw(t, "concurrency")}
-			x.set(ep, pools)
-			all[name] = indexed{&ep, pools}
+			x.set(ep, "s", pools)
+			all[name] = indexed{endpoint: &ep, pools: pools}
 			if step%3 == 0 {
 				given = append(given, x.pools())
 				copied := make(map[string][]view.Endpoint)
--- a/internal/placer/lookup.go
+++ b/internal/placer/lookup.go
@@ -100,17 +100,23 @@
 }
 
 // peerAddresses returns up to lookupPeers addresses of reporting nodes, ordered by hash, so that all followers receive
-// the same ones and these are spread over the data halls. It also returns the gateways, which include this node.
+// the same ones and these are spread over the data halls. It also returns the gateways: this node, and those of the
+// others that are not about to stop.
 func (c *Controller) peerAddresses() (peers []string, gateways []reach.Gateway) {
-	nodes := make([]reach.Gateway, 0, len(c.nodes)+1)
+	nodes, staying := make([]reach.Gateway, 0, len(c.nodes)), make([]reach.Gateway, 0, len(c.nodes)+1)
 	for _, f := range c.nodes {
-		if f.address != "" {
-			nodes = append(nodes, reach.Gateway{Address: f.address, Hall: f.hall})
+		if f.address == "" {
+			continue
+		}
+		n := reach.Gateway{Address: f.address, Hall: f.hall}
+		nodes = append(nodes, n)
+		if !f.stopping {
+			staying = append(staying, n)
 		}
 	}
 	sortByHash(nodes)
 	for _, n := range nodes[:min(len(nodes), lookupPeers)] {
 		peers = append(peers, n.Address)
 	}
-	return peers, chooseGateways(append(nodes, reach.Gateway{Address: c.o.Self.Address, Hall: c.o.Hall}))
+	return peers, chooseGateways(append(staying, reach.Gateway{Address: c.o.Self.Address, Hall: c.o.Hall}))
 }
--- a/internal/placer/metrics.go
+++ b/internal/placer/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 
 	"olivetiller/core/logstore"
+	"olivetiller/core/view"
 )
 
 // Metrics returns the state of the controller for the metrics address.
@@ -45,10 +46,30 @@
 			Evacuated []string           `json:"evacuatedHalls"`
 			Cold      map[string]float64 `json:"coldEndpoints"`
 
+			// Builds counts the endpoints that take requests by service and software version, and NewBuilds are those of
+			// them at which no stream may begin yet.
+			Builds    map[string]map[string]int `json:"builds"`
+			NewBuilds []string                  `json:"newBuilds"`
+
 			Faults map[logstore.Reason]int `json:"recordsPassedOver"`
 		}{Ready: c.Ready(), Version: v.Revision, Pools: v.Pools(), Loading: len(v.ReadyAt), Holder: c.publishedIncarnation() != "", Store: c.storeLoads.Load(), Again: c.engineRestarts.Load(), PutBacks: c.restores.Load(), ConfigAge: c.configAgeMs(), ConfigsOverdue: c.configsOverdue.Load(), FeedAge: c.relayAgeMs(), Faults: c.faults.all(),
 			Nodes: c.feeding.nodes.Load(), Feeders: len(c.feeding.plan()), Feeds: c.isFeeder(), Fed: c.published.openRequests() + c.relay.openRequests(), HolderAge: c.holderAgeMs(),
-			Gateways: len(c.Gateways("")), Evacuated: v.Evacuated, Cold: v.Cold}
+			Gateways: len(c.Gateways("")), Evacuated: v.Evacuated, Cold: v.Cold, Builds: buildsByService(v)}
+		for o := range v.NewBuilds {
+			m.NewBuilds = append(m.NewBuilds, o.String())
+		}
 		return m
 	})
 }
+
+// buildsByService returns the endpoints of a view by service and build.
+func buildsByService(v *view.View) map[string]map[string]int {
+	out := make(map[string]map[string]int)
+	for o, n := range v.Builds {
+		if out[o.Service] == nil {
+			out[o.Service] = make(map[string]int)
+		}
+		out[o.Service][o.Build.String()] = n
+	}
+	return out
+}
--- a/internal/placer/publication.go
+++ b/internal/placer/publication.go
@@ -158,7 +158,7 @@
 			engines = append(engines, id)
 		}
 	}
-	if p.setReadyAt(planner.ReadyAt()) {
+	if p.setReadyAt(readyAtByPool(planner)) {
 		p.readyVersion = next
 		changed = true
 		for pool := range p.readyAt {
@@ -193,19 +193,16 @@
 // readySlack is by how much an expected ready time must move to be published again.
 const readySlack = 150 * time.Millisecond
 
-func (p *publication) setReadyAt(ready map[placement.Unit]time.Time) bool {
+func (p *publication) setReadyAt(ready map[string]time.Time) bool {
 	changed := len(ready) != len(p.readyAt)
-	for u, at := range ready {
-		old, ok := p.readyAt[u.Pool()]
+	for pool, at := range ready {
+		old, ok := p.readyAt[pool]
 		if d := at.Sub(old); !ok || d > readySlack || d < -readySlack {
 			changed = true
 		}
 	}
 	if changed {
-		p.readyAt = make(map[string]time.Time, len(ready))
-		for u, at := range ready {
-			p.readyAt[u.Pool()] = at
-		}
+		p.readyAt = ready
 	}
 	return changed
 }
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -48,6 +48,10 @@
 		}
 	}
 	v.Shared = c.index.pools()
+	c.setBuilds(v)
+	if c.builds.changed {
+		changed, c.builds.changed = nil, false
+	}
 	v.Evacuated, v.Cold = c.halls.evacuated.Halls(), maps.Clone(c.halls.coldRates)
 	c.suspects.guard.SetEngines(c.index.endpoints())
 	if c.held && (c.rebuildAll || len(c.touched) > 0) {
@@ -70,7 +74,7 @@
 		c.indexEndpoint(e, now)
 		return
 	}
-	c.index.set(view.Endpoint{Name: id}, nil)
+	c.index.remove(id)
 	c.gateways.removeEndpoint(id)
 }
 
@@ -90,14 +94,14 @@
 	}
 	s := c.Table().Service(e.Service)
 	if s == nil || e.Draining || c.halls.evacuated.Evacuated(e.Hall) {
-		c.index.set(ep, nil)
+		c.index.remove(e.ID)
 		c.gateways.removeEndpoint(e.ID)
 		return
 	}
 	c.gateways.setEndpoint(e)
 	c.setCold(&ep, e, now)
 	if s.Engine == nil {
-		c.index.set(ep, []string{view.ServicePool(e.Service)})
+		c.index.set(ep, e.Service, []string{view.ServicePool(e.Service)})
 		return
 	}
 	var pools []string
@@ -106,7 +110,7 @@
 			pools = append(pools, pool)
 		}
 	}
-	c.index.set(ep, pools)
+	c.index.set(ep, e.Service, pools)
 }
 
 // incarnation distinguishes a restarted endpoint from its predecessor, whose circuit breakers and backoff must not
@@ -153,15 +157,20 @@
 	return sh.pools, ok
 }
 
+// readyAtByPool returns the expected ready times of a planner, by the keys of [view.View.ReadyAt].
+func readyAtByPool(p *placement.Planner) map[string]time.Time {
+	out := make(map[string]time.Time, len(p.ReadyAt()))
+	for u, at := range p.ReadyAt() {
+		out[u.Pool()] = at
+	}
+	return out
+}
+
 // readyAt returns by pool when units that no engine serves yet are expected to be ready.
 func (c *Controller) readyAt(now time.Time) map[string]time.Time {
 	switch {
 	case c.held:
-		out := make(map[string]time.Time)
-		for u, at := range c.planner.ReadyAt() {
-			out[u.Pool()] = at
-		}
-		return out
+		return readyAtByPool(c.planner)
 	case c.holderState.fresh:
 		return c.holderState.readyAt
 	}
--- a/internal/placer/succession.go
+++ b/internal/placer/succession.go
@@ -15,6 +15,8 @@
 	storeUnavailable bool
 	// cutOff is true if the node reaches many endpoints only by way of other nodes.
 	cutOff bool
+	// stopping is true once the node's planned stop has begun.
+	stopping bool
 	// hall is the node's data hall.
 	hall string
 	// address is where other nodes can reach the node; "" if it does not state one.
--- /dev/null
+++ b/internal/traffic/build.go
@@ -0,0 +1,61 @@
+package traffic
+
+import (
+	"olivetiller/core/origin"
+	"olivetiller/core/refusal"
+)
+
+// keyOf returns the key of the pool for a request to the named pool.
+func (d *Dispatcher) keyOf(name string, req *SlotRequest) poolKey {
+	if req.Origin == nil || d.view.Builds == nil {
+		return poolKey{name: name}
+	}
+	return poolKey{name: name, bound: true, build: req.Origin.Build}
+}
+
+// checkBuild returns a refusal if no endpoint of the build at which the request has to go on takes requests, whatever
+// model it holds.
+func (d *Dispatcher) checkBuild(name string, req *SlotRequest) error {
+	if req.Origin == nil || d.view.Builds == nil || d.view.Builds[*req.Origin] > 0 {
+		return nil
+	}
+	return buildGone(name, *req.Origin)
+}
+
+func buildGone(pool string, o origin.Origin) error {
+	return refusal.New(refusal.BuildGone, "the stream of %s began at %s, of which no endpoint takes requests", pool, o)
+}
+
+// refuseGone refuses the queued requests of a pool that is restricted to a build of which no endpoint is left.
+func (d *Dispatcher) refuseGone(p *pool) {
+	if !p.bound {
+		return
+	}
+	for _, it := range p.queue.Items() {
+		w := it.Value.(*waiter)
+		if err := d.checkBuild(p.name, &w.request); err != nil {
+			p.refuse(it, err)
+		}
+	}
+}
+
+// dropIdle removes a pool that is restricted to a build once nothing uses it: builds come and go, and each would leave a
+// pool for each unit.
+func (d *Dispatcher) dropIdle(p *pool) {
+	if !p.bound || p.acquiring > 0 || p.running > 0 || p.queue.Len() > 0 {
+		return
+	}
+	for _, cand := range p.endpoints {
+		delete(cand.endpointState.pools, p)
+	}
+	delete(d.pools, p.poolKey)
+}
+
+// enter and leave mark a call of Acquire, which keeps its pool while it does not hold d.mu. The caller of enter holds it.
+func (p *pool) enter() { p.acquiring++ }
+
+func (d *Dispatcher) leave(p *pool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p.acquiring--
+}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"olivetiller/core/admit"
 	"olivetiller/core/queue"
 	"olivetiller/core/refusal"
 	"olivetiller/core/region"
@@ -53,7 +54,7 @@
 	// mu guards the fields below, the pools and the endpoint states.
 	mu             sync.Mutex
 	view           *view.View
-	pools          map[string]*pool
+	pools          map[poolKey]*pool
 	endpointStates map[string]*endpointState
 	// budgets holds the retry budgets by name; several pools may share one.
 	budgets map[string]*retry.Budget
@@ -81,7 +82,7 @@
 func New(clock clockwork.Clock, hall string, limits queue.Limits, hooks Hooks) *Dispatcher {
 	return &Dispatcher{
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
-		view: &view.View{}, pools: make(map[string]*pool), endpointStates: make(map[string]*endpointState),
+		view: &view.View{}, pools: make(map[poolKey]*pool), endpointStates: make(map[string]*endpointState),
 		budgets: make(map[string]*retry.Budget), retries: retry.DefaultLimits,
 		signals: signal.NewRegistry(), withheld: make(map[string]int64),
 		stopped: make(chan struct{}),
@@ -138,7 +139,15 @@
 func (d *Dispatcher) Acquire(ctx context.Context, name string, req SlotRequest) (*Slot, error) {
 	start := d.clock.Now()
 	d.mu.Lock()
-	p := d.pool(name)
+	if err := d.checkBuild(name, &req); err != nil {
+		d.mu.Unlock()
+		return nil, err
+	}
+	p := d.pool(d.keyOf(name, &req))
+	if p.bound {
+		p.enter()
+		defer d.leave(p)
+	}
 	b := d.budget(p, &req)
 	if !req.Retry || req.Resend {
 		if err := p.admit(req, b, start); err != nil {
@@ -169,7 +178,7 @@
 func (d *Dispatcher) acquireAdmitted(ctx context.Context, p *pool, req SlotRequest, start, now time.Time) (*Slot, error) {
 	cold := len(p.endpoints) == 0
 	if p.queue.Len() == 0 {
-		if cand, ok := p.pick(now, d.hall, &req); ok {
+		if cand, ok := p.pick(now, d.hall, d.view.NewBuilds, &req); ok {
 			p.addRunning(cand, &req)
 			scarce := p.scarce() && p.running == 1
 			d.mu.Unlock()
@@ -187,7 +196,7 @@
 	if !p.queue.Push(w.item) {
 		n := p.queue.Len()
 		d.mu.Unlock()
-		return nil, refusal.New(refusal.QueueFull, "%d requests are already queued for %s", n, p.name)
+		return nil, refusal.New(refusal.QueueFull, "%d requests are already queued for %s", n, p)
 	}
 	if cold {
 		w.forecastReady = p.readyAt
@@ -227,7 +236,7 @@
 	req.SkipLimited = true
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := s.pool
+	p := d.pool(d.keyOf(s.pool.name, &req))
 	if _, ok := d.pickOther(p, &req); !ok {
 		return nil, false
 	}
@@ -253,7 +262,7 @@
 	if p.queue.Len() > 0 {
 		return candidate{}, false
 	}
-	cand, ok := p.pick(d.clock.Now(), d.hall, req)
+	cand, ok := p.pick(d.clock.Now(), d.hall, d.view.NewBuilds, req)
 	return cand, ok && !slices.Contains(req.Avoid, cand.Name)
 }
 
@@ -377,7 +386,7 @@
 // endpoint has a free slot, after scheduling a pump for when one becomes available.
 func (d *Dispatcher) grantNext(p *pool, now time.Time) bool {
 	w := p.queue.Peek().Value.(*waiter)
-	cand, ok := p.pick(now, d.hall, &w.request)
+	cand, ok := p.pick(now, d.hall, d.view.NewBuilds, &w.request)
 	if !ok {
 		d.schedulePump(p, now)
 		return false
@@ -413,14 +422,18 @@
 	}
 }
 
-// pool returns the named pool and creates it on first use. A name may restrict the pool to regions; see
+// pool returns the pool with a key and creates it on first use. A name may restrict the pool to regions; see
 // region.SplitPool.
-func (d *Dispatcher) pool(name string) *pool {
-	p := d.pools[name]
+func (d *Dispatcher) pool(k poolKey) *pool {
+	p := d.pools[k]
 	if p == nil {
-		p = &pool{name: name, queue: queue.New(d.limits), runningAt: make(map[string]int), rotation: firstRotation(d.node, name)}
-		p.basePool, p.regions = region.SplitPool(name)
-		d.pools[name] = p
+		p = &pool{poolKey: k, queue: queue.New(d.limits), runningAt: make(map[string]int), rotation: firstRotation(d.node, k.name)}
+		p.basePool, p.regions = region.SplitPool(k.name)
+		p.model = new(admit.Model)
+		if k.bound {
+			p.model = d.pool(poolKey{name: k.name}).model
+		}
+		d.pools[k] = p
 		p.update(d.view, d.candidates(d.view, p), d.clock.Now())
 	}
 	return p
@@ -433,18 +446,19 @@
 	defer d.mu.Unlock()
 	d.view = v
 	if changed == nil {
-		for name := range d.pools {
-			d.updatePool(name, now)
+		for _, p := range d.pools {
+			d.updatePool(p, now)
 		}
 	}
 	if len(changed) > 0 {
 		d.updateNamed(changed, now)
 	}
 	for _, p := range d.pools {
-		p.loadingSince = v.LoadingSince[p.basePool]
-		p.readyAt = v.ReadyAt[p.basePool]
+		p.setForecast(v)
 		p.recordForecast()
 		p.refuseUnservable(now)
+		d.refuseGone(p)
+		d.dropIdle(p)
 	}
 	for name, ep := range d.endpointStates {
 		if len(ep.pools) == 0 && ep.running == 0 {
@@ -459,9 +473,9 @@
 	for _, name := range changed {
 		named[name] = true
 	}
-	for name, p := range d.pools {
+	for _, p := range d.pools {
 		if named[p.basePool] {
-			d.updatePool(name, now)
+			d.updatePool(p, now)
 		}
 	}
 }
@@ -469,24 +483,20 @@
 // SetRegions sets the region of each data hall. It must be called before the first request.
 func (d *Dispatcher) SetRegions(regions map[string]string) { d.regions = regions }
 
-// updatePool rebuilds the candidates of an existing pool from the current view and serves its queue.
-func (d *Dispatcher) updatePool(name string, now time.Time) {
-	p := d.pools[name]
-	if p == nil {
-		return
-	}
+// updatePool rebuilds the candidates of a pool from the current view and serves its queue.
+func (d *Dispatcher) updatePool(p *pool, now time.Time) {
 	p.update(d.view, d.candidates(d.view, p), now)
 	d.pump(p, now)
 }
 
 // candidates returns the endpoints of the view that the pool may use, with their states, which it creates or updates.
 // It leaves out endpoints that are draining, were superseded by a later incarnation, or are in an evacuated data hall
-// or a region that is not allowed.
+// or a region that is not allowed, or of another build than the pool's.
 func (d *Dispatcher) candidates(v *view.View, p *pool) []candidate {
 	eps, now := v.Pool(p.basePool), d.clock.Now()
 	out := make([]candidate, 0, len(eps))
 	for _, e := range eps {
-		if d.excluded(incarnationOf(&e)) || d.evacuated[e.Hall] || !p.regions.Allows(d.regions[e.Hall]) {
+		if d.excluded(incarnationOf(&e)) || d.evacuated[e.Hall] || !p.regions.Allows(d.regions[e.Hall]) || p.bound && e.Build != p.build {
 			continue
 		}
 		ep := d.endpointStates[e.Name]
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -9,6 +10,8 @@
 	"olivetiller/core/admit"
 	"olivetiller/core/choose"
 	"olivetiller/core/demand"
+	"olivetiller/core/directory"
+	"olivetiller/core/origin"
 	"olivetiller/core/queue"
 	"olivetiller/core/refusal"
 	"olivetiller/core/region"
@@ -17,9 +20,9 @@
 )
 
 // pool holds the queued and running requests of one unit or plain service, or of the part of it that is restricted to
-// some regions. The dispatcher's mutex guards it.
+// some regions, or to one build. The dispatcher's mutex guards it.
 type pool struct {
-	name string
+	poolKey
 	// basePool is the name of the unrestricted pool, which is this pool's own name if it has no regions. regions are
 	// those in which the pool's requests may be served.
 	basePool  string
@@ -30,11 +33,14 @@
 	loadingSince time.Time
 	// readyAt is when the first endpoint is expected to be ready; zero if that is not known.
 	readyAt time.Time
-	// model estimates how long a request waits, from observed service and load times.
-	model admit.Model
+	// model estimates how long a request waits, from observed service and load times. The parts of a pool that are
+	// restricted to a build share it.
+	model *admit.Model
 	// running counts the running requests of this node, and runningAt the same by endpoint name.
 	running   int
 	runningAt map[string]int
+	// acquiring counts the calls of Acquire that use the pool; it is kept only for pools that are restricted to a build.
+	acquiring int
 	// outsideRegions is set when the unit has endpoints, but none in a region that may serve the pool's requests.
 	outsideRegions bool
 	// rotation counts the picks, from firstRotation. It is the index at which the next pick starts, so that equal
@@ -52,6 +58,23 @@
 	coldSince time.Time
 }
 
+// poolKey identifies a pool.
+type poolKey struct {
+	name string
+	// bound is true for the part of a pool that is restricted to a build. Streams that go on have queues of their own, so
+	// that they neither block other requests nor wait behind capacity that they cannot use.
+	bound bool
+	build directory.Build
+}
+
+// String returns the name of the pool for refusals.
+func (k poolKey) String() string {
+	if !k.bound {
+		return k.name
+	}
+	return fmt.Sprintf("%s at build %q", k.name, k.build)
+}
+
 // candidate is one endpoint of a pool with its state.
 type candidate struct {
 	view.Endpoint
@@ -77,7 +100,7 @@
 	})
 	if left := req.Deadline.Sub(now); least > left {
 		return refusal.New(refusal.CannotMakeDeadline, "%s of the request's time is left, and the wait for %s is at least %s",
-			left.Round(time.Millisecond), p.name, least.Round(time.Millisecond)).WithRetryAfter(least - left)
+			left.Round(time.Millisecond), p, least.Round(time.Millisecond)).WithRetryAfter(least - left)
 	}
 	return nil
 }
@@ -99,8 +122,8 @@
 }
 
 // pick chooses an endpoint with a free slot for the request. ok is false if there is none. hall is the data hall of
-// this node.
-func (p *pool) pick(now time.Time, hall string, req *SlotRequest) (candidate, bool) {
+// this node, and newBuilds are the builds at which no stream may begin yet.
+func (p *pool) pick(now time.Time, hall string, newBuilds map[origin.Origin]bool, req *SlotRequest) (candidate, bool) {
 	n := len(p.endpoints)
 	if n == 0 {
 		return candidate{}, false
@@ -112,6 +135,7 @@
 		cand := p.endpoints[(i+p.rotation)%n]
 		r := cand.endpointState.replica(hall, now)
 		r.Closed = r.Closed || req.SkipLimited && cand.endpointState.limit > 0
+		r.Closed = r.Closed || req.Resumable && newBuilds[origin.Origin{Service: req.Service, Build: cand.Build}]
 		r.Avoid = n > 1 && slices.Contains(req.Avoid, cand.Name)
 		r.HasPrefix = cand.Name == affinityEndpoint
 		if req.mayCrashEngine() {
@@ -173,11 +197,16 @@
 	for _, cand := range candidates {
 		cand.endpointState.pools[p] = true
 	}
-	p.loadingSince = v.LoadingSince[p.basePool]
-	p.readyAt = v.ReadyAt[p.basePool]
+	p.setForecast(v)
 	p.outsideRegions = len(candidates) == 0 && !p.regions.All() && len(v.Pool(p.basePool)) > 0
 }
 
+// setForecast takes over when the unit is expected to be ready, at the pool's build if it has one.
+func (p *pool) setForecast(v *view.View) {
+	p.loadingSince = v.LoadingSince[p.basePool]
+	p.readyAt = v.ReadyAt[view.BoundPool(p.basePool, p.bound, p.build)]
+}
+
 // remove removes an endpoint at once, without waiting for a view without it.
 func (p *pool) remove(ep *endpointState) {
 	kept := p.endpoints[:0:0]
--- a/internal/traffic/retries.go
+++ b/internal/traffic/retries.go
@@ -26,7 +26,7 @@
 			return part, nil
 		}
 		if at.IsZero() || at.After(until) || !d.waitUntil(ctx, at) {
-			return 0, refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p.name)
+			return 0, refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p)
 		}
 	}
 }
--- a/internal/traffic/signals.go
+++ b/internal/traffic/signals.go
@@ -237,8 +237,8 @@
 		d.evacuated[hall] = true
 	}
 	now := d.clock.Now()
-	for name := range d.pools {
-		d.updatePool(name, now)
+	for _, p := range d.pools {
+		d.updatePool(p, now)
 	}
 }
 
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"olivetiller/core/origin"
 	"olivetiller/core/quarantine"
 	"olivetiller/core/view"
 )
@@ -17,6 +18,13 @@
 	Bytes int64
 	// Cost is the share of capacity that the request takes, for fair queueing; at least 1.
 	Cost float64
+	// Origin is where the stream that the request goes on with began: only endpoints of that build may serve it. It is nil
+	// for other requests.
+	Origin *origin.Origin
+	// Resumable is true for a stream that may go on later. It does not begin at a build that is not in the ledger of
+	// package origin yet. Service is the service of the pool, by which builds are looked up.
+	Resumable bool
+	Service   string
 	// Avoid names the endpoints at which earlier attempts failed. They are picked last.
 	Avoid []string
 	// RequestFingerprint identifies the request, and State is its quarantine state. Requests that may crash engines are
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"olivetiller/core/demand"
+	"olivetiller/core/directory"
 )
 
 // Reports returns the demand of the pools whose demand has changed since the last call. If all is set, it adds every
@@ -66,6 +67,9 @@
 // Usage is a pool's demand in the form that model placement needs.
 type Usage struct {
 	Pool string
+	// Bound is true for requests that only endpoints of Build may serve.
+	Bound bool
+	Build directory.Build
 	// Waiting counts queued requests, and Arrivals first attempts since the last call.
 	Waiting  int
 	Arrivals int
@@ -90,7 +94,7 @@
 		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.retryHints == 0 {
 			continue
 		}
-		u := Usage{Pool: p.name, Waiting: p.queue.Len(), Arrivals: p.arrivals, Deferred: p.retryHints, Objective: p.objective, RunningAt: maps.Clone(p.runningAt)}
+		u := Usage{Pool: p.name, Bound: p.bound, Build: p.build, Waiting: p.queue.Len(), Arrivals: p.arrivals, Deferred: p.retryHints, Objective: p.objective, RunningAt: maps.Clone(p.runningAt)}
 		u.Urgent, u.Last, _ = p.queue.Due(now)
 		p.arrivals, p.retryHints, p.objective = 0, 0, 0
 		out = append(out, u)
@@ -102,9 +106,10 @@
 func (d *Dispatcher) Load(name string) (waiting, running int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.pools[name]
-	if p == nil {
-		return 0, 0
+	for key, p := range d.pools {
+		if key.name == name {
+			waiting, running = waiting+p.queue.Len(), running+p.running
+		}
 	}
-	return p.queue.Len(), p.running
+	return waiting, running
 }
--- a/internal/traffic/wait.go
+++ b/internal/traffic/wait.go
@@ -58,7 +58,7 @@
 	select {
 	case v = <-w.ended:
 	case <-d.stopped:
-		v = d.cancelWait(p, w, refusal.New(refusal.Stopping, "this node is shutting down; no slot at %s was granted before", p.name))
+		v = d.cancelWait(p, w, refusal.New(refusal.Stopping, "this node is shutting down; no slot at %s was granted before", p))
 	case <-timer.Chan():
 		v = d.cancelWait(p, w, waitedTooLong(p, d.clock.Now().Sub(start)))
 	case <-ctx.Done():
@@ -74,7 +74,7 @@
 
 // waitedTooLong returns the refusal of a request that got no slot in time.
 func waitedTooLong(p *pool, waited time.Duration) error {
-	return refusal.New(refusal.WaitedTooLong, "no endpoint of %s had a free slot within %s", p.name, waited.Round(time.Millisecond))
+	return refusal.New(refusal.WaitedTooLong, "no endpoint of %s had a free slot within %s", p, waited.Round(time.Millisecond))
 }
 
 // cancelWait removes a waiter from the queue and refuses it with the given error. If its wait has ended already, that
@@ -95,17 +95,17 @@
 func (p *pool) checkDeadline(req *SlotRequest, ahead int, now time.Time) error {
 	if at, ok := p.availableAt(ahead, now); ok && at.After(req.waitDeadline()) {
 		return refusal.New(refusal.CannotMakeDeadline, "the endpoints of %s accept no requests for another %s, until after the caller gives up",
-			p.name, at.Sub(now).Round(time.Millisecond)).WithRetryAfter(p.retryAfter(at, req, now))
+			p, at.Sub(now).Round(time.Millisecond)).WithRetryAfter(p.retryAfter(at, req, now))
 	}
 	if len(p.endpoints) == 0 && p.outsideRegions {
-		return refusal.New(refusal.NoEndpoint, "no endpoint of %s is in a region that may serve the request", p.name)
+		return refusal.New(refusal.NoEndpoint, "no endpoint of %s is in a region that may serve the request", p)
 	}
 	if len(p.endpoints) > 0 || !p.readyAt.After(req.waitDeadline()) {
 		return nil
 	}
 	delay := min(p.readyAt.Sub(now)+retryMargin, req.Deadline.Sub(now)/retryTimeDivisor)
 	return refusal.New(refusal.CannotMakeDeadline, "%s is predicted to be ready in %s, after the caller gives up",
-		p.name, p.readyAt.Sub(now).Round(time.Millisecond)).WithRetryAfter(delay)
+		p, p.readyAt.Sub(now).Round(time.Millisecond)).WithRetryAfter(delay)
 }
 
 // recordForecast stores the predicted ready time in the queued requests that have none yet.
@@ -135,12 +135,17 @@
 			ahead++
 			continue
 		}
-		p.queue.Remove(it)
 		p.retryHints++
-		w.ended <- waitResult{refused: err}
+		p.refuse(it, err)
 	}
 }
 
+// refuse removes a request from the queue and refuses it.
+func (p *pool) refuse(it *queue.Item, err error) {
+	p.queue.Remove(it)
+	it.Value.(*waiter).ended <- waitResult{refused: err}
+}
+
 // requestsAhead returns how many queued requests have a queue deadline no later than the given one. It returns 0 if
 // rate limits and backoffs do not decide when a request gets a slot.
 func (p *pool) requestsAhead(queueDeadline, now time.Time) int {
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -81,7 +81,7 @@
 	return traffic.SlotRequest{
 		Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost,
 		Budget: x.Target.Budget, Objective: x.Target.Objective, Affinity: x.Target.Affinity,
-		Prompt: x.Target.TokensIn, RequestFingerprint: x.Fingerprint,
+		Prompt: x.Target.TokensIn, RequestFingerprint: x.Fingerprint, Service: x.Target.Service, Resumable: x.Target.Resumable,
 	}
 }
 
@@ -98,7 +98,7 @@
 		}
 		x.trial = trial
 	}
-	req.AbandonAt, req.Began, req.State = s.abandonAt(x), x.Began, s.Isolation.State(x.subjects...)
+	req.AbandonAt, req.Began, req.State, req.Origin = s.abandonAt(x), x.Began, s.Isolation.State(x.subjects...), x.origin
 	slot, err = s.acquireSlot(ctx, x, *req)
 	if err != nil {
 		return nil, nil, err
@@ -144,7 +144,11 @@
 func (s *Server) acquireSlot(ctx context.Context, x *Exchange, req traffic.SlotRequest) (*traffic.Slot, error) {
 	if slot := x.reserved; slot != nil {
 		x.reserved = nil
-		return slot, nil
+		if req.Origin == nil || slot.Endpoint.Build == req.Origin.Build {
+			return slot, nil
+		}
+		// The first event came while the slot was being reserved, and bound the stream to another build.
+		slot.Release(traffic.Result{NotStarted: true, Running: -1})
 	}
 	return s.Dispatcher.Acquire(ctx, x.Target.Pool, req)
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -7,6 +7,7 @@
 
 	"olivetiller/core/customer"
 	"olivetiller/core/directory"
+	"olivetiller/core/origin"
 	"olivetiller/core/quarantine"
 	"olivetiller/core/view"
 	"olivetiller/internal/traffic"
@@ -65,6 +66,11 @@
 	Target Target
 	// Resumes is set by Protocol.Accept if the caller takes up a stream that an earlier request of it began.
 	Resumes Resumption
+	// Retarget changes the target to another service of the request's route, and reports false if the route does not lead
+	// there. Protocol.Accept sets it for streams that callers may take up.
+	Retarget func(service string) bool
+	// origin is where the stream began: at the first event of this answer, or of the one that is taken up; nil before.
+	origin *origin.Origin
 	// Began is true once part of an answer was written to the caller.
 	Began bool
 	// Progress is what has happened to the request so far, for logs.
@@ -134,6 +140,10 @@
 	Model bool
 	// Stream is true when the answer is to be streamed token by token.
 	Stream bool
+	// Service is the service that serves the request.
+	Service string
+	// Resumable is true for a stream that may go on at another endpoint, within the answer or when its caller takes it up.
+	Resumable bool
 	// OnceOnly is true for requests that must run at most once.
 	OnceOnly bool
 	// Keyed is true if a request that runs at most once has an idempotency key, under which a repeat gets the same
--- /dev/null
+++ b/io/caller/origin.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"olivetiller/core/origin"
+	"olivetiller/core/refusal"
+	"olivetiller/core/view"
+)
+
+// Origins knows where streams began, at this node and at others.
+type Origins interface {
+	// Began records where a stream began, when its first event goes to the caller. The result must be called when the
+	// answer ends.
+	Began(r origin.Record) (ended func())
+	// Find returns where the stream with a key began. service is the one that the request would go to, by version of the
+	// configuration. The error is a *refusal.Error.
+	Find(ctx context.Context, k origin.Key, service string, version int64) (origin.Origin, error)
+}
+
+// resolveOrigin finds out where the stream began that the caller takes up, if it takes one up.
+func (s *Server) resolveOrigin(ctx context.Context, x *Exchange) error {
+	if !x.Target.Resumable || !x.Resumes.Stated() || s.Origins == nil {
+		return nil
+	}
+	if x.Resumes.Of == "" {
+		return refusal.New(refusal.StreamUnknown, "the request names a position, but not the request that began the stream")
+	}
+	o, err := s.Origins.Find(ctx, x.streamKey(), x.Target.Service, x.Target.Version)
+	if err != nil {
+		return err
+	}
+	if o.Service != x.Target.Service && !x.Retarget(o.Service) {
+		return refusal.New(refusal.BuildGone, "the stream began at %s, to which route %s no longer leads", o, x.Target.Route)
+	}
+	x.origin = &o
+	return nil
+}
+
+// streamKey returns the key of the stream that the request begins or takes up.
+func (x *Exchange) streamKey() origin.Key {
+	id := x.ID
+	if x.Resumes.Of != "" {
+		id = x.Resumes.Of
+	}
+	return origin.KeyOf(x.customerName(), x.Target.Host, id)
+}
+
+// recordOrigin records that the first event of this answer comes from an endpoint. The result must be called when the
+// answer ends.
+func (s *Server) recordOrigin(x *Exchange, e view.Endpoint) (ended func()) {
+	if !x.Target.Resumable {
+		return func() {}
+	}
+	x.origin = &origin.Origin{Service: x.Target.Service, Build: e.Build}
+	if s.Origins == nil {
+		return func() {}
+	}
+	return s.Origins.Began(origin.Record{
+		Key: x.streamKey(), Origin: *x.origin, Owner: origin.Owner(xxhash.Sum64String(x.customerName())), Expires: x.Start.Add(x.patience()),
+	})
+}
+
+// patience returns how long after its arrival the caller may still take the stream up.
+func (x *Exchange) patience() time.Duration {
+	if x.Allowed > 0 {
+		return x.Allowed
+	}
+	return defaultPatience
+}
+
+// defaultPatience is how long a stream may be taken up whose caller does not say how long it waits.
+const defaultPatience = 10 * time.Minute
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -57,6 +57,8 @@
 	Metrics   *Metrics
 	// Limiter enforces customers' rate limits; nil for none.
 	Limiter Limiter
+	// Origins knows where streams began; nil if streams may go on at any endpoint.
+	Origins Origins
 	// View returns the current view.
 	View func() *view.View
 	// Stopping reports whether a planned shutdown has begun. Answers then ask the load balancer to close its
--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"olivetiller/core/origin"
 	"olivetiller/core/retry"
 	"olivetiller/internal/traffic"
 	"olivetiller/io/endpoint"
@@ -73,6 +74,9 @@
 	if ended {
 		return
 	}
+	if events > 0 && x.Target.Resumable {
+		req.Origin = &origin.Origin{Service: x.Target.Service, Build: slot.Endpoint.Build}
+	}
 	reserved, ok := s.Dispatcher.Switch(ctx, slot, req)
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -54,6 +54,8 @@
 	// slot is the slot of the current attempt until its first event, and endpoint is that attempt's endpoint.
 	slot     *traffic.Slot
 	endpoint view.Endpoint
+	// ended ends the record of the stream's origin; nil before its first event.
+	ended func()
 	// stall is the stall watch of the current attempt.
 	stall *stall
 	s     *Server
@@ -63,7 +65,15 @@
 
 // stream forwards a stream to the caller and resumes it at another endpoint if it breaks off.
 func (s *Server) stream(ctx context.Context, x *Exchange) error {
+	if err := s.resolveOrigin(ctx, x); err != nil {
+		return err
+	}
 	r := &relay{x: x, flush: http.NewResponseController(x.W), buf: make([]byte, relayBuffer), events: s.protocol().Events(x), s: s}
+	defer func() {
+		if r.ended != nil {
+			r.ended()
+		}
+	}()
 	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, req traffic.SlotRequest, run *isolation.Run) (traffic.Result, error) {
 		callerCtx := ctx
 		ctx, st := s.watchStall(ctx, x, slot, req)
@@ -128,6 +138,7 @@
 		return
 	}
 	r.x.Began = true
+	r.ended = r.s.recordOrigin(r.x, r.endpoint)
 	r.s.logBegan(r.x, r.endpoint)
 	h := r.x.W.Header()
 	h.Set("Content-Type", "text/event-stream")
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -8,7 +8,8 @@
 // fleet the holder sends snapshots only to some nodes, the feeders, which forward them to their followers (package
 // feedtree). A node that can reach neither the holder nor the store asks any other node who holds the lease. Further
 // calls request grants from limits, acquire the run locks of isolated requests, exchange quarantine state between
-// two nodes, and open a tunnel to an endpoint that the caller does not reach.
+// two nodes, open a tunnel to an endpoint that the caller does not reach, and keep or ask for the records of where
+// streams began.
 //
 // Package internal/placer implements [Holder] and uses [Client].
 //
@@ -250,9 +251,11 @@
 	pathLease  = "/peer/lease"
 )
 
-// Handler returns the HTTP handler that serves a Holder, and tunnels to endpoints.
-func Handler(h Holder, o Opener, clock clockwork.Clock) http.Handler {
+// Handler returns the HTTP handler that serves a Holder, tunnels to endpoints, and the records of where streams began.
+func Handler(h Holder, o Opener, k OriginKeeper, clock clockwork.Clock) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathOrigins, handleOrigins(k))
+	mux.HandleFunc("POST "+pathOrigin, handleOrigin(k))
 	mux.HandleFunc("POST "+pathTunnel, handleTunnel(o, clock))
 	mux.HandleFunc("POST "+pathReport, func(w http.ResponseWriter, r *http.Request) {
 		var report Report
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -164,4 +164,4 @@
 }
 
 // testHandler returns the handler of a holder that opens no tunnels.
-func testHandler(h Holder) http.Handler { return Handler(h, nil, clockwork.NewRealClock()) }
+func testHandler(h Holder) http.Handler { return Handler(h, nil, nil, clockwork.NewRealClock()) }
--- a/io/peer/tunnel_test.go
+++ b/io/peer/tunnel_test.go
@@ -62,7 +62,7 @@
 // openTunnel opens a tunnel through a gateway and returns both ends.
 func openTunnel(t *testing.T, o *fakeOpener, clock clockwork.Clock, q TunnelRequest) (node, endpoint net.Conn) {
 	t.Helper()
-	srv := httptest.NewServer(Handler(&fakeHolder{}, o, clock))
+	srv := httptest.NewServer(Handler(&fakeHolder{}, o, nil, clock))
 	t.Cleanup(srv.Close)
 	node, err := NewClient(&net.Dialer{Timeout: time.Second}).Tunnel(t.Context(), strings.TrimPrefix(srv.URL, "http://"), q)
 	if err != nil {
@@ -156,7 +156,7 @@
 	for _, s := range tunnelStatus {
 		o := newFakeOpener()
 		o.err = fmt.Errorf("%w: details", s.err)
-		srv := httptest.NewServer(Handler(&fakeHolder{}, o, clockwork.NewRealClock()))
+		srv := httptest.NewServer(Handler(&fakeHolder{}, o, nil, clockwork.NewRealClock()))
 		_, err := NewClient(&net.Dialer{Timeout: time.Second}).Tunnel(t.Context(), strings.TrimPrefix(srv.URL, "http://"), TunnelRequest{Node: "n", Endpoint: "10.0.0.1:80"})
 		if !errors.Is(err, s.err) {
 			t.Errorf("got %v, want %v", err, s.err)
