placement, placer: a model is loaded at the build where streams of it began

Cause: placement knew no builds, so that the waiting stream counted as demand that the other replica serves.

Why this works: nodes report requests that wait in a part of a pool as bound to its build. The planner keeps their use apart from that of the model, loads the model, or its adapter, at the best engine of the build, from the weight store too if only engines of other builds keep a copy, and does not evict the last replica of the build while they wait. Those that would be served too late come after all other requests. When the replica is expected is published for the part of the pool, so that a stream without a chance is refused at once.

--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -27,7 +27,7 @@
 		return demands[i].unit.compare(demands[j].unit) < 0
 	})
 	for _, d := range demands {
-		g.loadAdapter(d.unit)
+		g.loadAdapter(d.unit, func(*engine) bool { return true })
 	}
 }
 
@@ -35,12 +35,16 @@
 // to drop an adapter first.
 const evictionPenalty = 12
 
-// loadAdapter loads an adapter at the replica of its model with the fewest running requests.
-func (g *planning) loadAdapter(unit Unit) {
+// loadAdapter loads an adapter at the replica of its model with the fewest running requests, of those that serve the
+// requests.
+func (g *planning) loadAdapter(unit Unit, serves func(*engine) bool) {
 	var best *engine
 	bestLoad := 0
 	m := g.model(unit.Base())
 	for _, e := range g.adapterSites(m) {
+		if !serves(e) {
+			continue
+		}
 		a := e.models[unit.Model].adapters[unit.Adapter]
 		if a != nil && a.unloading {
 			continue
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -153,9 +153,21 @@
 	g.send(c.engine, &Order{Unit: unit, FromStore: c.fromStore, Expected: c.load, Reason: why})
 }
 
-// candidate returns how an engine could load a model; ok is false if it cannot. urgent allows
-// evicting models with running requests and the extra store loads for busy models.
+// candidateOptions restrict how an engine may load a model.
+type candidateOptions struct {
+	// urgent allows evicting models with running requests and the extra store loads for busy models.
+	urgent bool
+	// ignoreCopies allows a load from the weight store although another engine keeps a copy.
+	ignoreCopies bool
+}
+
+// candidate returns how an engine could load a model; ok is false if it cannot.
 func (g *planning) candidate(e *engine, m *modelState, urgent bool) (c candidate, ok bool) {
+	return g.candidateWith(e, m, candidateOptions{urgent: urgent})
+}
+
+// candidateWith is candidate with more options.
+func (g *planning) candidateWith(e *engine, m *modelState, o candidateOptions) (c candidate, ok bool) {
 	if e.service != m.unit.Service || e.draining || e.config == nil || !e.known {
 		return candidate{}, false
 	}
@@ -167,10 +179,10 @@
 	}
 	c = candidate{engine: e}
 	c.load, c.fromStore = loadTime(e, m.spec)
-	if c.fromStore && !g.allowStoreLoad(&c, m, urgent) {
+	if c.fromStore && !g.allowStoreLoad(&c, m, o) {
 		return candidate{}, false
 	}
-	avail := g.capacity(e, urgent)
+	avail := g.capacity(e, o.urgent)
 	if avail.unknown {
 		return candidate{}, false
 	}
@@ -208,13 +220,13 @@
 
 // allowStoreLoad adds the duration and cost of a load from the weight store to a candidate, and
 // reports whether the load may begin.
-func (g *planning) allowStoreLoad(c *candidate, m *modelState, urgent bool) bool {
-	if m.hasSpareCopy() {
+func (g *planning) allowStoreLoad(c *candidate, m *modelState, o candidateOptions) bool {
+	if m.hasSpareCopy() && !o.ignoreCopies {
 		// An engine with a copy is ready sooner even if some loads are ahead of this one: a
 		// load from the store takes about as long as ten from a copy.
 		return false
 	}
-	if !g.mayLoadFromStore(m, urgent) {
+	if !g.mayLoadFromStore(m, o.urgent) {
 		return false
 	}
 	c.load = g.store.slowedLoadTime(c.load, g.storeBusy)
@@ -276,9 +288,12 @@
 }
 
 // loss returns how many requests a second become late if an engine drops a replica of a model.
-// It returns -1 if the replica must stay: the only one while requests wait, or one loaded less
-// than minResidency ago that is in use.
-func (g *planning) loss(m *modelState, h *heldModel) float64 {
+// It returns -1 if the replica must stay: the only one while requests wait, also of a build to
+// which they are bound, or one loaded less than minResidency ago that is in use.
+func (g *planning) loss(e *engine, m *modelState, h *heldModel) float64 {
+	if g.neededAtBuild(m, e) {
+		return -1
+	}
 	if m.replicaCount() <= 1 && m.waiting > 0 || g.now.Sub(h.since) < minResidency && m.waiting+m.running > 0 {
 		return -1
 	}
--- a/core/placement/capacity.go
+++ b/core/placement/capacity.go
@@ -72,7 +72,7 @@
 			return nil
 		}
 		m := g.modelAt(e, name)
-		loss, runs := g.loss(m, h), m.runningAt[e.id]
+		loss, runs := g.loss(e, m, h), m.runningAt[e.id]
 		if loss < 0 || !urgent && runs > 0 {
 			continue
 		}
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -11,6 +11,7 @@
 // engine is the planner's state of one engine.
 type engine struct {
 	id, address, service string
+	build                directory.Build
 	draining             bool
 	// config is the engine configuration of the service; nil if it has none.
 	config *route.Engine
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -131,7 +131,10 @@
 
 // Usage is one node's usage report for one unit.
 type Usage struct {
-	Unit    Unit
+	Unit Unit
+	// Bound is true for requests that only engines of Build may serve.
+	Bound   bool
+	Build   directory.Build
 	Waiting int
 	// Arrivals counts the requests that arrived since the node's previous report.
 	Arrivals int
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -61,12 +61,16 @@
 	g := &planning{Planner: p, now: now, engineCounts: make(map[string]int), limitedCounts: make(map[string]int), claimedUntil: make(map[*engine]time.Time)}
 	g.storeBusy = p.store.busy
 	clear(p.readyAt)
+	clear(p.boundReadyAt)
+	p.expireBound(now)
 	g.computeStats()
 	g.probes()
 	g.loadAdapters()
 	g.loadReserved()
 	g.replicate(true)
+	g.placeBound(false)
 	g.placeWanted(g.wanted())
+	g.placeBound(true)
 	g.replicate(false)
 	g.ensureCopies()
 	return g.actions
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -44,6 +44,8 @@
 	engineList []*engine
 	// usages holds the units for which a usage report ever came.
 	usages map[Unit]*usage
+	// bound holds the usage by requests that are bound to a build.
+	bound map[BoundUnit]*usage
 	// models holds the models that were ever requested, held or kept as a copy; modelList has
 	// the same elements.
 	models    map[Unit]*modelState
@@ -57,6 +59,8 @@
 	store storeConcurrency
 	// readyAt is the result of ReadyAt.
 	readyAt map[Unit]time.Time
+	// boundReadyAt is the result of BoundReadyAt.
+	boundReadyAt map[BoundUnit]time.Time
 	// drainPerRun estimates how long one running request delays the unload of its model.
 	drainPerRun admit.Estimate
 	// histories holds what outlasts an engine's incarnation and directory entry, by engine id.
@@ -80,7 +84,7 @@
 func New(limits Limits) *Planner {
 	return &Planner{
 		limits: limits, engines: make(map[string]*engine), usages: make(map[Unit]*usage),
-		models: make(map[Unit]*modelState), nodes: make(map[string]*nodeReport), histories: make(map[string]*history), readyAt: make(map[Unit]time.Time), store: newStoreConcurrency(),
+		models: make(map[Unit]*modelState), nodes: make(map[string]*nodeReport), histories: make(map[string]*history), readyAt: make(map[Unit]time.Time), bound: make(map[BoundUnit]*usage), boundReadyAt: make(map[BoundUnit]time.Time), store: newStoreConcurrency(),
 	}
 }
 
@@ -139,7 +143,7 @@
 		}
 		listed[en.ID] = true
 		e := p.listedEngine(en, now)
-		e.address, e.draining, e.config = en.Address, en.Draining, config
+		e.address, e.build, e.draining, e.config = en.Address, en.Build, en.Draining, config
 	}
 	p.expireHistories(now)
 	p.engineList = p.engineList[:0]
--- a/core/placement/usage.go
+++ b/core/placement/usage.go
@@ -23,6 +23,8 @@
 // usage is the usage of one unit summed over all nodes.
 type usage struct {
 	model *modelState
+	// bound is true for requests that are bound to a build. They do not count as waiting for the model as such.
+	bound bool
 	// nodes holds the latest report of each node that has one for the unit, by node.
 	nodes map[string]Usage
 	// waiting counts the waiting requests in these reports, and runningAt the running ones by
@@ -85,7 +87,9 @@
 // count adds a report to the sums of the unit and its model, or subtracts it if sign is -1.
 func (u *usage) count(r Usage, sign int) {
 	u.waiting += sign * r.Waiting
-	u.model.waiting += sign * r.Waiting
+	if !u.bound {
+		u.model.waiting += sign * r.Waiting
+	}
 	for engine, k := range r.RunningAt {
 		u.model.running += sign * k
 		addCount(u.runningAt, engine, sign*k)
@@ -156,13 +160,21 @@
 	n.withdraw(node)
 	n.at = now
 	for _, r := range reports {
-		u := p.usage(r.Unit, now)
+		u := p.usageOf(r, now)
 		u.add(node, r, now)
 		n.usages = append(n.usages, u)
 		p.touchAdapter(r, now)
 	}
 }
 
+// usageOf returns the usage to which a report belongs.
+func (p *Planner) usageOf(r Usage, now time.Time) *usage {
+	if r.Bound {
+		return p.boundUsage(BoundUnit{r.Unit, r.Build}, now)
+	}
+	return p.usage(r.Unit, now)
+}
+
 // usage returns the usage of a unit and creates it on first use.
 func (p *Planner) usage(unit Unit, now time.Time) *usage {
 	u := p.usages[unit]
--- a/internal/placer/followers.go
+++ b/internal/placer/followers.go
@@ -49,7 +49,7 @@
 			c.o.Logger.Warn("reported use of an unknown pool skipped", "node", m.r.Node, "pool", w.Pool)
 			continue
 		}
-		u := placement.Usage{Unit: unit, Waiting: w.Waiting, Arrivals: w.Arrivals, Deferred: w.Deferred, Objective: time.Duration(w.ObjectiveMs) * time.Millisecond, RunningAt: w.RunningAt}
+		u := placement.Usage{Unit: unit, Bound: w.Bound, Build: w.Build, Waiting: w.Waiting, Arrivals: w.Arrivals, Deferred: w.Deferred, Objective: time.Duration(w.ObjectiveMs) * time.Millisecond, RunningAt: w.RunningAt}
 		if w.Waiting > 0 {
 			u.NextDue = now.Add(time.Duration(w.UrgentInMs) * time.Millisecond)
 			u.LastDue = now.Add(time.Duration(w.LastInMs) * time.Millisecond)
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -467,7 +467,7 @@
 		if !ok {
 			continue
 		}
-		out = addUse(out, placement.Usage{Unit: unit, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Objective: u.Objective, NextDue: u.Urgent, LastDue: u.Last, RunningAt: u.RunningAt})
+		out = addUse(out, placement.Usage{Unit: unit, Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Objective: u.Objective, NextDue: u.Urgent, LastDue: u.Last, RunningAt: u.RunningAt})
 	}
 	return out
 }
@@ -475,7 +475,7 @@
 // addUse adds u to the use of its unit, since several regions of a pool have the same unit. The earliest urgent time,
 // the latest last time and the smallest objective apply to the sum.
 func addUse(uses []placement.Usage, u placement.Usage) []placement.Usage {
-	i := slices.IndexFunc(uses, func(o placement.Usage) bool { return o.Unit == u.Unit })
+	i := slices.IndexFunc(uses, func(o placement.Usage) bool { return o.Unit == u.Unit && o.Bound == u.Bound && o.Build == u.Build })
 	if i < 0 {
 		return append(uses, u)
 	}
@@ -499,7 +499,7 @@
 func (c *Controller) wireUses(now time.Time) []peer.PoolUsage {
 	var out []peer.PoolUsage
 	for _, u := range c.uses(now) {
-		w := peer.PoolUsage{Pool: u.Unit.Pool(), Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, ObjectiveMs: u.Objective.Milliseconds(), RunningAt: u.RunningAt}
+		w := peer.PoolUsage{Pool: u.Unit.Pool(), Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, ObjectiveMs: u.Objective.Milliseconds(), RunningAt: u.RunningAt}
 		if !u.NextDue.IsZero() {
 			w.UrgentInMs, w.LastInMs = u.NextDue.Sub(now).Milliseconds(), u.LastDue.Sub(now).Milliseconds()
 		}
--- a/internal/placer/publication.go
+++ b/internal/placer/publication.go
@@ -9,6 +9,7 @@
 	"olivetiller/core/feedtree"
 	"olivetiller/core/placement"
 	"olivetiller/core/reach"
+	"olivetiller/core/view"
 	"olivetiller/io/peer"
 )
 
@@ -262,7 +263,7 @@
 	pools := make(map[string]bool)
 	for _, u := range uses {
 		if u.Waiting > 0 {
-			pools[u.Pool] = true
+			pools[u.Pool], pools[view.BoundPool(u.Pool, u.Bound, u.Build)] = true, true
 		}
 	}
 	p.mu.Lock()
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -163,6 +163,9 @@
 	for u, at := range p.ReadyAt() {
 		out[u.Pool()] = at
 	}
+	for b, at := range p.BoundReadyAt() {
+		out[view.BoundPool(b.Pool(), true, b.Build)] = at
+	}
 	return out
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -74,10 +74,13 @@
 // Arrivals those that came since the previous report, and Deferred those that were refused with a retry hint since
 // then. RunningAt counts the running requests by engine.
 type PoolUsage struct {
-	Pool     string `json:"pool"`
-	Waiting  int    `json:"waiting,omitempty"`
-	Arrivals int    `json:"arrivals,omitempty"`
-	Deferred int    `json:"sentAway,omitempty"`
+	Pool string `json:"pool"`
+	// Bound is true for requests that only engines of Build may serve.
+	Bound    bool            `json:"bound,omitempty"`
+	Build    directory.Build `json:"build,omitzero"`
+	Waiting  int             `json:"waiting,omitempty"`
+	Arrivals int             `json:"arrivals,omitempty"`
+	Deferred int             `json:"sentAway,omitempty"`
 	// ObjectiveMs is the shortest latency objective among the arrivals, in milliseconds; 0 if none has one.
 	ObjectiveMs int64 `json:"objectiveMs,omitempty"`
 	// UrgentInMs and LastInMs are the times, in milliseconds, until the most urgent and the least urgent waiting
