caller, origins, placer: streams taken up without an id go on where only one build can have begun them

Where the ledger names a single build and the route a single service, there is nothing to choose.

Why this works: such a request is concluded from the ledger like one without a record; on a route to several services it is refused, since the service that began it is not known.

--- a/internal/origins/find.go
+++ b/internal/origins/find.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"olivetiller/core/directory"
 	"olivetiller/core/origin"
 	"olivetiller/core/refusal"
 	"olivetiller/io/peer"
@@ -36,23 +38,43 @@
 		t.logFound(k, r.Origin, by, started)
 		return r.Origin, nil
 	}
-	why := "no ledger of builds is kept"
+	o, why := t.conclude(ctx, k, service, version, started)
+	if why == nil {
+		return o, nil
+	}
+	e := refusal.New(refusal.StreamUnknown, "none of %d nodes that answered knows where the stream began, %d did not answer; %v", asked-unanswered, unanswered, why)
+	if unanswered > 0 || asked == 0 {
+		return origin.Origin{}, e.WithRetryAfter(unansweredHint)
+	}
+	return origin.Origin{}, e
+}
+
+// Conclude implements [caller.Origins].
+func (t *Tracker) Conclude(ctx context.Context, service string, version int64) (origin.Origin, error) {
+	o, why := t.conclude(ctx, origin.Key{}, service, version, t.o.Clock.Now())
+	if why != nil {
+		return origin.Origin{}, refusal.New(refusal.StreamUnknown, "the request names a position, but not the request that began the stream; %v", why)
+	}
+	return o, nil
+}
+
+// errNoConcluder is the reason why nothing is concluded without a ledger.
+var errNoConcluder = errors.New("no ledger of builds is kept")
+
+// conclude returns the origin of a stream without a record if only one is possible, or else why it is not known.
+func (t *Tracker) conclude(ctx context.Context, k origin.Key, service string, version int64, started time.Time) (origin.Origin, error) {
+	why := errNoConcluder
 	if t.o.Concluder != nil {
-		build, err := t.o.Concluder.SoleBuild(ctx, service, version)
-		if err == nil {
+		var build directory.Build
+		if build, why = t.o.Concluder.SoleBuild(ctx, service, version); why == nil {
 			t.Metrics.Concluded.Add(1)
 			o := origin.Origin{Service: service, Build: build}
 			t.logFound(k, o, "ledger", started)
 			return o, nil
 		}
-		why = err.Error()
 	}
 	t.Metrics.Unknown.Add(1)
-	e := refusal.New(refusal.StreamUnknown, "none of %d nodes that answered knows where the stream began, %d did not answer; %s", asked-unanswered, unanswered, why)
-	if unanswered > 0 || asked == 0 {
-		return origin.Origin{}, e.WithRetryAfter(unansweredHint)
-	}
-	return origin.Origin{}, e
+	return origin.Origin{}, why
 }
 
 // logFound logs where a stream began, and how that is known.
--- a/internal/placer/builds.go
+++ b/internal/placer/builds.go
@@ -158,8 +158,8 @@
 	return out
 }
 
-// soleBuildTimeout bounds the reads by which the origin of a stream is concluded; the store answers within milliseconds.
-const soleBuildTimeout = 500 * time.Millisecond
+// newestReadTimeout bounds the reads by which the origin of a stream is concluded; the store answers within milliseconds.
+const newestReadTimeout = 500 * time.Millisecond
 
 // Errors of SoleBuild.
 var (
@@ -168,29 +168,44 @@
 	errConfigBehind  = errors.New("the configuration of this node is not the newest, or not taken into account in the ledger")
 )
 
+// newestState is what the store had when a read began.
+type newestState struct {
+	ledger *origin.Ledger
+	// config is the version of the configuration.
+	config int64
+	err    error
+}
+
 // SoleBuild implements [origins.Concluder]: it reads the latest lease record and the operators' topic to their ends. No
 // stream begins at a build that the lease record does not name, and a request that arrived before the reads takes up a
 // stream that began before them.
 func (c *Controller) SoleBuild(ctx context.Context, service string, version int64) (directory.Build, error) {
-	ctx, cancel := context.WithTimeout(ctx, soleBuildTimeout)
-	defer cancel()
-	l, err := c.newestLedger(ctx)
-	if err != nil {
-		return directory.Build{}, err
-	}
-	if err := c.checkNewestConfig(ctx, version); err != nil {
-		return directory.Build{}, err
-	}
-	if l.Config < version {
+	s := c.newest.Read(ctx, c.readNewest)
+	switch {
+	case s.err != nil:
+		return directory.Build{}, s.err
+	case s.ledger == nil:
+		return directory.Build{}, errNoLedger
+	case s.config != version || s.ledger.Config < version:
 		return directory.Build{}, errConfigBehind
 	}
-	build, ok := l.Sole(service)
+	build, ok := s.ledger.Sole(service)
 	if !ok {
 		return directory.Build{}, errSeveralBuilds
 	}
 	return build, nil
 }
 
+// readNewest reads both topics to their ends.
+func (c *Controller) readNewest() (s newestState) {
+	ctx, cancel := context.WithTimeout(context.Background(), newestReadTimeout)
+	defer cancel()
+	if s.ledger, s.err = c.newestLedger(ctx); s.err == nil {
+		s.config, s.err = c.newestConfig(ctx)
+	}
+	return s
+}
+
 // newestLedger returns the ledger of the newest lease record in the store.
 func (c *Controller) newestLedger(ctx context.Context) (*origin.Ledger, error) {
 	mark := c.leaseRead.Load()
@@ -225,25 +240,25 @@
 	return ledger, nil
 }
 
-// checkNewestConfig returns an error unless a version of the configuration is shown to be the newest in the store.
-func (c *Controller) checkNewestConfig(ctx context.Context, version int64) error {
+// newestConfig returns the version of the configuration in force, if it is shown to be the newest in the store.
+func (c *Controller) newestConfig(ctx context.Context) (version int64, err error) {
 	cc := c.config.Load()
-	if cc.version() != version || cc.readTo == 0 {
-		return errConfigBehind
+	if cc.readTo == 0 {
+		return 0, errConfigBehind
 	}
 	page, err := c.o.Store.Configs(ctx, cc.readTo, 0)
 	if err != nil {
-		return fmt.Errorf("the newest configuration cannot be read: %w", err)
+		return 0, fmt.Errorf("the newest configuration cannot be read: %w", err)
 	}
 	if page.Next < page.End || len(page.Damaged) > 0 || position.Era(page.Next) != position.Era(cc.readTo) {
-		return errConfigBehind
+		return 0, errConfigBehind
 	}
 	for _, r := range page.Records {
-		if t := r.Value.Table; t != nil && t.Config.Version > version {
-			return errConfigBehind
+		if t := r.Value.Table; t != nil && t.Config.Version > cc.version() {
+			return 0, errConfigBehind
 		}
 	}
-	return nil
+	return cc.version(), nil
 }
 
 // leaseRead is up to where the lease topic is known, with the ledger of the latest record before.
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -151,7 +151,9 @@
 	latestLease atomic.Pointer[peer.LeaseMark]
 	// leaseRead is up to where the lease topic is known; nil if nothing is.
 	leaseRead atomic.Pointer[leaseRead]
-	peers     peerList
+	// newest reads what the store has now.
+	newest sharedRead[newestState]
+	peers  peerList
 	// leading is set while this node holds the lease. leaseUncertain is set until the lease topic was read, and again
 	// after a failed append, a handover or a restore of the store. The lease reader is idle while leading is set and
 	// leaseUncertain is not, since a holder knows the end of the topic from its own appends.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -142,6 +142,8 @@
 	Stream bool
 	// Service is the service that serves the request.
 	Service string
+	// Split is true if the route leads to several services.
+	Split bool
 	// Resumable is true for a stream that may go on at another endpoint, within the answer or when its caller takes it up.
 	Resumable bool
 	// OnceOnly is true for requests that must run at most once.
--- a/io/caller/origin.go
+++ b/io/caller/origin.go
@@ -19,6 +19,8 @@
 	// Find returns where the stream with a key began. service is the one that the request would go to, by version of the
 	// configuration. The error is a *refusal.Error.
 	Find(ctx context.Context, k origin.Key, service string, version int64) (origin.Origin, error)
+	// Conclude is Find for a stream of which the caller did not say which request began it.
+	Conclude(ctx context.Context, service string, version int64) (origin.Origin, error)
 }
 
 // resolveOrigin finds out where the stream began that the caller takes up, if it takes one up.
@@ -26,10 +28,16 @@
 	if !x.Target.Resumable || !x.Resumes.Stated() || s.Origins == nil {
 		return nil
 	}
-	if x.Resumes.Of == "" {
-		return refusal.New(refusal.StreamUnknown, "the request names a position, but not the request that began the stream")
+	var o origin.Origin
+	var err error
+	switch {
+	case x.Resumes.Of != "":
+		o, err = s.Origins.Find(ctx, x.streamKey(), x.Target.Service, x.Target.Version)
+	case x.Target.Split:
+		err = refusal.New(refusal.StreamUnknown, "the request names a position, but not the request that began the stream, and its route leads to several services")
+	default:
+		o, err = s.Origins.Conclude(ctx, x.Target.Service, x.Target.Version)
 	}
-	o, err := s.Origins.Find(ctx, x.streamKey(), x.Target.Service, x.Target.Version)
 	if err != nil {
 		return err
 	}
