choose, traffic: requests that were cut off together count as one failure of their endpoint

Cause: each request that broke off with a connection counted as a failure of its endpoint, and from the third on each doubled the ejection: eight streams on one endpoint ejected it for 15 s. Only silence was counted once.

Why this works: requests that were already at the endpoint when it was ejected failed for the same reason and say nothing new, so that they do not prolong the ejection; it lasts 0.5 s, until one request is answered.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -207,14 +207,10 @@
 func (h *Health) Reset() { *h = Health{} }
 
 // Unresponsive records that the replica did not answer a request that began at begun within the time that an answer may
-// take, or was unreachable. One such failure ejects it: the next request would wait as long. Requests that were already
-// there when it was ejected wait for the same reason, so that all of them count as one failure.
+// take, or was unreachable. One such failure ejects it: the next request would wait as long.
 func (h *Health) Unresponsive(begun, now time.Time) {
-	if h.failures >= ejectAfter && begun.Before(h.ejectedAt) {
-		return
-	}
 	h.failures = max(h.failures, ejectAfter-1)
-	h.Failed(now)
+	h.Failed(begun, now)
 }
 
 // ProcessEnded records that the replica's process has ended. It is ejected until it can have restarted. However many
@@ -226,9 +222,13 @@
 	}
 }
 
-// Failed records a failure. From ejectAfter failures in a row on, each one ejects for twice as long as the one before,
-// up to maxEjection.
-func (h *Health) Failed(now time.Time) {
+// Failed records the failure of a request that began at begun. From ejectAfter failures in a row on, each one ejects for
+// twice as long as the one before, up to maxEjection. Requests that were already there when the replica was ejected fail
+// for the same reason, so that they do not count again.
+func (h *Health) Failed(begun, now time.Time) {
+	if h.failures >= ejectAfter && begun.Before(h.ejectedAt) {
+		return
+	}
 	h.failures++
 	if h.failures < ejectAfter {
 		return
--- a/internal/traffic/endpoint_state.go
+++ b/internal/traffic/endpoint_state.go
@@ -81,7 +81,7 @@
 	case r.Silent:
 		ep.health.Unresponsive(grantedAt, now)
 	case r.Err != nil:
-		ep.health.Failed(now)
+		ep.health.Failed(grantedAt, now)
 	default:
 		ep.answered = true
 		ep.serve.Observe(now.Sub(grantedAt))
