--- a/internal/placer/mirror.go
+++ b/internal/placer/mirror.go
@@ -47,7 +47,7 @@
 func (p *publication) mirror(s *peer.Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	urgent := s.Config != nil || s.Evacuations != nil || len(s.Feeders) > 0
+	urgent := s.Config != nil || s.Evacuations != nil || len(s.Feeders) > 0 || !s.Lease.Ledger.Equal(p.store.lease.Ledger)
 	changed := urgent || s.Version > p.version
 	p.version = max(p.version, s.Version)
 	for id, pools := range s.Serving {
--- a/internal/placer/storestate.go
+++ b/internal/placer/storestate.go
@@ -110,7 +110,12 @@
 func (p *publication) setLease(rec lease.Record, offset uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	admitted := !rec.Ledger.Equal(p.store.lease.Ledger)
 	p.store.lease, p.store.leaseOffset = rec, offset
+	if admitted {
+		// Streams may begin at a new build once the nodes know it.
+		p.wakeAll()
+	}
 	if !slices.Equal(rec.Nodes, p.store.takers) {
 		p.wake(nil)
 		p.store.takers, p.store.takersVersion = rec.Nodes, p.version
