caller, hosted, endpoint: events of an engine that has started again under its id are not forwarded unseen

Where engines keep their ids over a restart, one that has come back at another version, and whose new entry the nodes have not read, is taken for the old one: a stream of the old version goes on there, and one that begins there is recorded at the old version, or concluded from a ledger that does not name the new one.

Cause: Expect-Instance names an id and not a start, and the build stands in the entry alone.

Why this works: before an answer's events are forwarded, the connection is shown to lead to the chosen start: by a list of endpoints that is newer than the connection and still has it (kept connections, no cost), or else by the start in a report of the engine that was asked for after the connection (a later process cannot have begun before the one that answers ended). The inquiry goes over the same path as the request, through a gateway too. Endpoints without a published start have a new id at each start, which they check themselves: nothing is asked there, as on all deployments but the fleet.

--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -151,6 +151,9 @@
 	latestLease atomic.Pointer[peer.LeaseMark]
 	// leaseRead is up to where the lease topic is known; nil if nothing is.
 	leaseRead atomic.Pointer[leaseRead]
+	// listedAsOf is a time at which the list of endpoints had nothing that the view in force does not show; nil before the
+	// first read.
+	listedAsOf atomic.Pointer[time.Time]
 	// newest reads what the store has now.
 	newest sharedRead[newestState]
 	peers  peerList
@@ -387,6 +390,7 @@
 		c.viewStale = false
 		c.publish(now)
 	}
+	c.updateListedAsOf()
 }
 
 // maintainLease renews or takes the lease, and starts or ends this node's term when the lease is gained or lost.
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -179,3 +179,23 @@
 	}
 	return nil
 }
+
+// ListedAsOf returns a time at which the list of endpoints had nothing that the view in force does not show; zero if none
+// is known.
+func (c *Controller) ListedAsOf() time.Time {
+	if at := c.listedAsOf.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// updateListedAsOf updates the result of ListedAsOf, after the view was put in force.
+func (c *Controller) updateListedAsOf() {
+	at := c.published.instancesReadAt()
+	if m := c.relayed.Load(); m != nil && m.at.After(at) {
+		at = m.at
+	}
+	if at.After(c.ListedAsOf()) {
+		c.listedAsOf.Store(&at)
+	}
+}
--- a/internal/placer/storestate.go
+++ b/internal/placer/storestate.go
@@ -106,6 +106,13 @@
 	p.store.instancesAt = asked
 }
 
+// instancesReadAt returns when the latest read of the list to its end was sent.
+func (p *publication) instancesReadAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.store.instancesAt
+}
+
 // setLease publishes the latest lease record.
 func (p *publication) setLease(rec lease.Record, offset uint64) {
 	p.mu.Lock()
--- a/internal/traffic/build.go
+++ b/internal/traffic/build.go
@@ -3,6 +3,7 @@
 import (
 	"olivetiller/core/origin"
 	"olivetiller/core/refusal"
+	"olivetiller/core/view"
 )
 
 // keyOf returns the key of the pool for a request to the named pool.
@@ -59,3 +60,15 @@
 	defer d.mu.Unlock()
 	p.acquiring--
 }
+
+// SameProcess reports whether an endpoint that was chosen by an earlier view is still the incarnation that it was then, as
+// far as this node knows.
+func (d *Dispatcher) SameProcess(e view.Endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.signals.Superseded(incarnationOf(&e)) {
+		return false
+	}
+	ep := d.endpointStates[e.Name]
+	return ep == nil || ep.incarnation == e.Incarnation && ep.build == e.Build
+}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -506,7 +506,7 @@
 			ep.backoffUntil = d.signals.BackoffUntil(ep.incarnationID)
 			d.endpointStates[e.Name] = ep
 		}
-		ep.hall, ep.address, ep.coldUntil, ep.coldRate, ep.slots = e.Hall, e.Address, e.ColdUntil, e.ColdRate, e.Concurrency
+		ep.build, ep.hall, ep.address, ep.coldUntil, ep.coldRate, ep.slots = e.Build, e.Hall, e.Address, e.ColdUntil, e.ColdRate, e.Concurrency
 		d.setLimits(ep, now)
 		out = append(out, candidate{Endpoint: e, endpointState: ep})
 	}
--- a/internal/traffic/endpoint_state.go
+++ b/internal/traffic/endpoint_state.go
@@ -5,6 +5,7 @@
 
 	"olivetiller/core/admit"
 	"olivetiller/core/choose"
+	"olivetiller/core/directory"
 	"olivetiller/core/view"
 )
 
@@ -14,6 +15,7 @@
 	name        string
 	address     string
 	incarnation uint64
+	build       directory.Build
 	hall        string
 	// running counts this node's requests in progress at the endpoint.
 	running int
--- a/io/caller/held_test.go
+++ b/io/caller/held_test.go
@@ -73,7 +73,7 @@
 	r := &relay{x: x, s: s, flush: http.NewResponseController(w), buf: make([]byte, relayBuffer), events: s.protocol().Events(x), stall: &stall{}}
 	for _, event := range []string{"data: 1\n\n", "data: 2\n\n"} {
 		r.buffered = copy(r.buf, event)
-		if err := r.writeEvents(); err != nil {
+		if err := r.writeEvents(t.Context()); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/io/caller/origin.go
+++ b/io/caller/origin.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"olivetiller/core/origin"
 	"olivetiller/core/refusal"
+	"olivetiller/core/retry"
 	"olivetiller/core/view"
+	"olivetiller/internal/traffic"
+	"olivetiller/io/endpoint"
 )
 
 // Origins knows where streams began, at this node and at others.
@@ -23,6 +27,50 @@
 	Conclude(ctx context.Context, service string, version int64) (origin.Origin, error)
 }
 
+// Processes tells whether endpoints are still the processes that were chosen.
+type Processes interface {
+	// Confirm returns nil once it is certain that a connection that was opened at a time leads to the incarnation e of an
+	// endpoint of a service, whose build it therefore has. It may ask the endpoint.
+	Confirm(ctx context.Context, service string, e view.Endpoint, connectedAt time.Time) error
+}
+
+// unconfirmedError is the error of an answer whose events must not be forwarded, because they may come from another process
+// than the one that was chosen, with another version of its software.
+type unconfirmedError struct{ cause error }
+
+// Error implements error.
+func (e *unconfirmedError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the reason why the process is not confirmed.
+func (e *unconfirmedError) Unwrap() error { return e.cause }
+
+// confirmProcess returns an *unconfirmedError if the first events of an answer must not be forwarded.
+func (s *Server) confirmProcess(ctx context.Context, x *Exchange, e view.Endpoint, connectedAt time.Time) error {
+	if !x.Target.Resumable || s.Processes == nil {
+		return nil
+	}
+	if err := s.Processes.Confirm(ctx, x.Target.Service, e, connectedAt); err != nil {
+		return &unconfirmedError{err}
+	}
+	return nil
+}
+
+// brokenWithin is how long the connection of an answer that is not confirmed is read on, to tell whether its process has
+// crashed.
+const brokenWithin = 100 * time.Millisecond
+
+// unconfirmed returns the result of an attempt whose events were not forwarded. A process that has crashed confirms
+// nothing, and is reported as any other that broke its connection.
+func (s *Server) unconfirmed(resp *endpoint.Response, err error) (traffic.Result, error) {
+	timer := s.Clock.AfterFunc(brokenWithin, func() { _ = resp.Body.Close() })
+	_, broken := io.Copy(io.Discard, resp.Body)
+	if timer.Stop() && broken != nil {
+		err := resp.BrokenError(broken)
+		return failedResult(err), err
+	}
+	return traffic.Result{NotStarted: true, Running: -1}, &endpoint.Error{Outcome: retry.Ran, Cause: err}
+}
+
 // resolveOrigin finds out where the stream began that the caller takes up, if it takes one up.
 func (s *Server) resolveOrigin(ctx context.Context, x *Exchange) error {
 	if !x.Target.Resumable || !x.Resumes.Stated() || s.Origins == nil {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -59,6 +59,8 @@
 	Limiter Limiter
 	// Origins knows where streams began; nil if streams may go on at any endpoint.
 	Origins Origins
+	// Processes tells whether endpoints have started again since they were chosen; nil if they never do under one name.
+	Processes Processes
 	// View returns the current view.
 	View func() *view.View
 	// Stopping reports whether a planned shutdown has begun. Answers then ask the load balancer to close its
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -54,6 +54,8 @@
 	// slot is the slot of the current attempt until its first event, and endpoint is that attempt's endpoint.
 	slot     *traffic.Slot
 	endpoint view.Endpoint
+	// connectedAt is when the connection to the endpoint was opened.
+	connectedAt time.Time
 	// ended ends the record of the stream's origin; nil before its first event.
 	ended func()
 	// stall is the stall watch of the current attempt.
@@ -93,8 +95,12 @@
 		if r.relayed > 0 {
 			s.Metrics.Resumed.Add(1)
 		}
-		r.head, r.slot, r.endpoint = resp.Header, slot, slot.Endpoint
+		r.head, r.slot, r.endpoint, r.connectedAt = resp.Header, slot, slot.Endpoint, resp.ConnectedAt
 		if err := r.copy(ctx, resp.Body); err != nil {
+			var unconfirmed *unconfirmedError
+			if errors.As(err, &unconfirmed) {
+				return s.unconfirmed(resp, unconfirmed)
+			}
 			err = st.withStallCause(resp.BrokenError(err))
 			if callerCtx.Err() != nil || r.callerGone {
 				// The caller has disconnected, which is no failure of the endpoint.
@@ -168,7 +174,7 @@
 		n, err := body.Read(r.buf[r.buffered:])
 		r.buffered += n
 		if n > 0 {
-			if werr := r.writeEvents(); werr != nil {
+			if werr := r.writeEvents(ctx); werr != nil {
 				return werr
 			}
 		}
@@ -187,12 +193,17 @@
 }
 
 // writeEvents writes the complete events in the buffer to the caller and keeps the rest.
-func (r *relay) writeEvents() error {
+func (r *relay) writeEvents(ctx context.Context) error {
 	end := bytes.LastIndex(r.buf[:r.buffered], eventEnd)
 	if end < 0 {
 		return nil
 	}
 	end += len(eventEnd)
+	if r.slot != nil {
+		if err := r.s.confirmProcess(ctx, r.x, r.endpoint, r.connectedAt); err != nil {
+			return err
+		}
+	}
 	r.countEvents(r.buf[:end])
 	setWriteTimeout(r.flush, writeTimeout)
 	r.writeHead()
--- a/io/endpoint/check.go
+++ b/io/endpoint/check.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // Check decides right before a request is written whether it may still be sent, and returns the reason if not.
@@ -37,6 +38,8 @@
 	onCheckFailed func(error)
 	// wrote is set once part of the request was written.
 	wrote bool
+	// openedAt is when the connection was opened. It is set before the first request and not changed later.
+	openedAt time.Time
 }
 
 // setCheck sets the check for the next request; nil for none.
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -117,6 +117,8 @@
 	Sends int
 	// Gateway is the address of the node by way of which the request went; "" if it went directly.
 	Gateway string
+	// ConnectedAt is when the connection was opened; zero if the client has no clock.
+	ConnectedAt time.Time
 	// Signals holds the signals in the answer.
 	Signals signal.Signals
 }
@@ -220,9 +222,10 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	var sends atomic.Int32
 	var gateway string
+	var connectedAt time.Time
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		sends.Add(1)
-		gateway = gatewayOf(info.Conn)
+		gateway, connectedAt = gatewayOf(info.Conn), c.connectedAt(info)
 	}}
 	ctx = withTunnelLifetime(ctx, r.Timeout)
 	cancel := func() {}
@@ -261,10 +264,45 @@
 		failure.Sends, failure.Gateway = n, gateway
 		return nil, failure
 	}
-	answer.Sends, answer.Gateway = n, gateway
+	answer.Sends, answer.Gateway, answer.ConnectedAt = n, gateway, connectedAt
 	return answer, nil
 }
 
+// maxInquiryBytes bounds the answer to an inquiry.
+const maxInquiryBytes = 1 << 20
+
+// Inquire sends a request that the endpoint answers about itself, over the path that other requests take, and returns the
+// body of the answer. It fails unless the status is 200.
+func (c *Client) Inquire(ctx context.Context, r *Request) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build request")
+	}
+	req.Header = r.Header
+	var sends atomic.Int32
+	resp, err := c.roundTrip(req, r, &sends)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("status %d", resp.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxInquiryBytes))
+}
+
+// connectedAt returns when the connection of a request was opened; zero without a clock.
+func (c *Client) connectedAt(info httptrace.GotConnInfo) time.Time {
+	conn, ok := info.Conn.(*checkedConn)
+	if !ok || c.clock == nil {
+		return time.Time{}
+	}
+	if !info.Reused {
+		conn.openedAt = c.clock.Now()
+	}
+	return conn.openedAt
+}
+
 // Refuses reports whether the address refuses TCP connections, also those of other nodes, so that no process listens
 // there. It closes a connection that is accepted without writing to it.
 func (c *Client) Refuses(ctx context.Context, address string) bool {
