placement: streams whose build cannot load their model are told when a load could be over

Where no engine of the build can make way for the model, nothing was published, and the streams waited until their callers gave up (2.385 s) before they were refused. Now the forecast is a load from the weight store, by which the nodes refuse those that cannot wait for it at once, with a hint. TestBoundForecast failed before (expected at no time).

--- a/core/placement/bound.go
+++ b/core/placement/bound.go
@@ -78,7 +78,12 @@
 			continue
 		}
 		c, ok := g.bestBoundCandidate(d)
-		if !ok || (d.waiting == 0 || c.ready.After(d.lastDue)) != late {
+		if !ok {
+			// No engine of the build can make way for the model now. Its callers are told when a load could be over.
+			g.setBoundReadyAt(d.BoundUnit, g.now.Add(m.spec.Load))
+			continue
+		}
+		if (d.waiting == 0 || c.ready.After(d.lastDue)) != late {
 			continue
 		}
 		g.setBoundReadyAt(d.BoundUnit, c.ready)
--- a/core/placement/bound_test.go
+++ b/core/placement/bound_test.go
@@ -82,6 +82,13 @@
 	if got := p.BoundReadyAt()[b].Sub(at(10)); got != 800*time.Millisecond {
 		t.Errorf("expected in %v, want in the 0.8 s of a load from disk", got)
 	}
+	full := boundPlanner(t, map[string]Report{"a1": {Holdings: directory.Holdings{Models: heldList("m1", "m2"), OnDisk: []string{"m0"}}}, "b1": {}})
+	busy := []Usage{boundUse(unit("m0"), 3000), {Unit: unit("m1"), Waiting: 9, Arrivals: 90, RunningAt: map[string]int{"a1": 9}}, {Unit: unit("m2"), Waiting: 9, Arrivals: 90, RunningAt: map[string]int{"a1": 9}}}
+	full.RecordUsage("n", busy, at(10))
+	full.Plan(at(10), 1)
+	if got := full.BoundReadyAt()[b].Sub(at(10)); got != 6*time.Second {
+		t.Errorf("where no engine can make way expected in %v, want in the 6 s of a load", got)
+	}
 	p.RecordUsage("n", nil, at(20))
 	p.Plan(at(20), 1)
 	if len(p.BoundReadyAt()) != 0 || len(p.bound) != 0 {
