--- a/internal/placer/gateways.go
+++ b/internal/placer/gateways.go
@@ -73,11 +73,15 @@
 	g.gateways = gateways
 }
 
-// Nodes returns the nodes that all nodes know of, which include this one if it is among them.
+// Nodes returns the nodes that all nodes know of, which include this one if it is among them. A node that has heard of none
+// yet knows the lease holder from the log.
 func (c *Controller) Nodes() []reach.Gateway {
 	g := &c.gateways
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if m := c.LeaseMark(); len(g.gateways) == 0 && m != nil {
+		return []reach.Gateway{{Address: m.Record.Address}}
+	}
 	return g.gateways
 }
 
