--- a/cmd/olivebench/soak.go
+++ b/cmd/olivebench/soak.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: answers %v, faults %v, engines ended by one request %d (its answers %v), violations %v\n", seed, r.Answers, r.Faults, r.Ended, r.Deadly, r.Violations)
+		fmt.Printf("seed %d: answers %v, faults %v, streams %v, engines ended by one request %d (its answers %v), violations %v\n", seed, r.Answers, r.Faults, r.Streams, r.Ended, r.Deadly, r.Violations)
 		if len(r.Violations) > 0 {
 			found++
 			fmt.Println("  logs:", soak.Logs(dir))
