origin, origins: the nodes that keep a record are asked first, also after others have joined and left

The order of nodes put one of each data hall before the second ones, so that a node that joined sent the former first one of its hall far behind: of five nodes in five halls, one that kept a record was the fifth of four asked.

The order is a plain rendezvous now, in which a node that joins or leaves moves the others by one place. The second copy goes to the first node of another hall than the first one, and the nodes asked first reach so far that they hold it, whichever halls precede it: at least four, and three outside of any single hall.

--- a/core/origin/order.go
+++ b/core/origin/order.go
@@ -9,24 +9,26 @@
 	"olivetiller/core/reach"
 )
 
-// Copies is at how many nodes other than the one that began a stream its record is kept.
-const Copies = 2
-
-// Asked is how many nodes are asked first for the record of a stream. A node that begins a stream is not among the
-// keepers of its record, and nodes may join or leave between the two, so that more are asked than keep it.
-const Asked = 4
-
-// MaxAsked is how many nodes are asked in all if the first ones have no record.
-const MaxAsked = 16
+const (
+	// Copies is at how many nodes other than the one that began a stream its record is kept.
+	Copies = 2
+	// maxTried is how many nodes a record is sent to until so many have taken it.
+	maxTried = 4
+	// minAsked is the least number of nodes that are asked first for a record, and maxAsked the number that are asked in all
+	// if those have none.
+	minAsked = 4
+	maxAsked = 16
+	// askedElsewhere is how many of the nodes that are asked first are outside of any single data hall: the second copy is
+	// kept in another hall than the first one, where the node that began the stream and one that joined since may precede it.
+	askedElsewhere = 3
+)
 
-// Order returns the nodes by their order for a key: the highest scores first, but a second node of a data hall only after
-// one of each hall. A node that joins or leaves changes the place of few others.
+// Order returns the nodes by their order for a key, by rendezvous: a node that joins or leaves moves the others by one
+// place.
 func Order(k Key, nodes []reach.Gateway) []reach.Gateway {
 	type scored struct {
 		reach.Gateway
 		score uint64
-		// inHall is the rank of the node among those of its hall.
-		inHall int
 	}
 	all := make([]scored, len(nodes))
 	var d xxhash.Digest
@@ -35,17 +37,11 @@
 		// Writes to a hash do not fail.
 		_, _ = d.Write(k[:])
 		_, _ = d.WriteString(n.Address)
-		all[i] = scored{Gateway: n, score: d.Sum64()}
+		all[i] = scored{n, d.Sum64()}
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Address, b.Address))
 	})
-	halls := make(map[string]int)
-	for i := range all {
-		all[i].inHall = halls[all[i].Hall]
-		halls[all[i].Hall]++
-	}
-	slices.SortStableFunc(all, func(a, b scored) int { return a.inHall - b.inHall })
 	out := make([]reach.Gateway, len(all))
 	for i := range all {
 		out[i] = all[i].Gateway
@@ -53,13 +49,44 @@
 	return out
 }
 
-// Without returns the addresses of the nodes but one, in their order.
-func Without(self string, nodes []reach.Gateway) []string {
-	out := make([]string, 0, len(nodes))
-	for _, n := range nodes {
-		if n.Address != self {
-			out = append(out, n.Address)
+// Keepers returns the addresses of the nodes that keep copies of a record, given their order, for the node at the address
+// self that began the stream: the first one, the first one of another data hall, and then those that replace them if they do
+// not answer.
+func Keepers(self string, order []reach.Gateway) []string {
+	others := slices.DeleteFunc(slices.Clone(order), func(n reach.Gateway) bool { return n.Address == self })
+	if len(others) > 2 {
+		if i := slices.IndexFunc(others, func(n reach.Gateway) bool { return n.Hall != others[0].Hall }); i > 1 {
+			second := others[i]
+			copy(others[2:i+1], others[1:i])
+			others[1] = second
 		}
 	}
+	return addresses(others[:min(len(others), maxTried)])
+}
+
+// Asked returns the addresses of the nodes to ask for a record, given their order, for the node at the address self: first
+// those that keep it unless several nodes have joined or left since, then some more.
+func Asked(self string, order []reach.Gateway) (first, more []string) {
+	n, most, inHall := 0, 0, make(map[string]int)
+	oneHall := !slices.ContainsFunc(order, func(w reach.Gateway) bool { return w.Hall != order[0].Hall })
+	for n < min(len(order), maxAsked) && (n < minAsked || !oneHall && n-most < askedElsewhere) {
+		hall := order[n].Hall
+		inHall[hall]++
+		most = max(most, inHall[hall])
+		n++
+	}
+	return without(self, order[:n]), without(self, order[n:min(len(order), maxAsked)])
+}
+
+// without returns the addresses of the nodes but one.
+func without(self string, nodes []reach.Gateway) []string {
+	return addresses(slices.DeleteFunc(slices.Clone(nodes), func(n reach.Gateway) bool { return n.Address == self }))
+}
+
+func addresses(nodes []reach.Gateway) []string {
+	out := make([]string, len(nodes))
+	for i, n := range nodes {
+		out[i] = n.Address
+	}
 	return out
 }
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -103,38 +103,42 @@
 	})
 }
 
-// TestOrder checks that the first nodes for a key are in different data halls, and that a node that leaves or joins keeps
-// most records findable: the copies of before are among the nodes that are asked first.
-func TestOrder(t *testing.T) {
+// TestKeepersAreAsked checks that the first two nodes that keep a record are in different data halls, and that the node that
+// takes the stream up asks both first, also if one node has left and one has joined since.
+func TestKeepersAreAsked(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 130).Draw(t, "nodes")
-		halls := rapid.IntRange(1, 5).Draw(t, "halls")
+		halls := rapid.IntRange(1, 15).Draw(t, "halls")
 		var nodes []reach.Gateway
+		hallOf := make(map[string]string)
 		for i := range n {
-			nodes = append(nodes, reach.Gateway{Address: fmt.Sprint("n", i), Hall: fmt.Sprint("h", i%halls)})
+			w := reach.Gateway{Address: fmt.Sprint("n", i), Hall: fmt.Sprint("h", i%halls)}
+			nodes, hallOf[w.Address] = append(nodes, w), w.Hall
 		}
 		k := KeyOf("", "h", rapid.String().Draw(t, "id"))
-		order := Order(k, nodes)
-		seen := make(map[string]bool)
-		for i, w := range order[:min(halls, n)] {
-			if seen[w.Hall] {
-				t.Fatalf("node %d is the second one of hall %s, and not all halls have one yet", i, w.Hall)
-			}
-			seen[w.Hall] = true
-		}
 		self := nodes[rapid.IntRange(0, n-1).Draw(t, "self")].Address
-		keepers := Without(self, order)
+		keepers := Keepers(self, Order(k, nodes))
+		if slices.Contains(keepers, self) || len(keepers) != min(n-1, maxTried) {
+			t.Fatalf("%s has its record kept by %v", self, keepers)
+		}
 		keepers = keepers[:min(Copies, len(keepers))]
+		if len(keepers) == 2 && hallOf[keepers[0]] == hallOf[keepers[1]] && slices.ContainsFunc(nodes, func(w reach.Gateway) bool {
+			return w.Address != self && w.Hall != hallOf[keepers[0]]
+		}) {
+			t.Fatalf("both of %v are in one hall", keepers)
+		}
 		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
 		left := append(slices.Clone(nodes[:gone]), nodes[gone+1:]...)
-		left = append(left, reach.Gateway{Address: "new", Hall: rapid.SampledFrom([]string{"h0", "h9"}).Draw(t, "hall of the new one")})
-		asked := Without("asks", Order(k, left))
-		asked = asked[:min(Asked, len(asked))]
+		left = append(left, reach.Gateway{Address: "new", Hall: rapid.SampledFrom([]string{"h0", "h99"}).Draw(t, "hall of the new one")})
+		asked, more := Asked("asks", Order(k, left))
 		for _, kept := range keepers {
-			if kept != nodes[gone].Address && !slices.Contains(asked, kept) {
+			if len(asked) < maxAsked && kept != nodes[gone].Address && !slices.Contains(asked, kept) {
 				t.Fatalf("%s keeps the record and is not among %v, which are asked first", kept, asked)
 			}
 		}
+		if len(asked)+len(more) != min(len(left), maxAsked) {
+			t.Fatalf("%d and %d nodes are asked of %d", len(asked), len(more), len(left))
+		}
 	})
 }
 
--- a/internal/originlab/simulation.go
+++ b/internal/originlab/simulation.go
@@ -329,8 +329,8 @@
 	if st.ended || !from.up || from.downAt != st.life || left == 0 {
 		return
 	}
-	for i, address := range origin.Without(from.Address, origin.Order(st.key, s.list())) {
-		if left == 0 || i == origin.Asked {
+	for _, address := range origin.Keepers(from.Address, origin.Order(st.key, s.list())) {
+		if left == 0 {
 			break
 		}
 		s.result.Messages++
@@ -396,16 +396,13 @@
 		return rec.Build, true, 0
 	}
 	if s.design != LedgerOnly {
-		order := origin.Without(n.Address, origin.Order(st.key, s.list()))
-		rounds := []int{min(origin.Asked, len(order)), min(origin.MaxAsked, len(order))}
+		first, more := origin.Asked(n.Address, origin.Order(st.key, s.list()))
 		if s.design == AskAll {
-			order = s.others(n)
-			rounds = []int{len(order)}
+			first, more = s.others(n), nil
 		}
-		asked := 0
-		for _, until := range rounds {
-			rec, found, waited := s.ask(n, st.key, order[asked:until])
-			asked, took = until, took+waited
+		for _, addresses := range [][]string{first, more} {
+			rec, found, waited := s.ask(n, st.key, addresses)
+			took += waited
 			if found {
 				return rec.Build, true, took
 			}
--- a/internal/origins/copies.go
+++ b/internal/origins/copies.go
@@ -11,10 +11,10 @@
 // replication is a record on its way to the nodes that keep copies.
 type replication struct {
 	record origin.Record
-	// order holds the addresses of the nodes that may keep it, and next is the index of the next one to try after a
+	// keepers holds the addresses of the nodes that may keep it, and next is the index of the next one to try after a
 	// failure.
-	order []string
-	next  int
+	keepers []string
+	next    int
 }
 
 // outbox holds the records for one node. Those that come while a call is under way go with the next one.
@@ -25,8 +25,7 @@
 
 // copyRecord sends a record to the nodes that keep it. The caller holds t.mu.
 func (t *Tracker) copyRecord(r origin.Record) {
-	order := origin.Without(t.o.Self, origin.Order(r.Key, t.o.Nodes()))
-	c := &replication{record: r, order: order[:min(len(order), origin.Asked)]}
+	c := &replication{record: r, keepers: origin.Keepers(t.o.Self, origin.Order(r.Key, t.o.Nodes()))}
 	for range origin.Copies {
 		t.sendNext(c)
 	}
@@ -34,11 +33,11 @@
 
 // sendNext puts a record into the outbox of the next node that may keep it. The caller holds t.mu.
 func (t *Tracker) sendNext(c *replication) {
-	if c.next >= len(c.order) {
+	if c.next >= len(c.keepers) {
 		t.Metrics.NotCopied.Add(1)
 		return
 	}
-	address := c.order[c.next]
+	address := c.keepers[c.next]
 	c.next++
 	b := t.outboxes[address]
 	if b == nil {
--- a/internal/origins/find.go
+++ b/internal/origins/find.go
@@ -85,10 +85,10 @@
 // askNodes asks other nodes for the record of a stream: first those that should keep it, then some more. by is the address
 // of the node that has it; "" if none does.
 func (t *Tracker) askNodes(ctx context.Context, k origin.Key) (r origin.Record, by string, asked, unanswered int) {
-	order := origin.Without(t.o.Self, origin.Order(k, t.o.Nodes()))
-	for _, until := range []int{min(origin.Asked, len(order)), min(origin.MaxAsked, len(order))} {
-		found, address, failed := t.askAtOnce(ctx, k, order[asked:until])
-		asked, unanswered = until, unanswered+failed
+	first, more := origin.Asked(t.o.Self, origin.Order(k, t.o.Nodes()))
+	for _, addresses := range [][]string{first, more} {
+		found, address, failed := t.askAtOnce(ctx, k, addresses)
+		asked, unanswered = asked+len(addresses), unanswered+failed
 		if found != nil {
 			return found.Decode(t.o.Clock.Now()), address, asked, unanswered
 		}
--- a/internal/origins/tracker_test.go
+++ b/internal/origins/tracker_test.go
@@ -120,10 +120,10 @@
 		t.Run(name, func(t *testing.T) {
 			p, fleet := newFleet(clock, 7, nil)
 			r := testRecord(clock, name)
-			order := origin.Without("n0", origin.Order(r.Key, fleet[0].o.Nodes()))
-			p.setDown(order[:down]...)
+			keepers := origin.Keepers("n0", origin.Order(r.Key, fleet[0].o.Nodes()))
+			p.setDown(keepers[:down]...)
 			fleet[0].Began(r)
-			want := append([]string{"n0"}, order[down:down+origin.Copies]...)
+			want := append([]string{"n0"}, keepers[down:down+origin.Copies]...)
 			slices.Sort(want)
 			eventually(t, "two copies", func() bool {
 				clock.Advance(sendDelay)
