origin, platform: a ledger of very many builds stays small

By reading: a platform that numbers its engines instead of their versions has as many builds as engines. The ledger of 12,000 of them is larger than a record of the store, so that no lease record could be written, and adding them one by one took seconds. A node that stops hands its records over without holding up streams that begin meanwhile.

--- a/core/origin/ledger.go
+++ b/core/origin/ledger.go
@@ -20,10 +20,17 @@
 	// Config is the version of the configuration up to which moved routes are taken into account.
 	Config int64 `json:"config,omitempty"`
 	// UnsettledMs is for how much longer, in milliseconds, streams may be in progress that began at builds or services
-	// that the ledger does not name, since an earlier ledger was lost.
+	// that the ledger does not name, since an earlier ledger was lost, or was open.
 	UnsettledMs int64 `json:"unsettledMs,omitempty"`
+	// OpenMs is for how much longer, in milliseconds, streams may begin at any build, since there were more than
+	// maxBuilds. The ledger names none then.
+	OpenMs int64 `json:"openMs,omitempty"`
 }
 
+// maxBuilds bounds the builds in a ledger, which is a part of each lease record. A platform that numbers its engines
+// instead of their versions has as many builds as engines.
+const maxBuilds = 256
+
 // Builds are the builds of one service in a ledger.
 type Builds struct {
 	// Admitted are ordered by name.
@@ -42,7 +49,7 @@
 
 // Admits reports whether streams may begin at a build of a service.
 func (l *Ledger) Admits(service string, build directory.Build) bool {
-	return slices.ContainsFunc(l.Services[service].Admitted, func(a Admitted) bool { return a.Build == build })
+	return l.OpenMs > 0 || slices.ContainsFunc(l.Services[service].Admitted, func(a Admitted) bool { return a.Build == build })
 }
 
 // Sole returns the only build of a service at which the streams in progress on its routes can have begun; ok is false if
@@ -78,7 +85,24 @@
 // Next returns the ledger that follows l.
 func (l *Ledger) Next(o Observed) *Ledger {
 	elapsed := o.Elapsed.Milliseconds()
-	next := &Ledger{Services: make(map[string]Builds), Config: max(l.Config, o.Config), UnsettledMs: max(0, l.UnsettledMs-elapsed)}
+	next := &Ledger{
+		Services: make(map[string]Builds), Config: max(l.Config, o.Config),
+		UnsettledMs: max(0, l.UnsettledMs-elapsed), OpenMs: max(0, l.OpenMs-elapsed),
+	}
+	if o.Present.builds() <= maxBuilds && next.OpenMs == 0 {
+		l.nextBuilds(next, o, elapsed)
+	}
+	if max(o.Present.builds(), next.builds()) > maxBuilds {
+		next.OpenMs, next.UnsettledMs = RetireAfter.Milliseconds(), (RetireAfter + MaxAge).Milliseconds()
+	}
+	if next.OpenMs > 0 {
+		next.Services = nil
+	}
+	return next
+}
+
+// nextBuilds sets the builds of the ledger that follows l.
+func (l *Ledger) nextBuilds(next *Ledger, o Observed, elapsed int64) {
 	for service, b := range l.Services {
 		if b = b.next(o.Present[service], elapsed); len(b.Admitted) > 0 || b.MovedMs > 0 {
 			next.Services[service] = b
@@ -96,7 +120,24 @@
 		b.MovedMs = MaxAge.Milliseconds()
 		next.Services[service] = b
 	}
-	return next
+}
+
+// builds returns the number of builds of all services.
+func (p Present) builds() int {
+	n := 0
+	for _, b := range p {
+		n += len(b)
+	}
+	return n
+}
+
+// builds returns the number of builds of all services.
+func (l *Ledger) builds() int {
+	n := 0
+	for _, b := range l.Services {
+		n += len(b.Admitted)
+	}
+	return n
 }
 
 // next returns the builds of a service after a time, given those on the list.
@@ -128,7 +169,7 @@
 	if l == nil || o == nil {
 		return l == o
 	}
-	return l.Config == o.Config && (l.UnsettledMs > 0) == (o.UnsettledMs > 0) && maps.EqualFunc(l.Services, o.Services, func(a, b Builds) bool {
+	return l.Config == o.Config && (l.OpenMs > 0) == (o.OpenMs > 0) && (l.UnsettledMs > 0) == (o.UnsettledMs > 0) && maps.EqualFunc(l.Services, o.Services, func(a, b Builds) bool {
 		return (a.MovedMs > 0) == (b.MovedMs > 0) && slices.EqualFunc(a.Admitted, b.Admitted, func(x, y Admitted) bool { return x.Build == y.Build })
 	})
 }
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -225,6 +226,30 @@
 	})
 }
 
+// TestLedgerOpensForManyBuilds guards against a ledger that outgrows the lease record: where endpoints have more builds than it
+// holds, it admits all of them, names none, and concludes nothing until those streams are over.
+func TestLedgerOpensForManyBuilds(t *testing.T) {
+	many := Present{}
+	for i := range 20000 {
+		many["s"] = append(many["s"], directory.BuildOf(fmt.Sprint("v", i)))
+	}
+	v1 := directory.BuildOf("v1")
+	l := First().Next(Observed{Present: many})
+	if raw, err := json.Marshal(l); err != nil || len(raw) > 200 {
+		t.Errorf("%d bytes, %v", len(raw), err)
+	}
+	if !l.Admits("s", directory.BuildOf("v19999")) {
+		t.Error("a build is not admitted")
+	}
+	one := Observed{Present: Present{"s": {v1}}, Elapsed: 13 * time.Hour}
+	for hours := 13; hours <= 52; hours += 13 {
+		l = l.Next(one)
+		if _, sole := l.Sole("s"); sole != (hours > 25) {
+			t.Errorf("%d h after there were too many builds: sole %t", hours, sole)
+		}
+	}
+}
+
 // TestLedgerEqual checks that ledgers compare equal while only their durations run.
 func TestLedgerEqual(t *testing.T) {
 	l := First().Next(Observed{Present: Present{"s": {directory.BuildOf("v1")}}})
--- a/internal/origins/tracker.go
+++ b/internal/origins/tracker.go
@@ -155,8 +155,12 @@
 // HandOver sends all records to the nodes that keep them without this one, which is about to stop.
 func (t *Tracker) HandOver() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, r := range t.registry.Records(t.o.Clock.Now()) {
+	records := t.registry.Records(t.o.Clock.Now())
+	t.mu.Unlock()
+	for _, r := range records {
+		// Streams that begin meanwhile do not wait for all of them.
+		t.mu.Lock()
 		t.copyRecord(r)
+		t.mu.Unlock()
 	}
 }
