hosted, traffic: what an engine says of its start confirms it, the list of endpoints does not

Cause: a connection counted as one to the chosen process once a list of endpoints that is newer than the connection still had its entry. An engine that has started again under its id may take requests before it has written its new entry; the old one then stands in newer lists too. Hypothesis of that did not hold: that entries are written before a process serves.

Why this works: only the process's own answer to an inquiry sent after the connection was made confirms it; the latest one is kept, so that kept connections cost nothing. A process that says that it started later takes the place of the one that the entry names: nothing more is sent to it until its new entry is read, where before the next attempt chose it again.

Left: services whose endpoints answer no inquiries have only the list.

--- a/core/signal/registry.go
+++ b/core/signal/registry.go
@@ -218,6 +218,13 @@
 	return e != nil && e.draining
 }
 
+// NoteStart records that an incarnation answered now, without any signals.
+func (b *Registry) NoteStart(l Incarnation, now time.Time) {
+	if e := b.entryFor(l); e != nil {
+		e.seenAt = now
+	}
+}
+
 // Superseded reports whether a later incarnation of the endpoint is known, which would receive a request meant for this
 // one.
 func (b *Registry) Superseded(l Incarnation) bool {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -265,7 +265,7 @@
 			BodyBytes: bodyBytes, AnswerBytes: answerBytes, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 			Connections: s.Descriptors * callerShare / 100, HeldBytes: s.MemoryBytes * heldShare / 100,
 		},
-		Endpoints: endpoints, Origins: n.origins, Processes: &processes{n, p.Inquiry, endpoints}, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
+		Endpoints: endpoints, Origins: n.origins, Processes: &processes{n: n, inquiry: p.Inquiry, clients: endpoints}, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
 	}
 }
 
--- a/internal/hosted/processes.go
+++ b/internal/hosted/processes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"olivetiller/core/view"
@@ -35,55 +36,90 @@
 	n       *Node
 	inquiry StartInquiry
 	clients *endpoint.Client
+
+	mu sync.Mutex
+	// asked holds the latest inquiries that were answered, by endpoint.
+	asked map[string]answeredInquiry
+}
+
+// answeredInquiry is the start in the answer to an inquiry, and when that was sent.
+type answeredInquiry struct {
+	start  int64
+	sentAt time.Time
 }
 
+// maxAnswered bounds the inquiries that are kept. Without one the next connection is asked about again.
+const maxAnswered = 4096
+
 // Confirm implements [caller.Processes]. An endpoint whose name changes with each start refuses requests for another name.
-// Otherwise the connection leads to the incarnation e if a list of endpoints that is newer than the connection still has
-// it, or if the process that answers an inquiry made after the connection has its start: an earlier process ended before
-// it began, and a later one cannot have begun before it ended.
+// Otherwise the connection leads to the incarnation e if the process that answers an inquiry made after the connection has
+// its start: an earlier process ended before it began, and a later one cannot have begun before it ended. The list of
+// endpoints does not show it, because a process may take requests before it has written its entry.
 func (p *processes) Confirm(ctx context.Context, service string, e view.Endpoint, connectedAt time.Time) error {
 	if e.Start == 0 {
 		return nil
 	}
-	if ok, err := p.listed(e, connectedAt); ok || err != nil {
-		return err
+	if !p.n.traffic.SameProcess(e) {
+		return errRestarted
 	}
 	if s := p.n.control.Table().Service(service); s == nil || s.Engine == nil {
 		return p.awaitList(ctx, e, connectedAt)
 	}
+	if p.answeredSince(e, connectedAt) {
+		return nil
+	}
+	start, err := p.ask(ctx, e)
+	if err == nil && start != e.Start {
+		return errRestarted
+	}
+	return err
+}
+
+// answeredSince reports whether the incarnation e answered an inquiry that was sent after a time.
+func (p *processes) answeredSince(e view.Endpoint, at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.asked[e.Name]
+	return a.start == e.Start && !at.IsZero() && a.sentAt.After(at)
+}
+
+// ask asks an engine when it started. The engine gets no further requests for an earlier process.
+func (p *processes) ask(ctx context.Context, e view.Endpoint) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
 	defer cancel()
+	sentAt := p.n.clock.Now()
 	answer, err := p.clients.Inquire(ctx, p.inquiry.Request(e))
 	if err != nil {
-		return fmt.Errorf("endpoint %s does not say when it started: %w", e.Name, err)
+		return 0, fmt.Errorf("endpoint %s does not say when it started: %w", e.Name, err)
 	}
 	start, err := p.inquiry.Start(answer)
-	switch {
-	case err != nil:
-		return fmt.Errorf("endpoint %s does not say when it started: %w", e.Name, err)
-	case start != e.Start:
-		return errRestarted
+	if err != nil {
+		return 0, fmt.Errorf("endpoint %s does not say when it started: %w", e.Name, err)
 	}
-	return nil
-}
-
-// listed reports whether a list that is newer than the connection has the incarnation. It returns errRestarted if the list
-// has another one.
-func (p *processes) listed(e view.Endpoint, connectedAt time.Time) (ok bool, err error) {
-	// The time is read before the view that it belongs to, which may be newer.
-	asOf := p.n.control.ListedAsOf()
-	if !p.n.traffic.SameProcess(e) {
-		return false, errRestarted
+	p.n.traffic.NoteStart(e.Name, start)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.asked) >= maxAnswered || p.asked == nil {
+		p.asked = make(map[string]answeredInquiry)
+	}
+	if sentAt.After(p.asked[e.Name].sentAt) {
+		p.asked[e.Name] = answeredInquiry{start, sentAt}
 	}
-	return !connectedAt.IsZero() && asOf.After(connectedAt), nil
+	return start, nil
 }
 
-// awaitList waits for a list that is newer than the connection.
+// awaitList waits for a list that is newer than the connection and still has the incarnation e, where endpoints answer no
+// inquiries.
 func (p *processes) awaitList(ctx context.Context, e view.Endpoint, connectedAt time.Time) error {
 	timeout := p.n.clock.After(listTimeout)
 	for {
-		if ok, err := p.listed(e, connectedAt); ok || err != nil {
-			return err
+		// The time is read before the view that it belongs to, which may be newer.
+		asOf := p.n.control.ListedAsOf()
+		switch {
+		case !p.n.traffic.SameProcess(e):
+			return errRestarted
+		case !connectedAt.IsZero() && asOf.After(connectedAt):
+			return nil
 		}
 		select {
 		case <-p.n.clock.After(listPoll):
--- a/internal/traffic/build.go
+++ b/internal/traffic/build.go
@@ -3,6 +3,7 @@
 import (
 	"olivetiller/core/origin"
 	"olivetiller/core/refusal"
+	"olivetiller/core/signal"
 	"olivetiller/core/view"
 )
 
@@ -72,3 +73,16 @@
 	ep := d.endpointStates[e.Name]
 	return ep == nil || ep.incarnation == e.Incarnation && ep.build == e.Build
 }
+
+// NoteStart records when the process of an endpoint started, as it says itself, in Unix milliseconds. Requests for an
+// earlier process are not sent any more.
+func (d *Dispatcher) NoteStart(name string, start int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := signal.Incarnation{Endpoint: name, Start: start}
+	if ep := d.endpointStates[name]; ep == nil || start <= ep.incarnationID.Start {
+		return
+	}
+	d.signals.NoteStart(l, d.clock.Now())
+	d.applySignals(l, d.clock.Now())
+}
