quarantine, isolation: an engine that lives has not crashed, and convicts nobody

Cause: an engine that refuses connections counts as crashed; where the nodes that could tell better are down or cut off too, nobody ever concludes from its later answers that it lives.

Why this works: the node that took an engine for crashed asks it when it started, as the origin of streams does; the start of the incarnation in question, in an answer sent later, proves that it lives. What was noticed before is void at all nodes that hear of it, what is noticed later is not, and a verdict that counted a void crash is withdrawn into a new epoch in which the other crashes stand.

--- a/core/quarantine/entry.go
+++ b/core/quarantine/entry.go
@@ -40,7 +40,8 @@
 }
 
 // Entry is one node's knowledge of a request, as sent to other nodes and the store. Entries merge: the later epoch
-// replaces the earlier one; within one epoch the suspicions are united, and the verdict with more trials wins.
+// replaces the earlier one; within one epoch the suspicions are united, and the verdict with more trials wins. A disproof
+// voids a suspicion in any epoch.
 type Entry struct {
 	Request Fingerprint
 	// Epoch counts how often the request was cleared; suspicions of earlier epochs are void.
@@ -49,6 +50,8 @@
 	At time.Time
 	// Suspicions are sorted by Crash; there is one for each crash.
 	Suspicions []Suspicion
+	// Disproofs are those of crashes that the request was suspected of, sorted by Crash.
+	Disproofs []Disproof
 	// Verdict is nil if the request is not quarantined.
 	Verdict *Verdict
 }
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -56,6 +56,9 @@
 		b := &rec.suspicions[i]
 		e.Suspicions = append(e.Suspicions, Suspicion{Crash: b.crash.id, Elapsed: b.elapsed, Begun: b.begun, At: r.base.Add(b.at)})
 	}
+	for _, d := range rec.disproofs {
+		e.Disproofs = append(e.Disproofs, Disproof{Crash: d.id, At: r.base.Add(d.at)})
+	}
 	if rec.hasVerdict {
 		e.Verdict = &Verdict{At: r.base.Add(rec.verdictAt), Trials: int(rec.trials)}
 	}
@@ -66,6 +69,7 @@
 func (r *Registry) Merge(entries []Entry, now time.Time) []Fingerprint {
 	var touched []*record
 	for i := range entries {
+		touched = append(touched, r.mergeDisproofs(&entries[i], now)...)
 		if rec, changed := r.mergeEntry(&entries[i], now); changed {
 			r.bumpVersion(rec)
 			touched = append(touched, rec)
@@ -117,9 +121,18 @@
 	}
 	// Another node may have recorded the same event earlier.
 	rec.since = min(rec.since, e.At.Sub(r.base))
+	void := false
 	for _, b := range e.Suspicions {
+		void = void || r.voids(&b)
 		changed = r.addSuspicion(rec, b, now) || changed
 	}
+	if e.Verdict != nil && void {
+		// The verdict counted a crash that is disproved here.
+		r.mergeVerdict(rec, e.Verdict, now)
+		r.withdraw(rec, now)
+		rec.local = true
+		return rec, true
+	}
 	return rec, r.mergeVerdict(rec, e.Verdict, now) || changed
 }
 
--- a/core/quarantine/odds.go
+++ b/core/quarantine/odds.go
@@ -196,7 +196,7 @@
 func (r *Registry) crashRate(at time.Duration) float64 {
 	n := 0
 	for _, e := range r.crashes {
-		if at-e.at <= rateWindow && !e.attributed() {
+		if at-e.at <= rateWindow && !e.disproved() && !e.attributed() {
 			n++
 		}
 	}
@@ -231,7 +231,7 @@
 // inBurst reports whether other engines crashed at the same time with no suspect in common.
 func (r *Registry) inBurst(e *crash) bool {
 	for _, o := range r.crashes {
-		if o != e && (o.at-e.at).Abs() <= burstWindow && !e.sharesSuspect(o) {
+		if o != e && (o.at-e.at).Abs() <= burstWindow && !o.disproved() && !e.sharesSuspect(o) {
 			return true
 		}
 	}
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -23,6 +23,8 @@
 	odds float32
 	// suspicions are sorted by their crashes; there is one for each.
 	suspicions []suspicion
+	// disproofs are those of crashes that it was suspected of, sorted by their crashes.
+	disproofs []disproof
 	// since is when the epoch began, verdictAt when the verdict was reached or the latest trial began, and seenAt
 	// when the request was last seen, all relative to the registry's base.
 	since, verdictAt, seenAt time.Duration
@@ -45,6 +47,8 @@
 	// at is when the crash was noticed, and updatedAt when its latest suspicion arrived, relative to the registry's
 	// base.
 	at, updatedAt time.Duration
+	// aliveAt is the latest time at which the engine is known to have been alive; neverAlive if there is none.
+	aliveAt time.Duration
 	// suspects are the records with a suspicion for this crash in their current epoch.
 	suspects []*record
 }
@@ -214,14 +218,17 @@
 func (r *Registry) RecordCrash(id CrashID, now time.Time) { r.crash(id, now.Sub(r.base)) }
 
 // crash returns the crash with an id, creating it if needed. Of several times at which it was noticed the earliest
-// counts.
+// counts, after the engine was last alive.
 func (r *Registry) crash(id CrashID, at time.Duration) *crash {
 	e := r.crashes[id]
 	if e == nil {
-		e = &crash{id: id, at: at}
+		e = &crash{id: id, at: at, aliveAt: neverAlive}
 		r.crashes[id] = e
 		r.evictCrash()
 	}
+	if at > e.aliveAt && e.disproved() {
+		e.at = at
+	}
 	e.at = min(e.at, at)
 	return e
 }
@@ -290,6 +297,9 @@
 // addSuspicion adds a suspicion to a record, and reports whether it changed anything. If several nodes reported the
 // same crash, the shortest time that the request had run counts, since it is the strongest evidence.
 func (r *Registry) addSuspicion(rec *record, b Suspicion, now time.Time) bool {
+	if r.voids(&b) {
+		return false
+	}
 	at := b.At.Sub(r.base)
 	e := r.crash(b.Crash, at)
 	i, found := slices.BinarySearchFunc(rec.suspicions, b.Crash, func(x suspicion, id CrashID) int { return x.crash.id.compare(id) })
@@ -346,5 +356,5 @@
 func (r *Registry) newEpoch(rec *record, epoch uint32, at time.Duration) {
 	r.clearSuspicions(rec)
 	r.setVerdict(rec, false)
-	rec.epoch, rec.since = epoch, at
+	rec.epoch, rec.since, rec.disproofs = epoch, at, nil
 }
--- a/core/quarantine/state.go
+++ b/core/quarantine/state.go
@@ -56,6 +56,8 @@
 	trialOver
 	// operatorRelease: an operator released it.
 	operatorRelease
+	// crashDisproved: a crash that it was quarantined for is disproved.
+	crashDisproved
 	// recordExpired: it was not seen for its retention time.
 	recordExpired
 )
@@ -67,29 +69,29 @@
 var transitions = [States][events]State{
 	Clear: {
 		explained: Clear, weakSuspicion: Suspected, strongSuspicion: Isolated, verdictReached: Quarantined,
-		successfulAnswer: Clear, trialBegun: Clear, trialOver: Clear, operatorRelease: Clear, recordExpired: Clear,
+		successfulAnswer: Clear, trialBegun: Clear, trialOver: Clear, operatorRelease: Clear, crashDisproved: Clear, recordExpired: Clear,
 	},
 	Suspected: {
 		explained: Clear, weakSuspicion: Suspected, strongSuspicion: Isolated, verdictReached: Quarantined,
-		successfulAnswer: Clear, trialBegun: Suspected, trialOver: Suspected, operatorRelease: Clear, recordExpired: Clear,
+		successfulAnswer: Clear, trialBegun: Suspected, trialOver: Suspected, operatorRelease: Clear, crashDisproved: Clear, recordExpired: Clear,
 	},
 	Isolated: {
 		explained: Clear, weakSuspicion: Suspected, strongSuspicion: Isolated, verdictReached: Quarantined,
-		successfulAnswer: Clear, trialBegun: Isolated, trialOver: Isolated, operatorRelease: Clear, recordExpired: Clear,
+		successfulAnswer: Clear, trialBegun: Isolated, trialOver: Isolated, operatorRelease: Clear, crashDisproved: Clear, recordExpired: Clear,
 	},
 	// A verdict is not withdrawn when other requests get one: two requests that only ever ran together would release
 	// each other.
 	Quarantined: {
 		explained: Quarantined, weakSuspicion: Quarantined, strongSuspicion: Quarantined, verdictReached: Quarantined,
-		successfulAnswer: Released, trialBegun: OnTrial, trialOver: Quarantined, operatorRelease: Released, recordExpired: Clear,
+		successfulAnswer: Released, trialBegun: OnTrial, trialOver: Quarantined, operatorRelease: Released, crashDisproved: Released, recordExpired: Clear,
 	},
 	OnTrial: {
 		explained: OnTrial, weakSuspicion: Quarantined, strongSuspicion: Quarantined, verdictReached: Quarantined,
-		successfulAnswer: Released, trialBegun: OnTrial, trialOver: Quarantined, operatorRelease: Released, recordExpired: Clear,
+		successfulAnswer: Released, trialBegun: OnTrial, trialOver: Quarantined, operatorRelease: Released, crashDisproved: Released, recordExpired: Clear,
 	},
 	Released: {
 		explained: Released, weakSuspicion: Suspected, strongSuspicion: Isolated, verdictReached: Quarantined,
-		successfulAnswer: Released, trialBegun: Released, trialOver: Released, operatorRelease: Released, recordExpired: Clear,
+		successfulAnswer: Released, trialBegun: Released, trialOver: Released, operatorRelease: Released, crashDisproved: Released, recordExpired: Clear,
 	},
 }
 
--- a/core/quarantine/state_test.go
+++ b/core/quarantine/state_test.go
@@ -23,6 +23,8 @@
 			return (ev == successfulAnswer || ev == operatorRelease) && (s.blocked() || s == Released)
 		}, to(Released)},
 		{"a good answer, or an operator, clears", func(_ State, ev event) bool { return ev == successfulAnswer || ev == operatorRelease }, to(Clear)},
+		{"a crash that is disproved lets go", func(s State, ev event) bool { return ev == crashDisproved && (s.blocked() || s == Released) }, to(Released)},
+		{"a crash that is disproved clears", func(_ State, ev event) bool { return ev == crashDisproved }, to(Clear)},
 		{"only what is quarantined is tried", func(s State, ev event) bool { return ev == trialBegun && s != Quarantined }, same},
 		{"a trial begins", func(_ State, ev event) bool { return ev == trialBegun }, to(OnTrial)},
 		{"a trial that came to nothing", func(s State, ev event) bool { return ev == trialOver && s == OnTrial }, to(Quarantined)},
@@ -49,7 +51,7 @@
 			}
 		}
 	}
-	if diff := cmp.Diff(54, cases); diff != "" {
+	if diff := cmp.Diff(60, cases); diff != "" {
 		t.Errorf("cases (-want +got):\n%s", diff)
 	}
 }
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -53,6 +53,8 @@
 	// crashedAt is when the latest crash was noticed; zero if there was none. reportedAt is when another node's report of
 	// a crash arrived; zero if none did.
 	crashedAt, reportedAt time.Time
+	// aliveAt is the latest time at which an engine that was taken for crashed is known to have been alive.
+	aliveAt time.Time
 	// draining is set while the engine's shutdown is planned or its entry is gone.
 	draining bool
 	usedAt   time.Time
@@ -235,7 +237,7 @@
 			if b.Crash.Start == 0 || b.Crash.N > 0 {
 				continue
 			}
-			if er := t.runsOf(Incarnation{Engine: b.Crash.Engine, Start: b.Crash.Start}, now); er.reportedAt.IsZero() {
+			if er := t.runsOf(Incarnation{Engine: b.Crash.Engine, Start: b.Crash.Start}, now); er.reportedAt.IsZero() && b.At.After(er.aliveAt) {
 				er.reportedAt = now
 			}
 		}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -238,8 +238,9 @@
 			n.idleClosers = append(n.idleClosers, i)
 		}
 	}
+	processes := &processes{n: n, inquiry: p.Inquiry, clients: endpoints}
 	n.isolation = isolation.New(isolation.Options{
-		Clock: n.clock, Logger: n.logger.Named("isolation"), Refuses: endpoints.Refuses,
+		Clock: n.clock, Logger: n.logger.Named("isolation"), Refuses: endpoints.Refuses, StartOf: processes.StartOf,
 		Changed: func() { n.control.SuspectsChanged() },
 		Fresh:   func() bool { return n.control.SuspectsFresh() },
 		Claim:   func(ctx context.Context, e quarantine.Entry) error { return n.control.ClaimTrial(ctx, e) },
@@ -265,7 +266,7 @@
 			BodyBytes: bodyBytes, AnswerBytes: answerBytes, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 			Connections: s.Descriptors * callerShare / 100, HeldBytes: s.MemoryBytes * heldShare / 100,
 		},
-		Endpoints: endpoints, Origins: n.origins, Processes: &processes{n: n, inquiry: p.Inquiry, clients: endpoints}, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
+		Endpoints: endpoints, Origins: n.origins, Processes: processes, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
 	}
 }
 
--- a/internal/hosted/processes.go
+++ b/internal/hosted/processes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"olivetiller/core/view"
+	"olivetiller/internal/isolation"
 	"olivetiller/io/endpoint"
 )
 
@@ -108,6 +109,14 @@
 	return start, nil
 }
 
+// StartOf implements [isolation.Options.StartOf].
+func (p *processes) StartOf(ctx context.Context, service string, e view.Endpoint) (int64, error) {
+	if s := p.n.control.Table().Service(service); s == nil || s.Engine == nil {
+		return 0, isolation.ErrNotAsked
+	}
+	return p.ask(ctx, e)
+}
+
 // awaitList waits for a list that is newer than the connection and still has the incarnation e, where endpoints answer no
 // inquiries.
 func (p *processes) awaitList(ctx context.Context, e view.Endpoint, connectedAt time.Time) error {
--- /dev/null
+++ b/internal/isolation/alive.go
@@ -0,0 +1,83 @@
+package isolation
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"olivetiller/core/quarantine"
+)
+
+// ErrNotAsked is returned by [Options.StartOf] for endpoints that do not say when they started.
+var ErrNotAsked = errors.New("endpoints of this service do not say when they started")
+
+// An engine that is taken for crashed is asked when it started after firstInquiry, then at doubling intervals up to
+// inquiryInterval, until its entry is gone or replaced, or the suspicions have expired.
+const (
+	firstInquiry    = 250 * time.Millisecond
+	inquiryInterval = 16 * time.Second
+	inquiriesEnd    = 10 * time.Minute
+)
+
+// askStart asks an engine that refused connections when it started. If it answers with the start of the incarnation that is
+// taken for crashed, it has not crashed.
+func (g *Guard) askStart(r *Run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.o.StartOf == nil || r.incarnation.Start == 0 || g.asking[r.incarnation] {
+		return
+	}
+	g.asking[r.incarnation] = true
+	g.awaitStart(r, firstInquiry, g.o.Clock.Now().Add(inquiriesEnd))
+}
+
+// awaitStart asks the engine of a run after a delay, and again until that need not be repeated. g.mu must be held.
+func (g *Guard) awaitStart(r *Run, delay time.Duration, end time.Time) {
+	g.o.Clock.AfterFunc(delay, func() {
+		done := g.askedStart(r, end)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if done {
+			delete(g.asking, r.incarnation)
+			return
+		}
+		g.awaitStart(r, min(2*delay, inquiryInterval), end)
+	})
+}
+
+// askedStart asks the engine of a run when it started, and reports whether that need not be repeated.
+func (g *Guard) askedStart(r *Run, end time.Time) bool {
+	now := g.o.Clock.Now()
+	g.mu.Lock()
+	current := g.startTimes[r.incarnation.Engine] == r.incarnation.Start && now.Before(end)
+	g.mu.Unlock()
+	if !current {
+		return true
+	}
+	start, err := g.o.StartOf(context.Background(), r.Service, r.endpoint)
+	switch {
+	case errors.Is(err, ErrNotAsked):
+		return true
+	case err != nil:
+		return false
+	case start == r.incarnation.Start:
+		g.disprove(r.incarnation, now)
+	}
+	return true
+}
+
+// disprove records that an engine that was taken for crashed was alive at a time.
+func (g *Guard) disprove(l quarantine.Incarnation, aliveAt time.Time) {
+	g.mu.Lock()
+	now := g.o.Clock.Now()
+	g.tracker.Alive(l, aliveAt, now)
+	void, transitioned := g.registry.Disprove(l, aliveAt, now)
+	g.mu.Unlock()
+	g.Metrics.Disproved.Add(1)
+	g.o.Logger.Info("engine has not crashed, the suspicions are void", "engine", l.Engine, "born", l.Start, "void", void)
+	g.scheduleEvaluation()
+	g.logTransitions(transitioned, "here")
+	if void > 0 {
+		g.o.Changed()
+	}
+}
--- a/internal/isolation/guard.go
+++ b/internal/isolation/guard.go
@@ -12,6 +12,7 @@
 
 	"olivetiller/core/quarantine"
 	"olivetiller/core/refusal"
+	"olivetiller/core/view"
 )
 
 // Options configures a Guard.
@@ -20,6 +21,9 @@
 	Logger hclog.Logger
 	// Refuses opens a connection to an address, closes it, and reports whether the connection was refused.
 	Refuses func(ctx context.Context, address string) bool
+	// StartOf asks an engine of a service when it started, in Unix milliseconds; nil if none can be asked. It returns
+	// [ErrNotAsked] for an endpoint that answers no such questions.
+	StartOf func(ctx context.Context, service string, ep view.Endpoint) (int64, error)
 	// Changed is called when there are new entries for other nodes; may be nil.
 	Changed func()
 	// Fresh reports whether the entries received from other nodes are recent; nil if there are no other nodes.
@@ -41,6 +45,8 @@
 	tracker  *quarantine.Tracker
 	// probes holds the connection probes in progress; each channel is closed when the result is known.
 	probes map[quarantine.Incarnation]chan struct{}
+	// asking holds the incarnations that are taken for crashed and are asked when they started.
+	asking map[quarantine.Incarnation]bool
 	// expiredAt is when expired records and runs were last removed.
 	expiredAt time.Time
 	// startTimes holds the latest published start time of each engine, by name, in Unix milliseconds.
@@ -60,7 +66,7 @@
 	}
 	return &Guard{
 		o: o, registry: quarantine.NewRegistry(o.Clock.Now()), tracker: quarantine.NewTracker(),
-		probes: make(map[quarantine.Incarnation]chan struct{}), startTimes: make(map[string]int64), locks: quarantine.NewRunLocks(),
+		probes: make(map[quarantine.Incarnation]chan struct{}), asking: make(map[quarantine.Incarnation]bool), startTimes: make(map[string]int64), locks: quarantine.NewRunLocks(),
 	}
 }
 
--- a/internal/isolation/guard_test.go
+++ b/internal/isolation/guard_test.go
@@ -204,3 +204,50 @@
 		t.Errorf("%d engines are remembered, want 1", n)
 	}
 }
+
+// TestEngineThatRefusedIsAsked checks that engines that are taken for crashed are asked when they started, and that those
+// that are alive are not held against the requests that they ran.
+func TestEngineThatRefusedIsAsked(t *testing.T) {
+	tests := []struct {
+		name  string
+		start func() (int64, error)
+		want  quarantine.State
+	}{
+		{"alive", func() (int64, error) { return 1, nil }, quarantine.Clear},
+		{"started again", func() (int64, error) { return 2, nil }, quarantine.Quarantined},
+		{"no answer", func() (int64, error) { return 0, errors.New("refused") }, quarantine.Quarantined},
+		{"is not asked", func() (int64, error) { return 0, ErrNotAsked }, quarantine.Quarantined},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			g := testGuard(clock, func() bool { return true })
+			g.SetEngines(9)
+			asked := make(chan string, 100)
+			g.o.StartOf = func(_ context.Context, _ string, ep view.Endpoint) (int64, error) {
+				asked <- ep.Name
+				return tt.start()
+			}
+			f := fingerprint("/a")
+			for _, engine := range []string{"e1", "e2", "e3"} {
+				g.EngineSeen(quarantine.Incarnation{Engine: engine, Start: 1}, false)
+				run := g.Send(f, view.Endpoint{Name: engine, Start: 1})
+				run.Began()
+				run.ConnectionBroke(t.Context())
+			}
+			if got := g.State(f); got != quarantine.Quarantined {
+				t.Fatalf("the request is %v before, want quarantined", got)
+			}
+			clock.Advance(firstInquiry)
+			for range 3 {
+				<-asked
+			}
+			for deadline := time.Now().Add(time.Second); g.State(f) != tt.want && time.Now().Before(deadline); {
+				runtime.Gosched()
+			}
+			if got := g.State(f); got != tt.want {
+				t.Errorf("the request is %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/isolation/run.go
+++ b/internal/isolation/run.go
@@ -23,11 +23,14 @@
 // Run is one attempt of a request at an engine. The first call of Answered, NotSent, Abandoned or ConnectionBroke ends
 // it; later calls have no effect.
 type Run struct {
+	// Service is the service of the endpoint. It is set before the run ends.
+	Service string
+
 	g           *Guard
 	run         *quarantine.Run
 	subjects    []quarantine.Fingerprint
 	incarnation quarantine.Incarnation
-	address     string
+	endpoint    view.Endpoint
 	finished    bool
 }
 
@@ -45,7 +48,7 @@
 		g.registry.Expire(now)
 		g.tracker.Expire(now)
 	}
-	return &Run{g: g, run: g.tracker.Send(f, incarnation, now, parts...), subjects: append([]quarantine.Fingerprint{f}, parts...), incarnation: incarnation, address: ep.Address}
+	return &Run{g: g, run: g.tracker.Send(f, incarnation, now, parts...), subjects: append([]quarantine.Fingerprint{f}, parts...), incarnation: incarnation, endpoint: ep}
 }
 
 // Began records that the endpoint has begun to answer.
@@ -128,7 +131,7 @@
 	if !probing {
 		done = make(chan struct{})
 		g.probes[r.incarnation] = done
-		go g.probe(r.incarnation, r.address, done)
+		go g.probe(r, done)
 	}
 	g.mu.Unlock()
 	timer := g.o.Clock.NewTimer(maxProbeWait)
@@ -145,23 +148,29 @@
 
 // probe finds out whether an engine whose connections broke is gone. If it still accepts a connection, it is probed
 // once more after exitDelay, since a crashing process may close its listener last.
-func (g *Guard) probe(incarnation quarantine.Incarnation, address string, done chan struct{}) {
-	refused := g.refuses(address)
+func (g *Guard) probe(r *Run, done chan struct{}) {
+	refused := g.refuses(r.endpoint.Address)
 	g.mu.Lock()
-	delete(g.probes, incarnation)
+	delete(g.probes, r.incarnation)
 	g.mu.Unlock()
 	if refused {
-		g.recordCrash(incarnation, g.tracker.EngineCrashed)
+		g.probedCrash(r)
 		close(done)
 		return
 	}
 	close(done)
 	g.o.Clock.Sleep(exitDelay)
-	if g.refuses(address) {
-		g.recordCrash(incarnation, g.tracker.EngineCrashed)
+	if g.refuses(r.endpoint.Address) {
+		g.probedCrash(r)
 	}
 }
 
+// probedCrash records the crash of an engine that refuses connections.
+func (g *Guard) probedCrash(r *Run) {
+	g.recordCrash(r.incarnation, g.tracker.EngineCrashed)
+	g.askStart(r)
+}
+
 func (g *Guard) refuses(address string) bool {
 	ctx, cancel := boottime.WithTimeout(context.Background(), g.o.Clock, probeTimeout)
 	defer cancel()
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -47,6 +47,7 @@
 		s.recordSlot(x, slot)
 		n.sent++
 		run := s.Isolation.Send(x.Fingerprint, slot.Endpoint, x.parts()...)
+		run.Service = x.Target.Service
 		result, err := do(ctx, slot, req, run)
 		result.Ended = reportRun(ctx, run, err)
 		unlock(err == nil)
--- a/io/peer/quarantine.go
+++ b/io/peer/quarantine.go
@@ -17,9 +17,16 @@
 	Epoch      uint32                 `json:"epoch,omitempty"`
 	AgeMs      int64                  `json:"ageMs"`
 	Suspicions []Suspicion            `json:"blames,omitempty"`
+	Disproofs  []Disproof             `json:"disproofs,omitempty"`
 	Verdict    *Verdict               `json:"verdict,omitempty"`
 }
 
+// Disproof says that an engine that was taken for crashed was alive AgeMs ago.
+type Disproof struct {
+	quarantine.CrashID
+	AgeMs int64 `json:"ageMs"`
+}
+
 // Suspicion is the suspicion that a request caused one engine crash. RanMs is how long the request ran, and Begun is
 // true if its answer had begun.
 type Suspicion struct {
@@ -44,6 +51,9 @@
 		for _, c := range e.Suspicions {
 			s.Suspicions = append(s.Suspicions, Suspicion{CrashID: c.Crash, RanMs: c.Elapsed.Milliseconds(), Begun: c.Begun, AgeMs: now.Sub(c.At).Milliseconds()})
 		}
+		for _, d := range e.Disproofs {
+			s.Disproofs = append(s.Disproofs, Disproof{CrashID: d.Crash, AgeMs: now.Sub(d.At).Milliseconds()})
+		}
 		if e.Verdict != nil {
 			s.Verdict = &Verdict{AgeMs: now.Sub(e.Verdict.At).Milliseconds(), Trials: e.Verdict.Trials}
 		}
@@ -61,6 +71,9 @@
 		for _, c := range s.Suspicions {
 			e.Suspicions = append(e.Suspicions, quarantine.Suspicion{Crash: c.CrashID, Elapsed: clampMs(c.RanMs), Begun: c.Begun, At: timeFromAge(now, c.AgeMs)})
 		}
+		for _, d := range s.Disproofs {
+			e.Disproofs = append(e.Disproofs, quarantine.Disproof{Crash: d.CrashID, At: timeFromAge(now, d.AgeMs)})
+		}
 		if s.Verdict != nil {
 			e.Verdict = &quarantine.Verdict{At: timeFromAge(now, s.Verdict.AgeMs), Trials: max(0, s.Verdict.Trials)}
 		}
--- a/io/peer/quarantine_test.go
+++ b/io/peer/quarantine_test.go
@@ -24,7 +24,8 @@
 				{Crash: quarantine.CrashID{Engine: "a", Start: 5}, Elapsed: 80 * time.Millisecond, Begun: true, At: now.Add(-8 * time.Second)},
 				{Crash: quarantine.CrashID{Engine: "b", N: 1}, At: now.Add(-7 * time.Second)},
 			},
-			Verdict: &quarantine.Verdict{At: now.Add(-6 * time.Second), Trials: 1},
+			Disproofs: []quarantine.Disproof{{Crash: quarantine.CrashID{Engine: "c", Start: 7}, At: now.Add(-5 * time.Second)}},
+			Verdict:   &quarantine.Verdict{At: now.Add(-6 * time.Second), Trials: 1},
 		}, {Request: quarantine.Fingerprint{1}, At: now}}
 	}
 	if diff := cmp.Diff(entries(receiver), DecodeSuspects(EncodeSuspects(entries(sender), sender), receiver)); diff != "" {
@@ -52,10 +53,11 @@
 	invalid := []Suspect{{
 		AgeMs:      -5,
 		Suspicions: []Suspicion{{RanMs: -1, AgeMs: 1 << 62}},
+		Disproofs:  []Disproof{{AgeMs: -3}},
 		Verdict:    &Verdict{AgeMs: -1 << 62, Trials: -3},
 	}}
 	want := []quarantine.Entry{{
-		At: now, Suspicions: []quarantine.Suspicion{{At: now.Add(-maxAge)}}, Verdict: &quarantine.Verdict{At: now},
+		At: now, Suspicions: []quarantine.Suspicion{{At: now.Add(-maxAge)}}, Disproofs: []quarantine.Disproof{{At: now}}, Verdict: &quarantine.Verdict{At: now},
 	}}
 	if diff := cmp.Diff(want, DecodeSuspects(invalid, now)); diff != "" {
 		t.Errorf("entries (-want +got):\n%s", diff)
