endpoint: a request of which nothing was written has not run, also if it had a connection

Others get 502, "may have run", and no second attempt on once-only routes, for a request that no engine can have seen.

Cause: a request counted as sent once it had a connection. An idle connection may turn out to be closed by the engine's end; net/http then takes another one, if it wrote nothing, and a refused one is the result.

Why this works: what counts is the last connection that was taken, and whether a write on it has begun. net/http closes the connection before it returns, so that nothing is written later, unless the request was given up on this side: then it counts as sent as before.

TestClosedIdleConnectionIsNotSent failed before with and without a body (maybeRun, 1 connection).

--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -226,7 +226,7 @@
 	return retry.MaybeRun
 }
 
-// sendsOf returns how often the transport began to write the request of a failed attempt.
+// sendsOf returns on how many connections part of the request of a failed attempt may have been sent.
 func sendsOf(err error) int {
 	var e *endpoint.Error
 	if errors.As(err, &e) {
@@ -238,7 +238,7 @@
 // nothingSent reports whether no byte of the request was sent, because its check failed or no connection was made.
 func nothingSent(err error) bool {
 	var e *endpoint.Error
-	return errors.As(err, &e) && (e.Withheld || e.ConnectFailed)
+	return errors.As(err, &e) && e.Outcome == retry.NotSent && e.Sends == 0
 }
 
 // failedResult converts the error of an attempt to its result for the dispatcher.
--- a/io/endpoint/check.go
+++ b/io/endpoint/check.go
@@ -46,7 +46,7 @@
 func (c *checkedConn) setCheck(check Check, onCheckFailed func(error)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.check, c.onCheckFailed, c.wrote = check, onCheckFailed, false
+	c.check, c.onCheckFailed = check, onCheckFailed
 }
 
 // Write implements net.Conn. If the check fails it returns the check's error, as a *WithheldError if nothing of the
@@ -63,8 +63,23 @@
 			return 0, err
 		}
 	}
-	c.wrote = true
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.wrote = c.wrote || n > 0
+	return n, err
+}
+
+// beginRequest notes that nothing of the next request is written yet.
+func (c *checkedConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wrote = false
+}
+
+// begunWriting reports whether part of the current request may have been written.
+func (c *checkedConn) begunWriting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wrote
 }
 
 // DialFunc opens a connection, like net.Dialer.DialContext.
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -25,7 +25,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -80,7 +79,7 @@
 	Full bool
 	// Missing is true when the engine does not hold the model of the request.
 	Missing bool
-	// ConnectFailed is true when no connection was made.
+	// ConnectFailed is true when no connection was made, or the last one that was tried.
 	ConnectFailed bool
 	// ConnectionBroken is true when the endpoint's side broke the connection.
 	ConnectionBroken bool
@@ -90,7 +89,7 @@
 	Replaced bool
 	// Answered is true when the endpoint gave a complete answer that counts as a failure, such as a server error.
 	Answered bool
-	// Sends counts the connections on which the transport began to write the request; 0 if none.
+	// Sends counts the connections on which part of the request may have been sent: 0 or 1.
 	Sends int
 	// Gateway is the address of the node by way of which the request went; "" if it went directly.
 	Gateway string
@@ -113,7 +112,7 @@
 	Running int
 	// Draining is true when the endpoint reported that it is draining.
 	Draining bool
-	// Sends counts the connections on which the transport began to write the request.
+	// Sends is as in [Error].
 	Sends int
 	// Gateway is the address of the node by way of which the request went; "" if it went directly.
 	Gateway string
@@ -220,13 +219,14 @@
 
 // Do sends a request and returns the head of the answer. The error is always an *Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	var sends atomic.Int32
+	var s sending
 	var gateway string
 	var connectedAt time.Time
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		sends.Add(1)
+	trace := s.trace()
+	trace.GotConn = func(info httptrace.GotConnInfo) {
+		s.take(info.Conn)
 		gateway, connectedAt = gatewayOf(info.Conn), c.connectedAt(info)
-	}}
+	}
 	ctx = withTunnelLifetime(ctx, r.Timeout)
 	cancel := func() {}
 	if r.Check != nil {
@@ -249,14 +249,15 @@
 		req.Body, req.ContentLength = nil, 0
 	}
 	preventRepeats(req)
-	resp, err := c.roundTrip(req, r, &sends)
-	n := int(sends.Load())
+	resp, err := c.roundTrip(req, r, &s)
+	n := 1
 	if err != nil {
+		n = s.sends(ctx)
 		defer cancel()
 		if why := context.Cause(ctx); Withheld(why) {
 			return nil, &Error{Outcome: retry.NotSent, Withheld: true, Cause: why}
 		}
-		return nil, &Error{Outcome: outcomeOf(n > 0), ConnectFailed: n == 0, ConnectionBroken: n > 0 && ctx.Err() == nil && brokenByPeer(err), Sends: n, Gateway: gateway, Cause: err}
+		return nil, &Error{Outcome: outcomeOf(n > 0), ConnectFailed: s.conn == nil, ConnectionBroken: n > 0 && ctx.Err() == nil && brokenByPeer(err), Sends: n, Gateway: gateway, Cause: err}
 	}
 	answer, failure := c.classify(r, resp)
 	if failure != nil {
@@ -279,8 +280,9 @@
 		return nil, eris.Wrap(err, "build request")
 	}
 	req.Header = r.Header
-	var sends atomic.Int32
-	resp, err := c.roundTrip(req, r, &sends)
+	var s sending
+	req = req.WithContext(httptrace.WithClientTrace(ctx, s.trace()))
+	resp, err := c.roundTrip(req, r, &s)
 	if err != nil {
 		return nil, err
 	}
@@ -291,6 +293,40 @@
 	return io.ReadAll(io.LimitReader(resp.Body, maxInquiryBytes))
 }
 
+// sending tracks the connections that net/http takes for a request. It takes another one only if nothing was written on the
+// one before; see preventRepeats.
+type sending struct {
+	// taken is set once there was a connection.
+	taken bool
+	// conn is the connection of the latest try; nil while it has none.
+	conn net.Conn
+}
+
+// trace returns hooks that track the connections.
+func (s *sending) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GetConn: func(string) { s.conn = nil },
+		GotConn: func(info httptrace.GotConnInfo) { s.take(info.Conn) },
+	}
+}
+
+func (s *sending) take(conn net.Conn) {
+	s.taken, s.conn = true, conn
+	if c, ok := conn.(*checkedConn); ok {
+		c.beginRequest()
+	}
+}
+
+// sends returns on how many connections part of a request that failed may have been sent: 0 or 1. A connection on which
+// nothing was written when it broke is closed by then, unless the request was given up on this side.
+func (s *sending) sends(ctx context.Context) int {
+	c, ok := s.conn.(*checkedConn)
+	if s.conn == nil || ok && ctx.Err() == nil && !c.begunWriting() {
+		return 0
+	}
+	return 1
+}
+
 // connectedAt returns when the connection of a request was opened; zero without a clock.
 func (c *Client) connectedAt(info httptrace.GotConnInfo) time.Time {
 	conn, ok := info.Conn.(*checkedConn)
--- a/io/endpoint/paths.go
+++ b/io/endpoint/paths.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -66,16 +65,15 @@
 	return ""
 }
 
-// roundTrip sends a request over the path to its endpoint, and over the other path if no connection comes about. sends
-// counts the connections on which it began to write the request.
-func (c *Client) roundTrip(req *http.Request, r *Request, sends *atomic.Int32) (*http.Response, error) {
+// roundTrip sends a request over the path to its endpoint, and over the other path if no connection comes about.
+func (c *Client) roundTrip(req *http.Request, r *Request, s *sending) (*http.Response, error) {
 	tunnel := c.paths.Tunnelled(r.Address)
 	resp, err := c.roundTripBy(tunnel, req, r)
-	if err == nil || sends.Load() > 0 || req.Context().Err() != nil {
+	if err == nil || s.taken || req.Context().Err() != nil {
 		return resp, err
 	}
 	other, otherErr := c.roundTripBy(!tunnel, req, r)
-	if otherErr != nil && sends.Load() == 0 {
+	if otherErr != nil && !s.taken {
 		return nil, err
 	}
 	return other, otherErr
