endpoint: an order withheld by its check is not a lost one

A holder whose lease ended before the first byte of an order would have logged the order as lost and waited for its effect, where it had sent nothing.

Cause: moved the reset of what was written on a connection from setCheck, which every user of WithCheck calls, to the hook of Client.Do. Orders use WithCheck with a client of their own: on a connection that had carried an order, the next one counted as begun, and its withheld write was no WithheldError.

Why this works: WithCheck's own hook notes the begin of the request, before the check is set; net/http calls both hooks before the first write. The end of a check (the first byte of the answer) still resets nothing.

--- a/io/endpoint/check.go
+++ b/io/endpoint/check.go
@@ -42,7 +42,7 @@
 	openedAt time.Time
 }
 
-// setCheck sets the check for the next request; nil for none.
+// setCheck sets the check of the current request; nil for none.
 func (c *checkedConn) setCheck(check Check, onCheckFailed func(error)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,6 +106,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*checkedConn); ok {
 				conn = c
+				c.beginRequest()
 				c.setCheck(check, cancel)
 			}
 		},
