endpoint: a connection to a gateway is no connection to the endpoint

Cause: net/http dials in a context that keeps the request's values, among them its httptrace hooks. A dial that sends a request of its own, as a tunnel does to its gateway, calls them for its connection.

Why this works: a connection is opened in a context without values but the lifetime of tunnels. The hooks see the request's own connections only, and are no longer called from other goroutines.

TestRefusedAfterGatewayIsNotSent failed before (maybeRun, 1 send).

--- a/io/endpoint/check.go
+++ b/io/endpoint/check.go
@@ -85,10 +85,22 @@
 // DialFunc opens a connection, like net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// dialContext is the context in which a connection is opened for a request. It has no values of the request but the lifetime
+// of tunnels. A dial may send requests of its own, as to a gateway, and their connections would call the hooks of the request.
+type dialContext struct{ context.Context }
+
+// Value implements context.Context.
+func (c dialContext) Value(key any) any {
+	if key == (tunnelLifetimeKey{}) {
+		return c.Context.Value(key)
+	}
+	return nil
+}
+
 // CheckedDial returns a DialFunc whose connections run the checks of requests made under WithCheck.
 func CheckedDial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
+		conn, err := dial(dialContext{ctx}, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -250,6 +250,41 @@
 	}
 }
 
+// gatewayPaths asks a gateway for each connection, which opens none.
+type gatewayPaths struct {
+	directOnly
+	gateway string
+}
+
+// Direct implements Paths.
+func (p gatewayPaths) Direct(ctx context.Context, _, _ string) (net.Conn, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.gateway, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body.Close()
+	return nil, syscall.ECONNREFUSED
+}
+
+// TestRefusedAfterGatewayIsNotSent guards against a request that counts as one that may have run, because a connection to a
+// gateway was taken for one to the endpoint.
+func TestRefusedAfterGatewayIsNotSent(t *testing.T) {
+	gateway := newKeptServer(t)
+	c := NewClientWith(Options{Paths: gatewayPaths{directOnly{new(net.Dialer)}, gateway.l.Addr().String()}})
+	_, err := c.Do(t.Context(), &Request{Address: "127.0.0.1:1", Method: http.MethodPost, Path: "/", Header: http.Header{}})
+	var e *Error
+	if !errors.As(err, &e) || e.Outcome != retry.NotSent || !e.ConnectFailed {
+		t.Errorf("error = %#v, want notSent", err)
+	}
+	if n := gateway.requests.Load(); n != 1 {
+		t.Errorf("%d requests arrived at the gateway, want 1", n)
+	}
+}
+
 // keptServer answers the first request of each connection and closes the connection when the second one arrives.
 // requests counts the requests.
 type keptServer struct {
