isolation, caller: an engine that is taken for crashed is asked when it started before it gets a request

Each engine that ends takes the streams of others with it.

Why this works: a node that takes an incarnation for crashed, by its own or another node's word, asks the engine for its start before it sends a request. If that is another one the request goes elsewhere, as one of which nothing was written, and the endpoint is not chosen until its new entry is read; if it is the same, the suspicions are void, as with the inquiries made in the background; no answer decides nothing. It costs one inquiry where an engine is taken for crashed, none else.

TestVerifyBeforeSending has the cases; its rows "started again" are what was sent before.

--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -297,6 +297,13 @@
 	return er != nil && !er.crashedAt.IsZero() && now.Sub(er.crashedAt) <= breakWindow
 }
 
+// TakenForCrashed reports whether an incarnation, whose start time the engine publishes, has crashed as far as this node or
+// another one knows.
+func (t *Tracker) TakenForCrashed(l Incarnation) bool {
+	er := t.incarnations[l]
+	return l.Start != 0 && er != nil && !(er.crashedAt.IsZero() && er.reportedAt.IsZero())
+}
+
 // SetDraining records whether an engine's shutdown is planned or its entry is gone. Broken connections are then no
 // evidence of a crash.
 func (t *Tracker) SetDraining(l Incarnation, draining bool, now time.Time) {
--- a/internal/isolation/alive.go
+++ b/internal/isolation/alive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"olivetiller/core/quarantine"
@@ -66,6 +67,29 @@
 	return true
 }
 
+// Verify asks the engine of a run that is taken for crashed when it started, before the request is sent. It returns an error
+// if the engine has started again since: a crash of the new process would count as that of the one before, until the new
+// entry is read. Whether an engine that does not answer is there, the attempt finds out.
+func (r *Run) Verify(ctx context.Context) error {
+	g := r.g
+	g.mu.Lock()
+	ask := g.o.StartOf != nil && g.tracker.TakenForCrashed(r.incarnation)
+	g.mu.Unlock()
+	if !ask {
+		return nil
+	}
+	now := g.o.Clock.Now()
+	start, err := g.o.StartOf(ctx, r.Service, r.endpoint)
+	switch {
+	case err != nil:
+		return nil
+	case start == r.incarnation.Start:
+		g.disprove(r.incarnation, now)
+		return nil
+	}
+	return fmt.Errorf("engine %s has crashed and started again, and its new entry has not been read yet", r.incarnation.Engine)
+}
+
 // disprove records that an engine that was taken for crashed was alive at a time.
 func (g *Guard) disprove(l quarantine.Incarnation, aliveAt time.Time) {
 	g.mu.Lock()
--- a/internal/isolation/guard_test.go
+++ b/internal/isolation/guard_test.go
@@ -251,3 +251,69 @@
 		})
 	}
 }
+
+// TestVerifyBeforeSending guards against a second crash of an engine that counts as its first one, because the engine was used
+// again before its new entry was read.
+func TestVerifyBeforeSending(t *testing.T) {
+	const crashed = 1
+	const (
+		nowhere = iota
+		here
+		elsewhere
+	)
+	tests := []struct {
+		name string
+		// knownFrom says where the crash was noticed.
+		knownFrom int
+		start     int64
+		err       error
+		// asked, sent and disproved are what Verify is to do.
+		asked, sent, disproved bool
+	}{
+		{"no crash", nowhere, crashed + 1, nil, false, true, false},
+		{"started again", here, crashed + 1, nil, true, false, false},
+		{"started again, known from another node", elsewhere, crashed + 1, nil, true, false, false},
+		{"alive", here, crashed, nil, true, true, true},
+		{"alive, known from another node", elsewhere, crashed, nil, true, true, true},
+		{"no answer", here, 0, errors.New("refused"), true, true, false},
+		{"is not asked", here, 0, ErrNotAsked, true, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			g := testGuard(clock, func() bool { return true })
+			g.SetEngines(9)
+			asked := false
+			g.o.StartOf = func(context.Context, string, view.Endpoint) (int64, error) {
+				asked = true
+				return tt.start, tt.err
+			}
+			ep := view.Endpoint{Name: "e", Start: crashed}
+			g.EngineSeen(quarantine.Incarnation{Engine: ep.Name, Start: ep.Start}, false)
+			switch tt.knownFrom {
+			case here:
+				run := g.Send(fingerprint("/a"), ep)
+				run.Began()
+				run.ConnectionBroke(t.Context())
+			case elsewhere:
+				other := testGuard(clock, func() bool { return true })
+				other.SetEngines(9)
+				run := other.Send(fingerprint("/a"), ep)
+				run.Began()
+				run.ConnectionBroke(t.Context())
+				entries, _ := other.Since(0, quarantine.AllRecords)
+				g.Merge(entries, "other")
+			}
+			run := g.Send(fingerprint("/a"), ep)
+			if err := run.Verify(t.Context()); (err == nil) != tt.sent {
+				t.Errorf("Verify = %v, want that the request is sent: %t", err, tt.sent)
+			}
+			if asked != tt.asked {
+				t.Errorf("the engine was asked: %t, want %t", asked, tt.asked)
+			}
+			if got := g.Metrics.Disproved.Value() == 1; got != tt.disproved {
+				t.Errorf("the crash is disproved: %t, want %t", got, tt.disproved)
+			}
+		})
+	}
+}
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -48,7 +48,7 @@
 		n.sent++
 		run := s.Isolation.Send(x.Fingerprint, slot.Endpoint, x.parts()...)
 		run.Service = x.Target.Service
-		result, err := do(ctx, slot, req, run)
+		result, err := sendVerified(ctx, slot, req, run, do)
 		result.Ended = reportRun(ctx, run, err)
 		unlock(err == nil)
 		slot.Release(result)
@@ -77,6 +77,14 @@
 	}
 }
 
+// sendVerified calls do, unless the endpoint has crashed and started again since it was chosen.
+func sendVerified(ctx context.Context, slot *traffic.Slot, req traffic.SlotRequest, run *isolation.Run, do attemptFunc) (traffic.Result, error) {
+	if err := run.Verify(ctx); err != nil {
+		return traffic.Result{NotStarted: true, Running: -1}, &endpoint.Error{Outcome: retry.NotSent, Cause: err}
+	}
+	return do(ctx, slot, req, run)
+}
+
 // newSlotRequest returns the slot request for the first attempt of an exchange.
 func newSlotRequest(x *Exchange) traffic.SlotRequest {
 	return traffic.SlotRequest{
