isolation: an engine whose next process is listed gets no request that was meant for the one before

Cause: the list replaces the incarnation, and nothing is known against the one that was chosen any more.

Why this works: the start of the entry that was read last is compared with the one that was chosen.

The new row of TestVerifyBeforeSending failed before.

--- a/internal/isolation/alive.go
+++ b/internal/isolation/alive.go
@@ -67,15 +67,19 @@
 	return true
 }
 
-// Verify asks the engine of a run that is taken for crashed when it started, before the request is sent. It returns an error
-// if the engine has started again since: a crash of the new process would count as that of the one before, until the new
-// entry is read. Whether an engine that does not answer is there, the attempt finds out.
+// Verify returns an error if the engine of a run has started again since it was chosen: a crash of the new process would
+// count as that of the one before. It asks an engine that is taken for crashed when it started, since its new entry may not
+// be read yet. Whether an engine that does not answer is there, the attempt finds out.
 func (r *Run) Verify(ctx context.Context) error {
 	g := r.g
 	g.mu.Lock()
+	replaced := g.startTimes[r.incarnation.Engine] > r.incarnation.Start
 	ask := g.o.StartOf != nil && g.tracker.TakenForCrashed(r.incarnation)
 	g.mu.Unlock()
-	if !ask {
+	switch {
+	case replaced:
+		return restarted(r.incarnation)
+	case !ask:
 		return nil
 	}
 	now := g.o.Clock.Now()
@@ -87,7 +91,11 @@
 		g.disprove(r.incarnation, now)
 		return nil
 	}
-	return fmt.Errorf("engine %s has crashed and started again, and its new entry has not been read yet", r.incarnation.Engine)
+	return restarted(r.incarnation)
+}
+
+func restarted(l quarantine.Incarnation) error {
+	return fmt.Errorf("engine %s has started again since it was chosen; another one, or its next process, may take the request", l.Engine)
 }
 
 // disprove records that an engine that was taken for crashed was alive at a time.
--- a/internal/isolation/guard_test.go
+++ b/internal/isolation/guard_test.go
@@ -260,6 +260,8 @@
 		nowhere = iota
 		here
 		elsewhere
+		// byEntry means that the new entry is read after the engine was chosen.
+		byEntry
 	)
 	tests := []struct {
 		name string
@@ -273,6 +275,7 @@
 		{"no crash", nowhere, crashed + 1, nil, false, true, false},
 		{"started again", here, crashed + 1, nil, true, false, false},
 		{"started again, known from another node", elsewhere, crashed + 1, nil, true, false, false},
+		{"its new entry is read", byEntry, crashed + 1, nil, false, false, false},
 		{"alive", here, crashed, nil, true, true, true},
 		{"alive, known from another node", elsewhere, crashed, nil, true, true, true},
 		{"no answer", here, 0, errors.New("refused"), true, true, false},
@@ -304,6 +307,9 @@
 				entries, _ := other.Since(0, quarantine.AllRecords)
 				g.Merge(entries, "other")
 			}
+			if tt.knownFrom == byEntry {
+				g.EngineSeen(quarantine.Incarnation{Engine: ep.Name, Start: crashed + 1}, false)
+			}
 			run := g.Send(fingerprint("/a"), ep)
 			if err := run.Verify(t.Context()); (err == nil) != tt.sent {
 				t.Errorf("Verify = %v, want that the request is sent: %t", err, tt.sent)
