placer: a new lease holder knows which routes moved since the ledger it continues

Cause: the ledger names the configuration up to which moved routes are taken into account. The next holder compares it with its own configuration, and only the last holder had kept the one to compare with. If the configuration changes while there is no holder, or while the holder's records are not taken, all routes counted as moved, and nothing was concluded for an hour.

Why this works: every node keeps the configurations that were in force there from the one that the latest record takes into account on, eight at most, and compares with that one.

TestStreamTakenUpAfterNewHolder failed before (refused until its timeout).

--- a/internal/placer/builds.go
+++ b/internal/placer/builds.go
@@ -20,14 +20,35 @@
 type builds struct {
 	// ledger is the ledger that the view in force was built with; nil if none is known.
 	ledger *origin.Ledger
-	// table is the configuration that this node, as the lease holder, has taken into account in its latest ledger, and at
-	// is when it sent that.
-	table *route.Table
-	at    time.Time
+	// at is when this node, as the lease holder, sent its latest ledger.
+	at time.Time
+	// tables are the configurations that have been in force here, by version, from the one that the latest ledger takes into
+	// account on. Every node keeps them, since it may be the next lease holder.
+	tables []*route.Table
 	// changed is set if the ledger has changed since the view in force was built.
 	changed bool
 }
 
+// maxTables bounds the configurations that are kept while no lease record takes them into account.
+const maxTables = 8
+
+// addTable adds a configuration that comes into force.
+func (b *builds) addTable(t *route.Table) {
+	b.tables = append(b.tables, t)
+	if over := len(b.tables) - maxTables; over > 0 {
+		b.tables = slices.Delete(b.tables, 0, over)
+	}
+}
+
+// tableOf returns the configuration of a version, and drops earlier ones; nil if it was not in force here.
+func (b *builds) tableOf(version int64) *route.Table {
+	b.tables = slices.DeleteFunc(b.tables, func(t *route.Table) bool { return t.Config.Version < version })
+	if len(b.tables) == 0 || b.tables[0].Config.Version != version {
+		return nil
+	}
+	return b.tables[0]
+}
+
 // followLedger takes over the ledger of the latest lease record.
 func (c *Controller) followLedger() {
 	next, _ := c.lease.Ledger()
@@ -36,6 +57,7 @@
 	}
 	c.builds.ledger, c.builds.changed, c.viewStale = next, true, true
 	if next != nil {
+		c.builds.tableOf(next.Config)
 		c.o.Logger.Info("builds admitted", "builds", admittedNames(next), "unsettled", next.UnsettledMs > 0, "config", next.Config)
 	}
 }
@@ -99,8 +121,7 @@
 	}
 	if t := c.Table(); t != nil {
 		o.Config = t.Config.Version
-		o.Moved = movedServices(c.builds.table, t, last.Config)
-		c.builds.table = t
+		o.Moved = movedServices(c.builds.tableOf(last.Config), t, last.Config)
 	}
 	if c.held && !c.builds.at.IsZero() {
 		o.Elapsed = now.Sub(c.builds.at)
@@ -110,13 +131,13 @@
 }
 
 // movedServices returns the services to or from which streams on routes may have moved between two configurations. known
-// is the version up to which moves were taken into account; if old, which may be nil, is not of that version, any stream
+// is the version up to which moves were taken into account; if old, the configuration of that version, is nil, any stream
 // may have moved.
 func movedServices(old, next *route.Table, known int64) []string {
 	switch {
 	case known == 0 || known >= next.Config.Version:
 		return nil
-	case old == nil || old.Config.Version != known:
+	case old == nil:
 		return resumableServices(next)
 	}
 	moved := make(map[string]bool)
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -338,6 +338,7 @@
 	next := old
 	next.table = t
 	c.setConfig(next)
+	c.builds.addTable(t)
 	c.planner.SetTable(t)
 	c.touchAll()
 	c.listChanged(c.o.Clock.Now())
