eventqueue: one queue of events for the three simulations

Cause: the lab of streams brought a third copy of the heap of events in virtual time, beside those of the policies and of the quarantine; they differed only in names.

Change: package internal/eventqueue has the queue with its clock, and the simulations embed it. Behaviour is as before: events run by time, those of one time as they were scheduled, none after the end.

--- a/internal/originlab/simulation.go
+++ b/internal/originlab/simulation.go
@@ -1,7 +1,6 @@
 package originlab
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +11,7 @@
 	"olivetiller/core/directory"
 	"olivetiller/core/origin"
 	"olivetiller/core/reach"
+	"olivetiller/internal/eventqueue"
 )
 
 // Times of the simulated fleet.
@@ -63,36 +63,12 @@
 	ended bool
 }
 
-// event is a function that runs at a time.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // simulation is one run.
 type simulation struct {
 	Load
+	eventqueue.Queue
 	design Design
 	rnd    *rand.Rand
-	now    time.Duration
-	seq    int
-	events events
 	nodes  []*node
 	// streams are the streams in progress, in the order in which they began.
 	streams []*stream
@@ -116,36 +92,24 @@
 	}
 	s.planLedger()
 	s.planFaults()
-	s.after(s.interval(), s.begin)
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		if s.now = e.at; s.now > l.For+allowed {
-			break
-		}
-		e.run()
-	}
+	s.After(s.interval(), s.begin)
+	s.Run(l.For + allowed)
 	s.result.FirstEvent = s.firstEvent / time.Duration(max(1, s.result.Streams))
 	s.result.TakeUp = s.takeUp / time.Duration(max(1, s.result.TakenUp))
 	return s.result
 }
 
-// after has a function run after a time.
-func (s *simulation) after(d time.Duration, run func()) {
-	s.seq++
-	heap.Push(&s.events, event{s.now + d, s.seq, run})
-}
-
 // interval returns a random time between two streams.
 func (s *simulation) interval() time.Duration {
 	return time.Duration(s.rnd.ExpFloat64() / (s.PerNode * float64(s.Nodes)) * float64(time.Second))
 }
 
-func (s *simulation) clock() time.Time { return time.Unix(0, 0).Add(s.now) }
+func (s *simulation) clock() time.Time { return time.Unix(0, 0).Add(s.Now) }
 
 // planLedger has the ledger name each build when its first engine starts.
 func (s *simulation) planLedger() {
 	for _, b := range s.Builds {
-		s.after(b.From, func() {
+		s.After(b.From, func() {
 			s.ledger = s.ledger.Next(origin.Observed{Present: origin.Present{service: {b.Build}}})
 		})
 	}
@@ -163,17 +127,17 @@
 					victim = s.nodes[i%s.Nodes]
 				}
 				i++
-				s.after(at, func() { s.kill(victim) })
+				s.After(at, func() { s.kill(victim) })
 			}
 		}
 	case CutApart:
 		for i, n := range s.nodes {
 			n.group = min(1, i*3/s.Nodes)
 		}
-		s.after(s.For/4, func() { s.cut = true })
-		s.after(s.For*3/4, func() { s.cut = false })
+		s.After(s.For/4, func() { s.cut = true })
+		s.After(s.For*3/4, func() { s.cut = false })
 	case AllKilled:
-		s.after(s.For/2, func() {
+		s.After(s.For/2, func() {
 			for _, n := range s.nodes {
 				s.kill(n)
 			}
@@ -186,8 +150,8 @@
 	if !n.up {
 		return
 	}
-	n.up, n.downAt, n.registry = false, s.now, origin.NewRegistry(1<<16)
-	s.after(startTime, func() { n.up = true })
+	n.up, n.downAt, n.registry = false, s.Now, origin.NewRegistry(1<<16)
+	s.After(startTime, func() { n.up = true })
 	for _, st := range slices.Clone(s.streams) {
 		if st.at == n {
 			s.breakOff(st)
@@ -197,7 +161,7 @@
 
 // known returns the builds that serve as far as a node knows.
 func (s *simulation) known(n *node) []directory.Build {
-	at := s.now - n.lag
+	at := s.Now - n.lag
 	if s.cut && n.group > 0 {
 		at = min(at, s.For/4)
 	}
@@ -231,7 +195,7 @@
 	var out []reach.Gateway
 	step := (len(s.nodes) + maxListed - 1) / maxListed
 	for i := 0; i < len(s.nodes); i += step {
-		if n := s.nodes[i]; n.up || s.now-n.downAt < silentAfter {
+		if n := s.nodes[i]; n.up || s.Now-n.downAt < silentAfter {
 			out = append(out, n.Gateway)
 		}
 	}
@@ -261,10 +225,10 @@
 
 // begin begins a stream and schedules the next one.
 func (s *simulation) begin() {
-	if s.now > s.For {
+	if s.Now > s.For {
 		return
 	}
-	s.after(s.interval(), s.begin)
+	s.After(s.interval(), s.begin)
 	n := s.random()
 	if n == nil {
 		return
@@ -287,13 +251,13 @@
 		s.firstEvent += 2 * s.delay()
 	}
 	s.copyRecord(st)
-	s.after(length, func() {
+	s.After(length, func() {
 		if !st.ended {
 			s.end(st)
 		}
 	})
 	if s.rnd.Float64() < s.Breaks {
-		s.after(time.Duration(s.rnd.Int64N(int64(length)+1)), func() {
+		s.After(time.Duration(s.rnd.Int64N(int64(length)+1)), func() {
 			if !st.ended {
 				s.breakOff(st)
 			}
@@ -339,13 +303,13 @@
 			continue
 		}
 		left--
-		s.after(s.delay(), func() {
+		s.After(s.delay(), func() {
 			if to.up {
 				to.registry.Add(rec, s.clock())
 			}
 		})
 	}
-	s.after(refreshEvery, func() { s.copyRecord(st) })
+	s.After(refreshEvery, func() { s.copyRecord(st) })
 }
 
 // end ends a stream, or its first part.
@@ -358,20 +322,20 @@
 // breakOff ends a stream's connection to its caller, who comes back at a random node.
 func (s *simulation) breakOff(st *stream) {
 	s.end(st)
-	s.after(time.Duration(s.rnd.Int64N(int64(returnsWithin))), func() { s.callerReturns(st) })
+	s.After(time.Duration(s.rnd.Int64N(int64(returnsWithin))), func() { s.callerReturns(st) })
 }
 
 // callerReturns has a caller take a stream up.
 func (s *simulation) callerReturns(st *stream) {
 	n := s.random()
 	if n == nil {
-		s.after(startTime/4, func() { s.callerReturns(st) })
+		s.After(startTime/4, func() { s.callerReturns(st) })
 		return
 	}
 	s.result.TakenUp++
 	build, known, took := s.learn(n, st)
 	s.takeUp += took
-	switch serving := s.serving(s.now); {
+	switch serving := s.serving(s.Now); {
 	case !known:
 		s.result.Unknown++
 	case !slices.Contains(serving, build):
--- a/internal/policylab/simulation.go
+++ b/internal/policylab/simulation.go
@@ -1,7 +1,6 @@
 package policylab
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"sort"
@@ -10,6 +9,7 @@
 	"olivetiller/core/demand"
 	"olivetiller/core/ledger"
 	"olivetiller/core/plan"
+	"olivetiller/internal/eventqueue"
 	pb "olivetiller/proto/olivetiller/v1"
 )
 
@@ -67,19 +67,16 @@
 // simulation is the run of one policy.
 type simulation struct {
 	Platform
+	eventqueue.Queue
 	work    *Workload
 	planner *plan.Planner
 	self    ledger.NodeRef
 	state   *ledger.State
 	table   *demand.Table
 	engines map[string]*plan.Engine
-	// now is the virtual time since epoch.
-	now time.Duration
 	// offset is that of the next record, and recordSeq the sequence number of the last one.
 	offset    uint64
 	recordSeq uint64
-	events    eventHeap
-	eventSeq  int
 	// executedFence is the fence of the last order executed for each replica.
 	executedFence    map[ledger.Key]uint64
 	queues           map[string][]queuedRequest
@@ -101,33 +98,6 @@
 	cold bool
 }
 
-// event is a function due at a virtual time. Events of the same time run in the order in which they
-// were scheduled.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-// eventHeap is a heap of events; the earliest is on top.
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // Run simulates a policy on a workload and returns its figures.
 func Run(work *Workload, p Platform, pol plan.Policy) Result {
 	s := &simulation{
@@ -141,32 +111,21 @@
 	s.setUp()
 	for i := range work.Arrivals {
 		a := work.Arrivals[i]
-		s.at(a.At, func() { s.arrive(a) })
+		s.At(a.At, func() { s.arrive(a) })
 	}
 	end := time.Duration(work.Days) * 24 * time.Hour
 	for t := time.Duration(0); t < end; t += planInterval {
-		s.at(t, s.plan)
+		s.At(t, s.plan)
 	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		if e.at > end {
-			break
-		}
-		s.addIdleTime(e.at)
-		s.now = e.at
-		e.run()
+	for run, ok := s.Next(end); ok; run, ok = s.Next(end) {
+		s.addIdleTime(s.Now)
+		run()
 	}
 	s.addIdleTime(end)
 	return s.summary()
 }
 
-// at schedules run at virtual time t.
-func (s *simulation) at(t time.Duration, run func()) {
-	s.eventSeq++
-	heap.Push(&s.events, event{at: t, seq: s.eventSeq, run: run})
-}
-
-func (s *simulation) time() time.Time { return epoch.Add(s.now) }
+func (s *simulation) time() time.Time { return epoch.Add(s.Now) }
 
 // setUp publishes the catalogue and registers the engines.
 func (s *simulation) setUp() {
@@ -205,7 +164,7 @@
 // fault returns the fault in effect at the present time, or the zero Fault.
 func (s *simulation) fault() Fault {
 	for _, f := range s.Faults {
-		if s.now >= f.From && s.now < f.To {
+		if s.Now >= f.From && s.Now < f.To {
 			return f
 		}
 	}
@@ -224,7 +183,7 @@
 	}
 	for _, a := range s.planner.Plan(in) {
 		if a.Propose != nil {
-			s.at(s.now+commitDelay, func() {
+			s.After(commitDelay, func() {
 				s.apply(a.Propose)
 				s.plan()
 			})
@@ -256,7 +215,7 @@
 	}
 	s.result.Loads++
 	s.result.BytesMoved += float64(o.Bytes)
-	s.at(s.now+time.Duration(took*float64(time.Second)), func() {
+	s.After(time.Duration(took*float64(time.Second)), func() {
 		disk[id] = true
 		s.apply(&pb.Record{Body: &pb.Record_LoadDone{LoadDone: &pb.LoadDone{
 			Unit: o.Unit, Version: o.Version, Engine: o.Engine, Fence: o.Fence,
@@ -269,10 +228,10 @@
 // unload waits until the replica runs no request and then frees its memory.
 func (s *simulation) unload(o *plan.Order) {
 	if s.runningByReplica[o.Key] > 0 {
-		s.at(s.now+time.Second, func() { s.unload(o) })
+		s.After(time.Second, func() { s.unload(o) })
 		return
 	}
-	s.at(s.now+unloadTime, func() {
+	s.After(unloadTime, func() {
 		s.apply(&pb.Record{Body: &pb.Record_UnloadDone{UnloadDone: &pb.UnloadDone{
 			Unit: o.Unit, Version: o.Version, Engine: o.Engine, Fence: o.Fence,
 		}}})
@@ -290,7 +249,7 @@
 	s.report(a.Unit)
 	s.startQueued(a.Unit)
 	if len(s.queues[a.Unit]) > 0 {
-		s.at(a.At+s.Timeout, func() { s.expire(a) })
+		s.At(a.At+s.Timeout, func() { s.expire(a) })
 		s.plan()
 	}
 }
@@ -378,11 +337,11 @@
 
 // start runs a queued request on a replica.
 func (s *simulation) start(k ledger.Key, w queuedRequest) {
-	s.recordWait(s.now-w.At, w.cold)
+	s.recordWait(s.Now-w.At, w.cold)
 	s.runningByUnit[k.Unit]++
 	s.runningByReplica[k]++
 	s.runningByEngine[k.Engine]++
-	s.at(s.now+w.Serve, func() {
+	s.After(w.Serve, func() {
 		s.runningByUnit[k.Unit]--
 		s.runningByReplica[k]--
 		s.runningByEngine[k.Engine]--
--- a/internal/quarantinelab/messages.go
+++ b/internal/quarantinelab/messages.go
@@ -38,9 +38,9 @@
 		n.registry.SetComplete(true)
 		s.decide(n)
 	}
-	old.pausedUntil = s.now + s.cfg.HolderGap
+	old.pausedUntil = s.Now + s.cfg.HolderGap
 	old.healthySince = old.pausedUntil
-	s.after(s.cfg.HolderGap, func() {
+	s.After(s.cfg.HolderGap, func() {
 		for _, n := range s.nodes {
 			n.registry.SetComplete(false)
 		}
@@ -54,7 +54,7 @@
 	if n == s.holder {
 		return
 	}
-	n.pausedUntil = s.now + s.cfg.PauseTime
+	n.pausedUntil = s.Now + s.cfg.PauseTime
 	n.healthySince = n.pausedUntil
 }
 
@@ -66,7 +66,7 @@
 		return
 	}
 	n := s.newNode(i)
-	n.healthySince = s.now
+	n.healthySince = s.Now
 	for _, e := range s.stored {
 		s.merge(n, []quarantine.Entry{e})
 	}
@@ -82,16 +82,16 @@
 		return
 	}
 	n.reportDue = true
-	s.after(s.between(reportLatency), func() { s.deliver(n) })
+	s.After(s.between(reportLatency), func() { s.deliver(n) })
 }
 
 // deliver delivers a report to the lease holder, or schedules a retry if it cannot arrive.
 func (s *simulation) deliver(n *node) {
 	n.reportDue = false
 	h := s.holder
-	if h == nil || h.pausedUntil > s.now || n.pausedUntil > s.now || s.drawLoss() {
+	if h == nil || h.pausedUntil > s.Now || n.pausedUntil > s.Now || s.drawLoss() {
 		n.reportDue = true
-		s.after(retryInterval, func() { s.deliver(n) })
+		s.After(retryInterval, func() { s.deliver(n) })
 		return
 	}
 	entries, to := n.registry.Since(n.reportedVersion, quarantine.LocalRecords)
@@ -123,10 +123,10 @@
 	}
 	for _, n := range s.nodes {
 		if n != h {
-			s.after(s.between(pushLatency), func() { s.push(h, n) })
+			s.After(s.between(pushLatency), func() { s.push(h, n) })
 		}
 	}
-	s.after(storeWriteTime, func() { s.storeVerdicts(h) })
+	s.After(storeWriteTime, func() { s.storeVerdicts(h) })
 }
 
 // push delivers an update from lease holder h to node n, or schedules a retry if it cannot arrive.
@@ -134,8 +134,8 @@
 	if h != s.holder || n.receivedVersion >= h.registry.SharedVersion() {
 		return
 	}
-	if n.pausedUntil > s.now || s.drawLoss() {
-		s.after(max(retryInterval, n.pausedUntil-s.now), func() { s.push(h, n) })
+	if n.pausedUntil > s.Now || s.drawLoss() {
+		s.After(max(retryInterval, n.pausedUntil-s.Now), func() { s.push(h, n) })
 		return
 	}
 	entries, to := h.registry.Since(n.receivedVersion, quarantine.SharedRecords)
@@ -168,10 +168,10 @@
 			continue
 		}
 		if s.receivedBy[i] == nil {
-			s.receivedBy[i], s.verdictAt[i] = make(map[*node]bool), s.now
+			s.receivedBy[i], s.verdictAt[i] = make(map[*node]bool), s.Now
 		}
 		if !s.receivedBy[i][n] && n.healthySince <= s.verdictAt[i] {
-			s.result.Everywhere[i] = max(s.result.Everywhere[i], s.now-s.verdictAt[i])
+			s.result.Everywhere[i] = max(s.result.Everywhere[i], s.Now-s.verdictAt[i])
 		}
 		s.receivedBy[i][n] = true
 	}
@@ -187,12 +187,12 @@
 			}
 		}
 	}
-	s.after(exchangeInterval, s.exchange)
+	s.After(exchangeInterval, s.exchange)
 }
 
 // exchangeWith sends what n knows to o, and the reverse.
 func (s *simulation) exchangeWith(n, o *node) {
-	if n == o || n.pausedUntil > s.now || o.pausedUntil > s.now || s.drawLoss() {
+	if n == o || n.pausedUntil > s.Now || o.pausedUntil > s.Now || s.drawLoss() {
 		return
 	}
 	for _, way := range [][2]*node{{n, o}, {o, n}} {
--- a/internal/quarantinelab/simulation.go
+++ b/internal/quarantinelab/simulation.go
@@ -1,7 +1,6 @@
 package quarantinelab
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -10,35 +9,13 @@
 	"time"
 
 	"olivetiller/core/quarantine"
+	"olivetiller/internal/eventqueue"
 	"olivetiller/io/peer"
 )
 
 // epoch is the start of each experiment.
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// event is a function due at a virtual time. Events of the same time run in the order in which they
-// were scheduled.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-// events is a heap of events; the earliest is on top.
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // node is one node with its registry and tracker.
 type node struct {
 	index    int
@@ -94,11 +71,9 @@
 
 // simulation is the state of a running experiment.
 type simulation struct {
+	eventqueue.Queue
 	cfg     Config
 	rnd     *rand.Rand
-	now     time.Duration
-	seq     int
-	queue   events
 	nodes   []*node
 	engines []*engine
 	// holder is the lease holder, which merges the suspicions of all nodes; nil while there is
@@ -132,14 +107,7 @@
 	}
 	s.setHolder(s.nodes[0])
 	s.schedule()
-	for len(s.queue) > 0 {
-		e := heap.Pop(&s.queue).(event)
-		if e.at > cfg.Duration {
-			break
-		}
-		s.now = e.at
-		e.do()
-	}
+	s.Run(cfg.Duration)
 	return s.result
 }
 
@@ -154,13 +122,7 @@
 	return n
 }
 
-func (s *simulation) time() time.Time { return epoch.Add(s.now) }
-
-// after schedules do to run after d.
-func (s *simulation) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, event{s.now + d, s.seq, do})
-}
+func (s *simulation) time() time.Time { return epoch.Add(s.Now) }
 
 // between draws a uniformly distributed time between d and twice d.
 func (s *simulation) between(d time.Duration) time.Duration {
@@ -185,25 +147,25 @@
 		s.crashing = append(s.crashing, r)
 		series := s.cfg.Duration / time.Duration(s.cfg.Deadly)
 		from, to := series*time.Duration(i)+2*time.Second, series*time.Duration(i+1)
-		s.after(from, func() { s.repeat(r, to) })
+		s.After(from, func() { s.repeat(r, to) })
 	}
 	if s.cfg.Victim {
 		s.victim()
 	}
 	groups := int(s.cfg.UnrelatedShare*float64(s.cfg.Engines)/float64(max(1, s.cfg.CrashGroup)) + 0.5)
 	for range groups {
-		s.after(s.randomMoment(), s.crashUnrelated)
+		s.After(s.randomMoment(), s.crashUnrelated)
 	}
 	for range s.cfg.HolderLosses {
-		s.after(s.randomMoment(), s.loseHolder)
+		s.After(s.randomMoment(), s.loseHolder)
 	}
 	for range s.cfg.Pauses {
-		s.after(s.randomMoment(), s.pause)
+		s.After(s.randomMoment(), s.pause)
 	}
 	for range s.cfg.Replacements {
-		s.after(s.randomMoment(), s.replace)
+		s.After(s.randomMoment(), s.replace)
 	}
-	s.after(exchangeInterval, s.exchange)
+	s.After(exchangeInterval, s.exchange)
 }
 
 // newRequest returns a request with a fingerprint of its own; index is its index among the crashing
@@ -235,7 +197,7 @@
 
 // victim sends requests of the victim until the end.
 func (s *simulation) victim() {
-	s.after(s.exponential(s.cfg.VictimInterval), func() {
+	s.After(s.exponential(s.cfg.VictimInterval), func() {
 		r := s.newRequest(-1)
 		r.parts = append(r.parts, victimPart)
 		r.victim = true
@@ -260,7 +222,7 @@
 
 // arrive schedules the next harmless request.
 func (s *simulation) arrive() {
-	s.after(s.exponential(time.Duration(float64(time.Second)/s.cfg.Rate)), func() {
+	s.After(s.exponential(time.Duration(float64(time.Second)/s.cfg.Rate)), func() {
 		s.result.Proper++
 		s.try(s.newRequest(-1))
 		s.arrive()
@@ -274,8 +236,8 @@
 	}
 	r.tries, r.avoid = 0, nil
 	s.try(r)
-	if next := s.exponential(s.cfg.RepeatInterval); s.now+next < until {
-		s.after(next, func() { s.repeat(r, until) })
+	if next := s.exponential(s.cfg.RepeatInterval); s.Now+next < until {
+		s.After(next, func() { s.repeat(r, until) })
 	}
 }
 
@@ -290,8 +252,8 @@
 // waits until the crashes of which a doubtful request is suspected can be evaluated, and refuses the
 // request if it is quarantined.
 func (s *simulation) attempt(r *request, n *node, k int) {
-	if n.pausedUntil > s.now {
-		s.after(n.pausedUntil-s.now, func() { s.attempt(r, n, k) })
+	if n.pausedUntil > s.Now {
+		s.After(n.pausedUntil-s.Now, func() { s.attempt(r, n, k) })
 		return
 	}
 	if s.cfg.Disabled {
@@ -300,7 +262,7 @@
 	}
 	for _, f := range r.subjects() {
 		if wait := n.registry.SettleDelay(f, s.time()); wait > 0 {
-			s.after(wait, func() { s.attempt(r, n, k) })
+			s.After(wait, func() { s.attempt(r, n, k) })
 			return
 		}
 	}
@@ -331,7 +293,7 @@
 		s.fail(r)
 		return
 	}
-	if r.crashingIndex >= 0 && s.knownAt[r.crashingIndex] > 0 && s.now > s.knownAt[r.crashingIndex]+s.cfg.ContactTime && s.now-n.healthySince >= s.cfg.ContactTime {
+	if r.crashingIndex >= 0 && s.knownAt[r.crashingIndex] > 0 && s.Now > s.knownAt[r.crashingIndex]+s.cfg.ContactTime && s.Now-n.healthySince >= s.cfg.ContactTime {
 		s.result.Late[r.crashingIndex]++
 	}
 	u := &run{r: r, n: n, e: e, attempt: k, suspect: suspect}
@@ -340,7 +302,7 @@
 	if suspect {
 		n.suspectRuns[e]++
 	}
-	s.after(requestLatency+s.exponential(queueTime), func() { s.begin(u) })
+	s.After(requestLatency+s.exponential(queueTime), func() { s.begin(u) })
 }
 
 // choose returns the running engine with the least work, nil if there is none. Engines that crashed
@@ -376,14 +338,14 @@
 	}
 	u.n.tracker.Begin(u.tracked, s.time())
 	if u.r.crashingIndex >= 0 {
-		s.after(s.between(s.cfg.CrashDelay/2), func() {
+		s.After(s.between(s.cfg.CrashDelay/2), func() {
 			if u.e.runs[u] {
 				s.crashUnder(u)
 			}
 		})
 		return
 	}
-	s.after(s.exponential(s.cfg.MeanRun), func() {
+	s.After(s.exponential(s.cfg.MeanRun), func() {
 		if u.e.runs[u] {
 			s.complete(u)
 		}
@@ -422,7 +384,7 @@
 		needed = 5
 	}
 	if s.result.Ends[d] == needed {
-		s.knownAt[d] = s.now
+		s.knownAt[d] = s.Now
 	}
 	s.crash(u.e)
 }
@@ -449,17 +411,17 @@
 	incarnation := quarantine.Incarnation{Engine: e.name(), Start: int64(e.incarnation + 1)}
 	for _, u := range runs {
 		s.releaseSuspect(u)
-		s.after(s.between(detectionTime), func() { s.connectionBroken(u, incarnation) })
+		s.After(s.between(detectionTime), func() { s.connectionBroken(u, incarnation) })
 	}
 	e.incarnation++
-	s.after(s.cfg.RestartTime, func() { e.up = true })
+	s.After(s.cfg.RestartTime, func() { e.up = true })
 }
 
 // connectionBroken is called when a node notices that its connection for a run broke because the
 // engine crashed. The node records the suspicion and makes the next attempt, if one is left.
 func (s *simulation) connectionBroken(u *run, incarnation quarantine.Incarnation) {
-	if u.n.pausedUntil > s.now {
-		s.after(u.n.pausedUntil-s.now, func() { s.connectionBroken(u, incarnation) })
+	if u.n.pausedUntil > s.Now {
+		s.After(u.n.pausedUntil-s.Now, func() { s.connectionBroken(u, incarnation) })
 		return
 	}
 	if !s.cfg.Disabled {
@@ -490,7 +452,7 @@
 // scheduleDecision schedules decide on a node after quarantine.SettleTime if crashes await evaluation.
 func (s *simulation) scheduleDecision(n *node) {
 	if n.registry.Pending() {
-		s.after(quarantine.SettleTime, func() { s.decide(n) })
+		s.After(quarantine.SettleTime, func() { s.decide(n) })
 	}
 }
 
@@ -505,7 +467,7 @@
 // fail ends a try; after the first one the caller tries again.
 func (s *simulation) fail(r *request) {
 	if r.tries < 2 {
-		s.after(s.exponential(callerBackoff), func() { s.try(r) })
+		s.After(s.exponential(callerBackoff), func() { s.try(r) })
 	}
 }
 
