peer: one decoder for the messages of all handlers

Cause: the two handlers of origins brought the same decoding, bound and refusal that four other handlers of the package had each written out.

Change: readJSON, beside writeJSON, decodes a bounded message or answers 400; all six call it. Bounds and answers are the same.

Measured: the tests of io/peer pass unchanged, with the race detector.

--- a/io/peer/grant.go
+++ b/io/peer/grant.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"time"
@@ -83,9 +81,8 @@
 // handleGrant serves grant requests of nodes.
 func handleGrant(h Holder) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var q GrantRequest
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&q); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		q, ok := readJSON[GrantRequest](w, r, maxRequestBytes)
+		if !ok {
 			return
 		}
 		if err := q.Check(); err != nil {
--- a/io/peer/origin.go
+++ b/io/peer/origin.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -64,9 +62,8 @@
 // handleOrigins serves the copies of records that nodes send.
 func handleOrigins(k OriginKeeper) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var records []Origin
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&records); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		records, ok := readJSON[[]Origin](w, r, maxMessageBytes)
+		if !ok {
 			return
 		}
 		k.KeepOrigins(records)
@@ -77,9 +74,8 @@
 // handleOrigin serves questions for the record of a stream.
 func handleOrigin(k OriginKeeper) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var q OriginQuestion
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&q); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		q, ok := readJSON[OriginQuestion](w, r, maxRequestBytes)
+		if !ok {
 			return
 		}
 		writeJSON(w, r, &OriginAnswer{Record: k.OriginOf(q.Key)})
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -261,9 +261,8 @@
 	mux.HandleFunc("POST "+pathOrigin, handleOrigin(k))
 	mux.HandleFunc("POST "+pathTunnel, handleTunnel(o, clock))
 	mux.HandleFunc("POST "+pathReport, func(w http.ResponseWriter, r *http.Request) {
-		var report Report
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&report); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		report, ok := readJSON[Report](w, r, maxMessageBytes)
+		if !ok {
 			return
 		}
 		if err := h.Reported(&report); err != nil {
@@ -304,6 +303,16 @@
 // all nodes request one when a new holder takes over, possibly through a 10 Mbit/s link.
 const minGzipBytes = 2 << 10
 
+// readJSON decodes the message of a request of at most limit bytes. If it cannot, it answers with the error and returns
+// false.
+func readJSON[T any](w http.ResponseWriter, r *http.Request, limit int64) (message T, ok bool) {
+	if err := json.NewDecoder(io.LimitReader(r.Body, limit)).Decode(&message); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return message, false
+	}
+	return message, true
+}
+
 // writeJSON encodes a message and writes it as the answer.
 func writeJSON(w http.ResponseWriter, r *http.Request, message any) {
 	raw, err := json.Marshal(message)
--- a/io/peer/quarantine.go
+++ b/io/peer/quarantine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -118,9 +116,8 @@
 // handleExchange serves exchanges of other nodes.
 func handleExchange(x Exchanger) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var e Exchange
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&e); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		e, ok := readJSON[Exchange](w, r, maxMessageBytes)
+		if !ok {
 			return
 		}
 		writeJSON(w, r, x.Exchange(&e))
--- a/io/peer/runlock.go
+++ b/io/peer/runlock.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -35,9 +33,8 @@
 // handleRunLock serves run lock requests of nodes.
 func handleRunLock(h Holder) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var q RunLockRequest
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&q); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		q, ok := readJSON[RunLockRequest](w, r, maxRequestBytes)
+		if !ok {
 			return
 		}
 		answer, err := h.HandleRunLock(&q)
