--- a/core/origin/order.go
+++ b/core/origin/order.go
@@ -53,7 +53,7 @@
 // self that began the stream: the first one, the first one of another data hall, and then those that replace them if they do
 // not answer.
 func Keepers(self string, order []reach.Gateway) []string {
-	others := slices.DeleteFunc(slices.Clone(order), func(n reach.Gateway) bool { return n.Address == self })
+	others := without(self, order)
 	if len(others) > 2 {
 		if i := slices.IndexFunc(others, func(n reach.Gateway) bool { return n.Hall != others[0].Hall }); i > 1 {
 			second := others[i]
@@ -75,12 +75,12 @@
 		most = max(most, inHall[hall])
 		n++
 	}
-	return without(self, order[:n]), without(self, order[n:min(len(order), maxAsked)])
+	return addresses(without(self, order[:n])), addresses(without(self, order[n:min(len(order), maxAsked)]))
 }
 
-// without returns the addresses of the nodes but one.
-func without(self string, nodes []reach.Gateway) []string {
-	return addresses(slices.DeleteFunc(slices.Clone(nodes), func(n reach.Gateway) bool { return n.Address == self }))
+// without returns the nodes but the one at an address.
+func without(address string, nodes []reach.Gateway) []reach.Gateway {
+	return slices.DeleteFunc(slices.Clone(nodes), func(n reach.Gateway) bool { return n.Address == address })
 }
 
 func addresses(nodes []reach.Gateway) []string {
--- a/internal/hosted/processes.go
+++ b/internal/hosted/processes.go
@@ -63,7 +63,7 @@
 	if !p.n.traffic.SameProcess(e) {
 		return errRestarted
 	}
-	if s := p.n.control.Table().Service(service); s == nil || s.Engine == nil {
+	if !p.answersInquiries(service) {
 		return p.awaitList(ctx, e, connectedAt)
 	}
 	if p.answeredSince(e, connectedAt) {
@@ -76,6 +76,12 @@
 	return err
 }
 
+// answersInquiries reports whether the endpoints of a service are engines, which say when they started.
+func (p *processes) answersInquiries(service string) bool {
+	s := p.n.control.Table().Service(service)
+	return s != nil && s.Engine != nil
+}
+
 // answeredSince reports whether the incarnation e answered an inquiry that was sent after a time.
 func (p *processes) answeredSince(e view.Endpoint, at time.Time) bool {
 	p.mu.Lock()
@@ -111,7 +117,7 @@
 
 // StartOf implements [isolation.Options.StartOf].
 func (p *processes) StartOf(ctx context.Context, service string, e view.Endpoint) (int64, error) {
-	if s := p.n.control.Table().Service(service); s == nil || s.Engine == nil {
+	if !p.answersInquiries(service) {
 		return 0, isolation.ErrNotAsked
 	}
 	return p.ask(ctx, e)
--- a/internal/isolation/alive.go
+++ b/internal/isolation/alive.go
@@ -48,23 +48,25 @@
 
 // askedStart asks the engine of a run when it started, and reports whether that need not be repeated.
 func (g *Guard) askedStart(r *Run, end time.Time) bool {
-	now := g.o.Clock.Now()
 	g.mu.Lock()
-	current := g.startTimes[r.incarnation.Engine] == r.incarnation.Start && now.Before(end)
+	current := g.startTimes[r.incarnation.Engine] == r.incarnation.Start && g.o.Clock.Now().Before(end)
 	g.mu.Unlock()
 	if !current {
 		return true
 	}
-	start, err := g.o.StartOf(context.Background(), r.Service, r.endpoint)
-	switch {
-	case errors.Is(err, ErrNotAsked):
-		return true
-	case err != nil:
-		return false
-	case start == r.incarnation.Start:
+	_, err := g.inquire(context.Background(), r)
+	return err == nil || errors.Is(err, ErrNotAsked)
+}
+
+// inquire asks the engine of a run when it started, and reports whether it is the incarnation of the run, which then has
+// not crashed.
+func (g *Guard) inquire(ctx context.Context, r *Run) (same bool, err error) {
+	now := g.o.Clock.Now()
+	start, err := g.o.StartOf(ctx, r.Service, r.endpoint)
+	if same = err == nil && start == r.incarnation.Start; same {
 		g.disprove(r.incarnation, now)
 	}
-	return true
+	return same, err
 }
 
 // Verify returns an error if the engine of a run has started again since it was chosen: a crash of the new process would
@@ -76,26 +78,14 @@
 	replaced := g.startTimes[r.incarnation.Engine] > r.incarnation.Start
 	ask := g.o.StartOf != nil && g.tracker.TakenForCrashed(r.incarnation)
 	g.mu.Unlock()
-	switch {
-	case replaced:
-		return restarted(r.incarnation)
-	case !ask:
-		return nil
+	if !replaced && ask {
+		same, err := g.inquire(ctx, r)
+		replaced = err == nil && !same
 	}
-	now := g.o.Clock.Now()
-	start, err := g.o.StartOf(ctx, r.Service, r.endpoint)
-	switch {
-	case err != nil:
-		return nil
-	case start == r.incarnation.Start:
-		g.disprove(r.incarnation, now)
-		return nil
+	if replaced {
+		return fmt.Errorf("engine %s has started again since it was chosen; another one, or its next process, may take the request", r.incarnation.Engine)
 	}
-	return restarted(r.incarnation)
-}
-
-func restarted(l quarantine.Incarnation) error {
-	return fmt.Errorf("engine %s has started again since it was chosen; another one, or its next process, may take the request", l.Engine)
+	return nil
 }
 
 // disprove records that an engine that was taken for crashed was alive at a time.
--- a/internal/placer/builds.go
+++ b/internal/placer/builds.go
@@ -40,13 +40,17 @@
 	}
 }
 
-// tableOf returns the configuration of a version, and drops earlier ones; nil if it was not in force here.
-func (b *builds) tableOf(version int64) *route.Table {
+// dropTables drops the configurations before a version, which the latest ledger takes into account.
+func (b *builds) dropTables(version int64) {
 	b.tables = slices.DeleteFunc(b.tables, func(t *route.Table) bool { return t.Config.Version < version })
-	if len(b.tables) == 0 || b.tables[0].Config.Version != version {
-		return nil
+}
+
+// tableOf returns the configuration of a version; nil if it was not in force here.
+func (b *builds) tableOf(version int64) *route.Table {
+	if i := slices.IndexFunc(b.tables, func(t *route.Table) bool { return t.Config.Version == version }); i >= 0 {
+		return b.tables[i]
 	}
-	return b.tables[0]
+	return nil
 }
 
 // followLedger takes over the ledger of the latest lease record.
@@ -57,7 +61,7 @@
 	}
 	c.builds.ledger, c.builds.changed, c.viewStale = next, true, true
 	if next != nil {
-		c.builds.tableOf(next.Config)
+		c.builds.dropTables(next.Config)
 		c.o.Logger.Info("builds admitted", "builds", admittedNames(next), "unsettled", next.UnsettledMs > 0, "config", next.Config)
 	}
 }
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -275,13 +275,12 @@
 // Inquire sends a request that the endpoint answers about itself, over the path that other requests take, and returns the
 // body of the answer. It fails unless the status is 200.
 func (c *Client) Inquire(ctx context.Context, r *Request) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, nil)
+	var s sending
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, s.trace()), r.Method, "http://"+r.Address+r.Path, nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "build request")
 	}
 	req.Header = r.Header
-	var s sending
-	req = req.WithContext(httptrace.WithClientTrace(ctx, s.trace()))
 	resp, err := c.roundTrip(req, r, &s)
 	if err != nil {
 		return nil, err
