caller: a silent attempt is given up only for one that goes on

What callers saw: a begun stream was cut, or a call got a 502, although its engine, silent for a second, would have gone on. The users' report names one such request beside a change of the configuration.

Cause: the stall watch canceled the attempt at the silent engine as soon as a slot at another engine was reserved. If that one then refused, broke off or sent nothing, the last attempt was spent. Class: what is at hand is let go for what is only promised.

Change: the second attempt, the standby, runs beside the first one. The first of the two to send an event or a whole answer serves the caller, and the other one is canceled. A standby that refuses or breaks off leaves the first attempt as it is; one that refused does not count as an attempt that ran. Two engines work on a stream for 250 ms at most, since the platform allows 400 ms: then a standby without an event is canceled if the stream has begun; if not, the request goes on at the standby, which has been silent for less long. Events of an attempt that was replaced are not forwarded, and a standby is discarded when the first attempt forwards events after its position. If the first attempt fails, the standby takes its place. A stall timer that fires more than 100 ms late opens no standby: then the node stood still, and what the engine sent has not been read.

Evidence: TestSilentSecondCutsNoStream failed before: 39 of 84 streams cut, where the other engines refuse, break off or send nothing, with configurations and without; none now. TestSilentSecondFailsNoCall failed before with a 502. A configuration is not needed for the cut.

Why it works: there is always an attempt that has sent the latest event or has not failed; a cancellation follows an event of the other one.

--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -17,27 +17,24 @@
 // endpoint starts and how it answers. The result goes back to the dispatcher when the slot is released.
 type attemptFunc func(ctx context.Context, slot *traffic.Slot, req traffic.SlotRequest, run *isolation.Run) (traffic.Result, error)
 
-// attemptCounts counts the attempts of a request.
-type attemptCounts struct {
-	// sent counts all attempts, ran those that may have run at an endpoint.
-	sent, ran int
-}
-
 // attempts calls do with one slot after another until an endpoint answers or no further attempt is allowed.
 func (s *Server) attempts(ctx context.Context, x *Exchange, do attemptFunc) error {
 	req := newSlotRequest(x)
-	defer x.releaseReserved()
+	defer func() {
+		if x.standby != nil {
+			s.discard(x, x.standby)
+		}
+	}()
 	defer func() {
 		if x.trial {
 			// The trial may have ended without an attempt, because no slot was found.
 			s.Isolation.EndTrial(x.subjects...)
 		}
 	}()
-	var n attemptCounts
-	for {
+	for sent := 1; ; sent++ {
 		slot, unlock, err := s.nextSlot(ctx, x, &req)
 		if err != nil {
-			if n.ran == 0 {
+			if x.ran == 0 {
 				return err
 			}
 			// An earlier attempt may have run, so the refusal for the missing slot, which promises the opposite, must
@@ -45,23 +42,24 @@
 			return s.refusalFor(finalStep(x), x, err)
 		}
 		s.recordSlot(x, slot)
-		n.sent++
-		run := s.Isolation.Send(x.Fingerprint, slot.Endpoint, x.parts()...)
-		run.Service = x.Target.Service
-		result, err := sendVerified(ctx, slot, req, run, do)
+		run, err := s.startRun(ctx, x, slot)
+		result := traffic.Result{NotStarted: true, Running: -1}
+		if err == nil {
+			result, err = do(ctx, slot, req, run)
+		}
 		result.Ended = reportRun(ctx, run, err)
 		unlock(err == nil)
 		slot.Release(result)
-		s.logAttempt(x, slot, n.sent, err)
+		s.logAttempt(x, slot, sent, err)
 		if err == nil {
 			return nil
 		}
 		outcome := outcomeOf(err)
 		if outcome != retry.NotSent {
-			n.ran++
+			x.ran++
 		}
 		step := retry.Next(retry.Attempt{
-			Outcome: outcome, OnceOnly: x.Target.OnceOnly, Ran: n.ran, Attempts: x.Target.attempts(),
+			Outcome: outcome, OnceOnly: x.Target.OnceOnly, Ran: x.ran, Attempts: x.Target.attempts(),
 			Late: s.Clock.Now().After(x.Deadline), CallerGone: ctx.Err() != nil, Withheld: s.Isolation.State(x.subjects...) == quarantine.Quarantined,
 		})
 		if step != retry.Repeat {
@@ -77,12 +75,23 @@
 	}
 }
 
-// sendVerified calls do, unless the endpoint has crashed and started again since it was chosen.
-func sendVerified(ctx context.Context, slot *traffic.Slot, req traffic.SlotRequest, run *isolation.Run, do attemptFunc) (traffic.Result, error) {
+// startRun returns the run of the next attempt, which is about to be sent or is that of the standby. It fails if the
+// endpoint has crashed and started again since it was chosen.
+func (s *Server) startRun(ctx context.Context, x *Exchange, slot *traffic.Slot) (*isolation.Run, error) {
+	if x.standby != nil {
+		return x.standby.run, nil
+	}
+	run := s.Isolation.Send(x.Fingerprint, slot.Endpoint, x.parts()...)
+	run.Service = x.Target.Service
+	return run, verify(ctx, run)
+}
+
+// verify returns an *endpoint.Error if the endpoint of a run has crashed and started again since it was chosen.
+func verify(ctx context.Context, run *isolation.Run) error {
 	if err := run.Verify(ctx); err != nil {
-		return traffic.Result{NotStarted: true, Running: -1}, &endpoint.Error{Outcome: retry.NotSent, Cause: err}
+		return &endpoint.Error{Outcome: retry.NotSent, Cause: err}
 	}
-	return do(ctx, slot, req, run)
+	return nil
 }
 
 // newSlotRequest returns the slot request for the first attempt of an exchange.
@@ -98,8 +107,11 @@
 // runs at a time. It refuses a request that is quarantined: otherwise one that crashes its engines is sent again by
 // every node (30 times when its caller submitted it 15 times to 3 nodes, and 4 times with this check). The state is
 // checked again once the slot is granted, since the wait may have been long. The caller must call unlock when the
-// attempt is over, with whether an endpoint answered it.
+// attempt is over, with whether an endpoint answered it. A standby already has its slot.
 func (s *Server) nextSlot(ctx context.Context, x *Exchange, req *traffic.SlotRequest) (slot *traffic.Slot, unlock func(answered bool), err error) {
+	if x.standby != nil {
+		return x.standby.slot, func(bool) {}, nil
+	}
 	if !x.trial {
 		trial, err := s.Isolation.Admit(ctx, x.subjects...)
 		if err != nil {
@@ -108,7 +120,7 @@
 		x.trial = trial
 	}
 	req.AbandonAt, req.Began, req.State, req.Origin = s.abandonAt(x), x.Began, s.Isolation.State(x.subjects...), x.origin
-	slot, err = s.acquireSlot(ctx, x, *req)
+	slot, err = s.Dispatcher.Acquire(ctx, x.Target.Pool, *req)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -149,27 +161,6 @@
 	return false
 }
 
-// acquireSlot returns the slot that the stall watch has reserved for the next attempt, or else waits for one.
-func (s *Server) acquireSlot(ctx context.Context, x *Exchange, req traffic.SlotRequest) (*traffic.Slot, error) {
-	if slot := x.reserved; slot != nil {
-		x.reserved = nil
-		if req.Origin == nil || slot.Endpoint.Build == req.Origin.Build {
-			return slot, nil
-		}
-		// The first event came while the slot was being reserved, and bound the stream to another build.
-		slot.Release(traffic.Result{NotStarted: true, Running: -1})
-	}
-	return s.Dispatcher.Acquire(ctx, x.Target.Pool, req)
-}
-
-// releaseReserved releases a reserved slot that no attempt will use.
-func (x *Exchange) releaseReserved() {
-	if x.reserved != nil {
-		x.reserved.Release(traffic.Result{NotStarted: true, Running: -1})
-		x.reserved = nil
-	}
-}
-
 // abandonAt returns when the caller gives up if it receives no event; zero if it waits until its deadline.
 func (s *Server) abandonAt(x *Exchange) time.Time {
 	switch {
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -117,7 +117,7 @@
 	// got is the latest complete answer, including one with a failure status.
 	var got *answer
 	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, req traffic.SlotRequest, run *isolation.Run) (traffic.Result, error) {
-		ctx, st := s.watchStall(ctx, x, slot, req)
+		ctx, st := s.watchStall(ctx, x, slot, req, "")
 		defer st.end()
 		resp, err := s.send(ctx, x, slot, "")
 		if err = st.withStallCause(err); err != nil {
@@ -157,11 +157,12 @@
 	return &endpoint.Error{Outcome: retry.Ran, Answered: true, Cause: fmt.Errorf("status %d", a.status)}
 }
 
-// request builds the request to the endpoint of a slot. position is where an interrupted stream resumes; "" for none.
-func (s *Server) request(x *Exchange, slot *traffic.Slot, position string) *endpoint.Request {
+// endpointRequest builds the request to the endpoint of a slot. position is where an interrupted stream resumes; "" for
+// none.
+func (s *Server) endpointRequest(x *Exchange, slot *traffic.Slot, position string) *endpoint.Request {
 	now := s.Clock.Now()
 	r := s.protocol().Request(x, slot.Endpoint, x.Deadline.Sub(now), position)
-	begun := false
+	begun, trial := false, x.trial
 	r.Check = func() error {
 		if !begun {
 			// CheckSend applies only before the first bytes. A request that is being written is completed, since
@@ -171,7 +172,7 @@
 			}
 			begun = true
 		}
-		return s.checkSend(x, now)
+		return s.checkSend(x, now, trial)
 	}
 	return r
 }
@@ -186,16 +187,17 @@
 	errStaleTimeout   = errors.New("the remaining time that the request states is out of date")
 )
 
-// checkSend returns why a request that was built at the given time must not be written any more, or nil. The machine
+// checkSend returns why a request that was built at the given time must not be written any more, or nil. trial marks the
+// trial run of a quarantined request. The machine
 // may have been suspended between the decision to send it and the write.
-func (s *Server) checkSend(x *Exchange, builtAt time.Time) error {
+func (s *Server) checkSend(x *Exchange, builtAt time.Time, trial bool) error {
 	now := s.Clock.Now()
 	switch {
 	case now.After(x.Deadline):
 		return errDeadlinePassed
 	case now.Sub(builtAt) > maxRequestAge:
 		return errStaleTimeout
-	case x.trial:
+	case trial:
 		return nil
 	}
 	return s.Isolation.Blocked(x.subjects...)
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -10,7 +10,6 @@
 	"olivetiller/core/origin"
 	"olivetiller/core/quarantine"
 	"olivetiller/core/view"
-	"olivetiller/internal/traffic"
 	pb "olivetiller/proto/olivetiller/v1"
 )
 
@@ -77,9 +76,11 @@
 	Progress Progress
 	// trial is true if this is the trial run of a quarantined request.
 	trial bool
-	// reserved is a slot already acquired for the next attempt. The stall watch sets it before it cancels the attempt
-	// in progress.
-	reserved *traffic.Slot
+	// ran counts the attempts that have ended and may have run. During an attempt it is guarded by stall.mu.
+	ran int
+	// standby is the next attempt, which has been sent already; nil for none. It is set when the attempt beside which it ran
+	// has ended.
+	standby *standby
 }
 
 // Resumption is a caller's statement that it takes up a stream that broke off.
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -16,6 +16,8 @@
 	ConnectionsClosed expvar.Int
 	// Refused counts refusals by kind. Retries counts further attempts by the outcome of the attempt before.
 	Refused, Retries expvar.Map
+	// StandbysDiscarded counts the second attempts beside a silent endpoint that were not needed or failed.
+	StandbysDiscarded expvar.Int
 	// Histograms of times in milliseconds. Wait is the wait for a slot, and ColdStart the same for requests that
 	// found no endpoint ready.
 	Wait, ColdStart, FirstToken, BetweenTokens *metric.Histogram
@@ -47,6 +49,7 @@
 	t.Set("connectionsClosed", &m.ConnectionsClosed)
 	t.Set("refused", &m.Refused)
 	t.Set("retries", &m.Retries)
+	t.Set("standbysDiscarded", &m.StandbysDiscarded)
 	t.Set("signals", &m.Signals)
 	t.Set("damagedSignals", &m.DamagedSignals)
 	t.Set("wait", m.Wait)
--- a/io/caller/send.go
+++ b/io/caller/send.go
@@ -10,18 +10,37 @@
 	"olivetiller/io/endpoint"
 )
 
-// send sends the request to the endpoint of a slot and returns the head of the answer. It records the endpoint's
-// signals in an answer as well as in a refusal.
+// send sends the request to the endpoint of a slot and returns the head of the answer. If the slot is that of a standby,
+// which was sent already, it returns the standby's answer.
 func (s *Server) send(ctx context.Context, x *Exchange, slot *traffic.Slot, position string) (*endpoint.Response, error) {
+	var resp *endpoint.Response
+	var err error
+	if sb := x.standby; sb != nil && sb.slot == slot {
+		x.standby = nil
+		resp, err = sb.await(ctx)
+	} else {
+		resp, err = s.request(ctx, x, slot, position)
+	}
+	var failed *endpoint.Error
+	switch {
+	case err == nil:
+		x.Progress.Gateway = resp.Gateway
+	case errors.As(err, &failed):
+		x.Progress.Gateway = failed.Gateway
+	}
+	return resp, err
+}
+
+// request sends the request to the endpoint of a slot and returns the head of the answer. It records the endpoint's
+// signals in an answer as well as in a refusal.
+func (s *Server) request(ctx context.Context, x *Exchange, slot *traffic.Slot, position string) (*endpoint.Response, error) {
 	sent := s.Clock.Now()
-	resp, err := s.Endpoints.Do(ctx, s.request(x, slot, position))
+	resp, err := s.Endpoints.Do(ctx, s.endpointRequest(x, slot, position))
 	var refused *endpoint.Error
 	switch {
 	case err == nil:
-		x.Progress.Gateway = resp.Gateway
 		s.recordSignals(x, slot, resp.Signals, sent)
 	case errors.As(err, &refused):
-		x.Progress.Gateway = refused.Gateway
 		s.recordSignals(x, slot, refused.Signals, sent)
 	}
 	return resp, err
--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,11 +16,11 @@
 )
 
 // errStalled is the cause of an attempt that was canceled because its endpoint sent nothing for too long and another
-// one was chosen.
+// one has taken its place.
 var errStalled = errors.New("the endpoint sent nothing for too long; the request moved to another one")
 
 // Factors from the objectives of a route to the time after which a silent endpoint counts as stalled. A loaded engine
-// may pause for about its objective; after longer silence the request is better served elsewhere.
+// may pause for about its objective; after longer silence a second endpoint may be the faster one.
 const (
 	wholeAnswerStallFactor = 0.65
 	firstEventStallFactor  = 2.0
@@ -28,108 +29,219 @@
 	minStallTimeout = 150 * time.Millisecond
 )
 
-// stall watches one attempt and cancels it if the endpoint is silent, the request may be repeated and another
-// endpoint has a free slot. Until there is one, the attempt continues.
+// maxStreamOverlap limits the time for which two endpoints work on one stream. The platform allows 400 ms, of which a
+// part goes by until the endpoint notices that its connection was closed.
+const maxStreamOverlap = 250 * time.Millisecond
+
+// maxTimerDelay is the delay of a timer above which this node, and not the endpoint, is taken for the one that stood
+// still: what the endpoint sent meanwhile has not been read.
+const maxTimerDelay = 100 * time.Millisecond
+
+// stall watches one attempt. If the endpoint is silent, the request may be repeated and another endpoint has a free slot,
+// it opens a standby there. The attempt goes on until the standby has an event or a whole answer: a silent endpoint may
+// send again at any time, and the other one may refuse the request or break off. The first to send something serves the
+// caller, and the other one is canceled.
 type stall struct {
+	s      *Server
+	x      *Exchange
+	slot   *traffic.Slot
 	cancel context.CancelFunc
-	// gapTimeout is the stall timeout after the first event; 0 to stop watching then.
-	gapTimeout time.Duration
+	// first is the stall timeout before the first event. gap is the one after it; 0 to stop watching then.
+	first, gap time.Duration
+	// req is the slot request for a standby.
+	req traffic.SlotRequest
 
 	mu    sync.Mutex
 	timer clockwork.Timer
+	// due is when timer was set to end.
+	due   time.Time
 	ended bool
-	// events counts the calls of progress.
-	events int
-	// stalled is set once a slot at another endpoint is reserved and the attempt canceled.
-	stalled bool
+	// events counts the calls of forwarded, and position is the position in the stream after the latest one.
+	events   int
+	position string
+	// forwarding is true while events of the attempt are being forwarded.
+	forwarding bool
+	// retryAfter is the time to the next standby if the latest one failed; 0 if there was none since the latest event.
+	retryAfter time.Duration
+	// standby is under way; nil for none. Whoever sets it to nil owns it.
+	standby *standby
+	// replaced is set once the standby has taken the place of the attempt, which is canceled then.
+	replaced bool
 }
 
-// watchStall starts the watch of an attempt. The returned context is canceled when the attempt stalls or ends.
-func (s *Server) watchStall(ctx context.Context, x *Exchange, slot *traffic.Slot, req traffic.SlotRequest) (context.Context, *stall) {
+// watchStall starts the watch of an attempt that begins at a position in the stream. The returned context is canceled when
+// the attempt is replaced or ends.
+func (s *Server) watchStall(ctx context.Context, x *Exchange, slot *traffic.Slot, req traffic.SlotRequest, position string) (context.Context, *stall) {
+	requestCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
-	st := &stall{cancel: cancel}
+	st := &stall{s: s, x: x, slot: slot, cancel: cancel, req: req, position: position}
 	t := &x.Target
-	if t.OnceOnly || t.Objective <= 0 || slot.OtherEndpoints == 0 || x.Progress.Sent+1 >= t.attempts() {
+	if t.OnceOnly || t.Objective <= 0 || slot.OtherEndpoints == 0 || !x.mayOpenStandby() {
 		return ctx, st
 	}
-	first := stallTimeout(t.Objective, wholeAnswerStallFactor)
+	st.first = stallTimeout(t.Objective, wholeAnswerStallFactor)
 	if t.Stream {
-		first = stallTimeout(t.Objective, firstEventStallFactor)
+		st.first = stallTimeout(t.Objective, firstEventStallFactor)
 		if t.Pause > 0 {
-			st.gapTimeout = stallTimeout(t.Pause, eventGapStallFactor)
+			st.gap = stallTimeout(t.Pause, eventGapStallFactor)
 		}
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.timer = s.Clock.AfterFunc(first, func() { s.switchStalled(ctx, x, st, slot, req, first) })
+	st.due = s.Clock.Now().Add(st.first)
+	st.timer = s.Clock.AfterFunc(st.first, func() { st.openStandby(requestCtx) })
 	return ctx, st
 }
 
-// switchStalled reserves a slot at another endpoint and cancels the stalled attempt, or tries again after a while. It
-// does not hold st.mu while it reserves, because that may take as long as an answer of the lease holder.
-func (s *Server) switchStalled(ctx context.Context, x *Exchange, st *stall, slot *traffic.Slot, req traffic.SlotRequest, again time.Duration) {
+// mayOpenStandby reports whether the request may run at a further endpoint beside the one of the attempt in progress.
+func (x *Exchange) mayOpenStandby() bool { return x.ran+1 < x.Target.attempts() }
+
+// stallTimeout returns the objective d times a factor, but at least minStallTimeout.
+func stallTimeout(d time.Duration, by float64) time.Duration {
+	return max(minStallTimeout, time.Duration(by*float64(d)))
+}
+
+// openStandby opens a standby for an attempt whose endpoint is silent and waits for it, or tries again after a while. It
+// does not hold st.mu while it acquires a slot, because that may take as long as an answer of the lease holder.
+func (st *stall) openStandby(ctx context.Context) {
+	s, x := st.s, st.x
+	now := s.Clock.Now()
 	st.mu.Lock()
-	ended, events := st.ended, st.events
+	events, position, req, busy := st.events, st.position, st.req, st.ended || st.forwarding
+	if !busy && now.Sub(st.due) > maxTimerDelay {
+		st.rearm(minStallTimeout)
+		busy = true
+	}
 	st.mu.Unlock()
-	if ended {
+	if busy {
 		return
 	}
 	if events > 0 && x.Target.Resumable {
-		req.Origin = &origin.Origin{Service: x.Target.Service, Build: slot.Endpoint.Build}
+		req.Origin = &origin.Origin{Service: x.Target.Service, Build: st.slot.Endpoint.Build}
+	}
+	req.State = s.Isolation.State(x.subjects...)
+	var sb *standby
+	second, ok := s.Dispatcher.Switch(ctx, st.slot, req)
+	st.mu.Lock()
+	switch current := !st.ended && !st.forwarding && st.events == events; {
+	case !current && ok:
+		second.Release(traffic.Result{NotStarted: true, Running: -1})
+	case current && !ok:
+		st.rearm(st.timeout())
+	case current:
+		s.Logger.Info("opened a standby at another endpoint", "requestId", x.ID, "endpoint", st.slot.Endpoint.Name, "standby", second.Endpoint.Name,
+			"events", events, "position", position)
+		sb = s.openStandby(ctx, x, second, position)
+		st.standby = sb
+	}
+	st.mu.Unlock()
+	if sb != nil {
+		st.awaitStandby(sb)
+	}
+}
+
+// awaitStandby waits until the standby of an attempt has opened, or two endpoints may no longer work on the stream, and
+// decides which of them goes on.
+func (st *stall) awaitStandby(sb *standby) {
+	var overlapped <-chan time.Time
+	if st.x.Target.Stream {
+		timer := st.s.Clock.NewTimer(maxStreamOverlap)
+		defer timer.Stop()
+		overlapped = timer.Chan()
+	}
+	state := retry.Standby{}
+	select {
+	case <-sb.opened:
+		state.Opened, state.Failed = true, sb.failed()
+	case <-overlapped:
 	}
-	reserved, ok := s.Dispatcher.Switch(ctx, slot, req)
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	switch {
-	case st.ended || st.events != events:
-		// The attempt has ended or gone on meanwhile; progress has set the timer.
-		if ok {
-			reserved.Release(traffic.Result{NotStarted: true, Running: -1})
-		}
-	case !ok:
-		// No other endpoint has a slot. Canceling now would leave the caller with nothing.
-		st.timer.Reset(again)
-	default:
-		x.reserved, st.stalled = reserved, true
+	if st.standby != sb {
+		return
+	}
+	state.FirstBegan = st.events > 0
+	if state.Replaces() {
+		st.replaced = true
 		st.cancel()
+		return
+	}
+	st.discard()
+	if st.x.mayOpenStandby() {
+		st.req.Avoid = append(slices.Clip(st.req.Avoid), sb.slot.Endpoint.Name)
+		st.retryAfter = max(minStallTimeout, 2*st.retryAfter)
+		st.rearm(st.retryAfter)
 	}
 }
 
-// stallTimeout returns the objective d times a factor, but at least minStallTimeout.
-func stallTimeout(d time.Duration, by float64) time.Duration {
-	return max(minStallTimeout, time.Duration(by*float64(d)))
+// timeout returns the stall timeout that applies now. st.mu must be held.
+func (st *stall) timeout() time.Duration {
+	if st.events > 0 && st.gap > 0 {
+		return st.gap
+	}
+	return st.first
+}
+
+// rearm sets the timer. st.mu must be held.
+func (st *stall) rearm(d time.Duration) {
+	st.due = st.s.Clock.Now().Add(d)
+	st.timer.Reset(d)
+}
+
+// claim reports whether the attempt may forward what its endpoint sent. It may not once a standby has replaced it;
+// otherwise a standby is discarded. If it reports true, forwarded must be called unless the attempt ends.
+func (st *stall) claim() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.replaced {
+		return false
+	}
+	st.forwarding = true
+	if st.standby != nil {
+		st.discard()
+	}
+	return true
+}
+
+// discard discards the standby. st.mu must be held.
+func (st *stall) discard() {
+	st.s.discard(st.x, st.standby)
+	st.standby = nil
 }
 
-// progress records that the endpoint has sent something.
-func (st *stall) progress() {
+// forwarded records that events of the attempt were forwarded, up to a position in the stream.
+func (st *stall) forwarded(position string) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.forwarding, st.retryAfter = false, 0
 	st.events++
+	st.position = position
 	switch {
 	case st.timer == nil:
-	case st.gapTimeout > 0:
-		st.timer.Reset(st.gapTimeout)
+	case st.gap > 0:
+		st.rearm(st.gap)
 	default:
 		st.timer.Stop()
 	}
 }
 
-// end ends the watch and the attempt. After it, the watch reserves no slot any more.
+// end ends the watch and the attempt. The exchange gets the standby that is under way, if there is one.
 func (st *stall) end() {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.ended = true
+	st.x.standby, st.standby = st.standby, nil
 	if st.timer != nil {
 		st.timer.Stop()
 	}
 	st.cancel()
 }
 
-// withStallCause returns the error of an attempt, with errStalled as its cause if it was canceled as stalled.
+// withStallCause returns the error of an attempt, with errStalled as its cause if a standby has replaced it.
 func (st *stall) withStallCause(err error) error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if err == nil || !st.stalled {
+	if err == nil || !st.replaced {
 		return err
 	}
 	outcome := retry.MaybeRun
--- /dev/null
+++ b/io/caller/standby.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"olivetiller/core/retry"
+	"olivetiller/internal/isolation"
+	"olivetiller/internal/traffic"
+	"olivetiller/io/endpoint"
+)
+
+// standby is a second attempt that runs while the first one, whose endpoint is silent, is still under way. It takes the
+// first one's place once its endpoint has sent something, or the first one has failed.
+type standby struct {
+	slot *traffic.Slot
+	run  *isolation.Run
+	// position is where the stream is resumed; "" for the beginning.
+	position string
+	cancel   context.CancelFunc
+	// opened is closed when the fields below are set.
+	opened chan struct{}
+	// resp is the answer, of which the first event, or all if it is no stream, was read and can be read again; err is the
+	// error if there is none.
+	resp *endpoint.Response
+	err  error
+	// ready is true if the endpoint has sent an event of a stream or a whole answer that is no failure.
+	ready bool
+}
+
+// openStandby sends the request to the endpoint of a slot, from a position in the stream.
+func (s *Server) openStandby(ctx context.Context, x *Exchange, slot *traffic.Slot, position string) *standby {
+	ctx, cancel := context.WithCancel(ctx)
+	sb := &standby{slot: slot, position: position, cancel: cancel, opened: make(chan struct{})}
+	sb.run = s.Isolation.Send(x.Fingerprint, slot.Endpoint, x.parts()...)
+	sb.run.Service = x.Target.Service
+	go func() {
+		defer close(sb.opened)
+		if sb.err = verify(ctx, sb.run); sb.err != nil {
+			return
+		}
+		if sb.resp, sb.err = s.request(ctx, x, slot, position); sb.err == nil {
+			sb.ready, sb.err = s.readFirst(ctx, x, slot, sb.resp)
+		}
+	}()
+	return sb
+}
+
+// await returns the answer of the standby, like send. It cancels the standby when ctx ends.
+func (sb *standby) await(ctx context.Context) (*endpoint.Response, error) {
+	context.AfterFunc(ctx, sb.cancel)
+	<-sb.opened
+	return sb.resp, sb.err
+}
+
+// failed reports whether the answer, which has been opened, can't take the place of the first attempt.
+func (sb *standby) failed() bool { return sb.err != nil || !sb.ready }
+
+// discard ends the standby, counts it if it may have run, and returns its slot.
+func (s *Server) discard(x *Exchange, sb *standby) {
+	// An attempt that is ended on this side says nothing about its endpoint.
+	result := traffic.Result{NotStarted: true, Running: -1}
+	outcome := retry.MaybeRun
+	select {
+	case <-sb.opened:
+		if sb.err != nil {
+			result, outcome = failedResult(sb.err), outcomeOf(sb.err)
+		}
+	default:
+	}
+	if outcome != retry.NotSent {
+		x.ran++
+	}
+	s.Metrics.StandbysDiscarded.Add(1)
+	sb.cancel()
+	go func() {
+		<-sb.opened
+		err := sb.err
+		if err == nil {
+			_ = sb.resp.Body.Close()
+			err = context.Canceled
+		}
+		s.Logger.Info("discarded a standby", "requestId", x.ID, "standby", sb.slot.Endpoint.Name, "outcome", outcome.String(), "error", err.Error())
+		result.Ended = reportRun(context.Background(), sb.run, err)
+		sb.slot.Release(result)
+	}()
+}
+
+// readFirst reads the first event of a stream, or the whole body of another answer, and puts it back. It reports whether
+// the answer can be forwarded. The error is an *endpoint.Error.
+func (s *Server) readFirst(ctx context.Context, x *Exchange, slot *traffic.Slot, resp *endpoint.Response) (ready bool, err error) {
+	var read []byte
+	if x.Target.Stream {
+		if resp.StatusCode != http.StatusOK {
+			return false, nil
+		}
+		read, err = readEvent(resp.Body)
+	} else {
+		read, err = io.ReadAll(io.LimitReader(resp.Body, s.Limits.AnswerBytes+1))
+	}
+	if err == nil && x.Target.Stream {
+		var unconfirmed *unconfirmedError
+		if err = s.confirmProcess(ctx, x, slot.Endpoint, resp.ConnectedAt); errors.As(err, &unconfirmed) {
+			_, err = s.unconfirmed(resp, unconfirmed)
+			return false, err
+		}
+	}
+	if err != nil {
+		_ = resp.Body.Close()
+		return false, resp.BrokenError(err)
+	}
+	resp.Body = &bodyAfter{Reader: io.MultiReader(bytes.NewReader(read), resp.Body), Closer: resp.Body}
+	return failedAnswer(x, &answer{status: resp.StatusCode}) == nil, nil
+}
+
+// bodyAfter is a body of which a part has been read ahead.
+type bodyAfter struct {
+	io.Reader
+	io.Closer
+}
+
+// readEvent reads a body until the first event is complete or the body ends.
+func readEvent(body io.Reader) ([]byte, error) {
+	var read []byte
+	buf := make([]byte, relayBuffer)
+	for {
+		n, err := body.Read(buf)
+		read = append(read, buf[:n]...)
+		switch {
+		case bytes.Contains(read, eventEnd), errors.Is(err, io.EOF):
+			return read, nil
+		case err != nil:
+			return nil, err
+		case len(read) > maxEvent:
+			return nil, errEventTooLong
+		}
+	}
+}
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -30,6 +30,9 @@
 	doneMarker = "data: [DONE]"
 )
 
+// errEventTooLong is the error of a stream with an event of more than maxEvent bytes.
+var errEventTooLong = errors.New("an event of the stream is too long")
+
 // errTruncated is the error of a stream that ended before its last event.
 var errTruncated = errors.New("the stream ended before its last event")
 
@@ -78,8 +81,8 @@
 	}()
 	err := s.attempts(ctx, x, func(ctx context.Context, slot *traffic.Slot, req traffic.SlotRequest, run *isolation.Run) (traffic.Result, error) {
 		callerCtx := ctx
-		ctx, st := s.watchStall(ctx, x, slot, req)
-		// Closing the connection ends the run at this endpoint before another one begins.
+		ctx, st := s.watchStall(ctx, x, slot, req, r.events.Position())
+		// Closing the connection ends the run at this endpoint.
 		defer st.end()
 		r.stall = st
 		resp, err := s.send(ctx, x, slot, r.events.Position())
@@ -167,7 +170,7 @@
 	for !r.done {
 		if r.buffered == len(r.buf) {
 			if r.buffered >= maxEvent {
-				return errors.New("an event of the stream is too long")
+				return errEventTooLong
 			}
 			r.buf = append(r.buf, make([]byte, len(r.buf))...)
 		}
@@ -204,6 +207,9 @@
 			return err
 		}
 	}
+	if !r.stall.claim() {
+		return errStalled
+	}
 	r.countEvents(r.buf[:end])
 	setWriteTimeout(r.flush, writeTimeout)
 	r.writeHead()
@@ -216,6 +222,7 @@
 		return err
 	}
 	setWriteTimeout(r.flush, 0)
+	r.stall.forwarded(r.events.Position())
 	r.buffered = copy(r.buf, r.buf[end:r.buffered])
 	return nil
 }
@@ -231,7 +238,6 @@
 			r.done = true
 			continue
 		}
-		r.stall.progress()
 		if r.slot != nil {
 			r.slot.PromptRead()
 			r.slot = nil
