hosted: an engine that is silent when asked for its start is asked again

What callers saw: a stream was refused with 502, or cut if it had begun at an earlier engine, although its engine had sent the first event and lived.

Cause: before the first event of a new connection is forwarded, the engine is asked when its process started. An engine that was silent for 500 ms counted as not confirmed, the events that were at hand were dropped, and the attempt was spent. Class: what is at hand is let go, here for an answer that is late.

Change: the events are kept while the engine is asked again, with a time-out that doubles, until the attempt ends. The stall watch goes on meanwhile, so that another engine may take the stream over. An engine that refuses the inquiry, or names another start, ends the attempt as before.

Left: endpoints of services that answer no inquiries are confirmed by a newer list within a second, or not at all.

--- a/internal/hosted/processes.go
+++ b/internal/hosted/processes.go
@@ -21,7 +21,7 @@
 
 // Times of the confirmation that an endpoint is the process that was chosen.
 const (
-	// inquiryTimeout bounds an inquiry; engines answer at once.
+	// inquiryTimeout bounds an inquiry, or the first of several; most engines answer at once.
 	inquiryTimeout = 500 * time.Millisecond
 	// listTimeout is how long to wait for a newer list of endpoints, where those of a service answer no inquiries. Lists are
 	// some hundred milliseconds old.
@@ -69,11 +69,16 @@
 	if p.answeredSince(e, connectedAt) {
 		return nil
 	}
-	start, err := p.ask(ctx, e)
-	if err == nil && start != e.Start {
-		return errRestarted
+	// An engine that does not answer in time may be silent for a while and go on.
+	for timeout := inquiryTimeout; ; timeout *= 2 {
+		start, err := p.ask(ctx, e, timeout)
+		switch {
+		case err == nil && start != e.Start:
+			return errRestarted
+		case ctx.Err() != nil, !errors.Is(err, context.DeadlineExceeded):
+			return err
+		}
 	}
-	return err
 }
 
 // answersInquiries reports whether the endpoints of a service are engines, which say when they started.
@@ -91,8 +96,8 @@
 }
 
 // ask asks an engine when it started. The engine gets no further requests for an earlier process.
-func (p *processes) ask(ctx context.Context, e view.Endpoint) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+func (p *processes) ask(ctx context.Context, e view.Endpoint, timeout time.Duration) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := p.n.clock.Now()
 	answer, err := p.clients.Inquire(ctx, p.inquiry.Request(e))
@@ -120,7 +125,7 @@
 	if !p.answersInquiries(service) {
 		return 0, isolation.ErrNotAsked
 	}
-	return p.ask(ctx, e)
+	return p.ask(ctx, e, inquiryTimeout)
 }
 
 // awaitList waits for a list that is newer than the connection and still has the incarnation e, where endpoints answer no
