caller: one log line and one counter for each answer that stops early

Callers see a connection that ends without a complete answer; nothing named all of these ends. A stream that was cut had the line "refused" with began=true, whose detail is the error of the last attempt, a whole answer that could not be written had "answered", and a refusal that came after its caller had left looked like any other.

"closed without a complete answer" names the cause, by a pure function of the errors of the handler, the last attempt, the slot and the write, and what the caller has. caller.closed counts it by cause. The refusal for want of a retry budget is a type of its own, by which the cause is told from the want of a slot.

--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -135,7 +135,7 @@
 }
 
 // Acquire waits for a slot at an endpoint of the named pool, at most until the request's deadline, the time at which
-// its caller gives up, or the end of ctx. The error is a *refusal.Error.
+// its caller gives up, or the end of ctx. The error is a *refusal.Error or a *RetryBudgetError.
 func (d *Dispatcher) Acquire(ctx context.Context, name string, req SlotRequest) (*Slot, error) {
 	start := d.clock.Now()
 	d.mu.Lock()
--- a/internal/traffic/retries.go
+++ b/internal/traffic/retries.go
@@ -8,6 +8,15 @@
 	"olivetiller/core/retry"
 )
 
+// RetryBudgetError is the refusal of a further attempt that the retry budget does not allow.
+type RetryBudgetError struct{ Refusal *refusal.Error }
+
+// Error implements error.
+func (e *RetryBudgetError) Error() string { return e.Refusal.Error() }
+
+// Unwrap returns the refusal.
+func (e *RetryBudgetError) Unwrap() error { return e.Refusal }
+
 // maxRetryWait is how long a request waits for the retry budget if its caller can send it again.
 const maxRetryWait = 100 * time.Millisecond
 
@@ -26,7 +35,7 @@
 			return part, nil
 		}
 		if at.IsZero() || at.After(until) || !d.waitUntil(ctx, at) {
-			return 0, refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p)
+			return 0, &RetryBudgetError{refusal.New(refusal.NoEndpoint, "an endpoint of %s failed and the retry budget is used up", p)}
 		}
 	}
 }
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -39,6 +39,7 @@
 			}
 			// An earlier attempt may have run, so the refusal for the missing slot, which promises the opposite, must
 			// not be returned as it is.
+			x.slotErr = err
 			return s.refusalFor(finalStep(x), x, err)
 		}
 		s.recordSlot(x, slot)
@@ -178,6 +179,7 @@
 	if err == nil {
 		return
 	}
+	x.attemptErr, x.tried = err, append(x.tried, slot.Endpoint.Name)
 	s.Logger.Info("attempt failed", "requestId", x.ID, "fingerprint", x.Fingerprint.String(), "attempt", n, "endpoint", slot.Endpoint.Name, "build", slot.Endpoint.Build.String(), "address", slot.Endpoint.Address,
 		"pool", x.Target.Pool, "waitedMs", slot.Waited.Milliseconds(), "outcome", outcomeOf(err).String(),
 		"heldMs", s.Clock.Now().Sub(slot.GrantedAt()).Milliseconds(), "events", x.Progress.Events, "sends", sendsOf(err), "gateway", x.Progress.Gateway, "parts", partNames(x.parts()), "error", err.Error())
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -81,6 +81,10 @@
 	// standby is the next attempt, which has been sent already; nil for none. It is set when the attempt beside which it ran
 	// has ended.
 	standby *standby
+	// attemptErr is the error of the latest attempt that failed, and tried names the endpoints of all that did. slotErr is why
+	// no further attempt was made; nil if the error of the latest one was the reason.
+	attemptErr, slotErr error
+	tried               []string
 }
 
 // Resumption is a caller's statement that it takes up a stream that broke off.
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -18,6 +18,8 @@
 	Refused, Retries expvar.Map
 	// StandbysDiscarded counts the second attempts beside a silent endpoint that were not needed or failed.
 	StandbysDiscarded expvar.Int
+	// Closed counts, by CloseCause, the requests that ended without a complete answer or a refusal.
+	Closed expvar.Map
 	// Histograms of times in milliseconds. Wait is the wait for a slot, and ColdStart the same for requests that
 	// found no endpoint ready.
 	Wait, ColdStart, FirstToken, BetweenTokens *metric.Histogram
@@ -37,6 +39,7 @@
 	}
 	m.Refused.Init()
 	m.Retries.Init()
+	m.Closed.Init()
 	return m
 }
 
@@ -50,6 +53,7 @@
 	t.Set("refused", &m.Refused)
 	t.Set("retries", &m.Retries)
 	t.Set("standbysDiscarded", &m.StandbysDiscarded)
+	t.Set("closed", &m.Closed)
 	t.Set("signals", &m.Signals)
 	t.Set("damagedSignals", &m.DamagedSignals)
 	t.Set("wait", m.Wait)
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -35,13 +35,18 @@
 	}
 }
 
-// refuse writes the refusal that an inner handler returned, and logs and counts the end of the request. Once the
+// refuse writes the refusal that an inner handler returned, and logs and counts the end of the request, also if the caller
+// got no complete answer. Once the
 // answer has begun, its status can no longer change, so the refusal ends the stream with an error event instead of
 // the final marker.
 func (s *Server) refuse(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) error {
 		err := next(ctx, x)
 		took := s.Clock.Now().Sub(x.Start)
+		if err == nil && writerOf(x.W).err != nil {
+			s.logClose(ctx, x, nil)
+			return nil
+		}
 		if err == nil {
 			s.Metrics.Answered.Add(1)
 			s.Logger.Info("answered", append(x.logArgs(), "tookMs", took.Milliseconds())...)
@@ -52,7 +57,14 @@
 		s.Logger.Info("refused", append(x.logArgs(), "kind", string(e.Kind), "detail", e.Detail, "notRun", e.NotRun(),
 			"retryAfterMs", e.RetryHint().Milliseconds(), "began", x.Began, "allowedMs", x.Allowed.Milliseconds(),
 			"patienceMs", x.Target.FirstEventTimeout.Milliseconds(), "tookMs", took.Milliseconds())...)
+		if x.Began {
+			// Refuse may panic.
+			s.logClose(ctx, x, err)
+		}
 		s.protocol().Refuse(x, e)
+		if !x.Began && s.endingOf(ctx, x, err).callerLeft() {
+			s.logClose(ctx, x, err)
+		}
 		return nil
 	}
 }
--- a/io/caller/resolve.go
+++ b/io/caller/resolve.go
@@ -21,7 +21,7 @@
 		if x.BodyLimit > 0 {
 			limit = min(limit, x.BodyLimit)
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(x.W, x.R.Body, limit))
+		body, err := io.ReadAll(http.MaxBytesReader(writerOf(x.W).ResponseWriter, x.R.Body, limit))
 		if err != nil {
 			var tooLarge *http.MaxBytesError
 			if errors.As(err, &tooLarge) {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -80,9 +80,11 @@
 	// initOnce guards init, since a server may be closed while it starts to serve.
 	initOnce sync.Once
 	// cancelRequests cancels the contexts of all requests.
-	cancelRequests context.CancelFunc
+	cancelRequests context.CancelCauseFunc
 	http           *http.Server
 	active         atomic.Int64
+	// closed is set once Close has begun to close connections.
+	closed atomic.Bool
 }
 
 // init creates the HTTP server. It sets no http.Server.ReadTimeout, which would end requests that wait long for a
@@ -90,7 +92,7 @@
 func (s *Server) init() {
 	s.callers = newCallerLimits()
 	s.heldBytes.limit = s.Limits.HeldBytes
-	base, cancelRequests := context.WithCancel(context.Background())
+	base, cancelRequests := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancelRequests
 	s.http = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return base },
@@ -128,12 +130,13 @@
 // CancelRequests cancels all requests in progress. Those whose answer has not begun are refused.
 func (s *Server) CancelRequests() {
 	s.initOnce.Do(s.init)
-	s.cancelRequests()
+	s.cancelRequests(errStopped)
 }
 
 // Close closes every connection at once.
 func (s *Server) Close() error {
 	s.initOnce.Do(s.init)
+	s.closed.Store(true)
 	return s.http.Close()
 }
 
@@ -167,7 +170,7 @@
 		s.active.Add(1)
 		defer s.active.Add(-1)
 		setWriteTimeout(http.NewResponseController(w), 0)
-		x := &Exchange{W: w, R: r, ID: requestID(), Start: s.Clock.Now(), View: s.View()}
+		x := &Exchange{W: &callerWriter{ResponseWriter: w, clock: s.Clock}, R: r, ID: requestID(), Start: s.Clock.Now(), View: s.View()}
 		if s.Protocol == nil {
 			w.Header().Set(HeaderRequestID, x.ID)
 		}
