caller: refuse a request whose handler panics

Callers saw their connection closed without an answer when a handler panicked before it had written anything: net/http recovers the panic and closes the connection, and no line of ours named the request.

A filter turns the panic into an error, so that the caller gets a refusal of kind internal, which says that the request may have run, and logs the stack with the request id. An answer that has begun is aborted as before, with the cause "panic".

TestPanicIsRefused failed before: Post: EOF.

--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -19,6 +21,8 @@
 
 // Causes of a close. Those from endpointBroke on apply if the last attempt failed and no further one was allowed.
 const (
+	// closePanicked means that a handler panicked after the answer had begun.
+	closePanicked CloseCause = "panic"
 	// closeUnread means that the caller did not read what was written to it for writeTimeout.
 	closeUnread CloseCause = "callerDoesNotRead"
 	// closeCallerGone means that the caller closed or reset its connection.
@@ -75,7 +79,10 @@
 // closeCause derives the cause of a close. What ends the connection itself goes before what ended the last attempt, since
 // an attempt is also canceled when its caller leaves.
 func closeCause(e *ending) CloseCause {
+	var panicked *panicError
 	switch {
+	case errors.As(e.err, &panicked):
+		return closePanicked
 	case errors.Is(e.canceled, errStopped):
 		return closeStopped
 	case errors.Is(e.writeErr, os.ErrDeadlineExceeded):
@@ -167,6 +174,25 @@
 	return err.Error()
 }
 
+// panicError is the error of a handler that panicked.
+type panicError struct{ value any }
+
+// Error implements error.
+func (e *panicError) Error() string { return fmt.Sprintf("handler panicked: %v", e.value) }
+
+// recoverPanic turns a panic of an inner handler into an error, since net/http would close the connection without an answer.
+func (s *Server) recoverPanic(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) (err error) {
+		defer func() {
+			if v := recover(); v != nil {
+				s.Logger.Error("handler panicked", "requestId", x.ID, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+				err = &panicError{v}
+			}
+		}()
+		return next(ctx, x)
+	}
+}
+
 // callerWriter is the response writer of a request. It records what was written to the caller. It is used by one goroutine
 // at a time.
 type callerWriter struct {
--- a/io/caller/close_test.go
+++ b/io/caller/close_test.go
@@ -31,6 +31,7 @@
 		e    ending
 		want CloseCause
 	}{
+		{"panic", ending{err: &panicError{"x"}, canceled: errStopped}, closePanicked},
 		{"shutdown", ending{err: failed, canceled: errStopped, attemptErr: broke}, closeStopped},
 		{"unread data", ending{err: failed, canceled: context.Canceled, writeErr: fmt.Errorf("write: %w", os.ErrDeadlineExceeded)}, closeUnread},
 		{"reset by the caller", ending{writeErr: errors.New("connection reset by peer")}, closeCallerGone},
@@ -99,6 +100,8 @@
 			return failed
 		}, []CloseCause{closeEndpointBroke}},
 		{"cut by the caller", nil, true, func(x *Exchange) error { begin(x); return failed }, []CloseCause{closeCallerGone}},
+		{"panic before the answer", nil, false, func(*Exchange) error { panic("x") }, nil},
+		{"panic after the answer has begun", nil, false, func(x *Exchange) error { begin(x); panic("x") }, []CloseCause{closePanicked}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -120,7 +123,7 @@
 					cancel()
 				}
 				return tt.inner(x)
-			}, s.refuse)(ctx, x)
+			}, s.refuse, s.recoverPanic)(ctx, x)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -164,3 +167,28 @@
 		})
 	}
 }
+
+// panickingStarting is a Starting that panics.
+type panickingStarting struct{}
+
+func (panickingStarting) AwaitReady() (ready <-chan struct{}, soon bool) { panic("x") }
+
+// TestPanicIsRefused guards against a panic that closes the connection of a request whose answer has not begun.
+func TestPanicIsRefused(t *testing.T) {
+	s := testServer(false)
+	s.Starting = panickingStarting{}
+	srv := httptest.NewServer(s.Handler())
+	t.Cleanup(srv.Close)
+	resp, err := http.Post(srv.URL+"/v1/completions", "application/json", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var p Problem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{http.StatusInternalServerError, string(refusal.Internal), false}, []any{resp.StatusCode, p.Title, p.NotRun}); diff != "" {
+		t.Errorf("status, kind and not run (-want +got):\n%s", diff)
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -149,15 +149,15 @@
 		s.Isolation = isolation.New(isolation.Options{Clock: s.Clock, Logger: s.Logger, Refuses: s.Endpoints.Refuses})
 	}
 	if s.Protocol != nil {
-		return s.serve(Chain(s.dispatch, s.refuse, s.ready, s.accept, s.readBody, s.charge))
+		return s.serve(Chain(s.dispatch, s.refuse, s.recoverPanic, s.ready, s.accept, s.readBody, s.charge))
 	}
-	common := []Filter{s.refuse, s.ready, s.identify, s.limit, s.deadline, s.readBody}
+	common := []Filter{s.refuse, s.recoverPanic, s.ready, s.identify, s.limit, s.deadline, s.readBody}
 	models := Chain(s.dispatch, append(common[:len(common):len(common)], s.resolveModel)...)
 	services := Chain(s.dispatch, append(common[:len(common):len(common)], s.resolveService)...)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", s.serve(models))
 	mux.HandleFunc("POST /v1/completions", s.serve(models))
-	mux.HandleFunc("GET /v1/models", s.serve(Chain(s.listModels, s.refuse, s.ready, s.identify)))
+	mux.HandleFunc("GET /v1/models", s.serve(Chain(s.listModels, s.refuse, s.recoverPanic, s.ready, s.identify)))
 	mux.HandleFunc("/services/{name}/{path...}", s.serve(services))
 	mux.HandleFunc("GET /healthz", s.health)
 	mux.HandleFunc("/", s.serve(Chain(notFound, s.refuse)))
