platform, caller: answers of a stopping node close their connection

Callers kept their connections to a node that had received SIGTERM, sent further requests on them until the listener closed 2.5 s later, and found some of these connections closed in place of an answer.

A node that stops sets "Connection: close" when a request arrives, but CallerProtocol.Head deletes the hop-by-hop headers from the answer that it writes instead of leaving out those of the endpoint, so that only refusals had it. Requests that were in progress when the stop began never had it. At a node in its stop, both a safe and an unsafe request got 200 without "Connection: close" (TestStoppingNodeClosesConnections).

Callers then use another connection, which the load balancer gives to another node.

--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -198,6 +198,9 @@
 type callerWriter struct {
 	http.ResponseWriter
 	clock clockwork.Clock
+	// stopping is Server.Stopping, and headWritten is set once the head of the answer was written.
+	stopping    func() bool
+	headWritten bool
 	// bytes counts the bytes of the body that were written.
 	bytes int64
 	// last is when a part of the body was last written; zero if none was.
@@ -217,8 +220,21 @@
 // Unwrap returns the underlying writer for [http.ResponseController].
 func (w *callerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// WriteHeader implements [http.ResponseWriter]. While the node stops, the answer closes the connection: its caller would
+// otherwise send the next request on it as the node closes it.
+func (w *callerWriter) WriteHeader(status int) {
+	if w.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.headWritten = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // Write implements [http.ResponseWriter].
 func (w *callerWriter) Write(b []byte) (int, error) {
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
 	n, err := w.ResponseWriter.Write(b)
 	if n > 0 {
 		w.bytes += int64(n)
--- a/io/caller/close_test.go
+++ b/io/caller/close_test.go
@@ -115,7 +115,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			x := &Exchange{
-				W: &callerWriter{ResponseWriter: w, clock: s.Clock}, R: httptest.NewRequest(http.MethodPost, "/", nil), ID: "id", Start: s.Clock.Now().Add(-time.Second),
+				W: &callerWriter{ResponseWriter: w, clock: s.Clock, stopping: s.Stopping}, R: httptest.NewRequest(http.MethodPost, "/", nil), ID: "id", Start: s.Clock.Now().Add(-time.Second),
 				Target: Target{Route: "r", Version: 7},
 			}
 			err := Chain(func(_ context.Context, x *Exchange) error {
@@ -192,3 +192,34 @@
 		t.Errorf("status, kind and not run (-want +got):\n%s", diff)
 	}
 }
+
+// TestStopClosesConnections guards against callers that keep their connection to a node that stops, because the answers to
+// requests that were in progress do not say that the connection closes, and send a request on it as it is closed.
+func TestStopClosesConnections(t *testing.T) {
+	tests := []struct {
+		name  string
+		write func(x *Exchange)
+	}{
+		{"answer", func(x *Exchange) {
+			_ = writeAnswer(x, defaultProtocol{}, &answer{status: http.StatusOK, body: []byte("x")})
+		}},
+		{"refusal", func(x *Exchange) { defaultProtocol{}.Refuse(x, refusal.New(refusal.NoEndpoint, "x")) }},
+		{"body without a status", func(x *Exchange) { _, _ = x.W.Write([]byte("x")) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := testServer(true)
+			stopping := false
+			s.Stopping = func() bool { return stopping }
+			w := httptest.NewRecorder()
+			s.serve(func(_ context.Context, x *Exchange) error {
+				stopping = true
+				tt.write(x)
+				return nil
+			})(w, httptest.NewRequest(http.MethodPost, "/", nil))
+			if diff := cmp.Diff("close", w.Result().Header.Get("Connection")); diff != "" {
+				t.Errorf("Connection (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -170,13 +170,10 @@
 		s.active.Add(1)
 		defer s.active.Add(-1)
 		setWriteTimeout(http.NewResponseController(w), 0)
-		x := &Exchange{W: &callerWriter{ResponseWriter: w, clock: s.Clock}, R: r, ID: requestID(), Start: s.Clock.Now(), View: s.View()}
+		x := &Exchange{W: &callerWriter{ResponseWriter: w, clock: s.Clock, stopping: s.Stopping}, R: r, ID: requestID(), Start: s.Clock.Now(), View: s.View()}
 		if s.Protocol == nil {
 			w.Header().Set(HeaderRequestID, x.ID)
 		}
-		if s.Stopping() {
-			w.Header().Set("Connection", "close")
-		}
 		_ = h(r.Context(), x)
 	}
 }
