--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -4,12 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"runtime/debug"
-	"time"
-
-	"github.com/jonboulle/clockwork"
 
 	"olivetiller/core/refusal"
 	"olivetiller/internal/traffic"
@@ -192,68 +188,3 @@
 		return next(ctx, x)
 	}
 }
-
-// callerWriter is the response writer of a request. It records what was written to the caller. It is used by one goroutine
-// at a time.
-type callerWriter struct {
-	http.ResponseWriter
-	clock clockwork.Clock
-	// stopping is Server.Stopping, and headWritten is set once the head of the answer was written.
-	stopping    func() bool
-	headWritten bool
-	// bytes counts the bytes of the body that were written.
-	bytes int64
-	// last is when a part of the body was last written; zero if none was.
-	last time.Time
-	// err is the first error of a write.
-	err error
-}
-
-// writerOf returns the callerWriter of a request; an empty one if w is another writer, as in tests.
-func writerOf(w http.ResponseWriter) *callerWriter {
-	if c, ok := w.(*callerWriter); ok {
-		return c
-	}
-	return &callerWriter{ResponseWriter: w}
-}
-
-// Unwrap returns the underlying writer for [http.ResponseController].
-func (w *callerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader implements [http.ResponseWriter]. While the node stops, the answer closes the connection: its caller would
-// otherwise send the next request on it as the node closes it.
-func (w *callerWriter) WriteHeader(status int) {
-	if w.stopping() {
-		w.Header().Set("Connection", "close")
-	}
-	w.headWritten = true
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements [http.ResponseWriter].
-func (w *callerWriter) Write(b []byte) (int, error) {
-	if !w.headWritten {
-		w.WriteHeader(http.StatusOK)
-	}
-	n, err := w.ResponseWriter.Write(b)
-	if n > 0 {
-		w.bytes += int64(n)
-		w.last = w.clock.Now()
-	}
-	w.note(err)
-	return n, err
-}
-
-// FlushError is called by [http.ResponseController].
-func (w *callerWriter) FlushError() error {
-	err := http.NewResponseController(w.ResponseWriter).Flush()
-	w.note(err)
-	return err
-}
-
-// note records an error of a write.
-func (w *callerWriter) note(err error) {
-	if w.err == nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		w.err = err
-	}
-}
