caller: a long answer is not cut while its caller reads it

Each piece of 64 KiB gets the timeout anew until the request has reached its deadline, so that it bounds how long a caller may read nothing, as its comment says, and not how long the transfer takes. A caller that reads nothing is given up after 4 s as before.

--- a/io/caller/deadline.go
+++ b/io/caller/deadline.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// writeTimeout is how long a caller may leave written data unread. Callers themselves give up a stream after a gap of
+// writeTimeout is how long a caller may leave written data, or the next writePiece bytes of it, unread. Callers themselves give up a stream after a gap of
 // 2 s or more, and endpoints close connections whose answers are not read for some seconds.
 const writeTimeout = 4 * time.Second
 
--- a/io/caller/identify.go
+++ b/io/caller/identify.go
@@ -42,6 +42,7 @@
 			allowed = min(time.Duration(ms)*time.Millisecond, s.Limits.MaxTimeout)
 		}
 		x.Deadline = x.Start.Add(allowed - networkMargin(allowed))
+		writerOf(x.W).until = x.Deadline
 		return next(ctx, x)
 	}
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -192,6 +192,7 @@
 		if err := s.protocol().Accept(x); err != nil {
 			return err
 		}
+		writerOf(x.W).until = x.Deadline
 		ctx, cancel := boottime.WithTimeout(ctx, s.Clock, x.Deadline.Sub(s.Clock.Now()))
 		defer cancel()
 		return next(ctx, x)
--- a/io/caller/writer.go
+++ b/io/caller/writer.go
@@ -16,6 +16,8 @@
 	// stopping is Server.Stopping, and headWritten is set once the head of the answer was written.
 	stopping    func() bool
 	headWritten bool
+	// until is when the request's deadline passes; zero if it has none. After it, no further piece gets a timeout of its own.
+	until time.Time
 	// bytes counts the bytes of the body that were written.
 	bytes int64
 	// last is when a part of the body was last written; zero if none was.
@@ -45,17 +47,35 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// Write implements [http.ResponseWriter].
+// writePiece is how many bytes a caller must read within writeTimeout, if it reads less than the whole of a longer write.
+const writePiece = 64 << 10
+
+// Write implements [http.ResponseWriter]. A caller that reads a long answer slowly gets writeTimeout for each piece of it
+// until its deadline.
 func (w *callerWriter) Write(b []byte) (int, error) {
 	if !w.headWritten {
 		w.WriteHeader(http.StatusOK)
 	}
+	n, err := w.write(b[:min(len(b), writePiece)])
+	for err == nil && n < len(b) {
+		if w.until.IsZero() || w.clock.Now().Before(w.until) {
+			setWriteTimeout(http.NewResponseController(w.ResponseWriter), writeTimeout)
+		}
+		var m int
+		m, err = w.write(b[n:min(len(b), n+writePiece)])
+		n += m
+	}
+	w.note(err)
+	return n, err
+}
+
+// write writes b and records what was written of it.
+func (w *callerWriter) write(b []byte) (int, error) {
 	n, err := w.ResponseWriter.Write(b)
 	if n > 0 {
 		w.bytes += int64(n)
 		w.last = w.clock.Now()
 	}
-	w.note(err)
 	return n, err
 }
 
