caller: a shutdown answers each request that it reads

Callers that sent a request on an open connection while the node was shutting down found the connection closed without an answer. net/http reads the head of a request and closes the connection if Shutdown has been called by then, at once and unlogged; connections that carried no request yet stay open for up to 5 s after that, so that this is no matter of microseconds. A caller that opens a connection ahead of its request, or sends the head in two parts, meets it each time.

--- /dev/null
+++ b/io/caller/connections.go
@@ -0,0 +1,172 @@
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// drainPoll is how often a shutdown looks for connections that have become idle, and how long they must have been. The
+	// next request may have come together with the end of the answer before.
+	drainPoll = 10 * time.Millisecond
+	// firstRequestTimeout is how long after it was accepted a connection may wait for its first request during a shutdown.
+	firstRequestTimeout = 5 * time.Second
+)
+
+// connections holds the open connections of callers, so that a shutdown answers each request that was read.
+// [http.Server.Shutdown] would close the connection without an answer if the request was read after its begin. It is safe
+// for concurrent use.
+type connections struct {
+	mu        sync.Mutex
+	open      map[*trackedConn]struct{}
+	listeners []net.Listener
+	// serving counts the calls of serve in progress, which may add connections.
+	serving int
+	// draining is set once a shutdown has begun.
+	draining bool
+}
+
+// trackedConn is a connection of a caller. The mutex of its set guards its fields.
+type trackedConn struct {
+	net.Conn
+	set   *connections
+	state http.ConnState
+	// since is when the connection entered its state.
+	since time.Time
+	// reading is true from the first byte of a request until its answer has been written.
+	reading bool
+	// expired is set when the connection was told to close because it had no request.
+	expired bool
+	// readTimeout limits the time until the head of a request must have arrived.
+	readTimeout time.Duration
+}
+
+// trackingListener adds the connections that it accepts to a set.
+type trackingListener struct {
+	net.Listener
+	set         *connections
+	readTimeout time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t := &trackedConn{Conn: c, set: l.set, since: time.Now(), readTimeout: l.readTimeout}
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	l.set.open[t] = struct{}{}
+	return t, nil
+}
+
+// serve calls do with a listener whose connections are added to the set, and which is closed when a shutdown begins.
+func (s *connections) serve(l net.Listener, readTimeout time.Duration, do func(net.Listener) error) error {
+	s.mu.Lock()
+	if s.open == nil {
+		s.open = make(map[*trackedConn]struct{})
+	}
+	if s.draining {
+		_ = l.Close()
+	}
+	s.listeners = append(s.listeners, l)
+	s.serving++
+	s.mu.Unlock()
+	err := do(&trackingListener{Listener: l, set: s, readTimeout: readTimeout})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving--
+	if s.draining {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.set.mu.Lock()
+		defer c.set.mu.Unlock()
+		c.reading = true
+		if c.expired {
+			// The request came as the connection was told to close.
+			c.expired = false
+			_ = c.Conn.SetReadDeadline(deadlineAfter(c.readTimeout))
+		}
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.set.mu.Lock()
+	delete(c.set.open, c)
+	c.set.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// stateChanged is the [http.Server.ConnState] hook of a server that serves the connections.
+func (s *connections) stateChanged(conn net.Conn, state http.ConnState) {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	c, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.state, c.since = state, time.Now()
+	if state == http.StateIdle {
+		c.reading = false
+	}
+}
+
+// stopped reports whether a shutdown has begun.
+func (s *connections) stopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// drain closes the listeners and waits until all connections are closed, or ctx ends. It closes those without a request.
+func (s *connections) drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
+	for !s.expireIdle(time.Now()) {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// expireIdle tells the connections without a request to close, and reports whether all are closed. The server closes them
+// when its read fails, unless a request has come by then.
+func (s *connections) expireIdle(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		idle := now.Sub(c.since)
+		if c.reading || c.state == http.StateActive || c.state == http.StateNew && idle < firstRequestTimeout || idle < drainPoll {
+			continue
+		}
+		c.expired = true
+		_ = c.Conn.SetReadDeadline(now)
+	}
+	return len(s.open) == 0 && s.serving == 0
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -82,6 +82,7 @@
 	// cancelRequests cancels the contexts of all requests.
 	cancelRequests context.CancelCauseFunc
 	http           *http.Server
+	connections    connections
 	active         atomic.Int64
 	// closed is set once Close has begun to close connections.
 	closed atomic.Bool
@@ -101,6 +102,7 @@
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
 		TLSConfig:         s.TLS,
+		ConnState:         s.connections.stateChanged,
 		ErrorLog:          s.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
@@ -112,18 +114,24 @@
 		l = &shedListener{Listener: l, take: s.TakeConnection, closed: &s.Metrics.ConnectionsClosed}
 	}
 	l = limitListener(l, s.Limits.Connections)
-	if s.TLS != nil {
-		l = tls.NewListener(l, s.TLS)
-	}
-	return s.http.Serve(l)
+	return s.connections.serve(l, s.Limits.ReadTimeout, func(l net.Listener) error {
+		if s.TLS != nil {
+			l = tls.NewListener(l, s.TLS)
+		}
+		return s.http.Serve(l)
+	})
 }
 
 // Active returns the number of requests in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// Shutdown closes the listener and waits until every request has ended or ctx ends.
+// Shutdown closes the listener and waits until every request has ended or ctx ends. Requests that come on open connections
+// meanwhile are refused.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.initOnce.Do(s.init)
+	if err := s.connections.drain(ctx); err != nil {
+		return err
+	}
 	return s.http.Shutdown(ctx)
 }
 
