caller: a request is in progress until its answer is written

A node whose time to stop is over cancels its requests, waits until none is in progress and ends the process. A request counted as in progress until its handler returned, but net/http writes answers below 4 KiB after that, so that the process could end between the two, and the caller of the last refusal or short answer found its connection closed instead.

Active counts the connections on which the head of a request was read and whose answer is not written yet.

TestActiveUntilWritten failed before: 0 requests in progress while an answer waited for its caller to read it.

--- a/io/caller/connections.go
+++ b/io/caller/connections.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// active returns the number of connections with a request whose head was read and whose answer is not written yet.
+func (s *connections) active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.open {
+		if c.state == http.StateActive {
+			n++
+		}
+	}
+	return n
+}
+
 // stopped reports whether a shutdown has begun.
 func (s *connections) stopped() bool {
 	s.mu.Lock()
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -83,7 +83,6 @@
 	cancelRequests context.CancelCauseFunc
 	http           *http.Server
 	connections    connections
-	active         atomic.Int64
 	// closed is set once Close has begun to close connections.
 	closed atomic.Bool
 }
@@ -122,8 +121,8 @@
 	})
 }
 
-// Active returns the number of requests in progress.
-func (s *Server) Active() int { return int(s.active.Load()) }
+// Active returns the number of requests in progress, whose answers are not written yet.
+func (s *Server) Active() int { return s.connections.active() }
 
 // Shutdown closes the listener and waits until every request has ended or ctx ends. Requests that come on open connections
 // meanwhile are refused.
@@ -175,8 +174,6 @@
 // serve returns an HTTP handler that creates an exchange for each request and passes it to h.
 func (s *Server) serve(h Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.active.Add(1)
-		defer s.active.Add(-1)
 		setWriteTimeout(http.NewResponseController(w), 0)
 		x := &Exchange{W: &callerWriter{ResponseWriter: w, clock: s.Clock, stopping: s.Stopping}, R: r, ID: requestID(), Start: s.Clock.Now(), View: s.View()}
 		if s.Protocol == nil {
--- a/io/caller/shutdown_test.go
+++ b/io/caller/shutdown_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -125,3 +128,61 @@
 		t.Errorf("Shutdown: %v", err)
 	}
 }
+
+// pipeListener accepts the given connections.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   *sync.Once
+}
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestActiveUntilWritten guards against a node that ends between the return of a request's handler and the write of its
+// answer, because no request seems to be in progress any more.
+func TestActiveUntilWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer(true)
+		l := pipeListener{make(chan net.Conn, 1), make(chan struct{}), new(sync.Once)}
+		node, caller := net.Pipe()
+		l.conns <- node
+		ended := make(chan error, 1)
+		go func() { ended <- s.Serve(l) }()
+		if _, err := io.WriteString(caller, "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		// The handler has returned, and its refusal waits for the caller to read it.
+		synctest.Wait()
+		if diff := cmp.Diff(1, s.Active()); diff != "" {
+			t.Errorf("requests in progress while an answer is written (-want +got):\n%s", diff)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err != nil || resp.StatusCode != http.StatusUnauthorized {
+			t.Errorf("answer %v, %v", resp, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		synctest.Wait()
+		if diff := cmp.Diff(0, s.Active()); diff != "" {
+			t.Errorf("requests in progress after the answer (-want +got):\n%s", diff)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		if err := s.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("Serve: %v, want %v", err, http.ErrServerClosed)
+		}
+		_ = caller.Close()
+	})
+}
