caller, hosted: a begun stream waits for a silent endpoint to confirm its process

A begun stream that went on at another endpoint was cut although that endpoint was already sending it, if nothing confirmed within half a second, or a second where a list of endpoints must, that it is still the process that was chosen: the attempt counted as failed, and for the last attempt that is the end of the answer. Endpoints in good order may be silent for about a second, and lists may be late.

A confirmation that is only not known yet is asked for again, for 2 s at most, if the caller has a part of the answer. An endpoint that has started again, or refuses connections, confirms nothing. The stall watch and the end of the request still end the wait.

TestSilentInquiry checks the error on which it relies.

--- a/internal/hosted/processes.go
+++ b/internal/hosted/processes.go
@@ -144,7 +144,7 @@
 		select {
 		case <-p.n.clock.After(listPoll):
 		case <-timeout:
-			return errors.New("no newer list of endpoints shows that the endpoint has not started again")
+			return fmt.Errorf("no newer list of endpoints shows that the endpoint has not started again: %w", context.DeadlineExceeded)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/io/caller/origin.go
+++ b/io/caller/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -30,7 +31,8 @@
 // Processes tells whether endpoints are still the processes that were chosen.
 type Processes interface {
 	// Confirm returns nil once it is certain that a connection that was opened at a time leads to the incarnation e of an
-	// endpoint of a service, whose build it therefore has. It may ask the endpoint.
+	// endpoint of a service, whose build it therefore has. It may ask the endpoint. The error wraps context.DeadlineExceeded
+	// if that is only not known yet.
 	Confirm(ctx context.Context, service string, e view.Endpoint, connectedAt time.Time) error
 }
 
@@ -44,15 +46,27 @@
 // Unwrap returns the reason why the process is not confirmed.
 func (e *unconfirmedError) Unwrap() error { return e.cause }
 
-// confirmProcess returns an *unconfirmedError if the first events of an answer must not be forwarded.
-func (s *Server) confirmProcess(ctx context.Context, x *Exchange, e view.Endpoint, connectedAt time.Time) error {
+// confirmPatience is how long a stream that has begun waits for the confirmation of the process at which it goes on, since
+// without it the caller is left with a truncated answer. Endpoints in good order may be silent for about a second.
+const confirmPatience = 2 * time.Second
+
+// confirmProcess returns an *unconfirmedError if the first events of an answer must not be forwarded. began is true if the
+// caller has a part of the answer.
+func (s *Server) confirmProcess(ctx context.Context, x *Exchange, began bool, e view.Endpoint, connectedAt time.Time) error {
 	if !x.Target.Resumable || s.Processes == nil {
 		return nil
 	}
-	if err := s.Processes.Confirm(ctx, x.Target.Service, e, connectedAt); err != nil {
-		return &unconfirmedError{err}
+	until := s.Clock.Now().Add(confirmPatience)
+	for {
+		err := s.Processes.Confirm(ctx, x.Target.Service, e, connectedAt)
+		if err == nil {
+			return nil
+		}
+		unknown := errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil
+		if !began || !unknown || !s.Clock.Now().Before(until) {
+			return &unconfirmedError{err}
+		}
 	}
-	return nil
 }
 
 // brokenWithin is how long the connection of an answer that is not confirmed is read on, to tell whether its process has
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -18,7 +18,8 @@
 type standby struct {
 	slot *traffic.Slot
 	run  *isolation.Run
-	// position is where the stream is resumed; "" for the beginning.
+	// began is true if the caller has a part of the answer. position is where the stream is resumed; "" for the beginning.
+	began    bool
 	position string
 	cancel   context.CancelFunc
 	// opened is closed when the fields below are set.
@@ -31,10 +32,11 @@
 	ready bool
 }
 
-// openStandby sends the request to the endpoint of a slot, from a position in the stream.
+// openStandby sends the request to the endpoint of a slot, from a position in the stream. It must not be called while events
+// are forwarded.
 func (s *Server) openStandby(ctx context.Context, x *Exchange, slot *traffic.Slot, position string) *standby {
 	ctx, cancel := context.WithCancel(ctx)
-	sb := &standby{slot: slot, position: position, cancel: cancel, opened: make(chan struct{})}
+	sb := &standby{slot: slot, began: x.Began, position: position, cancel: cancel, opened: make(chan struct{})}
 	sb.run = s.Isolation.Send(x.Fingerprint, slot.Endpoint, x.parts()...)
 	sb.run.Service = x.Target.Service
 	go func() {
@@ -43,7 +45,7 @@
 			return
 		}
 		if sb.resp, sb.err = s.request(ctx, x, slot, position); sb.err == nil {
-			sb.ready, sb.err = s.readFirst(ctx, x, slot, sb.resp)
+			sb.ready, sb.err = s.readFirst(ctx, x, sb)
 		}
 	}()
 	return sb
@@ -89,9 +91,10 @@
 	}()
 }
 
-// readFirst reads the first event of a stream, or the whole body of another answer, and puts it back. It reports whether
+// readFirst reads the first event of a standby's stream, or the whole body of another answer, and puts it back. It reports whether
 // the answer can be forwarded. The error is an *endpoint.Error.
-func (s *Server) readFirst(ctx context.Context, x *Exchange, slot *traffic.Slot, resp *endpoint.Response) (ready bool, err error) {
+func (s *Server) readFirst(ctx context.Context, x *Exchange, sb *standby) (ready bool, err error) {
+	resp := sb.resp
 	var read []byte
 	if x.Target.Stream {
 		if resp.StatusCode != http.StatusOK {
@@ -103,7 +106,7 @@
 	}
 	if err == nil && x.Target.Stream {
 		var unconfirmed *unconfirmedError
-		if err = s.confirmProcess(ctx, x, slot.Endpoint, resp.ConnectedAt); errors.As(err, &unconfirmed) {
+		if err = s.confirmProcess(ctx, x, sb.began, sb.slot.Endpoint, resp.ConnectedAt); errors.As(err, &unconfirmed) {
 			_, err = s.unconfirmed(resp, unconfirmed)
 			return false, err
 		}
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -203,7 +203,7 @@
 	}
 	end += len(eventEnd)
 	if r.slot != nil {
-		if err := r.s.confirmProcess(ctx, r.x, r.endpoint, r.connectedAt); err != nil {
+		if err := r.s.confirmProcess(ctx, r.x, r.x.Began, r.endpoint, r.connectedAt); err != nil {
 			return err
 		}
 	}
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -12,6 +12,9 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
 
 	"olivetiller/core/retry"
 )
@@ -352,3 +355,35 @@
 		})
 	}
 }
+
+// TestSilentInquiry checks that the error of an inquiry to an endpoint that sends nothing says that its time has passed, and
+// that of an endpoint that refuses connections does not.
+func TestSilentInquiry(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = gone.Close()
+	tests := []struct {
+		name, address string
+		want          bool
+	}{
+		{"silent", silent.Addr().String(), true},
+		{"gone", gone.Addr().String(), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_, err := NewClient().Inquire(ctx, &Request{Address: tt.address, Method: http.MethodGet, Path: "/", Header: http.Header{}})
+			if diff := cmp.Diff([]bool{true, tt.want}, []bool{err != nil, errors.Is(err, context.DeadlineExceeded)}); diff != "" {
+				t.Errorf("an error, and one of time (-want +got):\n%s%v", diff, err)
+			}
+		})
+	}
+}
