endpoint: an answer whose status ends no request counts as none

A caller got a closed connection in place of an answer if its endpoint answered with a status below 100, as a garbled one may: net/http takes it from the endpoint, and panics when it is written to the caller (trial: EOF for 099). A 101 was passed on, although nobody had asked for another protocol.

Such an answer is a failed attempt that may have run: a request that may be repeated gets another one, any other a refusal.

TestInvalidStatus failed before: a response with the status, and no error.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -390,9 +390,13 @@
 // maxRefusalText is the number of bytes of a refusal's body that are put into the error.
 const maxRefusalText = 256
 
-// classify returns an answer as a Response, or as an *Error if the endpoint did not start the request or the answer
-// belongs to another one.
+// classify returns an answer as a Response, or as an *Error if the endpoint did not start the request, or the answer has no
+// valid status or belongs to another request.
 func (c *Client) classify(req *Request, resp *http.Response) (*Response, *Error) {
+	if resp.StatusCode < http.StatusOK {
+		resp.Body.Close()
+		return nil, &Error{Outcome: retry.MaybeRun, Cause: eris.Errorf("the answer has status %03d, which ends no request", resp.StatusCode)}
+	}
 	v := c.judge(req, resp)
 	switch {
 	case v.Mismatched:
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -387,3 +387,25 @@
 		})
 	}
 }
+
+// TestInvalidStatus guards against answers with a status that cannot be passed on: net/http panics when it writes one below
+// 100, which closes the connection of the caller, and 101 is no answer to a request that asked for no other protocol.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		t.Run(status, func(t *testing.T) {
+			l := serveEach(t, func(c net.Conn) {
+				defer c.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" x\r\nConnection: Upgrade\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n")
+			})
+			resp, err := NewClient().Do(t.Context(), &Request{Address: l.Addr().String(), Method: http.MethodPost, Path: "/", Header: http.Header{}})
+			var e *Error
+			if !errors.As(err, &e) {
+				t.Fatalf("response %v, error %v, want an *Error", resp, err)
+			}
+			if diff := cmp.Diff([]any{retry.MaybeRun, 1}, []any{e.Outcome, e.Sends}); diff != "" {
+				t.Errorf("outcome and sends (-want +got):\n%s%v", diff, e)
+			}
+		})
+	}
+}
