soak: runs with planned work only, in which no request may be lost

Cause: around configurations, SIGHUP and SIGTERM each request that a node has read must be answered or refused, and a silent engine excuses nothing. The soak had no check of it: its other faults excuse nearly every cut.

TestSoak passes.

--- a/cmd/olivebench/soak.go
+++ b/cmd/olivebench/soak.go
@@ -18,6 +18,7 @@
 	Seeds   int           `default:"1" help:"Number of seeds, run one after the other."`
 	Nodes   int           `default:"3" help:"Number of nodes."`
 	For     time.Duration `default:"8s" help:"Time for which faults are injected."`
+	Planned bool          `help:"Only planned work and silences of engines, during which no request may be lost."`
 	// Regressions adds the seeds in soak.Regressions.
 	Regressions bool `help:"Also run the recorded seeds that once failed."`
 }
@@ -39,11 +40,11 @@
 		if err := os.MkdirAll(dir, 0o755); err != nil {
 			return err
 		}
-		r, err := soak.Run(soak.Options{Program: c.Program, Dir: dir, Seed: seed, Nodes: c.Nodes, For: c.For})
+		r, err := soak.Run(soak.Options{Program: c.Program, Dir: dir, Seed: seed, Nodes: c.Nodes, For: c.For, Planned: c.Planned})
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: answers %v, faults %v, streams %v, engines ended by one request %d (its answers %v), violations %v\n", seed, r.Answers, r.Faults, r.Streams, r.Ended, r.Deadly, r.Violations)
+		fmt.Printf("seed %d: answers %v, faults %v, streams %v, unanswered %v, engines ended by one request %d (its answers %v), violations %v\n", seed, r.Answers, r.Faults, r.Streams, r.Unanswered, r.Ended, r.Deadly, r.Violations)
 		if len(r.Violations) > 0 {
 			found++
 			fmt.Println("  logs:", soak.Logs(dir))
