caller: a long body is written to its end although its endpoint pauses

A request with a body of 8 or 32 MB failed at an endpoint that did not read for one second, which was in good order, after 3.97 MB of it had arrived (trial on loopback: "maybeRun: the remaining time that the request states is out of date"; 1 MB, which the socket buffers hold, went through). A request that may run once then got 502, any other lost an attempt, and the last attempt of a begun stream was the end of its answer.

The age of the time that a request states was checked before each write, 400 ms after it was built at most, although the statement itself is in the first bytes. It is checked before the first bytes only, as the state of the endpoint is; the deadline and the quarantine are still checked before each write.

--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -164,39 +164,39 @@
 	r := s.protocol().Request(x, slot.Endpoint, x.Deadline.Sub(now), position)
 	begun, trial := false, x.trial
 	r.Check = func() error {
-		if !begun {
-			// CheckSend applies only before the first bytes. A request that is being written is completed, since
-			// aborting it would leave its outcome unknown.
-			if err := s.Dispatcher.CheckSend(slot); err != nil {
-				return err
-			}
-			begun = true
+		if err := s.checkSend(x, trial); err != nil || begun {
+			return err
 		}
-		return s.checkSend(x, now, trial)
+		// What follows applies only before the first bytes. A request that is being written is completed, since aborting
+		// it would leave its outcome unknown, and its endpoint may pause while it reads a long body.
+		if s.Clock.Now().Sub(now) > maxRequestAge {
+			return errStaleTimeout
+		}
+		if err := s.Dispatcher.CheckSend(slot); err != nil {
+			return err
+		}
+		begun = true
+		return nil
 	}
 	return r
 }
 
-// maxRequestAge is the largest age of a request when its bytes are written. The request states the time that was left
+// maxRequestAge is the largest age of a request when its first bytes are written. The request states the time that was left
 // when it was built, and the platform tolerates an error of 500 ms.
 const maxRequestAge = 400 * time.Millisecond
 
-// Reasons for which checkSend withholds a request.
+// Reasons for which a request is withheld.
 var (
 	errDeadlinePassed = errors.New("the request's deadline has passed")
 	errStaleTimeout   = errors.New("the remaining time that the request states is out of date")
 )
 
-// checkSend returns why a request that was built at the given time must not be written any more, or nil. trial marks the
-// trial run of a quarantined request. The machine
-// may have been suspended between the decision to send it and the write.
-func (s *Server) checkSend(x *Exchange, builtAt time.Time, trial bool) error {
-	now := s.Clock.Now()
+// checkSend returns why a request must not be written any more, or nil. trial marks the trial run of a quarantined request.
+// The machine may have been suspended between the decision to send it and the write.
+func (s *Server) checkSend(x *Exchange, trial bool) error {
 	switch {
-	case now.After(x.Deadline):
+	case s.Clock.Now().After(x.Deadline):
 		return errDeadlinePassed
-	case now.Sub(builtAt) > maxRequestAge:
-		return errStaleTimeout
 	case trial:
 		return nil
 	}
