--- a/io/caller/close_test.go
+++ b/io/caller/close_test.go
@@ -94,6 +94,7 @@
 		{"answered, the caller did not read", os.ErrDeadlineExceeded, false, func(x *Exchange) error { begin(x); return nil }, []CloseCause{closeUnread}},
 		{"refused", nil, false, func(*Exchange) error { return failed }, nil},
 		{"refused after the caller left", nil, true, func(*Exchange) error { return failed }, []CloseCause{closeCallerGone}},
+		{"left before the whole request was sent", nil, true, func(x *Exchange) error { x.incomplete = true; return failed }, nil},
 		{"cut", nil, false, func(x *Exchange) error {
 			begin(x)
 			x.attemptErr, x.tried = broke, []string{"e1"}
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -62,7 +62,7 @@
 			s.logClose(ctx, x, err)
 		}
 		s.protocol().Refuse(x, e)
-		if !x.Began && s.endingOf(ctx, x, err).callerLeft() {
+		if !x.Began && !x.incomplete && s.endingOf(ctx, x, err).callerLeft() {
 			s.logClose(ctx, x, err)
 		}
 		return nil
--- a/io/caller/resolve.go
+++ b/io/caller/resolve.go
@@ -23,6 +23,7 @@
 		}
 		body, err := io.ReadAll(http.MaxBytesReader(writerOf(x.W).ResponseWriter, x.R.Body, limit))
 		if err != nil {
+			x.incomplete = true
 			var tooLarge *http.MaxBytesError
 			if errors.As(err, &tooLarge) {
 				return refusal.New(refusal.BodyTooLarge, "the body is longer than %d bytes", tooLarge.Limit)
