caller: a withdrawn key opens no second attempt and ends no begun stream

What callers saw: a begun stream was cut beside a change of the configuration: its engine was silent for a second, and the configuration had withdrawn the customer's key meanwhile.

Cause: the stall watch canceled the attempt at the silent engine and took a slot elsewhere; only then was the key checked again, and the request refused. With the standby, nothing checked the key before the second engine got the request.

Change: the key is checked before a standby is opened. If it is no longer valid, the first attempt goes on alone.

--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -107,13 +107,19 @@
 	s, x := st.s, st.x
 	now := s.Clock.Now()
 	st.mu.Lock()
-	events, position, req, busy := st.events, st.position, st.req, st.ended || st.forwarding
-	if !busy && now.Sub(st.due) > maxTimerDelay {
+	events, position, req, wait := st.events, st.position, st.req, st.ended || st.forwarding
+	switch {
+	case wait:
+	case now.Sub(st.due) > maxTimerDelay:
 		st.rearm(minStallTimeout)
-		busy = true
+		wait = true
+	case x.checkKey() != nil:
+		// The key was withdrawn: what has begun goes on, and nothing is sent for it any more.
+		st.rearm(st.timeout())
+		wait = true
 	}
 	st.mu.Unlock()
-	if busy {
+	if wait {
 		return
 	}
 	if events > 0 && x.Target.Resumable {
