directory, placer: a relayed deletion of an endpoint counts at once, and no relayed record undoes it

Why this works: the node that relays a deletion has itself waited if the store did not answer it, so that a follower need not: a relayed deletion, or a relayed whole list without the entry, ends the time at once, also where the node's own reading is newer, since both have then read that it was deleted. A deleted entry that is still in use is relayed with a version of before its deletion, which no node prefers to the deletion. So the time counts once on each way, and an entry that is gone for a node does not come back without a later record of the store.

Tests, all of which failed before: rows of TestLive, TestFeederRelaysDeletedEndpoint, and TestLeafMatchesHolder, whose nodes now also read the store themselves and lose it.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -126,8 +126,9 @@
 	d.tombstones[e.ID] = e
 }
 
-// StoreUnreachable records that the store did not answer at now. Entries that are deleted within the following
-// registerGrace count as gone only at its end.
+// StoreUnreachable records that the store did not answer at now. Entries whose deletion is read from the store within
+// the following registerGrace count as gone only at its end. A relayed deletion counts at once, since the node that
+// relays it has waited itself if the store did not answer it.
 func (d *Directory) StoreUnreachable(now time.Time) { d.deletionsValidAt = now.Add(registerGrace) }
 
 // Apply applies one record and returns what changed.
@@ -144,11 +145,15 @@
 		d.add(e)
 		return Routing
 	case e.newerThan(r):
+		if r.Instance == nil && r.Relayed && !e.GoneAt.IsZero() {
+			// Both nodes have read that the entry was deleted.
+			return d.markGone(e, now, true)
+		}
 		return Unchanged
 	}
 	e.Version = r.Version
 	if r.Instance == nil {
-		return d.markGone(e, now)
+		return d.markGone(e, now, r.Relayed)
 	}
 	d.count(e, -1)
 	defer d.reindex(e)
@@ -213,9 +218,18 @@
 	return r.Version < e.Version
 }
 
-// Replace applies a complete list that was read up to a version, 0 if that is unknown. Entries that are
-// not on the list and have no later version are deleted. It calls note for each change.
+// Replace applies a complete list that was read from the store up to a version, 0 if that is unknown. Entries that
+// are not on the list and have no later version are deleted. It calls note for each change.
 func (d *Directory) Replace(list []Record, upTo uint64, now time.Time, note func(Record, Change)) {
+	d.replace(list, upTo, false, now, note)
+}
+
+// ReplaceRelayed is like Replace for a list that another node relays.
+func (d *Directory) ReplaceRelayed(list []Record, upTo uint64, now time.Time, note func(Record, Change)) {
+	d.replace(list, upTo, true, now, note)
+}
+
+func (d *Directory) replace(list []Record, upTo uint64, relayed bool, now time.Time, note func(Record, Change)) {
 	listed := make(map[string]bool, len(list))
 	for _, r := range list {
 		listed[r.ID] = true
@@ -224,26 +238,32 @@
 		}
 	}
 	for id, e := range d.entries {
-		if listed[id] || upTo != 0 && e.Version > upTo {
+		later := upTo != 0 && e.Version > upTo
+		if listed[id] || later && e.GoneAt.IsZero() {
 			continue
 		}
-		e.Version = upTo
-		if change := d.markGone(e, now); change != Unchanged {
-			note(Record{ID: id, Version: upTo}, change)
+		if !later {
+			e.Version = upTo
+		}
+		if change := d.markGone(e, now, relayed); change != Unchanged {
+			note(Record{ID: id, Version: e.Version}, change)
 		}
 	}
 }
 
-func (d *Directory) markGone(e *Entry, now time.Time) Change {
-	if e == nil || !e.GoneAt.IsZero() {
+// markGone marks an entry as gone: at once if a relayed record deletes it, otherwise after the grace time that
+// [Directory.StoreUnreachable] began. It never moves the time later.
+func (d *Directory) markGone(e *Entry, now time.Time, relayed bool) Change {
+	at := now
+	if !relayed && d.deletionsValidAt.After(now) {
+		at = d.deletionsValidAt
+	}
+	if !e.GoneAt.IsZero() && !at.Before(e.GoneAt) {
 		return Unchanged
 	}
 	d.count(e, -1)
 	defer d.reindex(e)
-	e.GoneAt = now
-	if d.deletionsValidAt.After(now) {
-		e.GoneAt = d.deletionsValidAt
-	}
+	e.GoneAt = at
 	return Routing
 }
 
@@ -316,14 +336,19 @@
 	return out
 }
 
-// Records returns the live entries as records for other nodes, without holdings, ordered by id.
+// Records returns the live entries as records for other nodes, without holdings, ordered by id. A deleted entry that
+// still counts as live has a version of before its deletion, so that it does not undo the deletion at a node that knows
+// of it.
 func (d *Directory) Records(now time.Time) []Record {
 	live := d.Live(now)
 	out := make([]Record, 0, len(live))
 	for _, e := range live {
-		in := e.Instance
+		in, version := e.Instance, e.Version
 		in.Holdings, in.Cold = Holdings{}, max(0, e.ColdUntil.Sub(now))
-		out = append(out, Record{ID: e.ID, Version: e.Version, Instance: &in, Relayed: true, Since: e.Since})
+		if !e.GoneAt.IsZero() {
+			version = e.Since
+		}
+		out = append(out, Record{ID: e.ID, Version: version, Instance: &in, Relayed: true, Since: e.Since})
 	}
 	return out
 }
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -22,6 +22,14 @@
 	return r
 }
 
+// relayed returns r as a record from another node.
+func relayed(r Record) Record {
+	r.Relayed = true
+	return r
+}
+
+func ignoreChange(Record, Change) {}
+
 func draining(id string) Record {
 	return Record{ID: id, Instance: &Instance{ID: id, Service: "s", Address: "a:1", Draining: true}}
 }
@@ -67,11 +75,11 @@
 		}, at(20), []string{"a-"}},
 		{"missing on a whole list", func(d *Directory) {
 			d.Apply(registered("a"), at(0))
-			d.Replace([]Record{registered("b")}, 0, at(10), func(Record, Change) {})
+			d.Replace([]Record{registered("b")}, 0, at(10), ignoreChange)
 		}, at(10), []string{"b"}},
 		{"recorded after a whole list was read", func(d *Directory) {
 			d.Apply(version(7, registered("a")), at(0))
-			d.Replace([]Record{version(3, registered("b"))}, 5, at(10), func(Record, Change) {})
+			d.Replace([]Record{version(3, registered("b"))}, 5, at(10), ignoreChange)
 		}, at(10), []string{"a", "b"}},
 		{"gone, and relayed by one that has not heard", func(d *Directory) {
 			d.Apply(version(3, registered("a")), at(0))
@@ -86,6 +94,47 @@
 			d.Apply(version(7, Record{ID: "a"}), at(10))
 			d.Apply(version(9, registered("a")), at(20))
 		}, at(20), []string{"a"}},
+		{"gone, and relayed by one that keeps it because the store was away", func(d *Directory) {
+			keeper := New()
+			keeper.Apply(version(3, registered("a")), at(0))
+			keeper.StoreUnreachable(at(10))
+			keeper.Replace(nil, 9, at(20), ignoreChange)
+			d.Apply(version(3, registered("a")), at(0))
+			d.Apply(version(7, Record{ID: "a"}), at(10))
+			for _, r := range keeper.Records(at(30)) {
+				d.Apply(r, at(30))
+			}
+		}, at(30), nil},
+		{"relayed as gone after the store was away", func(d *Directory) {
+			d.Apply(version(3, registered("a")), at(0))
+			d.StoreUnreachable(at(10))
+			d.Apply(version(7, relayed(Record{ID: "a"})), at(20))
+		}, at(20), nil},
+		{"kept after the store was away, and relayed as gone", func(d *Directory) {
+			d.Apply(version(3, registered("a")), at(0))
+			d.StoreUnreachable(at(10))
+			d.Apply(version(9, Record{ID: "a"}), at(20))
+			d.Apply(version(7, relayed(Record{ID: "a"})), at(30))
+		}, at(30), nil},
+		{"kept after the store was away, and missing on a relayed whole list", func(d *Directory) {
+			d.Apply(version(3, registered("a")), at(0))
+			d.StoreUnreachable(at(10))
+			d.Replace(nil, 9, at(20), ignoreChange)
+			d.ReplaceRelayed(nil, 7, at(30), ignoreChange)
+		}, at(30), nil},
+		{"kept after the store was away, and on a relayed whole list", func(d *Directory) {
+			d.Apply(version(3, registered("a")), at(0))
+			d.StoreUnreachable(at(10))
+			d.Replace(nil, 9, at(20), ignoreChange)
+			d.ReplaceRelayed([]Record{version(3, relayed(registered("a")))}, 7, at(30), ignoreChange)
+		}, at(30), []string{"a"}},
+		{"back after the store was away, and missing on an older relayed whole list", func(d *Directory) {
+			d.Apply(version(3, registered("a")), at(0))
+			d.StoreUnreachable(at(10))
+			d.Replace(nil, 9, at(20), ignoreChange)
+			d.Apply(version(11, registered("a")), at(25))
+			d.ReplaceRelayed(nil, 9, at(30), ignoreChange)
+		}, at(30), []string{"a"}},
 		{"relayed as gone by one that has not heard of its return", func(d *Directory) {
 			d.Apply(version(9, registered("a")), at(10))
 			d.Apply(version(7, Record{ID: "a"}), at(20))
@@ -117,9 +166,7 @@
 	whole := registered("a")
 	whole.Instance.Holdings = Holdings{Models: []Held{{Model: "m"}}}
 	d.Apply(whole, at(0))
-	relayed := draining("a")
-	relayed.Relayed = true
-	if got := d.Apply(relayed, at(1)); got != Routing {
+	if got := d.Apply(relayed(draining("a")), at(1)); got != Routing {
 		t.Errorf("Apply = %v, want Routing", got)
 	}
 	want := *whole.Instance
@@ -146,8 +193,6 @@
 	}
 	holding := registered("a")
 	holding.Instance.Models = []Held{{Model: "m"}}
-	relayed := started(2, registered("a"))
-	relayed.Relayed = true
 	tests := []struct {
 		name   string
 		first  Record
@@ -156,7 +201,7 @@
 	}{
 		{"one that left takes work again", started(1, draining("a")), started(2, registered("a")), Instance{ID: "a", Start: 2, Service: "s", Address: "a:1"}},
 		{"one that leaves does not without a new start", started(1, draining("a")), started(1, registered("a")), Instance{ID: "a", Start: 1, Service: "s", Address: "a:1", Draining: true}},
-		{"a relayed start ends what it held", started(1, holding), relayed, Instance{ID: "a", Start: 2, Service: "s", Address: "a:1"}},
+		{"a relayed start ends what it held", started(1, holding), relayed(started(2, registered("a"))), Instance{ID: "a", Start: 2, Service: "s", Address: "a:1"}},
 		{"a record of a former start changes nothing", started(2, registered("a")), started(1, draining("a")), Instance{ID: "a", Start: 2, Service: "s", Address: "a:1"}},
 		{"a later record of a clock set back counts", version(1, started(2, registered("a"))), version(2, started(1, draining("a"))), Instance{ID: "a", Start: 1, Service: "s", Address: "a:1", Draining: true}},
 	}
--- a/internal/placer/feeding_test.go
+++ b/internal/placer/feeding_test.go
@@ -16,7 +16,9 @@
 	"olivetiller/core/feedtree"
 	"olivetiller/core/lease"
 	"olivetiller/core/logstore"
+	"olivetiller/core/queue"
 	"olivetiller/core/route"
+	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
 )
 
@@ -170,7 +172,7 @@
 	}
 	if snap.Full {
 		f.serving = make(map[string][]string)
-		f.list.Replace(snap.Instances, snap.DirectoryVersion, s.now, func(directory.Record, directory.Change) {})
+		f.list.ReplaceRelayed(snap.Instances, snap.DirectoryVersion, s.now, func(directory.Record, directory.Change) {})
 	}
 	for id, pools := range snap.Serving {
 		f.serving[id] = pools
@@ -232,9 +234,17 @@
 	return k
 }
 
+// readStore has f read the whole list from the store itself, after a failed read if failed is true.
+func (s *feedSite) readStore(f *feedFollower, failed bool) {
+	if failed {
+		f.list.StoreUnreachable(s.now)
+	}
+	f.list.Replace(slices.Collect(maps.Values(s.records)), s.offset, s.now, func(directory.Record, directory.Change) {})
+}
+
 // TestLeafMatchesHolder checks that a leaf node ends with the state that the lease holder publishes, and that no node
-// ever considers its state newer than it is, over random changes, lost answers, new terms and snapshots from either
-// feeder or the lease holder.
+// ever considers its state newer than it is, over random changes, lost answers, new terms, snapshots from either
+// feeder or the lease holder, and reads of the nodes' own.
 func TestLeafMatchesHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newFeedSite()
@@ -242,7 +252,7 @@
 		terms := 1
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			f := s.feeders[rapid.IntRange(0, 1).Draw(t, "feeder")]
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1:
 				s.change(t)
 			case 2:
@@ -258,6 +268,10 @@
 				s.holder.instancesRead(s.now)
 				s.holder.configRead(s.now)
 				s.readAt = s.now
+			case 6:
+				s.readStore(f, rapid.Bool().Draw(t, "failed"))
+			case 7:
+				s.readStore(s.leaf, rapid.Bool().Draw(t, "failed"))
 			}
 			for _, n := range []*feedFollower{s.feeders[0], s.feeders[1], s.leaf} {
 				if n.asOf.After(s.readAt) {
@@ -359,3 +373,46 @@
 		}
 	}
 }
+
+// TestFeederRelaysDeletedEndpoint guards against a feeder that relays an endpoint which the lease holder knows to be
+// gone, because a read of its own has failed and it keeps deleted entries for a while. Its followers then sent the
+// endpoint requests after it had left, even those that had received its deletion.
+func TestFeederRelaysDeletedEndpoint(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	record := func(id string, version uint64) directory.Record {
+		return directory.Record{ID: id, Version: version, Instance: instance(id), Relayed: true}
+	}
+	var holder publication
+	holder.init()
+	holder.begin("h-1/1", 1, 200, []directory.Record{record("leaves", 3), record("stays", 4)}, 5)
+	// fetch has a node receive what a publication has for it.
+	fetch := func(c *Controller, from *publication) {
+		clock.Advance(2 * fullSnapshotTTL)
+		holder.instancesRead(clock.Now())
+		holder.configRead(clock.Now())
+		s, _, _ := from.snapshot(peer.WatchRequest{Life: c.holderState.incarnation, Version: c.holderState.version}, clock.Now())
+		s.Instances = slices.Clone(s.Instances)
+		snapshotReceived{s, 0, clock.Now()}.handle(c)
+	}
+	leaf, late := newController(clock), newController(clock)
+	feeder := New(Options{
+		Self: lease.Record{Holder: "x", Incarnation: "x-1"}, Clock: clock, Logger: leaf.o.Logger,
+		Dispatcher: traffic.New(clock, "h", queue.Limits{Items: 9, Bytes: 999}, traffic.Hooks{}),
+	})
+	fetch(leaf, &holder)
+	fetch(feeder, &holder)
+	holder.publishInstances([]directory.Record{record("stays", 4)}, 7)
+	fetch(leaf, &holder)
+	storeReadFailed{}.handle(feeder)
+	page := logstore.Page[logstore.Instance]{Records: []logstore.Record[logstore.Instance]{{Offset: 3, Value: logstore.Instance{ID: "stays", Instance: instance("stays")}}}, Next: 9, End: 9}
+	instancePage{page, true, clock.Now()}.handle(feeder)
+	holder.setFeeders([]feedtree.Node{{Name: "x", Address: "x:1"}}, 200)
+	fetch(feeder, &holder)
+	fetch(leaf, &feeder.relay)
+	fetch(late, &feeder.relay)
+	want := map[string][]string{"feeder": {"stays"}, "leaf": {"stays"}, "node that has just started": {"stays"}}
+	got := map[string][]string{"feeder": live(feeder), "leaf": live(leaf), "node that has just started": live(late)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("endpoints in use (-want +got):\n%s", diff)
+	}
+}
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -296,7 +296,7 @@
 	}
 	if s.Full {
 		// The first snapshot of an incarnation contains the full list: endpoints that are not in it are gone.
-		c.directory.Replace(s.Instances, s.DirectoryVersion, now, changes.add)
+		c.directory.ReplaceRelayed(s.Instances, s.DirectoryVersion, now, changes.add)
 	} else {
 		for _, r := range s.Instances {
 			if change := c.directory.Apply(r, now); change != directory.Unchanged {
