caller: a discarded standby spends no attempt of a stream that goes on

Cause: a standby that was canceled before its first event counted as an attempt that had run, and a further standby was opened without a look at that count. When it replaced the first attempt, that one counted too, and no attempt was left for the standby.

Change: a standby is opened only if the route allows one more attempt, and one that was canceled before its first event counts for none: the platform counts a request as running from its first token on.

Evidence: TestSecondSilenceCutsNoStream (both rows), TestAttemptsBoundStandbys (3 runs where 2 are allowed) and TestCanceledStandbySpendsNoAttempt failed before.

--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -107,7 +107,7 @@
 	s, x := st.s, st.x
 	now := s.Clock.Now()
 	st.mu.Lock()
-	events, position, req, wait := st.events, st.position, st.req, st.ended || st.forwarding
+	events, position, req, wait := st.events, st.position, st.req, st.ended || st.forwarding || !x.mayOpenStandby()
 	switch {
 	case wait:
 	case now.Sub(st.due) > maxTimerDelay:
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -65,16 +65,18 @@
 func (s *Server) discard(x *Exchange, sb *standby) {
 	// An attempt that is ended on this side says nothing about its endpoint.
 	result := traffic.Result{NotStarted: true, Running: -1}
-	outcome := retry.MaybeRun
+	outcome := "canceled"
 	select {
 	case <-sb.opened:
+		outcome = "notNeeded"
 		if sb.err != nil {
-			result, outcome = failedResult(sb.err), outcomeOf(sb.err)
+			result, outcome = failedResult(sb.err), outcomeOf(sb.err).String()
+		}
+		if sb.err == nil || outcomeOf(sb.err) != retry.NotSent {
+			x.ran++
 		}
 	default:
-	}
-	if outcome != retry.NotSent {
-		x.ran++
+		// The platform counts a request as running from its first event on.
 	}
 	s.Metrics.StandbysDiscarded.Add(1)
 	sb.cancel()
@@ -85,7 +87,7 @@
 			_ = sb.resp.Body.Close()
 			err = context.Canceled
 		}
-		s.Logger.Info("discarded a standby", "requestId", x.ID, "standby", sb.slot.Endpoint.Name, "outcome", outcome.String(), "error", err.Error())
+		s.Logger.Info("discarded a standby", "requestId", x.ID, "standby", sb.slot.Endpoint.Name, "outcome", outcome, "error", err.Error())
 		result.Ended = reportRun(context.Background(), sb.run, err)
 		sb.slot.Release(result)
 	}()
