caller: a standby of a standby stays at the build of the stream

What callers saw, on routes with three attempts or more (no site has one): events of two software versions in one answer, which ended as complete (4 of 8 streams of the test).

Cause: the slot request of an attempt that had been a standby was not brought up to date, so that it did not name the build at which the stream had begun, and the next standby was opened at any engine.

Change: it is updated for standbys as for other attempts.

TestStandbyInheritsBuild failed before.

--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -111,6 +111,7 @@
 // attempt is over, with whether an endpoint answered it. A standby already has its slot.
 func (s *Server) nextSlot(ctx context.Context, x *Exchange, req *traffic.SlotRequest) (slot *traffic.Slot, unlock func(answered bool), err error) {
 	if x.standby != nil {
+		s.update(x, req)
 		return x.standby.slot, func(bool) {}, nil
 	}
 	if !x.trial {
@@ -120,7 +121,7 @@
 		}
 		x.trial = trial
 	}
-	req.AbandonAt, req.Began, req.State, req.Origin = s.abandonAt(x), x.Began, s.Isolation.State(x.subjects...), x.origin
+	s.update(x, req)
 	slot, err = s.Dispatcher.Acquire(ctx, x.Target.Pool, *req)
 	if err != nil {
 		return nil, nil, err
@@ -141,6 +142,11 @@
 	return slot, unlock, nil
 }
 
+// update updates what has changed of a slot request since the attempt before.
+func (s *Server) update(x *Exchange, req *traffic.SlotRequest) {
+	req.AbandonAt, req.Began, req.State, req.Origin = s.abandonAt(x), x.Began, s.Isolation.State(x.subjects...), x.origin
+}
+
 // reportRun reports to run how its attempt ended. It returns true if the endpoint's process crashed with it.
 func reportRun(ctx context.Context, run *isolation.Run, err error) (crashed bool) {
 	var e *endpoint.Error
