caller: a standby that ends before its first event replaces nothing

What callers saw: a begun stream was cut although its silent engine would have gone on: the standby's answer, which had no length, ended in the middle of its first event.

Cause: the end of the standby's answer counted as if it had sent an event.

TestPartOfEventReplacesNothing failed before.

--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -127,7 +127,7 @@
 	io.Closer
 }
 
-// readEvent reads a body until the first event is complete or the body ends.
+// readEvent reads a body until the first event is complete. A body that ends before does not go on with the stream.
 func readEvent(body io.Reader) ([]byte, error) {
 	var read []byte
 	buf := make([]byte, relayBuffer)
@@ -135,8 +135,10 @@
 		n, err := body.Read(buf)
 		read = append(read, buf[:n]...)
 		switch {
-		case bytes.Contains(read, eventEnd), errors.Is(err, io.EOF):
+		case bytes.Contains(read, eventEnd):
 			return read, nil
+		case errors.Is(err, io.EOF):
+			return nil, errTruncated
 		case err != nil:
 			return nil, err
 		case len(read) > maxEvent:
