caller: the failure with which a standby answers a call is not thrown away

Cause: a standby that answered with a failure was discarded with its answer.

Change: the answer is kept, and given to the caller if no attempt brings a better one.

--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -141,6 +141,9 @@
 		run.Answered(got.status/100 == 2 && resp.Framed())
 		return traffic.Result{Running: resp.Running, Draining: resp.Draining}, nil
 	})
+	if got == nil {
+		got = x.standbyFailure
+	}
 	if got != nil {
 		// The endpoint's own failure answer tells the caller more than a refusal by this node.
 		return got, nil
@@ -158,11 +161,11 @@
 }
 
 // endpointRequest builds the request to the endpoint of a slot. position is where an interrupted stream resumes; "" for
-// none.
-func (s *Server) endpointRequest(x *Exchange, slot *traffic.Slot, position string) *endpoint.Request {
+// none. trial marks the trial run of a quarantined request.
+func (s *Server) endpointRequest(x *Exchange, slot *traffic.Slot, position string, trial bool) *endpoint.Request {
 	now := s.Clock.Now()
 	r := s.protocol().Request(x, slot.Endpoint, x.Deadline.Sub(now), position)
-	begun, trial := false, x.trial
+	begun := false
 	r.Check = func() error {
 		if err := s.checkSend(x, trial); err != nil || begun {
 			return err
--- a/io/caller/dispatch_test.go
+++ b/io/caller/dispatch_test.go
@@ -44,7 +44,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			r := s.endpointRequest(x, slot, "")
+			r := s.endpointRequest(x, slot, "", false)
 			var got []error
 			for _, d := range tt.pauses {
 				clock.Advance(d)
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -82,6 +82,8 @@
 	// standby is the next attempt, which has been sent already; nil for none. It is set when the attempt beside which it ran
 	// has ended.
 	standby *standby
+	// standbyFailure is the failure with which a discarded standby answered; nil for none. It is guarded like ran.
+	standbyFailure *answer
 	// attemptErr is the error of the latest attempt that failed, and tried names the endpoints of all that did. slotErr is why
 	// no further attempt was made; nil if the error of the latest one was the reason.
 	attemptErr, slotErr error
--- a/io/caller/send.go
+++ b/io/caller/send.go
@@ -19,7 +19,7 @@
 		x.standby = nil
 		resp, err = sb.await(ctx)
 	} else {
-		resp, err = s.request(ctx, x, slot, position)
+		resp, err = s.request(ctx, x, slot, position, x.trial)
 	}
 	var failed *endpoint.Error
 	switch {
@@ -32,10 +32,10 @@
 }
 
 // request sends the request to the endpoint of a slot and returns the head of the answer. It records the endpoint's
-// signals in an answer as well as in a refusal.
-func (s *Server) request(ctx context.Context, x *Exchange, slot *traffic.Slot, position string) (*endpoint.Response, error) {
+// signals in an answer as well as in a refusal. trial marks the trial run of a quarantined request.
+func (s *Server) request(ctx context.Context, x *Exchange, slot *traffic.Slot, position string, trial bool) (*endpoint.Response, error) {
 	sent := s.Clock.Now()
-	resp, err := s.Endpoints.Do(ctx, s.endpointRequest(x, slot, position))
+	resp, err := s.Endpoints.Do(ctx, s.endpointRequest(x, slot, position, trial))
 	var refused *endpoint.Error
 	switch {
 	case err == nil:
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -28,6 +28,8 @@
 	// error if there is none.
 	resp *endpoint.Response
 	err  error
+	// failure is a whole answer that counts as a failure; nil for none.
+	failure *answer
 	// ready is true if the endpoint has sent an event of a stream or a whole answer that is no failure.
 	ready bool
 }
@@ -44,7 +46,7 @@
 		if sb.err = verify(ctx, sb.run); sb.err != nil {
 			return
 		}
-		if sb.resp, sb.err = s.request(ctx, x, slot, position); sb.err == nil {
+		if sb.resp, sb.err = s.request(ctx, x, slot, position, false); sb.err == nil {
 			sb.ready, sb.err = s.readFirst(ctx, x, sb)
 		}
 	}()
@@ -69,6 +71,9 @@
 	select {
 	case <-sb.opened:
 		outcome = "notNeeded"
+		if sb.failure != nil {
+			x.standbyFailure = sb.failure
+		}
 		if sb.err != nil {
 			result, outcome = failedResult(sb.err), outcomeOf(sb.err).String()
 		}
@@ -118,7 +123,11 @@
 		return false, resp.BrokenError(err)
 	}
 	resp.Body = &bodyAfter{Reader: io.MultiReader(bytes.NewReader(read), resp.Body), Closer: resp.Body}
-	return failedAnswer(x, &answer{status: resp.StatusCode}) == nil, nil
+	if a := (&answer{status: resp.StatusCode, header: resp.Header, body: read}); failedAnswer(x, a) != nil {
+		sb.failure = a
+		return false, nil
+	}
+	return true, nil
 }
 
 // bodyAfter is a body of which a part has been read ahead.
