caller: a long failure that answers a stream is forwarded whole

What callers saw: an answer to a stream with another status than 200 and more than 1 MB was cut there, with a length that made it look complete.

Cause: the bound of one event was applied to the answer, whose rest was dropped without a word.

Change: such an answer is bounded by limits.answerBytes, as other whole answers, and a longer one counts as a failed attempt.

TestLongFailureIsWhole failed before: 1,048,576 of 3,145,728 bytes.

--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -127,7 +127,7 @@
 		run.Began()
 		body, err := io.ReadAll(io.LimitReader(resp.Body, s.Limits.AnswerBytes+1))
 		if err == nil && int64(len(body)) > s.Limits.AnswerBytes {
-			err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Sends: resp.Sends, Cause: errors.New("the answer is longer than limits.answerBytes")}
+			err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Sends: resp.Sends, Cause: errAnswerTooLong}
 			return failedResult(err), err
 		}
 		if err != nil {
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -18,7 +18,7 @@
 const (
 	// relayBuffer is the initial buffer of a stream, in bytes.
 	relayBuffer = 8 << 10
-	// maxEvent is the maximum size of one event, and of an answer that is not a stream, in bytes.
+	// maxEvent is the maximum size of one event, in bytes.
 	maxEvent = 1 << 20
 )
 
@@ -33,6 +33,9 @@
 // errEventTooLong is the error of a stream with an event of more than maxEvent bytes.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
+// errAnswerTooLong is the error of an answer that is not a stream and longer than Limits.AnswerBytes.
+var errAnswerTooLong = errors.New("the answer is longer than limits.answerBytes")
+
 // errTruncated is the error of a stream that ended before its last event.
 var errTruncated = errors.New("the stream ended before its last event")
 
@@ -128,7 +131,11 @@
 		err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Cause: errTruncated}
 		return failedResult(err), err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEvent))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, r.s.Limits.AnswerBytes+1))
+	if err == nil && int64(len(body)) > r.s.Limits.AnswerBytes {
+		err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Sends: resp.Sends, Cause: errAnswerTooLong}
+		return failedResult(err), err
+	}
 	if err != nil {
 		err := resp.BrokenError(err)
 		return failedResult(err), err
