--- a/io/caller/connections.go
+++ b/io/caller/connections.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 const (
@@ -17,10 +19,16 @@
 	firstRequestTimeout = 5 * time.Second
 )
 
+// longAgo is a read deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // connections holds the open connections of callers, so that a shutdown answers each request that was read.
 // [http.Server.Shutdown] would close the connection without an answer if the request was read after its begin. It is safe
 // for concurrent use.
 type connections struct {
+	// clock is set before the first connection.
+	clock clockwork.Clock
+
 	mu        sync.Mutex
 	open      map[*trackedConn]struct{}
 	listeners []net.Listener
@@ -58,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &trackedConn{Conn: c, set: l.set, since: time.Now(), readTimeout: l.readTimeout}
+	t := &trackedConn{Conn: c, set: l.set, since: l.set.clock.Now(), readTimeout: l.readTimeout}
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	l.set.open[t] = struct{}{}
@@ -122,7 +130,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.state, c.since = state, time.Now()
+	c.state, c.since = state, s.clock.Now()
 	if state == http.StateIdle {
 		c.reading = false
 	}
@@ -156,11 +164,11 @@
 		_ = l.Close()
 	}
 	s.mu.Unlock()
-	poll := time.NewTicker(drainPoll)
+	poll := s.clock.NewTicker(drainPoll)
 	defer poll.Stop()
-	for !s.expireIdle(time.Now()) {
+	for !s.expireIdle(s.clock.Now()) {
 		select {
-		case <-poll.C:
+		case <-poll.Chan():
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -179,7 +187,7 @@
 			continue
 		}
 		c.expired = true
-		_ = c.Conn.SetReadDeadline(now)
+		_ = c.Conn.SetReadDeadline(longAgo)
 	}
 	return len(s.open) == 0 && s.serving == 0
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -92,6 +92,7 @@
 func (s *Server) init() {
 	s.callers = newCallerLimits()
 	s.heldBytes.limit = s.Limits.HeldBytes
+	s.connections.clock = s.Clock
 	base, cancelRequests := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancelRequests
 	s.http = &http.Server{
