caller: a canceled standby counts toward the engines that a request may be sent to

Cause: a standby that was canceled while its process was being confirmed, or its first event was on its way, counted as not sent.

Change: a standby of which a part of the body has arrived counts as an attempt that ran. One that was canceled before that counts for further standbys only, so that a stream whose first engine breaks off is still resumed. An answer that is no stream is claimed before it is forwarded, like events.

--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -79,6 +79,8 @@
 	trial bool
 	// ran counts the attempts that have ended and may have run. During an attempt it is guarded by stall.mu.
 	ran int
+	// canceled counts the standbys that were canceled before they had sent anything. It is guarded like ran.
+	canceled int
 	// standby is the next attempt, which has been sent already; nil for none. It is set when the attempt beside which it ran
 	// has ended.
 	standby *standby
--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -93,8 +93,8 @@
 	return ctx, st
 }
 
-// mayOpenStandby reports whether the request may run at a further endpoint beside the one of the attempt in progress.
-func (x *Exchange) mayOpenStandby() bool { return x.ran+1 < x.Target.attempts() }
+// mayOpenStandby reports whether the request may be sent to a further endpoint beside the one of the attempt in progress.
+func (x *Exchange) mayOpenStandby() bool { return x.ran+x.canceled+1 < x.Target.attempts() }
 
 // stallTimeout returns the objective d times a factor, but at least minStallTimeout.
 func stallTimeout(d time.Duration, by float64) time.Duration {
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"olivetiller/core/retry"
 	"olivetiller/internal/isolation"
@@ -22,6 +23,8 @@
 	began    bool
 	position string
 	cancel   context.CancelFunc
+	// sentBody is set once the endpoint has sent a part of the answer's body.
+	sentBody atomic.Bool
 	// opened is closed when the fields below are set.
 	opened chan struct{}
 	// resp is the answer, of which the first event, or all if it is no stream, was read and can be read again; err is the
@@ -81,7 +84,11 @@
 			x.ran++
 		}
 	default:
-		// The platform counts a request as running from its first event on.
+		if sb.sentBody.Load() {
+			x.ran++
+		} else {
+			x.canceled++
+		}
 	}
 	s.Metrics.StandbysDiscarded.Add(1)
 	sb.cancel()
@@ -103,6 +110,7 @@
 func (s *Server) readFirst(ctx context.Context, x *Exchange, sb *standby) (ready bool, err error) {
 	resp := sb.resp
 	var read []byte
+	resp.Body = &bodyAfter{Reader: &notingReader{resp.Body, &sb.sentBody}, Closer: resp.Body}
 	if x.Target.Stream {
 		if resp.StatusCode != http.StatusOK {
 			return false, nil
@@ -136,6 +144,21 @@
 	io.Closer
 }
 
+// notingReader notes whether anything was read.
+type notingReader struct {
+	io.Reader
+	read *atomic.Bool
+}
+
+// Read implements io.Reader.
+func (r *notingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 {
+		r.read.Store(true)
+	}
+	return n, err
+}
+
 // readEvent reads a body until the first event is complete. A body that ends before does not go on with the stream.
 func readEvent(body io.Reader) ([]byte, error) {
 	var read []byte
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -145,6 +145,10 @@
 		r.fallback = a
 		return failedResult(err), err
 	}
+	if !r.stall.claim() {
+		err := &endpoint.Error{Outcome: retry.Ran, Cause: errStalled}
+		return failedResult(err), err
+	}
 	return result, writeAnswer(r.x, r.s.protocol(), a)
 }
 
