caller: a shutdown does not wait for connections that carry no request

Cause: any byte that was read counted as a request, and such a connection was never told to close.

Change: a connection has 3 s from its first byte to the end of a request's head, and 3 s to its first request, less than a stop of the platform leaves for it. A panic with http.ErrAbortHandler passes through recoverPanic.

--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"runtime/debug"
 
@@ -180,7 +181,11 @@
 func (s *Server) recoverPanic(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) (err error) {
 		defer func() {
-			if v := recover(); v != nil {
+			v := recover()
+			if v == http.ErrAbortHandler {
+				panic(v)
+			}
+			if v != nil {
 				s.Logger.Error("handler panicked", "requestId", x.ID, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
 				err = &panicError{v}
 			}
--- a/io/caller/connections.go
+++ b/io/caller/connections.go
@@ -15,8 +15,9 @@
 	// drainPoll is how often a shutdown looks for connections that have become idle, and how long they must have been. The
 	// next request may have come together with the end of the answer before.
 	drainPoll = 10 * time.Millisecond
-	// firstRequestTimeout is how long after it was accepted a connection may wait for its first request during a shutdown.
-	firstRequestTimeout = 5 * time.Second
+	// firstRequestTimeout is how long a connection may take during a shutdown from when it was accepted to its first request,
+	// and from the first byte of a request to the end of its head.
+	firstRequestTimeout = 3 * time.Second
 )
 
 // longAgo is a read deadline that has passed.
@@ -43,9 +44,10 @@
 	net.Conn
 	set   *connections
 	state http.ConnState
-	// since is when the connection entered its state.
+	// since is when the connection entered its state, or began to read.
 	since time.Time
-	// reading is true from the first byte of a request until its answer has been written.
+	// reading is true from the first byte of a request until its answer has been written. Bytes that are no request, such as
+	// those of a TLS handshake, count too.
 	reading bool
 	// expired is set when the connection was told to close because it had no request.
 	expired bool
@@ -101,7 +103,9 @@
 	if n > 0 {
 		c.set.mu.Lock()
 		defer c.set.mu.Unlock()
-		c.reading = true
+		if !c.reading {
+			c.reading, c.since = true, c.set.clock.Now()
+		}
 		if c.expired {
 			// The request came as the connection was told to close.
 			c.expired = false
@@ -176,14 +180,21 @@
 	return nil
 }
 
+// patience returns how long a connection without a request may stay open during a shutdown.
+func (c *trackedConn) patience() time.Duration {
+	if c.reading || c.state == http.StateNew {
+		return firstRequestTimeout
+	}
+	return drainPoll
+}
+
 // expireIdle tells the connections without a request to close, and reports whether all are closed. The server closes them
 // when its read fails, unless a request has come by then.
 func (s *connections) expireIdle(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		idle := now.Sub(c.since)
-		if c.reading || c.state == http.StateActive || c.state == http.StateNew && idle < firstRequestTimeout || idle < drainPoll {
+		if c.state == http.StateActive || now.Sub(c.since) < c.patience() {
 			continue
 		}
 		c.expired = true
