directory: a relayed list of before an entry was added does not end its grace time

Cause: a relayed whole list without an entry, or a relayed deletion of an earlier one, counted as a statement that the entry was deleted.

Change: it counts only at a version from that on at which the entry was added.

Two rows of TestLive failed before.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -145,7 +145,7 @@
 		d.add(e)
 		return Routing
 	case e.newerThan(r):
-		if r.Instance == nil && r.Relayed && !e.GoneAt.IsZero() {
+		if r.Instance == nil && r.Relayed && !e.GoneAt.IsZero() && r.Version >= e.Since {
 			// Both nodes have read that the entry was deleted.
 			return d.markGone(e, now, true)
 		}
@@ -239,7 +239,8 @@
 	}
 	for id, e := range d.entries {
 		later := upTo != 0 && e.Version > upTo
-		if listed[id] || later && e.GoneAt.IsZero() {
+		// A list from before the entry was added says nothing of it.
+		if listed[id] || later && (e.GoneAt.IsZero() || upTo < e.Since) {
 			continue
 		}
 		if !later {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -122,6 +122,18 @@
 			d.Replace(nil, 9, at(20), ignoreChange)
 			d.ReplaceRelayed(nil, 7, at(30), ignoreChange)
 		}, at(30), nil},
+		{"kept after the store was away, and missing on a relayed whole list of before it was added", func(d *Directory) {
+			d.Apply(version(7, registered("a")), at(0))
+			d.StoreUnreachable(at(10))
+			d.Replace(nil, 9, at(20), ignoreChange)
+			d.ReplaceRelayed(nil, 6, at(30), ignoreChange)
+		}, at(30), []string{"a"}},
+		{"kept after the store was away, and relayed as gone before it was added", func(d *Directory) {
+			d.Apply(version(7, registered("a")), at(0))
+			d.StoreUnreachable(at(10))
+			d.Apply(version(9, Record{ID: "a"}), at(20))
+			d.Apply(version(5, relayed(Record{ID: "a"})), at(30))
+		}, at(30), []string{"a"}},
 		{"kept after the store was away, and on a relayed whole list", func(d *Directory) {
 			d.Apply(version(3, registered("a")), at(0))
 			d.StoreUnreachable(at(10))
