--- a/io/caller/deadline.go
+++ b/io/caller/deadline.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// writeTimeout is how long a caller may leave written data, or the next writePiece bytes of it, unread. Callers themselves give up a stream after a gap of
-// 2 s or more, and endpoints close connections whose answers are not read for some seconds.
+// writeTimeout is how long a caller may leave written data, or the next writePiece bytes of it, unread. Callers themselves
+// give up a stream after a gap of 2 s or more, and endpoints close connections whose answers are not read for some seconds.
 const writeTimeout = 4 * time.Second
 
 // setReadTimeout limits the time until the rest of the request must have arrived; 0 removes the limit.
--- a/io/caller/origin.go
+++ b/io/caller/origin.go
@@ -47,7 +47,8 @@
 func (e *unconfirmedError) Unwrap() error { return e.cause }
 
 // confirmPatience is how long a stream that has begun waits for the confirmation of the process at which it goes on, since
-// without it the caller is left with a truncated answer. Endpoints in good order may be silent for about a second.
+// without it the caller is left with a truncated answer. Endpoints in good order may be silent for about a second, and lists
+// of endpoints late. An implementation of Processes may wait longer by itself.
 const confirmPatience = 2 * time.Second
 
 // confirmProcess returns an *unconfirmedError if the first events of an answer must not be forwarded. began is true if the
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -36,9 +36,8 @@
 }
 
 // refuse writes the refusal that an inner handler returned, and logs and counts the end of the request, also if the caller
-// got no complete answer. Once the
-// answer has begun, its status can no longer change, so the refusal ends the stream with an error event instead of
-// the final marker.
+// got no complete answer. Once the answer has begun, its status can no longer change, so the refusal ends the stream with
+// an error event instead of the final marker.
 func (s *Server) refuse(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) error {
 		err := next(ctx, x)
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -105,8 +105,8 @@
 	}()
 }
 
-// readFirst reads the first event of a standby's stream, or the whole body of another answer, and puts it back. It reports whether
-// the answer can be forwarded. The error is an *endpoint.Error.
+// readFirst reads the first event of a standby's stream, or the whole body of another answer, and puts it back. It reports
+// whether the answer can be forwarded. The error is an *endpoint.Error.
 func (s *Server) readFirst(ctx context.Context, x *Exchange, sb *standby) (ready bool, err error) {
 	resp := sb.resp
 	var read []byte
