caller: a standby keeps no position of its own

Cause: the field was set and never read; the position is a parameter of the request, and the stall watch holds the one that counts.

Change: the field is gone. No change of behavior.

--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -19,10 +19,9 @@
 type standby struct {
 	slot *traffic.Slot
 	run  *isolation.Run
-	// began is true if the caller has a part of the answer. position is where the stream is resumed; "" for the beginning.
-	began    bool
-	position string
-	cancel   context.CancelFunc
+	// began is true if the caller has a part of the answer.
+	began  bool
+	cancel context.CancelFunc
 	// sentBody is set once the endpoint has sent a part of the answer's body.
 	sentBody atomic.Bool
 	// opened is closed when the fields below are set.
@@ -41,7 +40,7 @@
 // are forwarded.
 func (s *Server) openStandby(ctx context.Context, x *Exchange, slot *traffic.Slot, position string) *standby {
 	ctx, cancel := context.WithCancel(ctx)
-	sb := &standby{slot: slot, began: x.Began, position: position, cancel: cancel, opened: make(chan struct{})}
+	sb := &standby{slot: slot, began: x.Began, cancel: cancel, opened: make(chan struct{})}
 	sb.run = s.Isolation.Send(x.Fingerprint, slot.Endpoint, x.parts()...)
 	sb.run.Service = x.Target.Service
 	go func() {
