placement: replicas follow the work of a model and the speed of engines

Cause: a busy model's work was counted in requests, though one long prompt delays the streams of its engine like dozens of them, and all engines counted alike. Busy models had 1 to 4 replicas, with half to nine in ten streams late, while engines were idle for five sixths of the time.

Without reports of these, and with paces near 1, plans are as before.

--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -297,5 +297,5 @@
 	if m.replicaCount() <= 1 && m.waiting > 0 || g.now.Sub(h.since) < minResidency && m.waiting+m.running > 0 {
 		return -1
 	}
-	return g.lossOf(m, m.replicaCount())
+	return g.lossAt(m, e)
 }
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"olivetiller/core/directory"
+	"olivetiller/core/pace"
 	"olivetiller/core/route"
 )
 
@@ -43,8 +44,14 @@
 	// with running requests, index 0 does not. Sending an order resets both to nil.
 	capacities [2]*capacity
 	// running counts the running requests for the models that the engine holds, as of the start
-	// of the plan.
+	// of the plan, and reading averages the tokens of long prompts being read.
 	running int
+	reading average
+	// load averages the load of all requests that run there, in concurrent requests.
+	load average
+	// pace is how long the engine takes for the same work, 1 for the median of its service; 0 if
+	// unknown.
+	pace float64
 	// pending is the order whose reply has not come yet.
 	pending *Order
 	// work is the load or unload of a model in progress.
@@ -118,6 +125,9 @@
 	}
 }
 
+// speed returns how much work the engine does at a time, 1 for an engine of the median pace.
+func (e *engine) speed() float64 { return 1 / pace.Effective(e.pace) }
+
 // idle reports whether the engine can take an order for a model now.
 func (e *engine) idle(now time.Time) bool {
 	return e.takesAdapters(now) && e.work == nil
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -10,6 +10,12 @@
 	}
 }
 
+// SetPaces sets how long each engine takes for the same work, by engine id; engines that are not named count as of the
+// median pace.
+func (p *Planner) SetPaces(paces map[string]float64) {
+	p.paces = paces
+}
+
 // addRateLimit adds the limit of an engine that serves the model, if it has one.
 func (m *modelState) addRateLimit(e *engine) {
 	if e.rateLimit > 0 {
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -25,7 +25,13 @@
 	// runningAt counts the running ones by engine id.
 	waiting, running int
 	runningAt        map[string]int
-	peak             peak
+	// reading is the length in tokens of the long prompts that are being read, over all nodes; readingAt is the same by
+	// engine id.
+	reading   int
+	readingAt map[string]int
+	peak      peak
+	// averageReading averages reading.
+	averageReading average
 	// loadCrashes counts the engines that crashed in a row while they loaded the model; no load
 	// is ordered before backoffUntil.
 	loadCrashes  int
@@ -35,17 +41,21 @@
 
 	// deadlines are the deadlines of the waiting requests.
 	deadlines
-	// rate is in requests a second.
-	rate float64
+	// rate is in requests a second, and lateRate in late answers a second.
+	rate, lateRate float64
 	// lastUse and deferredAt are the latest of the model's usages.
 	lastUse, deferredAt time.Time
 	// objective is the least latency objective among the model's usages; 0 if none is known.
 	objective time.Duration
 	// recentPeak is the decaying peak of waiting and running requests, see peak.
 	recentPeak float64
+	// recentReading is the average of reading.
+	recentReading float64
 	// replicas lists the engines that serve the model, sorted by id; pendingReplicas counts the
 	// engines that are loading it or are about to.
-	replicas        []*engine
+	replicas []*engine
+	// capacity is that of the replicas, in engines of the median pace.
+	capacity        float64
 	pendingReplicas int
 	// readySoon counts the pending replicas that will serve within soonThreshold.
 	readySoon int
@@ -61,7 +71,7 @@
 func (p *Planner) model(base Unit) *modelState {
 	m := p.models[base]
 	if m == nil {
-		m = &modelState{unit: base, runningAt: make(map[string]int)}
+		m = &modelState{unit: base, runningAt: make(map[string]int), readingAt: make(map[string]int)}
 		if p.table != nil {
 			m.spec = p.table.Model(base.Service, base.Model)
 		}
@@ -79,11 +89,12 @@
 // computeStats recomputes the fields that belong to one plan, except those that depend on
 // engines.
 func (m *modelState) computeStats(now time.Time) {
-	m.replicas, m.pendingReplicas, m.readySoon, m.copyCount = m.replicas[:0], 0, 0, 0
-	m.deadlines, m.rate, m.objective = deadlines{}, 0, 0
+	m.replicas, m.pendingReplicas, m.readySoon, m.copyCount, m.capacity = m.replicas[:0], 0, 0, 0, 0
+	m.deadlines, m.rate, m.lateRate, m.objective = deadlines{}, 0, 0, 0
 	m.limitedReplicas, m.limitedRate = 0, 0
 	m.lastUse, m.deferredAt = time.Time{}, time.Time{}
 	for _, u := range m.usages {
+		m.lateRate += u.decayed(u.lateRate, now)
 		m.rate += rateBound(u.rateNow(now), now.Sub(u.lastUse))
 		if m.objective == 0 || u.objective > 0 && u.objective < m.objective {
 			m.objective = u.objective
@@ -94,7 +105,8 @@
 			m.add(u.deadlines(now), now)
 		}
 	}
-	m.recentPeak = m.peak.update(float64(m.waiting+m.running), now)
+	m.recentReading = m.averageReading.update(float64(m.reading), now)
+	m.recentPeak = m.peak.update(float64(m.waiting+m.running), now) + m.recentReading/readingTokensPerRun
 }
 
 // replicaCount returns the number of engines that serve the model.
@@ -107,6 +119,7 @@
 func (m *modelState) removeReplica(e *engine) {
 	if i := slices.Index(m.replicas, e); i >= 0 {
 		m.replicas = slices.Delete(m.replicas, i, i+1)
+		m.capacity -= e.speed()
 	}
 }
 
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -148,4 +148,8 @@
 	NextDue, LastDue time.Time
 	// RunningAt counts the running requests by engine id.
 	RunningAt map[string]int
+	// Late counts the answers since the previous report that came late though they had a slot in time.
+	Late int
+	// ReadingAt is the length in tokens, by engine id, of the long prompts that are not read yet.
+	ReadingAt map[string]int
 }
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -84,7 +84,7 @@
 		m.computeStats(g.now)
 	}
 	for _, e := range g.engineList {
-		e.capacities, e.running = [2]*capacity{}, 0
+		e.capacities, e.running, e.pace = [2]*capacity{}, 0, g.paces[e.id]
 		if e.draining || e.config == nil {
 			continue
 		}
@@ -105,11 +105,18 @@
 
 // countReplicas counts an engine for the models that it serves, holds or keeps a copy of.
 func (g *planning) countReplicas(e *engine) {
+	reading := 0
+	defer func() {
+		e.reading.update(float64(reading), g.now)
+		e.load.update(float64(e.running)+float64(reading)/readingTokensPerRun, g.now)
+	}()
 	for name := range e.models {
 		m := g.modelAt(e, name)
 		e.running += m.runningAt[e.id]
+		reading += m.readingAt[e.id]
 		if e.serves(name) {
 			m.replicas = append(m.replicas, e)
+			m.capacity += e.speed()
 			m.addRateLimit(e)
 		}
 		if e.known && !e.keepsCopy(name) {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -38,7 +38,9 @@
 // Planner decides loads and unloads for the holder of the placement lease. Other nodes keep one
 // too and call Reset when they become the holder. It is not safe for concurrent use.
 type Planner struct {
-	limits     Limits
+	limits Limits
+	// paces holds the paces of engines by id; see SetPaces.
+	paces      map[string]float64
 	table      *route.Table
 	engines    map[string]*engine
 	engineList []*engine
--- a/core/placement/usage.go
+++ b/core/placement/usage.go
@@ -34,6 +34,8 @@
 	// rate is an exponential average in requests a second, as of rateAt.
 	rate   float64
 	rateAt time.Time
+	// lateRate is the exponential average of late answers in a second, as of rateAt.
+	lateRate float64
 	// lastUse is when a report last named an arrival or a waiting request.
 	lastUse time.Time
 	// deferredAt is when a report last counted callers refused with a retry hint; zero if none
@@ -63,6 +65,7 @@
 	u.remove(node)
 	u.nodes[node] = r
 	u.count(r, 1)
+	u.lateRate = u.decayed(u.lateRate, now) + float64(r.Late)/rateTimeConstant.Seconds()
 	u.rate = u.rateNow(now) + float64(r.Arrivals)/rateTimeConstant.Seconds()
 	u.rateAt = now
 	if r.Arrivals > 0 || r.Waiting > 0 {
@@ -90,6 +93,10 @@
 	if !u.bound {
 		u.model.waiting += sign * r.Waiting
 	}
+	for engine, k := range r.ReadingAt {
+		u.model.reading += sign * k
+		addCount(u.model.readingAt, engine, sign*k)
+	}
 	for engine, k := range r.RunningAt {
 		u.model.running += sign * k
 		addCount(u.runningAt, engine, sign*k)
@@ -107,8 +114,11 @@
 }
 
 // rateNow returns the rate decayed until now.
-func (u *usage) rateNow(now time.Time) float64 {
-	return u.rate * math.Exp(-now.Sub(u.rateAt).Seconds()/rateTimeConstant.Seconds())
+func (u *usage) rateNow(now time.Time) float64 { return u.decayed(u.rate, now) }
+
+// decayed returns a rate as of rateAt decayed until now.
+func (u *usage) decayed(rate float64, now time.Time) float64 {
+	return rate * math.Exp(-now.Sub(u.rateAt).Seconds()/rateTimeConstant.Seconds())
 }
 
 // deadlines returns the deadlines of the waiting requests.
@@ -149,6 +159,21 @@
 	return p.value
 }
 
+// average is an exponential average with the time constant peakTimeConstant.
+type average struct {
+	value float64
+	at    time.Time
+}
+
+// update records the current value and returns the average.
+func (a *average) update(value float64, now time.Time) float64 {
+	if !a.at.IsZero() {
+		a.value += (value - a.value) * -math.Expm1(-now.Sub(a.at).Seconds()/peakTimeConstant.Seconds())
+	}
+	a.at = now
+	return a.value
+}
+
 // RecordUsage records a node's usage report. A report is complete: units that it does not name have no
 // requests at that node.
 func (p *Planner) RecordUsage(node string, reports []Usage, now time.Time) {
--- a/core/placement/value.go
+++ b/core/placement/value.go
@@ -14,6 +14,9 @@
 	// saturatingSlotShare is the same limit for engines with few slots, as a multiple of the
 	// slots; it exceeds 1 because some requests queue at the engine without being late.
 	saturatingSlotShare = 1.2
+	// readingTokensPerRun is the length of long prompts being read that counts as one concurrent request: reading one
+	// delays every stream of the engine.
+	readingTokensPerRun = 150
 	// swapLoss is what a load costs apart from its time, in late requests: the engine can load
 	// nothing else in the meantime.
 	swapLoss = 0.25
@@ -51,21 +54,26 @@
 	return 1 - (1-atCrowded)*crowdedShare/saturation
 }
 
-// gain returns how many late requests a second one more replica of a model avoids. Requests for
-// other models are assumed to stay at its current engines.
-func (g *planning) gain(m *modelState, replicas int) float64 {
-	slots, n := g.slots(m.unit.Service), float64(replicas)
+// gain returns how many late requests a second a model avoids if its engines have more capacity. capacity and added are in
+// engines of the median pace. Requests for other models are assumed to stay at its current engines.
+//
+// Where more answers come late than the load explains, because long prompts are read beside streams, those count: one more
+// replica keeps some of them apart.
+func (g *planning) gain(m *modelState, capacity, added float64) float64 {
+	slots := g.slots(m.unit.Service)
 	runs := m.recentPeak + g.otherRequests(m)
-	return m.rate * (lateShare(runs/n, slots) - lateShare(runs/(n+1), slots))
+	expected := m.rate * (lateShare(runs/capacity, slots) - lateShare(runs/(capacity+added), slots))
+	return max(expected, m.lateRate*added/(capacity+added))
 }
 
 // otherRequests returns how many requests for other models run at the engines of a model.
 func (g *planning) otherRequests(m *modelState) float64 {
-	n := 0
+	n, reading := 0, 0.0
 	for _, e := range m.replicas {
 		n += e.running - m.runningAt[e.id]
+		reading += e.reading.value
 	}
-	return float64(n)
+	return float64(n) + max(0, reading-m.recentReading)/readingTokensPerRun
 }
 
 // slots returns the number of slots of an engine of the service.
@@ -76,14 +84,43 @@
 	return 0
 }
 
-// lossOf returns how many requests a second become late if a model has one replica fewer.
+// Loads returns the recent load of each engine in concurrent requests, by engine id.
+func (p *Planner) Loads() map[string]float64 {
+	out := make(map[string]float64, len(p.engineList))
+	for _, e := range p.engineList {
+		out[e.id] = e.load.value
+	}
+	return out
+}
+
+// lossOf returns how many requests a second become late if a model has one replica fewer, at an engine of the median pace.
 func (g *planning) lossOf(m *modelState, replicas int) float64 {
 	if replicas > 1 {
-		return g.gain(m, replicas-1)
+		return g.gain(m, float64(replicas-1), 1)
 	}
 	return m.rate * g.missLoss(m)
 }
 
+// lossAt is lossOf for the replica at an engine.
+func (g *planning) lossAt(m *modelState, e *engine) float64 {
+	if m.replicaCount() <= 1 {
+		return g.lossOf(m, 1)
+	}
+	return g.gain(m, max(minCapacity, m.capacity-e.speed()), e.speed())
+}
+
+// minCapacity keeps the capacity of a model's other engines above 0 when engines are very slow.
+const minCapacity = 0.1
+
+// paceGain returns how many more late requests a second a replica of a model at an engine avoids than one at an engine of
+// the median pace; negative for a slow engine, and 0 for the first replica.
+func (g *planning) paceGain(m *modelState, e *engine) float64 {
+	if e.speed() == 1 || m.replicaCount() == 0 {
+		return 0
+	}
+	return g.gain(m, m.capacity, e.speed()) - g.gain(m, m.capacity, 1)
+}
+
 // loadExceedsObjective reports whether requests for a model would miss their objective by
 // waiting for a load of it.
 func (g *planning) loadExceedsObjective(m *modelState) bool {
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -68,7 +68,7 @@
 		if n == 0 || m.spec == nil || n >= g.engineCounts[m.unit.Service] || g.now.Before(m.backoffUntil) {
 			continue
 		}
-		if gain := g.gain(m, n); gain > minGain {
+		if gain := g.gain(m, m.capacity+float64(n-m.replicaCount()), 1); gain > minGain {
 			out = append(out, scaleUp{m, gain})
 		}
 	}
@@ -126,6 +126,7 @@
 			continue
 		}
 		c, ok := g.candidate(e, m, o.urgent)
+		c.loss -= g.paceGain(m, e)
 		if !ok || c.loss > o.maxLoss || c.fromStore && !o.fromStore {
 			continue
 		}
