choose: lanes keep long prompts apart from streams

Change: among the replicas of a model the fast ones, or else a third, form the lane of streams; requests are spread by weighted rendezvous hashing, with weights that follow pace and load.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -9,7 +9,9 @@
 // do. A [Health] per replica ejects the replica while it fails.
 package choose
 
-import "time"
+import (
+	"time"
+)
 
 // Replica is the state of a candidate replica, as one node knows it, for one request.
 type Replica struct {
@@ -42,6 +44,23 @@
 	Spread  uint64
 	// HasPrefix is true if the replica is the one most likely to have the beginning of the prompt in its cache.
 	HasPrefix bool
+	// Pace is how long the engine takes for the same work, 1 for the median of its service; 0 if unknown.
+	Pace float64
+	// Order orders replicas of the same pace, equally at all nodes.
+	Order uint64
+	// Load is the recent load of all nodes there, in concurrent requests.
+	Load int
+	// Home is true if the replica is that of [Lanes] for the request, and Prompt is the length of its prompt in tokens.
+	Home   bool
+	Prompt int
+}
+
+// pace returns the pace of the replica, 1 if it is unknown.
+func (r *Replica) pace() float64 {
+	if r.Pace <= 0 {
+		return 1
+	}
+	return r.Pace
 }
 
 // reportTTL is how long a reported load is used.
@@ -58,6 +77,13 @@
 // cacheBonus is the load subtracted for the replica that likely has the beginning of the prompt in its cache.
 const cacheBonus = 2
 
+// homeBonus is the load subtracted for the home of a request, as a part of the load that its prompt counts as; minHomeBonus
+// is its least value. A request leaves its home for requests of its own node only if that has much work of its own there.
+const (
+	homeBonus    = 0.5
+	minHomeBonus = 12
+)
+
 // Weights of suspects, which are requests suspected of crashing engines.
 const (
 	// suspectPenalty is the load added per suspect at a replica if the request is a suspect itself: after a crash
@@ -99,7 +125,10 @@
 		load += hallPenalty
 	}
 	load += r.UnreadTokens / promptTokensPerLoad
-	if r.HasPrefix {
+	switch {
+	case r.Home:
+		load -= max(minHomeBonus, int(homeBonus*float64(r.Prompt)/promptTokensPerLoad))
+	case r.HasPrefix:
 		load -= cacheBonus
 	}
 	if r.Avoid {
