traffic, placer, peer, caller: paces and loads of endpoints are shared and used

Cause: 81 nodes see one request in 81 each, so that none of them knows how fast or how loaded an engine is.

Log fields home, pace and load; metrics paces, loads, atHome, awayFromHome.

--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -245,6 +245,7 @@
 	// overdueConfig tracks whether the configuration is confirmed in time.
 	overdueConfig overdueConfig
 	builds        builds
+	paces         paces
 	// boundUnheld is true if a node of this fleet may miss the platform's bound.
 	boundUnheld bool
 }
@@ -266,6 +267,7 @@
 	c.quotas.init(o.Self.Incarnation, o.Tolerance)
 	c.suspects.init(&c.o)
 	c.runLocks.locks = quarantine.NewRunLocks()
+	c.paces.init()
 	c.leaseUncertain.Store(true)
 	divided, pooled := o.Retries.Split()
 	c.allowance, c.pooledRetries = retry.NewAllowance(divided), pooled
@@ -472,6 +474,8 @@
 	c.terms++
 	c.termPublished = true
 	c.published.begin(fmt.Sprintf("%s/%d", c.o.Self.Incarnation, c.terms), fence, c.allowance.Nodes(now), c.directory.Records(now), c.listedTo)
+	c.paces.beginTerm(now)
+	c.published.publishPaces(c.paces.published, c.paces.loads)
 }
 
 // listTimeout is how long a lease holder may take to read the list of endpoints. A holder that cannot read it stops
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -226,6 +226,7 @@
 	c.setTakeoverDelay(s.Successor)
 	c.mergeHolderSuspects(s, now)
 	c.mergeSignals(s.Signals, "holder", now)
+	c.receivePaces(s)
 	c.applyRelayed(s, now, m)
 	c.updateRelay(s, m, now)
 }
@@ -409,7 +410,7 @@
 		return
 	}
 	c.dirty, c.reportedAt, c.reporting = false, now, true
-	r := &peer.Report{Node: c.o.Self.Holder, Address: c.o.Self.Address, Hall: c.o.Hall, Strength: c.o.Strength, StoreUnreachable: c.storeUnavailable(now), Stopping: c.stopping.Load(), CutOff: c.cutOff(), Partitioned: c.quotas.partitioned(), Use: c.wireUses(now), Misses: c.unreportedMisses}
+	r := &peer.Report{Node: c.o.Self.Holder, Address: c.o.Self.Address, Hall: c.o.Hall, Strength: c.o.Strength, StoreUnreachable: c.storeUnavailable(now), Stopping: c.stopping.Load(), CutOff: c.cutOff(), Partitioned: c.quotas.partitioned(), Use: c.wireUses(now), Misses: c.unreportedMisses, Gaps: peer.EncodeGaps(c.o.Dispatcher.TakeGaps())}
 	c.unreportedMisses = nil
 	to := c.reportSuspects(r, h.Incarnation, now)
 	signalsTo := c.reportSignals(r, h.Incarnation, now)
@@ -467,7 +468,7 @@
 		if !ok {
 			continue
 		}
-		out = addUse(out, placement.Usage{Unit: unit, Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Objective: u.Objective, NextDue: u.Urgent, LastDue: u.Last, RunningAt: u.RunningAt})
+		out = addUse(out, placement.Usage{Unit: unit, Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, Objective: u.Objective, NextDue: u.Urgent, LastDue: u.Last, RunningAt: u.RunningAt, ReadingAt: u.ReadingAt})
 	}
 	return out
 }
@@ -480,7 +481,7 @@
 		return append(uses, u)
 	}
 	o := &uses[i]
-	o.Waiting, o.Arrivals, o.Deferred = o.Waiting+u.Waiting, o.Arrivals+u.Arrivals, o.Deferred+u.Deferred
+	o.Waiting, o.Arrivals, o.Deferred, o.Late = o.Waiting+u.Waiting, o.Arrivals+u.Arrivals, o.Deferred+u.Deferred, o.Late+u.Late
 	if o.Objective == 0 || u.Objective > 0 && u.Objective < o.Objective {
 		o.Objective = u.Objective
 	}
@@ -490,6 +491,9 @@
 	if u.LastDue.After(o.LastDue) {
 		o.LastDue = u.LastDue
 	}
+	for endpoint, n := range u.ReadingAt {
+		o.ReadingAt[endpoint] += n
+	}
 	for endpoint, n := range u.RunningAt {
 		o.RunningAt[endpoint] += n
 	}
@@ -499,7 +503,7 @@
 func (c *Controller) wireUses(now time.Time) []peer.PoolUsage {
 	var out []peer.PoolUsage
 	for _, u := range c.uses(now) {
-		w := peer.PoolUsage{Pool: u.Unit.Pool(), Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, ObjectiveMs: u.Objective.Milliseconds(), RunningAt: u.RunningAt}
+		w := peer.PoolUsage{Pool: u.Unit.Pool(), Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, ObjectiveMs: u.Objective.Milliseconds(), RunningAt: u.RunningAt, ReadingAt: u.ReadingAt}
 		if !u.NextDue.IsZero() {
 			w.UrgentInMs, w.LastInMs = u.NextDue.Sub(now).Milliseconds(), u.LastDue.Sub(now).Milliseconds()
 		}
--- a/internal/placer/mirror.go
+++ b/internal/placer/mirror.go
@@ -30,7 +30,7 @@
 
 // mirrorAll starts to mirror a lease holder's publication, from a snapshot and the complete state that this node has
 // built from earlier ones.
-func (p *publication) mirrorAll(s *peer.Snapshot, serving map[string][]string, records []directory.Record, listedTo uint64) {
+func (p *publication) mirrorAll(s *peer.Snapshot, serving map[string][]string, paces map[string]float64, loads map[string]int, records []directory.Record, listedTo uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.incarnation, p.version, p.deltasFrom, p.full = s.Term, s.Version, s.Version, nil
@@ -38,6 +38,8 @@
 	for id, pools := range serving {
 		p.serving[id] = servingEntry{pools: pools, version: s.Version}
 	}
+	p.paces, p.loads = make(versioned[float64], len(paces)), make(versioned[int], len(loads))
+	p.setPaces(paces, loads, s.Version)
 	p.store.instances, p.store.listedTo = recordsOf(records, s.Version), listedTo
 	p.peersVersion, p.store.takersVersion, p.store.evacuationsVersion, p.feedersVersion = s.Version, s.Version, s.Version, s.Version
 	p.wakeWatchers()
@@ -54,6 +56,7 @@
 		p.serving[id] = servingEntry{pools: pools, version: s.Version}
 		delete(p.removedAt, id)
 	}
+	p.setPaces(s.Paces, s.Loads, s.Version)
 	for _, id := range s.Removed {
 		delete(p.serving, id)
 		p.removedAt[id] = s.Version
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -4,11 +4,14 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"olivetiller/core/admit"
+	"olivetiller/core/choose"
+	"olivetiller/core/pace"
 	"olivetiller/core/queue"
 	"olivetiller/core/refusal"
 	"olivetiller/core/region"
@@ -68,6 +71,14 @@
 	withheld map[string]int64
 	// retriesGranted and retriesDenied are Totals.RetriesGranted and Totals.RetriesDenied.
 	retriesGranted, retriesDenied int64
+	// gaps are the samples since the last call of TakeGaps. paces holds the paces of the endpoints that are far faster or
+	// slower than the median of their service, by name.
+	gaps  []pace.Sample
+	paces map[string]float64
+	// atHome and awayFromHome are Totals.AtHome and Totals.AwayFromHome.
+	atHome, awayFromHome atomic.Int64
+	// mixes are the mixes of prompts by service.
+	mixes map[string]*choose.Mix
 	// evacuated is the set of data halls whose endpoints get no requests.
 	evacuated map[string]bool
 	// regions maps each data hall to its region.
@@ -84,7 +95,7 @@
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
 		view: &view.View{}, pools: make(map[poolKey]*pool), endpointStates: make(map[string]*endpointState),
 		budgets: make(map[string]*retry.Budget), retries: retry.DefaultLimits,
-		signals: signal.NewRegistry(), withheld: make(map[string]int64),
+		signals: signal.NewRegistry(), withheld: make(map[string]int64), paces: make(map[string]float64), mixes: make(map[string]*choose.Mix),
 		stopped: make(chan struct{}),
 	}
 }
@@ -150,6 +161,7 @@
 	}
 	b := d.budget(p, &req)
 	if !req.Retry || req.Resend {
+		d.countPrompt(p, &req, start)
 		if err := p.admit(req, b, start); err != nil {
 			d.mu.Unlock()
 			return nil, err
@@ -217,9 +229,10 @@
 
 // slot returns the Slot for a request at a candidate. The request arrived at start and got the slot at now.
 func (d *Dispatcher) slot(p *pool, cand candidate, req *SlotRequest, start, now time.Time, cold bool) *Slot {
+	d.countHome(&cand)
 	return &Slot{
 		Endpoint: cand.Endpoint, Waited: now.Sub(start), Cold: cold,
-		OtherEndpoints: cand.otherEndpoints, dispatcher: d, pool: p, endpointState: cand.endpointState, grantedAt: now, prompt: req.Prompt, mayCrashEngine: req.mayCrashEngine(), limit: cand.limit,
+		OtherEndpoints: cand.otherEndpoints, Choice: cand.choice, dispatcher: d, pool: p, endpointState: cand.endpointState, grantedAt: now, prompt: req.Prompt, mayCrashEngine: req.mayCrashEngine(), limit: cand.limit,
 	}
 }
 
@@ -286,15 +299,33 @@
 func (d *Dispatcher) promptRead(s *Slot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	s.readPrompt()
+}
+
+// readPrompt undoes what addRunning counts for the prompt.
+func (s *Slot) readPrompt() {
 	s.endpointState.prompts -= s.prompt
+	if s.prompt >= choose.LongPrompt {
+		s.pool.addReading(s.Endpoint.Name, -s.prompt)
+	}
 	s.prompt = 0
 }
 
+// addReading adds to the length of the long prompts that are not read yet at an endpoint.
+func (p *pool) addReading(endpoint string, tokens int) {
+	if p.readingAt[endpoint] += tokens; p.readingAt[endpoint] <= 0 {
+		delete(p.readingAt, endpoint)
+	}
+}
+
 // addRunning counts a request as running at a candidate.
 func (p *pool) addRunning(cand candidate, req *SlotRequest) {
 	cand.endpointState.running++
 	cand.endpointState.charging = cand.limit > 0
 	cand.endpointState.prompts += req.Prompt
+	if req.Prompt >= choose.LongPrompt {
+		p.addReading(cand.Name, req.Prompt)
+	}
 	if req.mayCrashEngine() {
 		cand.endpointState.suspectRequests++
 	}
@@ -341,8 +372,7 @@
 // removeRunning undoes addRunning, except for the endpoint's running count, which endpointState.recordResult
 // decrements.
 func (s *Slot) removeRunning() {
-	s.endpointState.prompts -= s.prompt
-	s.prompt = 0
+	s.readPrompt()
 	if s.mayCrashEngine {
 		s.endpointState.suspectRequests--
 	}
@@ -427,7 +457,7 @@
 func (d *Dispatcher) pool(k poolKey) *pool {
 	p := d.pools[k]
 	if p == nil {
-		p = &pool{poolKey: k, queue: queue.New(d.limits), runningAt: make(map[string]int), rotation: firstRotation(d.node, k.name)}
+		p = &pool{poolKey: k, queue: queue.New(d.limits), runningAt: make(map[string]int), readingAt: make(map[string]int), rotation: firstRotation(d.node, k.name)}
 		p.basePool, p.regions = region.SplitPool(k.name)
 		p.model = new(admit.Model)
 		if k.bound {
@@ -506,7 +536,7 @@
 			ep.backoffUntil = d.signals.BackoffUntil(ep.incarnationID)
 			d.endpointStates[e.Name] = ep
 		}
-		ep.build, ep.hall, ep.address, ep.coldUntil, ep.coldRate, ep.slots = e.Build, e.Hall, e.Address, e.ColdUntil, e.ColdRate, e.Concurrency
+		ep.build, ep.hall, ep.address, ep.coldUntil, ep.coldRate, ep.slots, ep.pace = e.Build, e.Hall, e.Address, e.ColdUntil, e.ColdRate, e.Concurrency, d.paceOf(e.Name)
 		d.setLimits(ep, now)
 		out = append(out, candidate{Endpoint: e, endpointState: ep})
 	}
--- a/internal/traffic/endpoint_state.go
+++ b/internal/traffic/endpoint_state.go
@@ -21,6 +21,10 @@
 	running int
 	// prompts is the total length, in tokens, of this node's prompts that the endpoint has not read yet.
 	prompts int
+	// pace is how long the endpoint takes for the same work, 1 for the median of its service.
+	pace float64
+	// load is the recent load of all nodes at the endpoint, in concurrent requests.
+	load int
 	// suspectRequests counts this node's requests at the endpoint that may crash its engine.
 	suspectRequests int
 	// window bounds this node's concurrent requests at the endpoint.
@@ -57,7 +61,7 @@
 // replica returns the endpoint's state at now in the form that choose.Pick takes. hall is the data hall of this node.
 func (ep *endpointState) replica(hall string, now time.Time) choose.Replica {
 	return choose.Replica{
-		Engine: ep.name, SameHall: ep.hall == hall, Running: ep.running, UnreadTokens: ep.prompts,
+		Engine: ep.name, SameHall: ep.hall == hall, Running: ep.running, UnreadTokens: ep.prompts, Pace: ep.pace,
 		Suspects: ep.suspectRequests, Reported: ep.reported, ReportedAt: ep.reportedAt, Window: ep.window, Health: &ep.health, Closed: ep.charging || now.Before(ep.unavailableUntil()) || ep.share > 0 && ep.running >= ep.share,
 	}
 }
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -39,6 +39,10 @@
 	// running counts the running requests of this node, and runningAt the same by endpoint name.
 	running   int
 	runningAt map[string]int
+	// readingAt is the length in tokens, by endpoint name, of this node's long prompts that are not read yet.
+	readingAt map[string]int
+	// mix is that of the requests for the service's models; nil for a plain service.
+	mix *choose.Mix
 	// acquiring counts the calls of Acquire that use the pool; it is kept only for pools that are restricted to a build.
 	acquiring int
 	// outsideRegions is set when the unit has endpoints, but none in a region that may serve the pool's requests.
@@ -52,6 +56,8 @@
 	objective time.Duration
 	// retryHints counts the requests refused with a retry hint since the last call of Usage.
 	retryHints int
+	// late counts the answers since the last call of Usage that came late; see Slot.ObserveLate.
+	late int
 	// reported is the last demand report that differed from the one before.
 	reported demand.Report
 	// coldSince is when the first request arrived that waits while the pool has no endpoint; zero if none does.
@@ -83,6 +89,8 @@
 	otherEndpoints int
 	// limit is the endpoint's rate limit when it was picked, in requests a second; 0 for none.
 	limit float64
+	// choice is Slot.Choice.
+	choice Choice
 }
 
 // admit refuses a request that cannot meet its deadline. The first attempt counts in the retry budget.
@@ -129,15 +137,17 @@
 		return candidate{}, false
 	}
 	p.rotation++
-	affinityEndpoint := p.affinityEndpoint(req.Affinity)
+	affinityEndpoint, home := p.affinityEndpoint(req.Affinity), p.home(req)
 	replicas := make([]choose.Replica, 0, n)
 	for i := range n {
 		cand := p.endpoints[(i+p.rotation)%n]
 		r := cand.endpointState.replica(hall, now)
+		r.Prompt = req.Prompt
 		r.Closed = r.Closed || req.SkipLimited && cand.endpointState.limit > 0
 		r.Closed = r.Closed || req.Resumable && newBuilds[origin.Origin{Service: req.Service, Build: cand.Build}]
 		r.Avoid = n > 1 && slices.Contains(req.Avoid, cand.Name)
 		r.HasPrefix = cand.Name == affinityEndpoint
+		r.Home = cand.Name == home
 		if req.mayCrashEngine() {
 			r.Suspect, r.Spread = true, mix(xxhash.Sum64(req.RequestFingerprint[:])^xxhash.Sum64String(cand.Name))
 		}
@@ -149,6 +159,7 @@
 	}
 	cand := p.endpoints[(i+p.rotation)%n]
 	cand.otherEndpoints, cand.limit = n-1, cand.endpointState.limit
+	cand.choice = Choice{Home: home, Pace: cand.endpointState.pace, Load: cand.endpointState.load}
 	return cand, true
 }
 
@@ -158,6 +169,24 @@
 	return int(xxhash.Sum64String(node+"\x00"+pool) >> 2)
 }
 
+// home returns the name of the endpoint to which [choose.Lanes] sends a request; "" if the pool's service has no need of
+// lanes, or there is nothing to choose from.
+func (p *pool) home(req *SlotRequest) string {
+	if len(p.endpoints) < 2 || req.Prompt <= 0 || p.mix == nil || !p.mix.Long() {
+		return ""
+	}
+	replicas := make([]choose.Replica, len(p.endpoints))
+	for i, cand := range p.endpoints {
+		replicas[i] = choose.Replica{Engine: cand.Name, Pace: cand.endpointState.pace, Load: cand.endpointState.load, Order: mix(xxhash.Sum64String(cand.Name))}
+	}
+	key := req.Affinity
+	if req.Prompt < choose.LongPrompt || key == 0 {
+		key = xxhash.Sum64(req.RequestFingerprint[:])
+	}
+	i := choose.NewLanes(replicas).Home(req.Prompt, func(i int) uint64 { return mix(xxhash.Sum64String(p.endpoints[i].Name) ^ key) })
+	return p.endpoints[i].Name
+}
+
 // affinityEndpoint returns the name of the endpoint that most likely has the beginning of the prompt cached, by
 // rendezvous hashing; "" if the request has no affinity key.
 func (p *pool) affinityEndpoint(affinity uint64) string {
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -90,6 +90,9 @@
 	// OtherEndpoints is the number of other endpoints that the pool had when the slot was granted.
 	OtherEndpoints int
 
+	// Choice is what the endpoint was chosen by.
+	Choice Choice
+
 	dispatcher    *Dispatcher
 	pool          *pool
 	endpointState *endpointState
@@ -102,6 +105,16 @@
 	limit float64
 }
 
+// Choice holds the inputs of the choice of an endpoint beside this node's own requests there.
+type Choice struct {
+	// Home is the endpoint to which requests of this kind go, see [choose.Lanes]; "" if the request was sent by load alone.
+	Home string
+	// Pace and Load are those of the chosen endpoint: how long it takes for the same work, 1 for the median of its service, and
+	// its recent requests of all nodes.
+	Pace float64
+	Load int
+}
+
 // Result is the outcome of a request at its endpoint.
 type Result struct {
 	// Err is nil when the endpoint answered.
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -41,6 +41,13 @@
 	// that endpoints asked of this node.
 	Draining []string         `json:"leavingEndpoints"`
 	Backoffs map[string]int64 `json:"restingEndpoints"`
+	// Paces holds the paces of the endpoints that are far faster or slower than the median of their service, and Loads the
+	// recent loads of endpoints in concurrent requests of all nodes, both by name.
+	Paces map[string]float64 `json:"paces"`
+	Loads map[string]int     `json:"loads"`
+	// AtHome and AwayFromHome count the requests that [choose.Lanes] sent to an endpoint, by whether it took them.
+	AtHome       int64 `json:"atHome"`
+	AwayFromHome int64 `json:"awayFromHome"`
 	// HeldByLimit counts how often a request lost its slot because the endpoint's rate limit had no capacity.
 	// Withheld counts the requests that CheckSend withheld, by WithheldError.By.
 	HeldByLimit int64            `json:"heldByLimit"`
@@ -53,6 +60,13 @@
 	defer d.mu.Unlock()
 	t := Totals{RetryReserve: d.retries.Reserve, Limited: d.signals.Limits(), Backoffs: d.signals.Backoffs(d.clock.Now()), HeldByLimit: d.heldByLimit, Withheld: maps.Clone(d.withheld),
 		RetriesGranted: d.retriesGranted, RetriesDenied: d.retriesDenied}
+	t.AtHome, t.AwayFromHome = d.atHome.Load(), d.awayFromHome.Load()
+	t.Paces, t.Loads = maps.Clone(d.paces), make(map[string]int)
+	for name, ep := range d.endpointStates {
+		if ep.load > 0 {
+			t.Loads[name] = ep.load
+		}
+	}
 	for _, l := range d.signals.DrainingIncarnations() {
 		t.Draining = append(t.Draining, l.Endpoint)
 	}
@@ -75,6 +89,8 @@
 	Arrivals int
 	// Deferred counts the requests refused with a retry hint since the last call.
 	Deferred int
+	// Late counts the answers since the last call that came late from endpoints that read long prompts beside them.
+	Late int
 	// Objective is the smallest latency objective among the arrivals; 0 if none has one.
 	Objective time.Duration
 	// Urgent is the earliest queue deadline among the waiting requests that is not past, or the earliest of all if
@@ -82,6 +98,8 @@
 	Urgent, Last time.Time
 	// RunningAt counts the running requests by endpoint name.
 	RunningAt map[string]int
+	// ReadingAt is the length in tokens, by endpoint name, of the long prompts that are not read yet.
+	ReadingAt map[string]int
 }
 
 // Usage returns the usage of every pool that has work or has had any since the last call.
@@ -91,12 +109,12 @@
 	now := d.clock.Now()
 	var out []Usage
 	for _, p := range d.pools {
-		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.retryHints == 0 {
+		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.retryHints == 0 && p.late == 0 {
 			continue
 		}
-		u := Usage{Pool: p.name, Bound: p.bound, Build: p.build, Waiting: p.queue.Len(), Arrivals: p.arrivals, Deferred: p.retryHints, Objective: p.objective, RunningAt: maps.Clone(p.runningAt)}
+		u := Usage{Pool: p.name, Bound: p.bound, Build: p.build, Waiting: p.queue.Len(), Arrivals: p.arrivals, Deferred: p.retryHints, Late: p.late, Objective: p.objective, RunningAt: maps.Clone(p.runningAt), ReadingAt: maps.Clone(p.readingAt)}
 		u.Urgent, u.Last, _ = p.queue.Due(now)
-		p.arrivals, p.retryHints, p.objective = 0, 0, 0
+		p.arrivals, p.retryHints, p.late, p.objective = 0, 0, 0, 0
 		out = append(out, u)
 	}
 	return out
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -273,6 +273,7 @@
 func (s *Server) recordSlot(x *Exchange, slot *traffic.Slot) {
 	x.Progress.Waited += slot.Waited
 	x.Progress.Cold = x.Progress.Cold || slot.Cold
+	x.Progress.Choice = slot.Choice
 	if slot.Cold {
 		s.Metrics.ColdStart.Record(slot.Waited.Milliseconds())
 	}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -10,6 +10,7 @@
 	"olivetiller/core/origin"
 	"olivetiller/core/quarantine"
 	"olivetiller/core/view"
+	"olivetiller/internal/traffic"
 	pb "olivetiller/proto/olivetiller/v1"
 )
 
@@ -121,6 +122,8 @@
 	Endpoint string
 	// Build is the version of that endpoint's software.
 	Build directory.Build
+	// Choice is what the latest attempt's endpoint was chosen by.
+	Choice traffic.Choice
 	// Gateway is the address of the node by way of which the latest attempt went; "" if it went directly.
 	Gateway string
 	// Waited is the total time spent waiting for slots.
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -77,6 +77,9 @@
 		"expectedMs", t.Expected.Milliseconds(), "firstEventMs", t.FirstEvent.Milliseconds(),
 		"longestPauseMs", t.LongestPause.Milliseconds(),
 	}
+	if c := t.Choice; c.Home != "" {
+		args = append(args, "home", c.Home, "pace", c.Pace, "load", c.Load)
+	}
 	if x.Resumes.Stated() {
 		args = append(args, "resumes", x.Resumes.Of, "position", x.Resumes.Position)
 	}
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"olivetiller/core/pace"
 	"olivetiller/core/retry"
 	"olivetiller/core/view"
 	"olivetiller/internal/isolation"
@@ -67,6 +68,8 @@
 	// stall is the stall watch of the current attempt.
 	stall *stall
 	s     *Server
+	// gaps are the times between the events of the current attempt.
+	gaps pace.Gaps
 	// lastEvent is when the latest event was forwarded, in Unix nanoseconds by the server's clock.
 	lastEvent int64
 }
@@ -101,7 +104,8 @@
 		if r.relayed > 0 {
 			s.Metrics.Resumed.Add(1)
 		}
-		r.head, r.slot, r.endpoint, r.connectedAt = resp.Header, slot, slot.Endpoint, resp.ConnectedAt
+		r.head, r.slot, r.endpoint, r.connectedAt, r.gaps = resp.Header, slot, slot.Endpoint, resp.ConnectedAt, pace.Gaps{}
+		defer func() { r.observe(slot) }()
 		if err := r.copy(ctx, resp.Body); err != nil {
 			var unconfirmed *unconfirmedError
 			if errors.As(err, &unconfirmed) {
@@ -259,6 +263,16 @@
 	}
 }
 
+// observe reports to the dispatcher how fast the endpoint of the current attempt was, and whether it was late.
+func (r *relay) observe(slot *traffic.Slot) {
+	slot.ObserveGaps(&r.gaps)
+	t, p := &r.x.Target, &r.x.Progress
+	begun := slot.GrantedAt().Sub(r.x.Start)
+	if t.Pause > 0 && p.LongestPause > t.Pause || t.Objective > 0 && begun < t.Objective/2 && p.FirstEvent > t.Objective {
+		slot.ObserveLate()
+	}
+}
+
 const nanosPerMilli = 1e6
 
 // recordTiming records the time of an event since the start or the event before.
@@ -268,6 +282,7 @@
 		r.s.Metrics.FirstToken.Record((now - r.x.Start.UnixNano()) / nanosPerMilli)
 	} else {
 		r.x.Progress.LongestPause = max(r.x.Progress.LongestPause, time.Duration(now-r.lastEvent))
+		r.gaps.Add(time.Duration(now - r.lastEvent))
 		r.s.Metrics.BetweenTokens.Record((now - r.lastEvent) / nanosPerMilli)
 	}
 	r.lastEvent = now
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -81,6 +81,8 @@
 	Waiting  int             `json:"waiting,omitempty"`
 	Arrivals int             `json:"arrivals,omitempty"`
 	Deferred int             `json:"sentAway,omitempty"`
+	// Late counts the answers since the previous report that came late though they had a slot in time.
+	Late int `json:"late,omitempty"`
 	// ObjectiveMs is the shortest latency objective among the arrivals, in milliseconds; 0 if none has one.
 	ObjectiveMs int64 `json:"objectiveMs,omitempty"`
 	// UrgentInMs and LastInMs are the times, in milliseconds, until the most urgent and the least urgent waiting
@@ -88,6 +90,8 @@
 	UrgentInMs int64          `json:"urgentInMs,omitempty"`
 	LastInMs   int64          `json:"lastInMs,omitempty"`
 	RunningAt  map[string]int `json:"runningAt,omitempty"`
+	// ReadingAt is the length in tokens, by engine, of the long prompts that are not read yet.
+	ReadingAt map[string]int `json:"readingAt,omitempty"`
 }
 
 // Miss reports that an engine did not hold the unit of a request that it received.
@@ -118,6 +122,8 @@
 	Suspects []Suspect `json:"suspects,omitempty"`
 	// Signals are the endpoints' own signals that the node has observed, if they changed.
 	Signals []Signal `json:"signals,omitempty"`
+	// Gaps are the undisturbed gaps of streams that ended since the previous report.
+	Gaps []Gap `json:"gaps,omitempty"`
 }
 
 // Snapshot is the lease holder's answer to a watch request: a delta against the requester's version, or the full state.
@@ -162,6 +168,11 @@
 	// has merged them.
 	Signals   []Signal `json:"signals,omitempty"`
 	SignalsTo uint64   `json:"signalsTo,omitempty"`
+	// Paces are the paces of endpoints that changed, by name: 1 for the median of the service, 2 for an endpoint that
+	// takes twice as long.
+	Paces map[string]float64 `json:"paces,omitempty"`
+	// Loads are the loads of endpoints that changed, in concurrent requests of all nodes, by name.
+	Loads map[string]int `json:"loads,omitempty"`
 	// VerdictsKnown is true once the holder has read the quarantine verdicts from the store.
 	VerdictsKnown bool `json:"verdictsKnown,omitempty"`
 	StoreState
