placer: the ledger of builds follows a configuration at once

Cause: callers whose streams broke off as all nodes ended were refused (streamUnknown) where a configuration had come into force since the last renewal of the lease: no record took it into account, so that any stream might have moved.

Change: a ledger that does not take the configuration in force into account is urgent like one that lacks a build: the record is written after 50 ms at most instead of at the next renewal. What remains of the window is an append and that time.

Result: TestLedgerFollowsConfigurationAtOnce failed before.

--- a/internal/placer/builds.go
+++ b/internal/placer/builds.go
@@ -96,10 +96,11 @@
 	}
 }
 
-// lacksBuild reports whether the ledger of the latest record lacks a build of an endpoint that takes requests.
-func (c *Controller) lacksBuild() bool {
+// ledgerBehind reports whether the ledger of the latest record lacks a build of an endpoint that takes requests, or does not
+// take the configuration in force into account. If all nodes end meanwhile, streams that are taken up then are refused.
+func (c *Controller) ledgerBehind() bool {
 	l, _ := c.lease.Ledger()
-	if l == nil {
+	if l == nil || l.Config < c.config.Load().version() {
 		return true
 	}
 	for o := range c.index.builds() {
