placement: late answers are worth a replica as they are counted

Cause: a further replica had to gain twice the loss of what makes way, since its gain was an estimate; late answers are counted.

Change: their part of the gain needs no such reserve.

--- a/core/placement/value.go
+++ b/core/placement/value.go
@@ -56,14 +56,16 @@
 
 // gain returns how many late requests a second a model avoids if its engines have more capacity. capacity and added are in
 // engines of the median pace. Requests for other models are assumed to stay at its current engines.
-//
-// Where more answers come late than the load explains, because long prompts are read beside streams, those count: one more
-// replica keeps some of them apart.
 func (g *planning) gain(m *modelState, capacity, added float64) float64 {
 	slots := g.slots(m.unit.Service)
 	runs := m.recentPeak + g.otherRequests(m)
-	expected := m.rate * (lateShare(runs/capacity, slots) - lateShare(runs/(capacity+added), slots))
-	return max(expected, m.lateRate*added/(capacity+added))
+	return max(m.rate*(lateShare(runs/capacity, slots)-lateShare(runs/(capacity+added), slots)), m.lateGain(capacity, added))
+}
+
+// lateGain is gain by the answers that come late now: more of them do than the load explains where long prompts are read beside
+// streams, and one more replica keeps some of them apart.
+func (m *modelState) lateGain(capacity, added float64) float64 {
+	return m.lateRate * added / (capacity + added)
 }
 
 // otherRequests returns how many requests for other models run at the engines of a model.
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -56,8 +56,8 @@
 // scaleUp is a busy model that would gain by one more replica.
 type scaleUp struct {
 	*modelState
-	// gain is the number of late requests a second that the replica avoids.
-	gain float64
+	// gain is the number of late requests a second that the replica avoids, and lateGain is modelState.lateGain.
+	gain, lateGain float64
 }
 
 // scaleUps returns the models that gain by one more replica, those of the greatest gain first.
@@ -68,8 +68,9 @@
 		if n == 0 || m.spec == nil || n >= g.engineCounts[m.unit.Service] || g.now.Before(m.backoffUntil) {
 			continue
 		}
-		if gain := g.gain(m, m.capacity+float64(n-m.replicaCount()), 1); gain > minGain {
-			out = append(out, scaleUp{m, gain})
+		capacity := m.capacity + float64(n-m.replicaCount())
+		if gain := g.gain(m, capacity, 1); gain > minGain {
+			out = append(out, scaleUp{m, gain, m.lateGain(capacity, 1)})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool {
@@ -100,7 +101,7 @@
 func (g *planning) replicate(urgent bool) {
 	for _, r := range g.scaleUps() {
 		if (r.gain >= urgentGain) == urgent {
-			o := replicaOptions{maxLoss: (r.gain - minGain) / gainFactor, urgent: urgent, fromStore: r.pendingReplicas == 0}
+			o := replicaOptions{maxLoss: max((r.gain-minGain)/gainFactor, r.lateGain-minGain), urgent: urgent, fromStore: r.pendingReplicas == 0}
 			g.addReplica(r.modelState, o, "more replicas for a busy model")
 		}
 	}
