--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -9,9 +9,7 @@
 // do. A [Health] per replica ejects the replica while it fails.
 package choose
 
-import (
-	"time"
-)
+import "time"
 
 // Replica is the state of a candidate replica, as one node knows it, for one request.
 type Replica struct {
@@ -105,7 +103,7 @@
 	var bestScore int
 	for i := range replicas {
 		r := &replicas[i]
-		if r.Closed || !r.Window.HasRoom(r.Running, now) || !r.Health.Admits(now, r.Running) {
+		if !r.Admits(now) {
 			continue
 		}
 		if s := r.score(now); best < 0 || s < bestScore {
@@ -115,6 +113,11 @@
 	return best
 }
 
+// Admits reports whether the replica takes a request now.
+func (r *Replica) Admits(now time.Time) bool {
+	return !r.Closed && r.Window.HasRoom(r.Running, now) && r.Health.Admits(now, r.Running)
+}
+
 // score returns the load of the replica including all penalties.
 func (r *Replica) score(now time.Time) int {
 	load := r.Running
@@ -126,6 +129,7 @@
 	}
 	load += r.UnreadTokens / promptTokensPerLoad
 	switch {
+	case r.Avoid:
 	case r.Home:
 		load -= max(minHomeBonus, int(homeBonus*float64(r.Prompt)/promptTokensPerLoad))
 	case r.HasPrefix:
--- a/core/choose/lanes.go
+++ b/core/choose/lanes.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 )
 
 // LongPrompt is the length in tokens from which a prompt counts as long. Engines read 20 to 50 tokens in a millisecond, and
@@ -21,7 +20,7 @@
 // therefore spread by weighted rendezvous hashing: each replica gets its share of the keys, and the shares follow the
 // replicas' speeds and recent loads slowly. All nodes choose alike without messages between them.
 //
-// The load is that of a service in which long prompts are most of what engines read; see [Mix].
+// The load is that of a model with both kinds of prompts, in a service in which long ones are most of what engines read.
 type Lanes struct {
 	// long and short are the weights of the replicas for long and short prompts.
 	long, short []float64
@@ -95,30 +94,3 @@
 	}
 	return best
 }
-
-// Mix tells whether long prompts are most of what the engines of a service read. It is not safe for concurrent use.
-type Mix struct {
-	long, all float64
-	at        time.Time
-}
-
-const (
-	// mixTime is the time constant with which prompts are forgotten.
-	mixTime = 10 * time.Second
-	// minMixTokens is the least number of tokens from which the mix is known.
-	minMixTokens = 20_000
-	// longShare is the part of the tokens from which streams are kept apart from long prompts.
-	longShare = 2.0 / 3
-)
-
-// Add records a prompt.
-func (m *Mix) Add(tokens int, now time.Time) {
-	f := math.Exp(-max(0, now.Sub(m.at)).Seconds() / mixTime.Seconds())
-	m.long, m.all, m.at = m.long*f, m.all*f+float64(tokens), now
-	if tokens >= LongPrompt {
-		m.long += float64(tokens)
-	}
-}
-
-// Long reports whether long prompts are most of what is read.
-func (m *Mix) Long() bool { return m.all >= minMixTokens && m.long > longShare*m.all }
--- a/core/choose/lanes_test.go
+++ b/core/choose/lanes_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"testing"
-	"time"
 )
 
 const (
@@ -112,34 +111,6 @@
 		return lanes.Home(prompt, func(int) uint64 { return rng.Uint64() })
 	})
 	if anywhere < 0.5 || apart > 0.05 {
-		t.Errorf("%.2f of the streams are disturbed with lanes, and %.2f without, want at most 0.05, and more than 0.5", apart, anywhere)
-	}
-}
-
-func TestMix(t *testing.T) {
-	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	tests := []struct {
-		name    string
-		prompts []int
-		wait    time.Duration
-		want    bool
-	}{
-		{"nothing known", nil, 0, false},
-		{"too little known", []int{long}, 0, false},
-		{"long prompts", []int{long, short, long, short, long}, 0, true},
-		{"a few long prompts", []int{long, short, short, short, short, short, short, short, short, short, short, short, short, short, short}, 0, false},
-		{"long prompts a while ago", []int{long, long, long}, time.Minute, false},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			var m Mix
-			for i, p := range tt.prompts {
-				m.Add(p, start.Add(time.Duration(i)*100*time.Millisecond))
-			}
-			m.Add(0, start.Add(time.Second+tt.wait))
-			if got := m.Long(); got != tt.want {
-				t.Errorf("Long() = %v, want %v", got, tt.want)
-			}
-		})
+		t.Errorf("%.2f of the streams are disturbed with lanes, want at most 0.05; %.2f without, want more than 0.5", apart, anywhere)
 	}
 }
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -20,8 +20,9 @@
 
 // Sample is the undisturbed gap between two events of one stream.
 type Sample struct {
-	// Endpoint names the endpoint, and Model the service and the model that it ran.
+	// Endpoint names the endpoint, Service its service and Model the model that it ran.
 	Endpoint string
+	Service  string
 	Model    string
 	Gap      time.Duration
 }
@@ -37,12 +38,14 @@
 
 // Gaps collects the times between the events of one stream. The zero value is empty.
 type Gaps struct {
-	gaps [maxGaps]time.Duration
-	n    int
+	gaps    [maxGaps]time.Duration
+	n       int
+	longest time.Duration
 }
 
 // Add records the time between two events.
 func (g *Gaps) Add(d time.Duration) {
+	g.longest = max(g.longest, d)
 	if d < minGap {
 		return
 	}
@@ -50,6 +53,9 @@
 	g.n++
 }
 
+// Longest returns the longest gap.
+func (g *Gaps) Longest() time.Duration { return g.longest }
+
 // Undisturbed returns the lower quartile of the gaps: prompts of other requests that were read meanwhile lengthen single
 // gaps. ok is false if there are too few.
 func (g *Gaps) Undisturbed() (gap time.Duration, ok bool) {
@@ -68,7 +74,8 @@
 	sampleTTL = time.Minute
 	// returnTime is the time constant with which a pace without samples returns to 1.
 	returnTime = 30 * time.Second
-	// prior is the weight, in samples, of the assumption that an endpoint is as fast as the median.
+	// prior is the weight, in samples, of what is assumed of an endpoint before: that it is as fast as the median, or what
+	// another estimator has published.
 	prior = 1
 	// maxWeight bounds the weight of the samples of one endpoint and model.
 	maxWeight = 10
@@ -81,18 +88,18 @@
 // Estimator estimates the paces of endpoints. It is not safe for concurrent use.
 type Estimator struct {
 	observed map[pair]*observation
-	// known holds the latest estimates.
+	// known holds the latest estimates by endpoint, and seeds the logarithms of paces that another estimator has published.
 	known map[string]estimate
+	seeds map[string]float64
 }
 
-type pair struct{ endpoint, model string }
+type pair struct{ endpoint, service, model string }
 
 // observation is what the samples of one endpoint and model tell.
 type observation struct {
-	// log is the mean logarithm of the gap in seconds.
-	log float64
-	n   float64
-	at  time.Time
+	// log is the mean logarithm of the gap in seconds, and n the weight of the samples.
+	log, n float64
+	at     time.Time
 }
 
 // estimate is a pace and when the last sample of its endpoint came.
@@ -103,14 +110,14 @@
 
 // NewEstimator returns an estimator without samples.
 func NewEstimator() *Estimator {
-	return &Estimator{observed: make(map[pair]*observation), known: make(map[string]estimate)}
+	return &Estimator{observed: make(map[pair]*observation), known: make(map[string]estimate), seeds: make(map[string]float64)}
 }
 
 // Seed records paces that another estimator has published, as of now.
 func (e *Estimator) Seed(paces map[string]float64, now time.Time) {
 	for endpoint, p := range paces {
 		if p > 0 && !math.IsInf(p, 0) {
-			e.known[endpoint] = estimate{clamp(p), now}
+			e.known[endpoint], e.seeds[endpoint] = estimate{clamp(p), now}, math.Log(clamp(p))
 		}
 	}
 }
@@ -120,7 +127,7 @@
 	if s.Gap <= 0 {
 		return
 	}
-	k, log := pair{s.Endpoint, s.Model}, math.Log(s.Gap.Seconds())
+	k, log := pair{s.Endpoint, s.Service, s.Model}, math.Log(s.Gap.Seconds())
 	o := e.observed[k]
 	if o == nil {
 		o = &observation{}
@@ -135,14 +142,13 @@
 func (e *Estimator) Keep(live func(endpoint string) bool) {
 	maps.DeleteFunc(e.observed, func(k pair, _ *observation) bool { return !live(k.endpoint) })
 	maps.DeleteFunc(e.known, func(endpoint string, _ estimate) bool { return !live(endpoint) })
+	maps.DeleteFunc(e.seeds, func(endpoint string, _ float64) bool { return !live(endpoint) })
 }
 
 // Paces returns the pace of each endpoint of which anything is known.
 func (e *Estimator) Paces(now time.Time) map[string]float64 {
 	maps.DeleteFunc(e.observed, func(_ pair, o *observation) bool { return now.Sub(o.at) > sampleTTL })
-	for endpoint, est := range e.fit() {
-		e.known[endpoint] = est
-	}
+	e.fit()
 	out := make(map[string]float64, len(e.known))
 	for endpoint, est := range e.known {
 		out[endpoint] = math.Pow(est.pace, math.Exp(-now.Sub(est.at).Seconds()/returnTime.Seconds()))
@@ -153,68 +159,95 @@
 // effect is the effect of one endpoint or model on the logarithm of a gap.
 type effect struct {
 	log float64
-	// sum and weight are the weighted sum of the residuals that the effect explains, and their weight.
+	// sum and weight are the weighted sum of what the observations leave to this effect, and their weight.
 	sum, weight float64
-	at          time.Time
 }
 
-// fit separates the effects of endpoints and models: the logarithm of a gap is taken for the sum of both, and each is
-// estimated in turn while the other one is held. Models at a single endpoint tell nothing of it and are left out.
-func (e *Estimator) fit() map[string]estimate {
-	endpoints, models := make(map[string]*effect), make(map[string]*effect)
-	at := make(map[string]int)
-	for k := range e.observed {
-		at[k.model]++
+// fitted is an endpoint in a fit, and term an observation with the indices of its endpoint and model.
+type (
+	fitted struct {
+		effect
+		name, service string
+		seed          float64
+		at            time.Time
 	}
-	for k := range e.observed {
-		if at[k.model] > 1 {
-			endpoints[k.endpoint], models[k.model] = &effect{}, &effect{}
-		}
+	term struct {
+		*observation
+		endpoint, model int
 	}
+)
+
+// fit separates the effects of endpoints and models: the logarithm of a gap is taken for the sum of both, and each is
+// estimated in turn while the other one is held. Models at a single endpoint tell nothing of it and are left out.
+func (e *Estimator) fit() {
+	endpoints, models, terms := e.terms()
 	for range rounds {
-		e.accumulate(endpoints, models)
-		for _, m := range models {
-			m.log = m.sum / m.weight
+		for i := range models {
+			models[i].sum, models[i].weight = 0, 0
 		}
-		e.accumulate(endpoints, models)
-		for _, ep := range endpoints {
-			ep.log = ep.sum / (ep.weight + prior)
+		for _, t := range terms {
+			m := &models[t.model]
+			m.sum, m.weight = m.sum+t.n*(t.log-endpoints[t.endpoint].log), m.weight+t.n
+		}
+		for i := range models {
+			models[i].log = models[i].sum / models[i].weight
+		}
+		for i := range endpoints {
+			ep := &endpoints[i]
+			ep.sum, ep.weight = prior*ep.seed, prior
+		}
+		for _, t := range terms {
+			ep := &endpoints[t.endpoint]
+			ep.sum, ep.weight = ep.sum+t.n*(t.log-models[t.model].log), ep.weight+t.n
+		}
+		for i := range endpoints {
+			endpoints[i].log = endpoints[i].sum / endpoints[i].weight
 		}
 	}
-	if len(endpoints) == 0 {
-		return nil
+	logs := make(map[string][]float64)
+	for i := range endpoints {
+		logs[endpoints[i].service] = append(logs[endpoints[i].service], endpoints[i].log)
 	}
-	logs := make([]float64, 0, len(endpoints))
-	for _, ep := range endpoints {
-		logs = append(logs, ep.log)
+	for _, l := range logs {
+		slices.Sort(l)
 	}
-	slices.Sort(logs)
-	median := logs[len(logs)/2]
-	out := make(map[string]estimate, len(endpoints))
-	for name, ep := range endpoints {
-		out[name] = estimate{clamp(math.Exp(ep.log - median)), ep.at}
+	for i := range endpoints {
+		ep := &endpoints[i]
+		l := logs[ep.service]
+		e.known[ep.name] = estimate{clamp(math.Exp(ep.log - l[len(l)/2])), ep.at}
 	}
-	return out
 }
 
-// accumulate sums, for each effect, the parts of the observations that the other effects leave unexplained.
-func (e *Estimator) accumulate(endpoints, models map[string]*effect) {
-	for _, effects := range []map[string]*effect{endpoints, models} {
-		for _, f := range effects {
-			f.sum, f.weight = 0, 0
-		}
+// terms returns the endpoints, the models and the observations that a fit uses.
+func (e *Estimator) terms() (endpoints []fitted, models []effect, terms []term) {
+	type model struct{ service, name string }
+	at := make(map[model]int)
+	for k := range e.observed {
+		at[model{k.service, k.model}]++
 	}
+	endpointIndex, modelIndex := make(map[string]int), make(map[model]int)
 	for k, o := range e.observed {
-		ep, m := endpoints[k.endpoint], models[k.model]
-		if ep == nil || m == nil {
+		m := model{k.service, k.model}
+		if at[m] < 2 {
 			continue
 		}
-		ep.sum, ep.weight = ep.sum+o.n*(o.log-m.log), ep.weight+o.n
-		m.sum, m.weight = m.sum+o.n*(o.log-ep.log), m.weight+o.n
-		if o.at.After(ep.at) {
-			ep.at = o.at
+		j, ok := modelIndex[m]
+		if !ok {
+			j = len(models)
+			modelIndex[m], models = j, append(models, effect{})
+		}
+		i, ok := endpointIndex[k.endpoint]
+		if !ok {
+			i = len(endpoints)
+			endpointIndex[k.endpoint] = i
+			endpoints = append(endpoints, fitted{name: k.endpoint, service: k.service, seed: e.seeds[k.endpoint]})
+		}
+		if o.at.After(endpoints[i].at) {
+			endpoints[i].at = o.at
 		}
+		terms = append(terms, term{o, i, j})
 	}
+	return endpoints, models, terms
 }
 
 func clamp(p float64) float64 { return min(maxPace, max(1/float64(maxPace), p)) }
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -68,7 +68,11 @@
 		gap := 30 * truth(i) * model * (1 + 0.2*rng.Float64())
 		e.Add(Sample{Endpoint: fmt.Sprint(i), Model: fmt.Sprint(m), Gap: time.Duration(gap * float64(time.Millisecond))}, at(n))
 	}
-	for endpoint, p := range e.Paces(at(4000)) {
+	paces := e.Paces(at(4000))
+	if len(paces) != endpoints {
+		t.Errorf("%d paces, want %d", len(paces), endpoints)
+	}
+	for endpoint, p := range paces {
 		var i int
 		fmt.Sscan(endpoint, &i)
 		if ratio := p / truth(i); ratio < 0.8 || ratio > 1.25 {
@@ -116,6 +120,56 @@
 	if diff := cmp.Diff(map[string]float64{"a": 0.5}, rounded(e.Paces(at(0)))); diff != "" {
 		t.Errorf("paces (-want +got):\n%s", diff)
 	}
+	for _, endpoint := range []string{"a", "b", "d"} {
+		e.Add(Sample{Endpoint: endpoint, Model: "m", Gap: 30 * time.Millisecond}, at(100))
+	}
+	if got := e.Paces(at(100))["a"]; got > 0.85 {
+		t.Errorf("pace = %.2f after one sample like those of the others, want it between 0.5 and 1", got)
+	}
+	for ms := range 30 {
+		for _, endpoint := range []string{"a", "b", "d"} {
+			e.Add(Sample{Endpoint: endpoint, Model: "m", Gap: 30 * time.Millisecond}, at(200+ms))
+		}
+	}
+	if got := e.Paces(at(300))["a"]; got < 0.85 {
+		t.Errorf("pace = %.2f after many samples like those of the others, want about 1", got)
+	}
+}
+
+// TestPacesByService checks that endpoints are compared with those of their own service.
+func TestPacesByService(t *testing.T) {
+	e := NewEstimator()
+	gaps := map[string][]int{"quick": {10, 10, 10, 20}, "slow": {100, 100, 100, 50}}
+	for service, g := range gaps {
+		for i, gap := range g {
+			for range 10 {
+				for _, model := range []string{"m0", "m1"} {
+					e.Add(Sample{Endpoint: fmt.Sprint(service, i), Service: service, Model: model, Gap: time.Duration(gap) * time.Millisecond}, at(0))
+				}
+			}
+		}
+	}
+	got := e.Paces(at(0))
+	if got["quick0"] < 0.9 || got["quick0"] > 1.1 || got["quick3"] < 1.7 || got["slow0"] < 0.9 || got["slow0"] > 1.1 || got["slow3"] > 0.6 {
+		t.Errorf("paces %v, want 1 for quick0 and slow0, about 2 for quick3 and 0.5 for slow3", got)
+	}
+}
+
+// BenchmarkPaces measures an estimate for fleets of several sizes, with three models an endpoint.
+func BenchmarkPaces(b *testing.B) {
+	for _, endpoints := range []int{140, 1000, 10_000} {
+		b.Run(fmt.Sprint(endpoints, " endpoints"), func(b *testing.B) {
+			e := NewEstimator()
+			for i := range endpoints {
+				for m := range 3 {
+					e.Add(Sample{Endpoint: fmt.Sprint(i), Model: fmt.Sprint((i*7 + m*3) % (endpoints / 2)), Gap: time.Duration(30+i%7) * time.Millisecond}, at(0))
+				}
+			}
+			for b.Loop() {
+				e.Paces(at(0))
+			}
+		})
+	}
 }
 
 func TestChanged(t *testing.T) {
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -43,6 +43,8 @@
 	deadlines
 	// rate is in requests a second, and lateRate in late answers a second.
 	rate, lateRate float64
+	// tokenRate and longTokenRate are in tokens of prompts, and of long ones, a second.
+	tokenRate, longTokenRate float64
 	// lastUse and deferredAt are the latest of the model's usages.
 	lastUse, deferredAt time.Time
 	// objective is the least latency objective among the model's usages; 0 if none is known.
@@ -90,11 +92,13 @@
 // engines.
 func (m *modelState) computeStats(now time.Time) {
 	m.replicas, m.pendingReplicas, m.readySoon, m.copyCount, m.capacity = m.replicas[:0], 0, 0, 0, 0
-	m.deadlines, m.rate, m.lateRate, m.objective = deadlines{}, 0, 0, 0
+	m.deadlines, m.rate, m.lateRate, m.tokenRate, m.longTokenRate, m.objective = deadlines{}, 0, 0, 0, 0, 0
 	m.limitedReplicas, m.limitedRate = 0, 0
 	m.lastUse, m.deferredAt = time.Time{}, time.Time{}
 	for _, u := range m.usages {
 		m.lateRate += u.decayed(u.lateRate, now)
+		m.tokenRate += u.decayed(u.tokenRate, now)
+		m.longTokenRate += u.decayed(u.longTokenRate, now)
 		m.rate += rateBound(u.rateNow(now), now.Sub(u.lastUse))
 		if m.objective == 0 || u.objective > 0 && u.objective < m.objective {
 			m.objective = u.objective
@@ -105,8 +109,15 @@
 			m.add(u.deadlines(now), now)
 		}
 	}
-	m.recentReading = m.averageReading.update(float64(m.reading), now)
-	m.recentPeak = m.peak.update(float64(m.waiting+m.running), now) + m.recentReading/readingTokensPerRun
+}
+
+// averageLoad updates the model's recent load. The reading of long prompts counts if these are most of what its service reads.
+func (m *modelState) averageLoad(now time.Time, countReading bool) {
+	m.recentPeak, m.recentReading = m.peak.update(float64(m.waiting+m.running), now), 0
+	if reading := m.averageReading.update(float64(m.reading), now); countReading {
+		m.recentReading = reading
+		m.recentPeak += reading / readingTokensPerRun
+	}
 }
 
 // replicaCount returns the number of engines that serve the model.
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -150,6 +150,8 @@
 	RunningAt map[string]int
 	// Late counts the answers since the previous report that came late though they had a slot in time.
 	Late int
+	// Tokens and LongTokens are the lengths of the prompts, and of the long ones, that arrived since the previous report.
+	Tokens, LongTokens int
 	// ReadingAt is the length in tokens, by engine id, of the long prompts that are not read yet.
 	ReadingAt map[string]int
 }
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -80,8 +80,13 @@
 // times of the pending replicas.
 func (g *planning) computeStats() {
 	g.indexCopies()
+	g.mixes = make(mixes)
 	for _, m := range g.modelList {
 		m.computeStats(g.now)
+		g.mixes.add(m)
+	}
+	for _, m := range g.modelList {
+		m.averageLoad(g.now, g.mixes.long(m.unit.Service))
 	}
 	for _, e := range g.engineList {
 		e.capacities, e.running, e.pace = [2]*capacity{}, 0, g.paces[e.id]
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -39,6 +39,8 @@
 // too and call Reset when they become the holder. It is not safe for concurrent use.
 type Planner struct {
 	limits Limits
+	// mixes are the prompts of the services, as of the last plan.
+	mixes mixes
 	// paces holds the paces of engines by id; see SetPaces.
 	paces      map[string]float64
 	table      *route.Table
--- a/core/placement/usage.go
+++ b/core/placement/usage.go
@@ -34,8 +34,9 @@
 	// rate is an exponential average in requests a second, as of rateAt.
 	rate   float64
 	rateAt time.Time
-	// lateRate is the exponential average of late answers in a second, as of rateAt.
-	lateRate float64
+	// lateRate is the exponential average of late answers in a second, as of rateAt, and tokenRate and longTokenRate are those
+	// of the tokens of prompts and of long ones.
+	lateRate, tokenRate, longTokenRate float64
 	// lastUse is when a report last named an arrival or a waiting request.
 	lastUse time.Time
 	// deferredAt is when a report last counted callers refused with a retry hint; zero if none
@@ -66,6 +67,8 @@
 	u.nodes[node] = r
 	u.count(r, 1)
 	u.lateRate = u.decayed(u.lateRate, now) + float64(r.Late)/rateTimeConstant.Seconds()
+	u.tokenRate = u.decayed(u.tokenRate, now) + float64(r.Tokens)/rateTimeConstant.Seconds()
+	u.longTokenRate = u.decayed(u.longTokenRate, now) + float64(r.LongTokens)/rateTimeConstant.Seconds()
 	u.rate = u.rateNow(now) + float64(r.Arrivals)/rateTimeConstant.Seconds()
 	u.rateAt = now
 	if r.Arrivals > 0 || r.Waiting > 0 {
--- a/core/placement/value.go
+++ b/core/placement/value.go
@@ -75,6 +75,9 @@
 		n += e.running - m.runningAt[e.id]
 		reading += e.reading.value
 	}
+	if !g.mixes.long(m.unit.Service) {
+		return float64(n)
+	}
 	return float64(n) + max(0, reading-m.recentReading)/readingTokensPerRun
 }
 
@@ -86,11 +89,14 @@
 	return 0
 }
 
-// Loads returns the recent load of each engine in concurrent requests, by engine id.
+// Loads returns the recent load of each engine in concurrent requests, by engine id, in services that read long prompts for the
+// most part.
 func (p *Planner) Loads() map[string]float64 {
-	out := make(map[string]float64, len(p.engineList))
+	out := make(map[string]float64)
 	for _, e := range p.engineList {
-		out[e.id] = e.load.value
+		if p.mixes.long(e.service) {
+			out[e.id] = e.load.value
+		}
 	}
 	return out
 }
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -68,7 +68,7 @@
 		if n == 0 || m.spec == nil || n >= g.engineCounts[m.unit.Service] || g.now.Before(m.backoffUntil) {
 			continue
 		}
-		capacity := m.capacity + float64(n-m.replicaCount())
+		capacity := max(minCapacity, m.capacity+float64(n-m.replicaCount()))
 		if gain := g.gain(m, capacity, 1); gain > minGain {
 			out = append(out, scaleUp{m, gain, m.lateGain(capacity, 1)})
 		}
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -245,7 +245,7 @@
 	// overdueConfig tracks whether the configuration is confirmed in time.
 	overdueConfig overdueConfig
 	builds        builds
-	paces         paces
+	uneven        uneven
 	// boundUnheld is true if a node of this fleet may miss the platform's bound.
 	boundUnheld bool
 }
@@ -267,7 +267,7 @@
 	c.quotas.init(o.Self.Incarnation, o.Tolerance)
 	c.suspects.init(&c.o)
 	c.runLocks.locks = quarantine.NewRunLocks()
-	c.paces.init()
+	c.uneven.init()
 	c.leaseUncertain.Store(true)
 	divided, pooled := o.Retries.Split()
 	c.allowance, c.pooledRetries = retry.NewAllowance(divided), pooled
@@ -382,6 +382,7 @@
 	c.followLedger()
 	c.logRestarts()
 	c.applyDraining(now)
+	c.estimateUneven(now)
 	c.sendReport(ctx, now)
 	c.probeQuotaHolder(ctx, now)
 	c.storeVerdicts(ctx, now)
@@ -474,8 +475,8 @@
 	c.terms++
 	c.termPublished = true
 	c.published.begin(fmt.Sprintf("%s/%d", c.o.Self.Incarnation, c.terms), fence, c.allowance.Nodes(now), c.directory.Records(now), c.listedTo)
-	c.paces.beginTerm(now)
-	c.published.publishPaces(c.paces.published, c.paces.loads)
+	c.uneven.beginTerm(now)
+	c.published.publishUneven(c.uneven.Uneven)
 }
 
 // listTimeout is how long a lease holder may take to read the list of endpoints. A holder that cannot read it stops
--- a/internal/placer/feeding.go
+++ b/internal/placer/feeding.go
@@ -310,7 +310,7 @@
 	}
 	asOf := m.storeReadAt(now)
 	if !c.relay.mirrors(s.Term) || s.Full {
-		c.relay.mirrorAll(s, c.holderState.serving, c.paces.published, c.paces.loads, c.directory.Records(now), c.listedTo)
+		c.relay.mirrorAll(s, c.holderState.serving, c.uneven.Uneven, c.directory.Records(now), c.listedTo)
 	} else {
 		c.relay.mirror(s)
 	}
--- a/internal/placer/feeding_test.go
+++ b/internal/placer/feeding_test.go
@@ -186,7 +186,7 @@
 	f.holderSeenAt = s.now.Add(-transit - time.Duration(snap.HolderAgeMs)*time.Millisecond)
 	f.asOf = s.now.Add(-transit - time.Duration(snap.AgeMs)*time.Millisecond)
 	if !f.relay.mirrors(snap.Term) || snap.Full {
-		f.relay.mirrorAll(snap, f.serving, nil, nil, f.list.Records(s.now), snap.DirectoryVersion)
+		f.relay.mirrorAll(snap, f.serving, traffic.Uneven{}, f.list.Records(s.now), snap.DirectoryVersion)
 	} else {
 		f.relay.mirror(snap)
 	}
--- a/internal/placer/followers.go
+++ b/internal/placer/followers.go
@@ -49,7 +49,7 @@
 			c.o.Logger.Warn("reported use of an unknown pool skipped", "node", m.r.Node, "pool", w.Pool)
 			continue
 		}
-		u := placement.Usage{Unit: unit, Bound: w.Bound, Build: w.Build, Waiting: w.Waiting, Arrivals: w.Arrivals, Deferred: w.Deferred, Late: w.Late, Objective: time.Duration(w.ObjectiveMs) * time.Millisecond, RunningAt: w.RunningAt, ReadingAt: w.ReadingAt}
+		u := placement.Usage{Unit: unit, Bound: w.Bound, Build: w.Build, Waiting: w.Waiting, Arrivals: w.Arrivals, Deferred: w.Deferred, Late: w.Late, Tokens: w.Tokens, LongTokens: w.LongTokens, Objective: time.Duration(w.ObjectiveMs) * time.Millisecond, RunningAt: w.RunningAt, ReadingAt: w.ReadingAt}
 		if w.Waiting > 0 {
 			u.NextDue = now.Add(time.Duration(w.UrgentInMs) * time.Millisecond)
 			u.LastDue = now.Add(time.Duration(w.LastInMs) * time.Millisecond)
@@ -57,7 +57,7 @@
 		uses = append(uses, u)
 	}
 	c.planner.RecordUsage(m.r.Node, uses, now)
-	c.paces.addSamples(peer.DecodeGaps(m.r.Gaps), now)
+	c.uneven.addSamples(peer.DecodeGaps(m.r.Gaps), now)
 	for _, miss := range m.r.Misses {
 		c.planner.HandleMissing(miss.Engine, now)
 	}
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -194,6 +194,7 @@
 	r, s, now := &c.holderState, m.s, c.o.Clock.Now()
 	if s.Term != r.incarnation || s.Full {
 		r.incarnation, r.serving, r.takers = s.Term, make(map[string][]string, len(s.Serving)), nil
+		c.uneven.clear()
 		c.touchAll()
 	}
 	if !r.fresh {
@@ -226,8 +227,8 @@
 	c.setTakeoverDelay(s.Successor)
 	c.mergeHolderSuspects(s, now)
 	c.mergeSignals(s.Signals, "holder", now)
-	c.receivePaces(s)
 	c.applyRelayed(s, now, m)
+	c.receiveUneven(s, now)
 	c.updateRelay(s, m, now)
 }
 
@@ -468,7 +469,7 @@
 		if !ok {
 			continue
 		}
-		out = addUse(out, placement.Usage{Unit: unit, Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, Objective: u.Objective, NextDue: u.Urgent, LastDue: u.Last, RunningAt: u.RunningAt, ReadingAt: u.ReadingAt})
+		out = addUse(out, placement.Usage{Unit: unit, Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, Tokens: u.Tokens, LongTokens: u.LongTokens, Objective: u.Objective, NextDue: u.Urgent, LastDue: u.Last, RunningAt: u.RunningAt, ReadingAt: u.ReadingAt})
 	}
 	return out
 }
@@ -482,6 +483,7 @@
 	}
 	o := &uses[i]
 	o.Waiting, o.Arrivals, o.Deferred, o.Late = o.Waiting+u.Waiting, o.Arrivals+u.Arrivals, o.Deferred+u.Deferred, o.Late+u.Late
+	o.Tokens, o.LongTokens = o.Tokens+u.Tokens, o.LongTokens+u.LongTokens
 	if o.Objective == 0 || u.Objective > 0 && u.Objective < o.Objective {
 		o.Objective = u.Objective
 	}
@@ -503,7 +505,7 @@
 func (c *Controller) wireUses(now time.Time) []peer.PoolUsage {
 	var out []peer.PoolUsage
 	for _, u := range c.uses(now) {
-		w := peer.PoolUsage{Pool: u.Unit.Pool(), Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, ObjectiveMs: u.Objective.Milliseconds(), RunningAt: u.RunningAt, ReadingAt: u.ReadingAt}
+		w := peer.PoolUsage{Pool: u.Unit.Pool(), Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, Tokens: u.Tokens, LongTokens: u.LongTokens, ObjectiveMs: u.Objective.Milliseconds(), RunningAt: u.RunningAt, ReadingAt: u.ReadingAt}
 		if !u.NextDue.IsZero() {
 			w.UrgentInMs, w.LastInMs = u.NextDue.Sub(now).Milliseconds(), u.LastDue.Sub(now).Milliseconds()
 		}
--- a/internal/placer/mirror.go
+++ b/internal/placer/mirror.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"olivetiller/core/directory"
+	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
 )
 
@@ -30,7 +31,7 @@
 
 // mirrorAll starts to mirror a lease holder's publication, from a snapshot and the complete state that this node has
 // built from earlier ones.
-func (p *publication) mirrorAll(s *peer.Snapshot, serving map[string][]string, paces map[string]float64, loads map[string]int, records []directory.Record, listedTo uint64) {
+func (p *publication) mirrorAll(s *peer.Snapshot, serving map[string][]string, uneven traffic.Uneven, records []directory.Record, listedTo uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.incarnation, p.version, p.deltasFrom, p.full = s.Term, s.Version, s.Version, nil
@@ -38,9 +39,9 @@
 	for id, pools := range serving {
 		p.serving[id] = servingEntry{pools: pools, version: s.Version}
 	}
-	p.paces, p.loads = make(versioned[float64], len(paces)), make(versioned[int], len(loads))
-	p.setPaces(paces, loads, s.Version)
 	p.store.instances, p.store.listedTo = recordsOf(records, s.Version), listedTo
+	p.uneven = newPublishedUneven()
+	p.setUneven(uneven, s.Version)
 	p.peersVersion, p.store.takersVersion, p.store.evacuationsVersion, p.feedersVersion = s.Version, s.Version, s.Version, s.Version
 	p.wakeWatchers()
 }
@@ -56,7 +57,6 @@
 		p.serving[id] = servingEntry{pools: pools, version: s.Version}
 		delete(p.removedAt, id)
 	}
-	p.setPaces(s.Paces, s.Loads, s.Version)
 	for _, id := range s.Removed {
 		delete(p.serving, id)
 		p.removedAt[id] = s.Version
@@ -65,6 +65,7 @@
 		p.store.instances[r.ID] = instanceEntry{r, s.Version}
 		urgent = true
 	}
+	p.setUneven(traffic.Uneven{Paces: s.Paces, Loads: s.Loads, Lanes: s.Lanes}, s.Version)
 	p.store.listedTo = max(p.store.listedTo, s.DirectoryVersion)
 	switch {
 	case urgent:
--- a/internal/placer/ordering.go
+++ b/internal/placer/ordering.go
@@ -26,7 +26,6 @@
 	}()
 	_, fence := c.lease.Holder()
 	c.limitEngines()
-	c.estimatePaces(now)
 	for _, a := range c.planner.Plan(now, fence) {
 		switch {
 		case a.Order != nil:
--- a/internal/placer/paces.go
+++ b/internal/placer/paces.go
@@ -6,114 +6,165 @@
 
 	"olivetiller/core/pace"
 	"olivetiller/core/placement"
+	"olivetiller/internal/traffic"
 	"olivetiller/io/peer"
 )
 
-// paceInterval is the least time between two estimates of the paces of endpoints. It grows with their number by
-// paceIntervalPerEndpoint, so that estimates take a bounded share of the lease holder's time.
 const (
+	// paceInterval is the least time between two estimates of the paces of endpoints. It grows with the endpoints of the list by
+	// paceIntervalPerEndpoint, so that estimates take a bounded share of the lease holder's time.
 	paceInterval            = 500 * time.Millisecond
-	paceIntervalPerEndpoint = time.Millisecond
+	paceIntervalPerEndpoint = 2 * time.Millisecond
+	// loadWarmUp is how long a new lease holder publishes no loads, while its own averages are too low.
+	loadWarmUp = 3 * time.Second
 )
 
-// paces is what this node knows of the paces of endpoints.
-type paces struct {
+// uneven is what this node knows of how endpoints differ. It belongs to the owner.
+type uneven struct {
 	// estimator makes the estimates while this node holds the lease.
 	estimator *pace.Estimator
-	// published holds the paces in force, by endpoint: the lease holder's own, or those received from it.
-	published map[string]float64
-	// loads holds the loads in force, in concurrent requests by endpoint, in the same way.
-	loads map[string]int
+	// Uneven is in force: the lease holder's own, or what was received from it.
+	traffic.Uneven
 	// estimatedAt is when the latest estimate was made.
 	estimatedAt time.Time
 }
 
-func (p *paces) init() {
-	p.estimator, p.published, p.loads = pace.NewEstimator(), make(map[string]float64), make(map[string]int)
+func (u *uneven) init() {
+	u.estimator = pace.NewEstimator()
+	u.clear()
+}
+
+// clear forgets what was received from a lease holder.
+func (u *uneven) clear() {
+	u.Uneven = traffic.Uneven{Paces: make(map[string]float64), Loads: make(map[string]int), Lanes: make(map[string]bool)}
 }
 
 // beginTerm starts the estimates of a new lease holder from the paces that the previous one had published.
-func (p *paces) beginTerm(now time.Time) {
-	p.estimator = pace.NewEstimator()
-	p.estimator.Seed(p.published, now)
+func (u *uneven) beginTerm(now time.Time) {
+	u.estimator = pace.NewEstimator()
+	u.estimator.Seed(u.Paces, now)
 }
 
 // addSamples adds the samples of a node, whose models are pool names.
-func (p *paces) addSamples(samples []pace.Sample, now time.Time) {
+func (u *uneven) addSamples(samples []pace.Sample, now time.Time) {
 	for _, s := range samples {
-		if u, ok := placement.ParsePool(s.Model); ok {
-			s.Model = u.Base().Pool()
-			p.estimator.Add(s, now)
+		if unit, ok := placement.ParsePool(s.Model); ok {
+			s.Service, s.Model = unit.Service, unit.Model
+			u.estimator.Add(s, now)
 		}
 	}
 }
 
-// estimatePaces estimates the paces of all endpoints if that is due, and publishes those that have changed.
-func (c *Controller) estimatePaces(now time.Time) {
-	p := &c.paces
-	if now.Sub(p.estimatedAt) < paceInterval+time.Duration(len(p.published))*paceIntervalPerEndpoint {
+// keep drops what is known of endpoints that are gone.
+func (u *uneven) keep(live func(endpoint string) bool) {
+	u.estimator.Keep(live)
+	maps.DeleteFunc(u.Paces, func(endpoint string, _ float64) bool { return !live(endpoint) })
+	maps.DeleteFunc(u.Loads, func(endpoint string, _ int) bool { return !live(endpoint) })
+}
+
+// estimateUneven estimates, at the lease holder, how endpoints differ if that is due, and publishes what has changed.
+func (c *Controller) estimateUneven(now time.Time) {
+	u := &c.uneven
+	if !c.held || !c.termPublished || now.Sub(u.estimatedAt) < paceInterval+time.Duration(c.directory.Len())*paceIntervalPerEndpoint {
 		return
 	}
-	p.estimatedAt = now
-	p.addSamples(c.o.Dispatcher.TakeGaps(), now)
-	live := func(endpoint string) bool { return c.directory.Find(endpoint, now) != nil }
-	p.estimator.Keep(live)
-	maps.DeleteFunc(p.published, func(endpoint string, _ float64) bool { return !live(endpoint) })
-	maps.DeleteFunc(p.loads, func(endpoint string, _ int) bool { return !live(endpoint) })
-	changed, loads := pace.Changed(p.published, p.estimator.Paces(now)), pace.ChangedLoads(p.loads, c.planner.Loads())
-	if len(changed)+len(loads) == 0 {
+	u.estimatedAt = now
+	u.addSamples(c.o.Dispatcher.TakeGaps(), now)
+	u.keep(func(endpoint string) bool { return c.directory.Find(endpoint, now) != nil })
+	changed := traffic.Uneven{Paces: pace.Changed(u.Paces, u.estimator.Paces(now)), Lanes: changedLanes(u.Lanes, c.planner.Lanes())}
+	if now.Sub(c.heldSince) >= loadWarmUp {
+		changed.Loads = pace.ChangedLoads(u.Loads, c.planner.Loads())
+	}
+	if len(changed.Paces)+len(changed.Loads)+len(changed.Lanes) == 0 {
 		return
 	}
-	maps.Copy(p.published, changed)
-	maps.Copy(p.loads, loads)
-	c.published.publishPaces(changed, loads)
-	c.usePaces()
-	for endpoint, v := range changed {
+	u.merge(changed)
+	c.published.publishUneven(changed)
+	c.useUneven()
+	for endpoint, v := range changed.Paces {
 		c.o.Logger.Debug("pace of an endpoint changed", "endpoint", endpoint, "pace", v)
 	}
+	for pool, on := range changed.Lanes {
+		c.o.Logger.Info("lanes of a model changed", "pool", pool, "apart", on)
+	}
 }
 
-// usePaces puts the published paces in force for this node's requests and plans.
-func (c *Controller) usePaces() {
-	c.o.Dispatcher.SetPaces(c.paces.published, c.paces.loads)
-	c.planner.SetPaces(c.paces.published)
+// merge takes over changes.
+func (u *uneven) merge(changed traffic.Uneven) {
+	maps.Copy(u.Paces, changed.Paces)
+	maps.Copy(u.Loads, changed.Loads)
+	maps.Copy(u.Lanes, changed.Lanes)
 }
 
-// receivePaces takes over the paces that the lease holder has published.
-func (c *Controller) receivePaces(s *peer.Snapshot) {
-	if s.Full {
-		c.paces.published, c.paces.loads = make(map[string]float64, len(s.Paces)), make(map[string]int, len(s.Loads))
+// changedLanes returns the pools of the models that have lanes only in one of the arguments.
+func changedLanes(published map[string]bool, next map[placement.Unit]bool) map[string]bool {
+	out := make(map[string]bool)
+	for unit := range next {
+		if pool := unit.Pool(); !published[pool] {
+			out[pool] = true
+		}
 	}
-	if len(s.Paces)+len(s.Loads) > 0 || s.Full {
-		maps.Copy(c.paces.published, s.Paces)
-		maps.Copy(c.paces.loads, s.Loads)
-		c.usePaces()
+	for pool, on := range published {
+		if unit, ok := placement.ParsePool(pool); ok && on && !next[unit] {
+			out[pool] = false
+		}
+	}
+	return out
+}
+
+// useUneven puts what is published in force for this node's requests and plans.
+func (c *Controller) useUneven() {
+	c.o.Dispatcher.SetUneven(c.uneven.Uneven)
+	c.planner.SetPaces(c.uneven.Paces)
+}
+
+// receiveUneven takes over what the lease holder has published.
+func (c *Controller) receiveUneven(s *peer.Snapshot, now time.Time) {
+	changed := traffic.Uneven{Paces: s.Paces, Loads: s.Loads, Lanes: s.Lanes}
+	if len(changed.Paces)+len(changed.Loads)+len(changed.Lanes) == 0 && !s.Full {
+		return
 	}
+	c.uneven.merge(changed)
+	c.uneven.keep(func(endpoint string) bool { return c.directory.Find(endpoint, now) != nil })
+	c.useUneven()
 }
 
-// publishPaces publishes paces and loads that have changed, without urgency.
-func (p *publication) publishPaces(paces map[string]float64, loads map[string]int) {
+// publishedUneven is traffic.Uneven with the version of the publication at which each value changed.
+type publishedUneven struct {
+	paces versioned[float64]
+	loads versioned[int]
+	lanes versioned[bool]
+}
+
+func newPublishedUneven() publishedUneven {
+	return publishedUneven{make(versioned[float64]), make(versioned[int]), make(versioned[bool])}
+}
+
+// publishUneven publishes changes, without urgency.
+func (p *publication) publishUneven(changed traffic.Uneven) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.incarnation == "" || len(paces)+len(loads) == 0 {
+	if p.incarnation == "" || len(changed.Paces)+len(changed.Loads)+len(changed.Lanes) == 0 {
 		return
 	}
 	p.wake(nil)
-	p.setPaces(paces, loads, p.version)
+	p.setUneven(changed, p.version)
 }
 
-// setPaces sets paces and loads that changed at a version, and drops those of engines that are gone. The caller holds p.mu.
-func (p *publication) setPaces(paces map[string]float64, loads map[string]int, version uint64) {
-	p.paces.set(paces, version, p.removedAt)
-	p.loads.set(loads, version, p.removedAt)
+// setUneven sets what changed at a version, and drops endpoints that are not on the list. The caller holds p.mu.
+func (p *publication) setUneven(changed traffic.Uneven, version uint64) {
+	listed := func(endpoint string) bool { return p.store.instances[endpoint].record.Instance != nil }
+	p.uneven.paces.set(changed.Paces, version, listed)
+	p.uneven.loads.set(changed.Loads, version, listed)
+	p.uneven.lanes.set(changed.Lanes, version, func(string) bool { return true })
 }
 
-// addPaces adds the paces and loads that changed after a version. The caller holds p.mu.
-func (p *publication) addPaces(s *peer.Snapshot, after uint64) {
-	s.Paces, s.Loads = p.paces.since(after), p.loads.since(after)
+// addUneven adds what changed after a version. The caller holds p.mu.
+func (p *publication) addUneven(s *peer.Snapshot, after uint64) {
+	s.Paces, s.Loads, s.Lanes = p.uneven.paces.since(after), p.uneven.loads.since(after), p.uneven.lanes.since(after)
 }
 
-// versioned holds values by endpoint, and the version of the publication at which each changed.
+// versioned holds values by name, and the version of the publication at which each changed.
 type versioned[T any] map[string]versionedValue[T]
 
 type versionedValue[T any] struct {
@@ -121,27 +172,25 @@
 	version uint64
 }
 
-// set sets values that changed at a version, and drops those of the endpoints in removed.
-func (v versioned[T]) set(changed map[string]T, version uint64, removed map[string]uint64) {
-	for endpoint, value := range changed {
-		v[endpoint] = versionedValue[T]{value, version}
-	}
-	for endpoint := range removed {
-		delete(v, endpoint)
+// set sets values that changed at a version, and drops those that are not kept.
+func (v versioned[T]) set(changed map[string]T, version uint64, kept func(name string) bool) {
+	for name, value := range changed {
+		v[name] = versionedValue[T]{value, version}
 	}
+	maps.DeleteFunc(v, func(name string, _ versionedValue[T]) bool { return !kept(name) })
 }
 
 // since returns the values that changed after a version; nil if none did.
 func (v versioned[T]) since(after uint64) map[string]T {
 	var out map[string]T
-	for endpoint, e := range v {
+	for name, e := range v {
 		if e.version <= after {
 			continue
 		}
 		if out == nil {
 			out = make(map[string]T)
 		}
-		out[endpoint] = e.value
+		out[name] = e.value
 	}
 	return out
 }
--- a/internal/placer/publication.go
+++ b/internal/placer/publication.go
@@ -37,10 +37,8 @@
 	serving map[string]servingEntry
 	// removedAt holds the version at which an engine was removed.
 	removedAt map[string]uint64
-	// paces and loads hold the published paces and loads of endpoints.
-	paces   versioned[float64]
-	loads   versioned[int]
-	readyAt map[string]time.Time
+	uneven    publishedUneven
+	readyAt   map[string]time.Time
 	// readyVersion is the version at which readyAt changed.
 	readyVersion uint64
 	// interest holds, by node, the pools for which requests wait there.
@@ -87,7 +85,7 @@
 	defer p.mu.Unlock()
 	p.incarnation, p.fence, p.nodes, p.peers, p.gateways, p.collecting = incarnation, fence, nodes, nil, nil, false
 	p.serving, p.removedAt, p.readyAt = make(map[string]servingEntry), make(map[string]uint64), nil
-	p.store.takers, p.store.takersVersion, p.full, p.paces, p.loads = nil, 0, nil, make(versioned[float64]), make(versioned[int])
+	p.store.takers, p.store.takersVersion, p.full, p.uneven = nil, 0, nil, newPublishedUneven()
 	p.interest, p.store.instances = make(map[string]map[string]bool), make(map[string]instanceEntry)
 	// Publish the list together with the new incarnation: followers take the list of a full snapshot as complete and
 	// remove every endpoint that it lacks.
--- a/internal/placer/watch.go
+++ b/internal/placer/watch.go
@@ -121,7 +121,7 @@
 	if s.Full {
 		p.fullSnapshotAt(now).fill(s)
 	}
-	p.addPaces(s, after)
+	p.addUneven(s, after)
 	urgent = p.addServing(s, after, p.interest[q.Node], now) || urgent
 	urgent = p.addStoreState(s, q, after, now) || urgent || s.Full
 	return s, urgent, true
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -77,8 +77,9 @@
 	paces map[string]float64
 	// atHome and awayFromHome are Totals.AtHome and Totals.AwayFromHome.
 	atHome, awayFromHome atomic.Int64
-	// mixes are the mixes of prompts by service.
-	mixes map[string]*choose.Mix
+	// loads and lanes are Uneven.Loads and Uneven.Lanes.
+	loads map[string]int
+	lanes map[string]bool
 	// evacuated is the set of data halls whose endpoints get no requests.
 	evacuated map[string]bool
 	// regions maps each data hall to its region.
@@ -95,7 +96,7 @@
 		clock: clock, hall: hall, limits: limits, hooks: hooks,
 		view: &view.View{}, pools: make(map[poolKey]*pool), endpointStates: make(map[string]*endpointState),
 		budgets: make(map[string]*retry.Budget), retries: retry.DefaultLimits,
-		signals: signal.NewRegistry(), withheld: make(map[string]int64), paces: make(map[string]float64), mixes: make(map[string]*choose.Mix),
+		signals: signal.NewRegistry(), withheld: make(map[string]int64), paces: make(map[string]float64),
 		stopped: make(chan struct{}),
 	}
 }
@@ -149,6 +150,7 @@
 // its caller gives up, or the end of ctx. The error is a *refusal.Error or a *RetryBudgetError.
 func (d *Dispatcher) Acquire(ctx context.Context, name string, req SlotRequest) (*Slot, error) {
 	start := d.clock.Now()
+	req.boundPrompt()
 	d.mu.Lock()
 	if err := d.checkBuild(name, &req); err != nil {
 		d.mu.Unlock()
@@ -161,7 +163,9 @@
 	}
 	b := d.budget(p, &req)
 	if !req.Retry || req.Resend {
-		d.countPrompt(p, &req, start)
+		if !req.Resend {
+			p.countPrompt(req.Prompt)
+		}
 		if err := p.admit(req, b, start); err != nil {
 			d.mu.Unlock()
 			return nil, err
@@ -247,6 +251,7 @@
 	req.Avoid = append(slices.Clip(req.Avoid), s.Endpoint.Name)
 	// Charging a limited endpoint may take a while, and the attempt in progress may end meanwhile.
 	req.SkipLimited = true
+	req.boundPrompt()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.pool(d.keyOf(s.pool.name, &req))
@@ -459,6 +464,7 @@
 	if p == nil {
 		p = &pool{poolKey: k, queue: queue.New(d.limits), runningAt: make(map[string]int), readingAt: make(map[string]int), rotation: firstRotation(d.node, k.name)}
 		p.basePool, p.regions = region.SplitPool(k.name)
+		p.lanes = d.lanes[p.modelPool()]
 		p.model = new(admit.Model)
 		if k.bound {
 			p.model = d.pool(poolKey{name: k.name}).model
@@ -536,7 +542,7 @@
 			ep.backoffUntil = d.signals.BackoffUntil(ep.incarnationID)
 			d.endpointStates[e.Name] = ep
 		}
-		ep.build, ep.hall, ep.address, ep.coldUntil, ep.coldRate, ep.slots, ep.pace = e.Build, e.Hall, e.Address, e.ColdUntil, e.ColdRate, e.Concurrency, d.paceOf(e.Name)
+		ep.build, ep.hall, ep.address, ep.coldUntil, ep.coldRate, ep.slots, ep.pace, ep.load = e.Build, e.Hall, e.Address, e.ColdUntil, e.ColdRate, e.Concurrency, d.paceOf(e.Name), d.loads[e.Name]
 		d.setLimits(ep, now)
 		out = append(out, candidate{Endpoint: e, endpointState: ep})
 	}
--- a/internal/traffic/paces.go
+++ b/internal/traffic/paces.go
@@ -1,10 +1,11 @@
 package traffic
 
 import (
-	"time"
+	"maps"
 
 	"olivetiller/core/choose"
 	"olivetiller/core/pace"
+	"olivetiller/core/placement"
 )
 
 // maxUnreportedGaps bounds the samples that are kept until TakeGaps; newer ones are dropped.
@@ -25,11 +26,11 @@
 }
 
 // ObserveLate records that the answer to a request, which had its slot in time, came later than its caller accepts. It
-// counts only where long prompts are most of what the service reads: more replicas keep them apart from streams.
+// counts only for models with lanes: more replicas keep their long prompts apart from streams.
 func (s *Slot) ObserveLate() {
 	s.dispatcher.mu.Lock()
 	defer s.dispatcher.mu.Unlock()
-	if s.pool.mix != nil && s.pool.mix.Long() {
+	if s.pool.lanes {
 		s.pool.late++
 	}
 }
@@ -43,36 +44,59 @@
 	return out
 }
 
-// SetPaces sets the paces of endpoints and their loads in concurrent requests of all nodes, by name. Endpoints without a pace
-// count as the median of their service, those without a load as idle.
-func (d *Dispatcher) SetPaces(paces map[string]float64, loads map[string]int) {
+// Uneven is what the lease holder has published of endpoints that differ.
+type Uneven struct {
+	// Paces holds how long endpoints take for the same work, 1 for the median of the service, by name. An endpoint without
+	// one counts as the median.
+	Paces map[string]float64
+	// Loads holds the recent loads of endpoints in concurrent requests of all nodes, by name. An endpoint without one counts
+	// as idle.
+	Loads map[string]int
+	// Lanes holds the pools of the models whose requests are spread by [choose.Lanes].
+	Lanes map[string]bool
+}
+
+// SetUneven puts what the lease holder has published in force.
+func (d *Dispatcher) SetUneven(u Uneven) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clear(d.paces)
-	for endpoint, p := range paces {
+	for endpoint, p := range u.Paces {
 		if p = pace.Effective(p); p != 1 {
 			d.paces[endpoint] = p
 		}
 	}
+	d.loads, d.lanes = maps.Clone(u.Loads), maps.Clone(u.Lanes)
 	for name, ep := range d.endpointStates {
-		ep.pace, ep.load = d.paceOf(name), loads[name]
+		ep.pace, ep.load = d.paceOf(name), d.loads[name]
+	}
+	for _, p := range d.pools {
+		p.lanes = d.lanes[p.modelPool()]
 	}
 }
 
-// countPrompt counts the prompt of a request that arrives in the mix of its service. The caller holds d.mu.
-func (d *Dispatcher) countPrompt(p *pool, req *SlotRequest, now time.Time) {
-	if req.Prompt <= 0 || req.Resend {
-		return
+// modelPool returns the pool of the model itself, without the adapter; the pool's own for a plain service.
+func (p *pool) modelPool() string {
+	if u, ok := placement.ParsePool(p.basePool); ok {
+		return u.Base().Pool()
 	}
-	if p.mix == nil {
-		if p.mix = d.mixes[req.Service]; p.mix == nil {
-			p.mix = new(choose.Mix)
-			d.mixes[req.Service] = p.mix
-		}
+	return p.basePool
+}
+
+// countPrompt counts the prompt of a request that arrives.
+func (p *pool) countPrompt(prompt int) {
+	p.tokens += prompt
+	if prompt >= choose.LongPrompt {
+		p.longTokens += prompt
 	}
-	p.mix.Add(req.Prompt, now)
 }
 
+// maxPrompt bounds the length of a prompt, in tokens, that decisions count with: callers state any number.
+const maxPrompt = 100_000
+
+// boundPrompt keeps the length of the request's prompt from 0 to maxPrompt.
+func (req *SlotRequest) boundPrompt() { req.Prompt = max(0, min(req.Prompt, maxPrompt)) }
+
 // countHome counts whether a request went to its home.
 func (d *Dispatcher) countHome(cand *candidate) {
 	switch cand.choice.Home {
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -41,8 +41,11 @@
 	runningAt map[string]int
 	// readingAt is the length in tokens, by endpoint name, of this node's long prompts that are not read yet.
 	readingAt map[string]int
-	// mix is that of the requests for the service's models; nil for a plain service.
-	mix *choose.Mix
+	// tokens and longTokens are the lengths of the prompts, and of the long ones, that have arrived since the last call of
+	// Usage.
+	tokens, longTokens int
+	// lanes is true if the lease holder has the requests for the pool's model spread by [choose.Lanes].
+	lanes bool
 	// acquiring counts the calls of Acquire that use the pool; it is kept only for pools that are restricted to a build.
 	acquiring int
 	// outsideRegions is set when the unit has endpoints, but none in a region that may serve the pool's requests.
@@ -137,7 +140,7 @@
 		return candidate{}, false
 	}
 	p.rotation++
-	affinityEndpoint, home := p.affinityEndpoint(req.Affinity), p.home(req)
+	affinityEndpoint := p.affinityEndpoint(req.Affinity)
 	replicas := make([]choose.Replica, 0, n)
 	for i := range n {
 		cand := p.endpoints[(i+p.rotation)%n]
@@ -147,19 +150,26 @@
 		r.Closed = r.Closed || req.Resumable && newBuilds[origin.Origin{Service: req.Service, Build: cand.Build}]
 		r.Avoid = n > 1 && slices.Contains(req.Avoid, cand.Name)
 		r.HasPrefix = cand.Name == affinityEndpoint
-		r.Home = cand.Name == home
+		r.Load, r.Order = cand.endpointState.load, xxhash.Sum64String(cand.Name)
 		if req.mayCrashEngine() {
 			r.Suspect, r.Spread = true, mix(xxhash.Sum64(req.RequestFingerprint[:])^xxhash.Sum64String(cand.Name))
 		}
 		replicas = append(replicas, r)
 	}
+	home := p.home(req, replicas, now)
+	if home >= 0 {
+		replicas[home].Home = true
+	}
 	i := choose.Pick(replicas, now)
 	if i < 0 {
 		return candidate{}, false
 	}
 	cand := p.endpoints[(i+p.rotation)%n]
 	cand.otherEndpoints, cand.limit = n-1, cand.endpointState.limit
-	cand.choice = Choice{Home: home, Pace: cand.endpointState.pace, Load: cand.endpointState.load}
+	cand.choice = Choice{Pace: cand.endpointState.pace, Load: cand.endpointState.load}
+	if home >= 0 {
+		cand.choice.Home = replicas[home].Engine
+	}
 	return cand, true
 }
 
@@ -169,22 +179,28 @@
 	return int(xxhash.Sum64String(node+"\x00"+pool) >> 2)
 }
 
-// home returns the name of the endpoint to which [choose.Lanes] sends a request; "" if the pool's service has no need of
-// lanes, or there is nothing to choose from.
-func (p *pool) home(req *SlotRequest) string {
-	if len(p.endpoints) < 2 || req.Prompt <= 0 || p.mix == nil || !p.mix.Long() {
-		return ""
+// home returns the index among replicas of the one to which [choose.Lanes] sends a request; -1 if the model has no need of
+// lanes, or there is nothing to choose from. Only replicas that take the request now have a part. Requests that may crash
+// engines have no home, nor is a home beside one: they are spread.
+func (p *pool) home(req *SlotRequest, replicas []choose.Replica, now time.Time) int {
+	if !p.lanes || req.Prompt <= 0 || req.mayCrashEngine() {
+		return -1
+	}
+	open := make([]choose.Replica, 0, len(replicas))
+	index := make([]int, 0, len(replicas))
+	for i := range replicas {
+		if r := &replicas[i]; !r.Avoid && r.Suspects == 0 && r.Admits(now) {
+			open, index = append(open, *r), append(index, i)
+		}
 	}
-	replicas := make([]choose.Replica, len(p.endpoints))
-	for i, cand := range p.endpoints {
-		replicas[i] = choose.Replica{Engine: cand.Name, Pace: cand.endpointState.pace, Load: cand.endpointState.load, Order: mix(xxhash.Sum64String(cand.Name))}
+	if len(open) < 2 {
+		return -1
 	}
 	key := req.Affinity
 	if req.Prompt < choose.LongPrompt || key == 0 {
 		key = xxhash.Sum64(req.RequestFingerprint[:])
 	}
-	i := choose.NewLanes(replicas).Home(req.Prompt, func(i int) uint64 { return mix(xxhash.Sum64String(p.endpoints[i].Name) ^ key) })
-	return p.endpoints[i].Name
+	return index[choose.NewLanes(open).Home(req.Prompt, func(i int) uint64 { return mix(open[i].Order ^ key) })]
 }
 
 // affinityEndpoint returns the name of the endpoint that most likely has the beginning of the prompt cached, by
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -98,6 +98,8 @@
 	Urgent, Last time.Time
 	// RunningAt counts the running requests by endpoint name.
 	RunningAt map[string]int
+	// Tokens and LongTokens are the lengths of the prompts, and of the long ones, that have arrived since the last call.
+	Tokens, LongTokens int
 	// ReadingAt is the length in tokens, by endpoint name, of the long prompts that are not read yet.
 	ReadingAt map[string]int
 }
@@ -112,9 +114,9 @@
 		if p.queue.Len() == 0 && p.running == 0 && p.arrivals == 0 && p.retryHints == 0 && p.late == 0 {
 			continue
 		}
-		u := Usage{Pool: p.name, Bound: p.bound, Build: p.build, Waiting: p.queue.Len(), Arrivals: p.arrivals, Deferred: p.retryHints, Late: p.late, Objective: p.objective, RunningAt: maps.Clone(p.runningAt), ReadingAt: maps.Clone(p.readingAt)}
+		u := Usage{Pool: p.name, Bound: p.bound, Build: p.build, Waiting: p.queue.Len(), Arrivals: p.arrivals, Deferred: p.retryHints, Late: p.late, Tokens: p.tokens, LongTokens: p.longTokens, Objective: p.objective, RunningAt: maps.Clone(p.runningAt), ReadingAt: maps.Clone(p.readingAt)}
 		u.Urgent, u.Last, _ = p.queue.Due(now)
-		p.arrivals, p.retryHints, p.late, p.objective = 0, 0, 0, 0
+		p.arrivals, p.retryHints, p.late, p.tokens, p.longTokens, p.objective = 0, 0, 0, 0, 0, 0
 		out = append(out, u)
 	}
 	return out
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -68,8 +68,12 @@
 	// stall is the stall watch of the current attempt.
 	stall *stall
 	s     *Server
-	// gaps are the times between the events of the current attempt.
-	gaps pace.Gaps
+	// gaps are the times between the events of the current attempt, and first is true if it brought the first one of the
+	// answer.
+	gaps  pace.Gaps
+	first bool
+	// fresh is true until the current attempt has brought an event.
+	fresh bool
 	// lastEvent is when the latest event was forwarded, in Unix nanoseconds by the server's clock.
 	lastEvent int64
 }
@@ -105,6 +109,7 @@
 			s.Metrics.Resumed.Add(1)
 		}
 		r.head, r.slot, r.endpoint, r.connectedAt, r.gaps = resp.Header, slot, slot.Endpoint, resp.ConnectedAt, pace.Gaps{}
+		r.first, r.fresh = r.relayed == 0, true
 		defer func() { r.observe(slot) }()
 		if err := r.copy(ctx, resp.Body); err != nil {
 			var unconfirmed *unconfirmedError
@@ -263,12 +268,14 @@
 	}
 }
 
-// observe reports to the dispatcher how fast the endpoint of the current attempt was, and whether it was late.
+// observe reports to the dispatcher how fast the endpoint of the current attempt was, and whether it was late: with its first
+// event, if the attempt brought that of the answer and began in time, or between two events.
 func (r *relay) observe(slot *traffic.Slot) {
 	slot.ObserveGaps(&r.gaps)
-	t, p := &r.x.Target, &r.x.Progress
+	t := &r.x.Target
 	begun := slot.GrantedAt().Sub(r.x.Start)
-	if t.Pause > 0 && p.LongestPause > t.Pause || t.Objective > 0 && begun < t.Objective/2 && p.FirstEvent > t.Objective {
+	lateFirst := r.first && t.Objective > 0 && begun < t.Objective/2 && r.x.Progress.FirstEvent > t.Objective
+	if lateFirst || t.Pause > 0 && r.gaps.Longest() > t.Pause {
 		slot.ObserveLate()
 	}
 }
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -90,6 +90,9 @@
 	UrgentInMs int64          `json:"urgentInMs,omitempty"`
 	LastInMs   int64          `json:"lastInMs,omitempty"`
 	RunningAt  map[string]int `json:"runningAt,omitempty"`
+	// Tokens and LongTokens are the lengths of the prompts, and of the long ones, that came since the previous report.
+	Tokens     int `json:"tokens,omitempty"`
+	LongTokens int `json:"longTokens,omitempty"`
 	// ReadingAt is the length in tokens, by engine, of the long prompts that are not read yet.
 	ReadingAt map[string]int `json:"readingAt,omitempty"`
 }
@@ -173,6 +176,8 @@
 	Paces map[string]float64 `json:"paces,omitempty"`
 	// Loads are the loads of endpoints that changed, in concurrent requests of all nodes, by name.
 	Loads map[string]int `json:"loads,omitempty"`
+	// Lanes holds, by pool, the models for which it changed whether their long prompts are kept apart from streams.
+	Lanes map[string]bool `json:"lanes,omitempty"`
 	// VerdictsKnown is true once the holder has read the quarantine verdicts from the store.
 	VerdictsKnown bool `json:"verdictsKnown,omitempty"`
 	StoreState
