cmd, caller, traffic: explain tells where a request would go now, and why

Cause: operators wish for a command that explains where a given request would go, without sending it.

Change: olivetiller explain describes a request to a node's metrics address; the node resolves it as one that arrives, and tells what the dispatcher would do: the same functions decide (choose.Pick, pool.replicas, checkWait, checkDeadline), nothing is counted or charged.

Result: TestExplain (also that the explained endpoint is the one that a request gets, and that nothing is counted), TestRequestHead, bad input of the command.

--- a/cmd/olivetiller/main.go
+++ b/cmd/olivetiller/main.go
@@ -19,6 +19,7 @@
 	Config     configCmd     `cmd:"" help:"Check, publish, show or watch the configuration."`
 	Status     statusCmd     `cmd:"" help:"Show a node's endpoints, live nodes, log position, and the queue, replicas and home node of each unit."`
 	Endpoint   endpointCmd   `cmd:"" help:"Drain or resume an endpoint."`
+	Explain    explainCmd    `cmd:"" help:"Tell where a request would go now, and why, without sending it."`
 	Quarantine quarantineCmd `cmd:"" help:"List or release requests that are kept from engines because they are suspected of crashing them."`
 	Stop       stopCmd       `cmd:"" help:"Start the planned stop of a node."`
 	Settings   settingsCmd   `cmd:"" help:"Print every setting of a node with its default, unit and meaning."`
--- a/cmd/olivetiller/quarantine.go
+++ b/cmd/olivetiller/quarantine.go
@@ -32,10 +32,15 @@
 
 // call calls the node's metrics address and returns the body of the answer.
 func (f *metricsFlags) call(method, path string) ([]byte, error) {
+	return f.callWith(method, path, nil)
+}
+
+// callWith is call with a body.
+func (f *metricsFlags) callWith(method, path string, body io.Reader) ([]byte, error) {
 	u := url.URL{Scheme: "http", Host: f.Address, Path: path}
 	ctx, cancel := callContext()
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, u.String(), nil)
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), body)
 	if err != nil {
 		return nil, usageError{fmt.Errorf("--address %s: %w", f.Address, err)}
 	}
--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -114,9 +114,7 @@
 }
 
 // Admits reports whether the replica takes a request now.
-func (r *Replica) Admits(now time.Time) bool {
-	return !r.Closed && r.Window.HasRoom(r.Running, now) && r.Health.Admits(now, r.Running)
-}
+func (r *Replica) Admits(now time.Time) bool { return r.closure(now) == Open }
 
 // score returns the load of the replica including all penalties.
 func (r *Replica) score(now time.Time) int {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -346,6 +346,7 @@
 	tree.Set("origins", n.origins.Tree())
 	mux := http.NewServeMux()
 	n.handleQuarantine(mux)
+	n.handleExplain(mux)
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// A failed write means that the reader has disconnected.
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -106,6 +106,11 @@
 		p.objective = req.Objective
 	}
 	budget.AddFirst(now)
+	return p.checkWait(req, now)
+}
+
+// checkWait refuses a request whose wait is longer than its time.
+func (p *pool) checkWait(req SlotRequest, now time.Time) error {
 	least := p.model.MinWait(admit.Backlog{
 		Ready: len(p.endpoints) > 0, Ahead: p.queue.Len(), Capacity: p.capacity(), LoadElapsed: p.loadElapsed(now),
 	})
@@ -140,8 +145,22 @@
 		return candidate{}, false
 	}
 	p.rotation++
-	affinityEndpoint := p.affinityEndpoint(req.Affinity)
-	replicas := make([]choose.Replica, 0, n)
+	replicas, home := p.replicas(now, hall, newBuilds, req)
+	i := choose.Pick(replicas, now)
+	if i < 0 {
+		return candidate{}, false
+	}
+	cand := p.endpoints[(i+p.rotation)%n]
+	cand.otherEndpoints, cand.limit = n-1, cand.endpointState.limit
+	cand.choice = Choice{Home: home, Pace: cand.endpointState.pace, Load: cand.endpointState.load}
+	return cand, true
+}
+
+// replicas returns the endpoints of the pool, from the one at rotation on, in the form that package choose takes, and the name
+// of the request's home; "" if it has none.
+func (p *pool) replicas(now time.Time, hall string, newBuilds map[origin.Origin]bool, req *SlotRequest) (replicas []choose.Replica, home string) {
+	n, affinityEndpoint := len(p.endpoints), p.affinityEndpoint(req.Affinity)
+	replicas = make([]choose.Replica, 0, n)
 	for i := range n {
 		cand := p.endpoints[(i+p.rotation)%n]
 		r := cand.endpointState.replica(hall, now)
@@ -156,21 +175,10 @@
 		}
 		replicas = append(replicas, r)
 	}
-	home := p.home(req, replicas, now)
-	if home >= 0 {
-		replicas[home].Home = true
-	}
-	i := choose.Pick(replicas, now)
-	if i < 0 {
-		return candidate{}, false
+	if i := p.home(req, replicas, now); i >= 0 {
+		replicas[i].Home, home = true, replicas[i].Engine
 	}
-	cand := p.endpoints[(i+p.rotation)%n]
-	cand.otherEndpoints, cand.limit = n-1, cand.endpointState.limit
-	cand.choice = Choice{Pace: cand.endpointState.pace, Load: cand.endpointState.load}
-	if home >= 0 {
-		cand.choice.Home = replicas[home].Engine
-	}
-	return cand, true
+	return replicas, home
 }
 
 // firstRotation returns the rotation of a new pool of a node. It differs between nodes that have sent equally many
