placement: lanes where long prompts are four fifths of what a service reads

Cause: at two thirds, a burst of a service whose long prompts are half of what it reads would switch its lanes on and off.

Change: the share is 0.8.

--- a/core/placement/mix.go
+++ b/core/placement/mix.go
@@ -4,7 +4,7 @@
 // minTokenRate or more in a second. A model of such a service has lanes if it gets both long and short prompts, at least
 // minLongRate and minShortRate tokens of them in a second.
 const (
-	longShare    = 2.0 / 3
+	longShare    = 0.8
 	minTokenRate = 2000
 	minLongRate  = 100
 	minShortRate = 20
