io/caller: extra attempts beside late answers

The standby of a silent endpoint gets a second, earlier reason to open: an answer that is later than nearly all of its kind, as this node has learned it, within the operator's share. Handover and cancellation stay as they are. Off unless Server.Extra is set. An endpoint whose attempt was replaced as late does not count as unresponsive.

--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -43,6 +43,9 @@
 			return s.refusalFor(finalStep(x), x, err)
 		}
 		s.recordSlot(x, slot)
+		if sent == 1 {
+			s.Extra.addFirst(s.Clock.Now())
+		}
 		run, err := s.startRun(ctx, x, slot)
 		result := traffic.Result{NotStarted: true, Running: -1}
 		if err == nil {
@@ -154,7 +157,7 @@
 	case err == nil:
 		// Whether the answer was a good one was reported when it was read.
 		run.Answered(false)
-	case !errors.As(err, &e), errors.Is(e.Cause, errStalled):
+	case !errors.As(err, &e), wasReplaced(e):
 		run.Abandoned()
 	case e.Refused, e.Answered:
 		run.Answered(false)
@@ -259,6 +262,10 @@
 			r.Err, r.NotStarted = nil, true
 			return r
 		}
+		if errors.Is(e.Cause, errLate) {
+			r.Err, r.NotStarted = nil, true
+			return r
+		}
 		r.Silent = e.ConnectFailed || errors.Is(e.Cause, errStalled)
 		if e.Outcome == retry.NotSent && e.Refused {
 			// The endpoint is healthy and only refused to start this request.
--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -122,7 +122,7 @@
 	switch {
 	case !errors.As(err, &e):
 		return closeOther
-	case errors.Is(e.Cause, errStalled):
+	case wasReplaced(e):
 		return closeStalled
 	case errors.As(e.Cause, &unconfirmed):
 		return closeUnconfirmed
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -138,6 +138,7 @@
 		if err := failedAnswer(x, got); err != nil {
 			return failedResult(err), err
 		}
+		st.answered()
 		run.Answered(got.status/100 == 2 && resp.Framed())
 		return traffic.Result{Running: resp.Running, Draining: resp.Draining}, nil
 	})
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -18,6 +18,9 @@
 	Refused, Retries expvar.Map
 	// StandbysDiscarded counts the second attempts beside a silent endpoint that were not needed or failed.
 	StandbysDiscarded expvar.Int
+	// ExtraOpened, ExtraWon and ExtraLost count the extra attempts beside late ones by route, and ExtraDenied those that were
+	// not opened by reason.
+	ExtraOpened, ExtraWon, ExtraLost, ExtraDenied expvar.Map
 	// Closed counts, by CloseCause, the requests that ended without a complete answer or a refusal.
 	Closed expvar.Map
 	// Histograms of times in milliseconds. Wait is the wait for a slot, and ColdStart the same for requests that
@@ -40,6 +43,9 @@
 	m.Refused.Init()
 	m.Retries.Init()
 	m.Closed.Init()
+	for _, c := range []*expvar.Map{&m.ExtraOpened, &m.ExtraWon, &m.ExtraLost, &m.ExtraDenied} {
+		c.Init()
+	}
 	return m
 }
 
@@ -54,6 +60,10 @@
 	t.Set("retries", &m.Retries)
 	t.Set("standbysDiscarded", &m.StandbysDiscarded)
 	t.Set("closed", &m.Closed)
+	t.Set("extraOpened", &m.ExtraOpened)
+	t.Set("extraWon", &m.ExtraWon)
+	t.Set("extraLost", &m.ExtraLost)
+	t.Set("extraDenied", &m.ExtraDenied)
 	t.Set("signals", &m.Signals)
 	t.Set("damagedSignals", &m.DamagedSignals)
 	t.Set("wait", m.Wait)
--- a/io/caller/send.go
+++ b/io/caller/send.go
@@ -17,6 +17,9 @@
 	var err error
 	if sb := x.standby; sb != nil && sb.slot == slot {
 		x.standby = nil
+		if sb.extra {
+			s.Metrics.ExtraWon.Add(routeLabel(x), 1)
+		}
 		resp, err = sb.await(ctx)
 	} else {
 		resp, err = s.request(ctx, x, slot, position, x.trial)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -55,6 +55,8 @@
 	// other nodes.
 	Isolation *isolation.Guard
 	Metrics   *Metrics
+	// Extra decides on extra attempts beside late ones; nil for none.
+	Extra *ExtraAttempts
 	// Limiter enforces customers' rate limits; nil for none.
 	Limiter Limiter
 	// Origins knows where streams began; nil if streams may go on at any endpoint.
--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,12 +32,15 @@
 // part goes by until the endpoint notices that its connection was closed.
 const maxStreamOverlap = 250 * time.Millisecond
 
+// timerError is how much earlier than its time a timer may end.
+const timerError = 5 * time.Millisecond
+
 // maxTimerDelay is the delay of a timer above which this node, and not the endpoint, is taken for the one that stood
 // still: what the endpoint sent meanwhile has not been read.
 const maxTimerDelay = 100 * time.Millisecond
 
 // stall watches one attempt. If the endpoint is silent, the request may be repeated and another endpoint has a free slot,
-// it opens a standby there. The attempt goes on until the standby has an event or a whole answer: a silent endpoint may
+// it opens a standby there; earlier, and within the operator's limit, if the answer is later than nearly all of its kind. The attempt goes on until the standby has an event or a whole answer: a silent endpoint may
 // send again at any time, and the other one may refuse the request or break off. The first to send something serves the
 // caller, and the other one is canceled.
 type stall struct {
@@ -50,6 +52,8 @@
 	first, gap time.Duration
 	// req is the slot request for a standby.
 	req traffic.SlotRequest
+	// late decides on an extra attempt before the first stall timeout.
+	late lateness
 
 	mu    sync.Mutex
 	timer clockwork.Timer
@@ -76,9 +80,27 @@
 	ctx, cancel := context.WithCancel(ctx)
 	st := &stall{s: s, x: x, slot: slot, cancel: cancel, req: req, position: position}
 	t := &x.Target
-	if t.OnceOnly || t.Objective <= 0 || slot.OtherEndpoints == 0 || !x.mayOpenStandby() {
+	now := s.Clock.Now()
+	st.watchLate(now)
+	if t.OnceOnly || slot.OtherEndpoints == 0 || !x.mayOpenStandby() {
+		return ctx, st
+	}
+	if t.Objective > 0 {
+		st.setTimeouts(t)
+	}
+	wait := st.arm()
+	if wait <= 0 {
 		return ctx, st
 	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.due = now.Add(wait)
+	st.timer = s.Clock.AfterFunc(wait, func() { st.openStandby(requestCtx) })
+	return ctx, st
+}
+
+// setTimeouts sets the stall timeouts from the objectives of a target.
+func (st *stall) setTimeouts(t *Target) {
 	st.first = stallTimeout(t.Objective, wholeAnswerStallFactor)
 	if t.Stream {
 		st.first = stallTimeout(t.Objective, firstEventStallFactor)
@@ -86,11 +108,6 @@
 			st.gap = stallTimeout(t.Pause, eventGapStallFactor)
 		}
 	}
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.due = s.Clock.Now().Add(st.first)
-	st.timer = s.Clock.AfterFunc(st.first, func() { st.openStandby(requestCtx) })
-	return ctx, st
 }
 
 // mayOpenStandby reports whether the request may be sent to a further endpoint beside the one of the attempt in progress.
@@ -101,22 +118,28 @@
 	return max(minStallTimeout, time.Duration(by*float64(d)))
 }
 
-// openStandby opens a standby for an attempt whose endpoint is silent and waits for it, or tries again after a while. It
-// does not hold st.mu while it acquires a slot, because that may take as long as an answer of the lease holder.
+// openStandby opens a standby for an attempt whose endpoint is silent or late and waits for it, or tries again after a while.
+// It does not hold st.mu while it acquires a slot, because that may take as long as an answer of the lease holder.
 func (st *stall) openStandby(ctx context.Context) {
 	s, x := st.s, st.x
 	now := s.Clock.Now()
 	st.mu.Lock()
 	events, position, req, wait := st.events, st.position, st.req, st.ended || st.forwarding || !x.mayOpenStandby()
+	// If the timer was set anew after it had ended, another call follows.
+	wait = wait || st.due.Sub(now) > timerError
+	extra := !wait && st.late.armed
+	if extra {
+		st.late.armed = false
+	}
 	switch {
 	case wait:
 	case now.Sub(st.due) > maxTimerDelay:
-		st.rearm(minStallTimeout)
 		wait = true
+		st.putOff(extra, minStallTimeout, retry.DeniedByDelay)
 	case x.checkKey() != nil:
 		// The key was withdrawn: what has begun goes on, and nothing is sent for it any more.
-		st.rearm(st.timeout())
 		wait = true
+		st.putOff(extra, st.timeout(), retry.DeniedByKey)
 	}
 	st.mu.Unlock()
 	if wait {
@@ -127,17 +150,29 @@
 	}
 	req.State = s.Isolation.State(x.subjects...)
 	var sb *standby
-	second, ok := s.Dispatcher.Switch(ctx, st.slot, req)
+	var second *traffic.Slot
+	var ok bool
+	if extra {
+		second, ok = st.acquireExtra(req)
+	} else {
+		second, ok = s.Dispatcher.Switch(ctx, st.slot, req)
+	}
 	st.mu.Lock()
 	switch current := !st.ended && !st.forwarding && st.events == events; {
 	case !current && ok:
 		second.Release(traffic.Result{NotStarted: true, Running: -1})
+	case current && !ok && extra:
+		st.rearmAfterExtra()
 	case current && !ok:
 		st.rearm(st.timeout())
 	case current:
-		s.Logger.Info("opened a standby at another endpoint", "requestId", x.ID, "endpoint", st.slot.Endpoint.Name, "standby", second.Endpoint.Name,
-			"events", events, "position", position)
-		sb = s.openStandby(ctx, x, second, position)
+		if extra {
+			st.logExtra(second.Endpoint.Name)
+		} else {
+			s.Logger.Info("opened a standby at another endpoint", "requestId", x.ID, "endpoint", st.slot.Endpoint.Name, "standby", second.Endpoint.Name,
+				"events", events, "position", position)
+		}
+		sb = s.openStandby(ctx, x, second, position, extra)
 		st.standby = sb
 	}
 	st.mu.Unlock()
@@ -168,16 +203,12 @@
 	}
 	state.FirstBegan = st.events > 0
 	if state.Replaces() {
-		st.replaced = true
+		st.replaced, st.late.lost = true, sb.extra
 		st.cancel()
 		return
 	}
 	st.discard()
-	if st.x.mayOpenStandby() {
-		st.req.Avoid = append(slices.Clip(st.req.Avoid), sb.slot.Endpoint.Name)
-		st.retryAfter = max(minStallTimeout, 2*st.retryAfter)
-		st.rearm(st.retryAfter)
-	}
+	st.afterDiscard(sb)
 }
 
 // timeout returns the stall timeout that applies now. st.mu must be held.
@@ -188,6 +219,17 @@
 	return st.first
 }
 
+// putOff sets the timer of an attempt beside which no standby opens now, to a time from now, or to the stall timeout if it
+// would have been an extra attempt. st.mu must be held.
+func (st *stall) putOff(extra bool, d time.Duration, reason retry.Denial) {
+	if extra {
+		st.deny(reason)
+		st.rearmAfterExtra()
+		return
+	}
+	st.rearm(d)
+}
+
 // rearm sets the timer. st.mu must be held.
 func (st *stall) rearm(d time.Duration) {
 	st.due = st.s.Clock.Now().Add(d)
@@ -220,6 +262,8 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.forwarding, st.retryAfter = false, 0
+	st.observe()
+	st.late.armed = false
 	st.events++
 	st.position = position
 	switch {
@@ -236,6 +280,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.ended = true
+	st.observeUnanswered()
 	st.x.standby, st.standby = st.standby, nil
 	if st.timer != nil {
 		st.timer.Stop()
@@ -243,7 +288,7 @@
 	st.cancel()
 }
 
-// withStallCause returns the error of an attempt, with errStalled as its cause if a standby has replaced it.
+// withStallCause returns the error of an attempt, with errStalled or errLate as its cause if a standby has replaced it.
 func (st *stall) withStallCause(err error) error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -255,5 +300,5 @@
 	if errors.As(err, &e) {
 		outcome = e.Outcome
 	}
-	return &endpoint.Error{Outcome: outcome, Cause: errStalled}
+	return &endpoint.Error{Outcome: outcome, Cause: st.cause()}
 }
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -20,7 +20,9 @@
 	slot *traffic.Slot
 	run  *isolation.Run
 	// began is true if the caller has a part of the answer.
-	began  bool
+	began bool
+	// extra is true if the first attempt is late and not silent for too long.
+	extra  bool
 	cancel context.CancelFunc
 	// sentBody is set once the endpoint has sent a part of the answer's body.
 	sentBody atomic.Bool
@@ -38,9 +40,9 @@
 
 // openStandby sends the request to the endpoint of a slot, from a position in the stream. It must not be called while events
 // are forwarded.
-func (s *Server) openStandby(ctx context.Context, x *Exchange, slot *traffic.Slot, position string) *standby {
+func (s *Server) openStandby(ctx context.Context, x *Exchange, slot *traffic.Slot, position string, extra bool) *standby {
 	ctx, cancel := context.WithCancel(ctx)
-	sb := &standby{slot: slot, began: x.Began, cancel: cancel, opened: make(chan struct{})}
+	sb := &standby{slot: slot, began: x.Began, extra: extra, cancel: cancel, opened: make(chan struct{})}
 	sb.run = s.Isolation.Send(x.Fingerprint, slot.Endpoint, x.parts()...)
 	sb.run.Service = x.Target.Service
 	go func() {
@@ -90,6 +92,9 @@
 		}
 	}
 	s.Metrics.StandbysDiscarded.Add(1)
+	if sb.extra {
+		s.Metrics.ExtraLost.Add(routeLabel(x), 1)
+	}
 	sb.cancel()
 	go func() {
 		<-sb.opened
@@ -98,7 +103,7 @@
 			_ = sb.resp.Body.Close()
 			err = context.Canceled
 		}
-		s.Logger.Info("discarded a standby", "requestId", x.ID, "standby", sb.slot.Endpoint.Name, "outcome", outcome, "error", err.Error())
+		s.Logger.Info("discarded a standby", "requestId", x.ID, "standby", sb.slot.Endpoint.Name, "outcome", outcome, "extra", sb.extra, "error", err.Error())
 		result.Ended = reportRun(context.Background(), sb.run, err)
 		sb.slot.Release(result)
 	}()
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -155,7 +155,7 @@
 		return failedResult(err), err
 	}
 	if !r.stall.claim() {
-		err := &endpoint.Error{Outcome: retry.Ran, Cause: errStalled}
+		err := &endpoint.Error{Outcome: retry.Ran, Cause: r.stall.replacedCause()}
 		return failedResult(err), err
 	}
 	return result, writeAnswer(r.x, r.s.protocol(), a)
@@ -228,7 +228,7 @@
 		}
 	}
 	if !r.stall.claim() {
-		return errStalled
+		return r.stall.replacedCause()
 	}
 	r.countEvents(r.buf[:end])
 	setWriteTimeout(r.flush, writeTimeout)
