--- a/cmd/olivetiller/hosted.go
+++ b/cmd/olivetiller/hosted.go
@@ -25,8 +25,9 @@
 	gcPercent = 50
 )
 
-// runHosted runs a node on the hosting platform until SIGTERM or SIGINT starts its planned stop.
-func runHosted() error {
+// runHosted runs a node on the hosting platform until SIGTERM or SIGINT starts its planned stop. extraAttempts is
+// platform.Settings.ExtraAttempts.
+func runHosted(extraAttempts float64) error {
 	// Must come first: the default action of SIGHUP terminates the process.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -42,6 +43,7 @@
 	// Libraries write to the standard logger; redirect it to the JSON log.
 	log.SetFlags(0)
 	log.SetOutput(logger.Named("library").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}))
+	s.ExtraAttempts = extraAttempts
 	n, err := hosted.Start(platform.NodeSettings(s), platform.NewAdapter(s), newClock(logger), logger)
 	if err != nil {
 		logger.Error("start failed", "error", err.Error())
--- a/cmd/olivetiller/node.go
+++ b/cmd/olivetiller/node.go
@@ -11,12 +11,15 @@
 	"github.com/rotisserie/eris"
 
 	"olivetiller/internal/entry"
+	"olivetiller/internal/settings"
 )
 
 // nodeCmd runs one node.
 type nodeCmd struct {
 	Settings string `xor:"where" required:"" type:"path" help:"Settings file of the node, INI. The command olivetiller settings lists all keys."`
 	Platform bool   `xor:"where" required:"" help:"Run on the hosting platform, with the settings file that it provides."`
+	// ExtraAttempts is a text, so that a wrong value gets an error that names the remedy.
+	ExtraAttempts string `help:"With --platform: limit on second attempts beside late ones, for each first attempt, from 0 (off, the default) to 1."`
 }
 
 // Help implements kong.HelpProvider.
@@ -29,10 +32,30 @@
 
 var errStopAborted = eris.New("the stop was aborted; requests in progress were cut off")
 
+// extraAttempts returns the value of --extra-attempts. The error is a settings.Fault.
+func (c *nodeCmd) extraAttempts() (share float64, err error) {
+	fault := settings.Fault{File: "command line", Name: "--extra-attempts"}
+	if c.ExtraAttempts != "" && !c.Platform {
+		fault.Problem, fault.Remedy = "it is given without --platform", "set limits.extraAttempts in the settings file"
+		return 0, fault
+	}
+	if c.ExtraAttempts != "" {
+		if err := settings.Share(&share)(c.ExtraAttempts); err != nil {
+			fault.Problem, fault.Remedy = err.Error(), "set it to a number from 0 (off) to 1, such as 0.03"
+			return 0, fault
+		}
+	}
+	return share, nil
+}
+
 // Run runs the node until it has stopped.
 func (c *nodeCmd) Run() error {
+	extraAttempts, err := c.extraAttempts()
+	if err != nil {
+		return err
+	}
 	if c.Platform {
-		return runHosted()
+		return runHosted(extraAttempts)
 	}
 	var s entry.Settings
 	if err := s.Table().Read(c.Settings); err != nil {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -137,6 +137,7 @@
 		Clock: o.Clock, Logger: n.logger.Named("caller"), Limits: s.Limits, Dispatcher: n.Traffic,
 		Endpoints: endpoint.NewClient(), Once: once.New(o.Clock, n.logger.Named("once"), n.Control),
 		Metrics: caller.NewMetrics(), View: n.Control.View, Stopping: n.Control.Stopping, TLS: public,
+		Extra: caller.NewExtraAttempts(s.ExtraAttempts),
 	}
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -27,7 +27,9 @@
 	QueueItems                           int
 	QueueBytes                           int64
 	AppendPause                          time.Duration
-	SnapshotEvery                        uint64
+	// ExtraAttempts limits the extra attempts beside late ones, as a share of the first attempts; 0 turns them off.
+	ExtraAttempts float64
+	SnapshotEvery uint64
 	// BalancerLag is how long the load balancer may still send requests after a stop was announced.
 	BalancerLag time.Duration
 	// StopTimeout is the time after which a planned stop aborts the requests in progress.
@@ -59,6 +61,7 @@
 		{Section: "limits", Key: "connections", Default: "12000", Unit: "connections", Help: "the maximum number of open connections of callers", Set: settings.Whole(&s.Limits.Connections, 1)},
 		{Section: "limits", Key: "queueItems", Default: "10000", Unit: "requests", Help: "the maximum number of requests that wait for one unit or service", Set: settings.Whole(&s.QueueItems, 1)},
 		{Section: "limits", Key: "queueBytes", Default: "67108864", Unit: "bytes", Help: "the maximum memory of requests that wait for one unit or service", Set: settings.Whole(&s.QueueBytes, 1)},
+		{Section: "limits", Key: "extraAttempts", Default: "0", Unit: "extra attempts for each first one", Help: "the limit on second attempts beside late ones, from 0 (off) to 1", Set: settings.Share(&s.ExtraAttempts)},
 		{Section: "times", Key: "defaultTimeout", Default: "60s", Unit: "duration", Help: "the timeout of a request that states none", Set: settings.Duration(&s.Limits.DefaultTimeout, time.Millisecond)},
 		{Section: "times", Key: "maxTimeout", Default: "1h", Unit: "duration", Help: "the longest timeout that a request may state", Set: settings.Duration(&s.Limits.MaxTimeout, time.Millisecond)},
 		{Section: "times", Key: "readTimeout", Default: "20s", Unit: "duration", Help: "the time within which a caller must send a request head, and again the body", Set: settings.Duration(&s.Limits.ReadTimeout, time.Millisecond)},
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -66,6 +66,8 @@
 	MemoryBytes int64
 	// Descriptors is the limit on open files and connections; 0 if there is none.
 	Descriptors int
+	// ExtraAttempts limits the extra attempts beside late ones, as a share of the first attempts; 0 turns them off.
+	ExtraAttempts float64
 }
 
 // Platform holds the clients and rules that depend on the platform.
@@ -267,6 +269,7 @@
 			Connections: s.Descriptors * callerShare / 100, HeldBytes: s.MemoryBytes * heldShare / 100,
 		},
 		Endpoints: endpoints, Origins: n.origins, Processes: processes, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
+		Extra: caller.NewExtraAttempts(s.ExtraAttempts),
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -184,6 +184,18 @@
 	}
 }
 
+// Share returns a Set function that accepts a decimal number from 0 to 1.
+func Share(into *float64) func(string) error {
+	return func(v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= 0 && n <= 1) {
+			return fmt.Errorf("%q is not a share from 0 to 1", v)
+		}
+		*into = n
+		return nil
+	}
+}
+
 // Choice returns a Set function that accepts one of the given words.
 func Choice(into *string, words ...string) func(string) error {
 	return func(v string) error {
