--- a/internal/traffic/extra.go
+++ b/internal/traffic/extra.go
@@ -24,6 +24,7 @@
 	}
 	req.Avoid = append(slices.Clip(req.Avoid), s.Endpoint.Name)
 	req.SkipLimited = true
+	req.boundPrompt()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, now := d.pool(d.keyOf(s.pool.name, &req)), d.clock.Now()
