quarantine: crashes are ordered by when connections broke

Callers lost a fourth engine to a request that crashes each: of three crashes one after the other two counted as one event, such as the failure of a rack. The first engine closed its listener last, so that its crash was noticed 25 ms after its connection broke, and after that of the engine to which the request went next. A suspicion now holds that time, also between nodes (delayMs, none from earlier releases), and a run that was sent after it is not concurrent.

TestSuspectsRoundTrip and TestSuspectsAreClamped also check the new field.

--- a/core/quarantine/entry.go
+++ b/core/quarantine/entry.go
@@ -29,6 +29,10 @@
 	Begun bool
 	// At is when the crash was noticed.
 	At time.Time
+	// Delay is how long before At the connection of the request had broken, in whole milliseconds; 0 if that is not known.
+	// An engine may close its listener after its connections, so that crashes are noticed in another order than they
+	// happened.
+	Delay time.Duration
 }
 
 // Verdict records that a request is quarantined.
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -54,7 +54,7 @@
 	e := Entry{Request: rec.request, Epoch: rec.epoch, At: r.base.Add(rec.since)}
 	for i := range rec.suspicions {
 		b := &rec.suspicions[i]
-		e.Suspicions = append(e.Suspicions, Suspicion{Crash: b.crash.id, Elapsed: b.elapsed, Begun: b.begun, At: r.base.Add(b.at)})
+		e.Suspicions = append(e.Suspicions, Suspicion{Crash: b.crash.id, Elapsed: b.elapsed, Begun: b.begun, At: r.base.Add(b.at), Delay: time.Duration(b.delayMs) * time.Millisecond})
 	}
 	for _, d := range rec.disproofs {
 		e.Disproofs = append(e.Disproofs, Disproof{Crash: d.id, At: r.base.Add(d.at)})
--- a/core/quarantine/odds.go
+++ b/core/quarantine/odds.go
@@ -39,6 +39,9 @@
 	// link; burstProbability is the probability that such a crash has this cause.
 	burstWindow      = 100 * time.Millisecond
 	burstProbability = 0.5
+	// timeResolution is by how much the order of two times that were sent from another node may be wrong: ages and
+	// durations are sent in whole milliseconds.
+	timeResolution = 2 * time.Millisecond
 	// notBegunLikelihood is how likely a request that crashes engines does so before the engine has begun to answer
 	// it.
 	notBegunLikelihood = 0.2
@@ -181,7 +184,16 @@
 // concurrent reports whether two engines crashed at the same time, each while it already had the request at the
 // other's crash.
 func (b *suspicion) concurrent(o *suspicion) bool {
-	return (b.at-o.at).Abs() <= burstWindow && b.at-b.elapsed < o.at && o.at-o.elapsed < b.at
+	return (b.at-o.at).Abs() <= burstWindow && b.hadBefore(o) && o.hadBefore(b)
+}
+
+// hadBefore reports whether the engine of b had the request before its connection to the engine of o broke.
+func (b *suspicion) hadBefore(o *suspicion) bool {
+	broke := o.at
+	if o.delayMs > 0 {
+		broke -= time.Duration(o.delayMs)*time.Millisecond + timeResolution
+	}
+	return b.at-b.elapsed < broke
 }
 
 // likelihood returns the likelihood of the crash if this request caused it.
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -38,7 +38,9 @@
 	// at is when the crash was noticed, relative to the registry's base; elapsed is how long the engine had the
 	// request.
 	at, elapsed time.Duration
-	begun       bool
+	// delayMs is [Suspicion.Delay] in milliseconds.
+	delayMs uint16
+	begun   bool
 }
 
 // crash is one crash of an engine.
@@ -300,13 +302,14 @@
 	if r.voids(&b) {
 		return false
 	}
-	at := b.At.Sub(r.base)
+	at, delayMs := b.At.Sub(r.base), uint16(max(0, min(b.Delay, breakWindow)).Milliseconds())
 	e := r.crash(b.Crash, at)
 	i, found := slices.BinarySearchFunc(rec.suspicions, b.Crash, func(x suspicion, id CrashID) int { return x.crash.id.compare(id) })
 	if found {
 		old := &rec.suspicions[i]
 		changed := b.Elapsed < old.elapsed || b.Begun && !old.begun
 		old.at, old.elapsed, old.begun = min(old.at, at), min(old.elapsed, b.Elapsed), old.begun || b.Begun
+		old.delayMs = min(old.delayMs, delayMs)
 		return changed
 	}
 	limit := maxSuspicions
@@ -316,7 +319,7 @@
 	if i >= limit || len(e.suspects) >= maxSuspects {
 		return false
 	}
-	rec.suspicions = slices.Insert(rec.suspicions, i, suspicion{crash: e, at: at, elapsed: b.Elapsed, begun: b.Begun})
+	rec.suspicions = slices.Insert(rec.suspicions, i, suspicion{crash: e, at: at, elapsed: b.Elapsed, delayMs: delayMs, begun: b.Begun})
 	e.suspects = append(e.suspects, rec)
 	e.updatedAt = now.Sub(r.base)
 	if len(rec.suspicions) > limit {
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -195,7 +195,11 @@
 	}
 	// Whether an abandoned request was still on the engine is unknown, so it has the weight of one that had not
 	// begun.
-	return Suspicion{Crash: id, Elapsed: max(0, at.Sub(from)), Begun: run.broke && !run.begunAt.IsZero(), At: at}
+	s := Suspicion{Crash: id, Elapsed: max(0, at.Sub(from)), Begun: run.broke && !run.begunAt.IsZero(), At: at}
+	if run.broke {
+		s.Delay = max(0, at.Sub(run.stoppedAt)).Truncate(time.Millisecond)
+	}
+	return s
 }
 
 func (er *engineRuns) crashID(l Incarnation) CrashID {
--- a/io/peer/quarantine.go
+++ b/io/peer/quarantine.go
@@ -32,6 +32,8 @@
 	RanMs int64 `json:"ranMs"`
 	Begun bool  `json:"begun,omitempty"`
 	AgeMs int64 `json:"ageMs"`
+	// DelayMs is how long before that the connection of the request had broken.
+	DelayMs int64 `json:"delayMs,omitempty"`
 }
 
 // Verdict is a quarantine decision: the request is kept from engines, except for trials.
@@ -47,7 +49,7 @@
 		e := &entries[i]
 		s := Suspect{Request: e.Request, Epoch: e.Epoch, AgeMs: now.Sub(e.At).Milliseconds()}
 		for _, c := range e.Suspicions {
-			s.Suspicions = append(s.Suspicions, Suspicion{CrashID: c.Crash, RanMs: c.Elapsed.Milliseconds(), Begun: c.Begun, AgeMs: now.Sub(c.At).Milliseconds()})
+			s.Suspicions = append(s.Suspicions, Suspicion{CrashID: c.Crash, RanMs: c.Elapsed.Milliseconds(), Begun: c.Begun, AgeMs: now.Sub(c.At).Milliseconds(), DelayMs: c.Delay.Milliseconds()})
 		}
 		for _, d := range e.Disproofs {
 			s.Disproofs = append(s.Disproofs, Disproof{CrashID: d.Crash, AgeMs: now.Sub(d.At).Milliseconds()})
@@ -67,7 +69,7 @@
 		s := &suspects[i]
 		e := quarantine.Entry{Request: s.Request, Epoch: s.Epoch, At: timeFromAge(now, s.AgeMs)}
 		for _, c := range s.Suspicions {
-			e.Suspicions = append(e.Suspicions, quarantine.Suspicion{Crash: c.CrashID, Elapsed: clampMs(c.RanMs), Begun: c.Begun, At: timeFromAge(now, c.AgeMs)})
+			e.Suspicions = append(e.Suspicions, quarantine.Suspicion{Crash: c.CrashID, Elapsed: clampMs(c.RanMs), Begun: c.Begun, At: timeFromAge(now, c.AgeMs), Delay: clampMs(c.DelayMs)})
 		}
 		for _, d := range s.Disproofs {
 			e.Disproofs = append(e.Disproofs, quarantine.Disproof{Crash: d.CrashID, At: timeFromAge(now, d.AgeMs)})
--- a/io/peer/quarantine_test.go
+++ b/io/peer/quarantine_test.go
@@ -21,7 +21,7 @@
 		return []quarantine.Entry{{
 			Request: quarantine.FingerprintOf("c", quarantine.DigestOf("POST", "h", "/", nil)), Epoch: 2, At: now.Add(-9 * time.Second),
 			Suspicions: []quarantine.Suspicion{
-				{Crash: quarantine.CrashID{Engine: "a", Start: 5}, Elapsed: 80 * time.Millisecond, Begun: true, At: now.Add(-8 * time.Second)},
+				{Crash: quarantine.CrashID{Engine: "a", Start: 5}, Elapsed: 80 * time.Millisecond, Begun: true, At: now.Add(-8 * time.Second), Delay: 25 * time.Millisecond},
 				{Crash: quarantine.CrashID{Engine: "b", N: 1}, At: now.Add(-7 * time.Second)},
 			},
 			Disproofs: []quarantine.Disproof{{Crash: quarantine.CrashID{Engine: "c", Start: 7}, At: now.Add(-5 * time.Second)}},
@@ -52,7 +52,7 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	invalid := []Suspect{{
 		AgeMs:      -5,
-		Suspicions: []Suspicion{{RanMs: -1, AgeMs: 1 << 62}},
+		Suspicions: []Suspicion{{RanMs: -1, AgeMs: 1 << 62, DelayMs: -1}},
 		Disproofs:  []Disproof{{AgeMs: -3}},
 		Verdict:    &Verdict{AgeMs: -1 << 62, Trials: -3},
 	}}
