placer: routes that move and come back count as moved

A lease holder compared only the configuration of the latest ledger with the newest one. A route that led to another service in between was not noticed, and a stream without a record that began there could go on at the first service. All configurations that were in force here since are now compared with each other.

--- a/internal/placer/builds.go
+++ b/internal/placer/builds.go
@@ -53,6 +53,11 @@
 	return nil
 }
 
+// tablesFrom returns the configurations from a version on.
+func (b *builds) tablesFrom(version int64) []*route.Table {
+	return slices.DeleteFunc(slices.Clone(b.tables), func(t *route.Table) bool { return t.Config.Version < version })
+}
+
 // followLedger takes over the ledger of the latest lease record.
 func (c *Controller) followLedger() {
 	next, _ := c.lease.Ledger()
@@ -125,8 +130,7 @@
 		o.Present[in.Service] = append(o.Present[in.Service], in.Build)
 	}
 	if t := c.Table(); t != nil {
-		o.Config = t.Config.Version
-		o.Moved = movedServices(c.builds.tableOf(last.Config), t, last.Config)
+		o.Config, o.Moved = t.Config.Version, c.servicesMoved(last.Config, t)
 	}
 	if c.held && !c.builds.at.IsZero() {
 		o.Elapsed = now.Sub(c.builds.at)
@@ -135,55 +139,6 @@
 	return last.Next(o)
 }
 
-// movedServices returns the services to or from which streams on routes may have moved between two configurations. known
-// is the version up to which moves were taken into account; if old, the configuration of that version, is nil, any stream
-// may have moved.
-func movedServices(old, next *route.Table, known int64) []string {
-	switch {
-	case known == 0 || known >= next.Config.Version:
-		return nil
-	case old == nil:
-		return resumableServices(next)
-	}
-	moved := make(map[string]bool)
-	note := func(from, to *route.Route) {
-		if from == nil || to == nil || !from.Resumable || !to.Resumable || slices.Equal(from.Services, to.Services) {
-			return
-		}
-		for _, r := range []*route.Route{from, to} {
-			for _, s := range r.Services {
-				moved[s.Service] = true
-			}
-		}
-	}
-	for i := range old.Config.Routes {
-		r := &old.Config.Routes[i]
-		note(r, next.Match(r.Host, r.Prefix))
-	}
-	for i := range next.Config.Routes {
-		r := &next.Config.Routes[i]
-		note(old.Match(r.Host, r.Prefix), r)
-	}
-	out := make([]string, 0, len(moved))
-	for s := range moved {
-		out = append(out, s)
-	}
-	return out
-}
-
-// resumableServices returns the services of all routes whose streams may be taken up.
-func resumableServices(t *route.Table) []string {
-	var out []string
-	for i := range t.Config.Routes {
-		for _, s := range t.Config.Routes[i].Services {
-			if t.Config.Routes[i].Resumable && !slices.Contains(out, s.Service) {
-				out = append(out, s.Service)
-			}
-		}
-	}
-	return out
-}
-
 // newestReadTimeout bounds the reads by which the origin of a stream is concluded; the store answers within milliseconds.
 const newestReadTimeout = 500 * time.Millisecond
 
