placer: a new lease holder reads the configurations that no node has left

The new holder reads the last eight records of the operators' topic and takes the configuration into account once it has them; until then nothing is concluded. If they do not go back far enough, hold a record that cannot be read, or the store was restored, all routes count as moved, as before.

--- a/internal/placer/builds.go
+++ b/internal/placer/builds.go
@@ -27,6 +27,10 @@
 	tables []*route.Table
 	// changed is set if the ledger has changed since the view in force was built.
 	changed bool
+	// historyFrom is the version from which on the store's history was last read for tables, and historyDone is set once
+	// that read has ended; 0 if it never was read.
+	historyFrom int64
+	historyDone bool
 }
 
 // maxTables bounds the configurations that are kept while no lease record takes them into account.
@@ -117,7 +121,7 @@
 }
 
 // nextLedger returns the ledger for the next lease record of this node.
-func (c *Controller) nextLedger(now time.Time) *origin.Ledger {
+func (c *Controller) nextLedger(ctx context.Context, now time.Time) *origin.Ledger {
 	last, first := c.lease.Ledger()
 	switch {
 	case first:
@@ -130,7 +134,9 @@
 		o.Present[in.Service] = append(o.Present[in.Service], in.Build)
 	}
 	if t := c.Table(); t != nil {
-		o.Config, o.Moved = t.Config.Version, c.servicesMoved(last.Config, t)
+		if moved, known := c.servicesMoved(ctx, last.Config, t); known {
+			o.Config, o.Moved = t.Config.Version, moved
+		}
 	}
 	if c.held && !c.builds.at.IsZero() {
 		o.Elapsed = now.Sub(c.builds.at)
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -402,7 +402,7 @@
 	c.lease.SetUrgent(c.held && c.listed && c.ledgerBehind())
 	if c.lease.ShouldAppend(now) && !c.handingOver && !c.stopping.Load() && !c.defersToHolder(now) && !c.listTimedOut(now) {
 		c.lease.SetMembers(c.quotas.members(now))
-		c.lease.SetLedger(c.nextLedger(now))
+		c.lease.SetLedger(c.nextLedger(ctx, now))
 		rec := c.lease.Begin(now, c.outage.Others(now))
 		go c.append(ctx, c.lease.End(), rec)
 	}
--- a/internal/placer/moves.go
+++ b/internal/placer/moves.go
@@ -1,9 +1,16 @@
 package placer
 
 import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
 	"slices"
 
+	"olivetiller/core/logstore"
+	"olivetiller/core/position"
 	"olivetiller/core/route"
+	"olivetiller/io/boottime"
 )
 
 // movedServices returns the services to or from which streams on routes may have moved among configurations. Any two are
@@ -52,14 +59,95 @@
 	return out
 }
 
-// servicesMoved returns the services to or from which streams on routes may have moved since a configuration.
-func (c *Controller) servicesMoved(since int64, t *route.Table) []string {
-	switch {
-	case since == 0 || since >= t.Config.Version:
-		return nil
-	case c.builds.tableOf(since) == nil:
-		// Any stream may have moved.
-		return resumableServices(t)
+// servicesMoved returns the services to or from which streams on routes may have moved since a configuration; known is
+// false while the store's history is read for the configurations in between.
+func (c *Controller) servicesMoved(ctx context.Context, since int64, t *route.Table) (moved []string, known bool) {
+	if since == 0 || since >= t.Config.Version {
+		return nil, true
 	}
-	return movedServices(c.builds.tablesFrom(since))
+	b := &c.builds
+	if b.tableOf(since) != nil {
+		return movedServices(b.tablesFrom(since)), true
+	}
+	if b.historyFrom != since {
+		b.historyFrom, b.historyDone = since, false
+		go c.readHistory(ctx, since, c.config.Load().readTo)
+	}
+	if !b.historyDone {
+		return nil, false
+	}
+	// Any stream may have moved.
+	return resumableServices(t), true
+}
+
+// historyRead holds the configurations from a version on, as the store's history has them.
+type historyRead struct {
+	from   int64
+	tables []*route.Table
+	err    error
+}
+
+func (m historyRead) handle(c *Controller) {
+	b := &c.builds
+	if m.from != b.historyFrom {
+		return
+	}
+	b.historyDone = true
+	if m.err != nil {
+		c.o.Logger.Warn("moved routes cannot be told, streams without a record are refused until those in progress have ended", "config", m.from, "error", m.err.Error())
+		return
+	}
+	for _, t := range m.tables {
+		if b.tableOf(t.Config.Version) == nil {
+			b.tables = append(b.tables, t)
+		}
+	}
+	slices.SortFunc(b.tables, func(x, y *route.Table) int { return cmp.Compare(x.Config.Version, y.Config.Version) })
+	c.o.Logger.Info("configurations read from the store's history", "from", m.from, "read", len(m.tables))
+}
+
+// errHistory is returned if the store's history lacks configurations that streams in progress may have begun under.
+var errHistory = errors.New("the store's history does not hold every configuration since; it keeps the newest record for good, and others for a time")
+
+// readHistory reads the configurations from a version on that stand before a position of the operators' topic.
+func (c *Controller) readHistory(ctx context.Context, from int64, end position.Position) {
+	rctx, cancel := boottime.WithTimeout(ctx, c.o.Clock, fullReadTimeout)
+	defer cancel()
+	tables, err := c.history(rctx, from, end)
+	c.inbox.Send(ctx, historyRead{from, tables, err})
+}
+
+// history returns the configurations from a version on that are among the last maxTables records before a position. It
+// repeats reads that get no answer until ctx ends.
+func (c *Controller) history(ctx context.Context, from int64, end position.Position) ([]*route.Table, error) {
+	if position.Era(end) > 0 {
+		return nil, fmt.Errorf("the store was restored and may lack configurations that were in force: %w", errHistory)
+	}
+	var out []*route.Table
+	for next := end - min(end, maxTables); next < end; {
+		page, err := c.o.Store.Configs(ctx, next, 0)
+		var failed *logstore.Error
+		switch {
+		case errors.As(err, &failed) && failed.Kind == logstore.Dropped && failed.First > next:
+			next = failed.First
+			continue
+		case errors.As(err, &failed) && failed.Kind != logstore.NoAnswer, err != nil && ctx.Err() != nil:
+			return nil, fmt.Errorf("the operators' topic cannot be read from offset %d on: %w", position.Offset(next), err)
+		case err != nil:
+			c.pause(ctx, c.timing.maxRetryPause)
+			continue
+		case position.Era(page.Next) > 0, len(page.Damaged) > 0, page.Next <= next:
+			return nil, errHistory
+		}
+		for _, r := range page.Records {
+			if t := r.Value.Table; t != nil && r.Offset < end && t.Config.Version >= from {
+				out = append(out, t)
+			}
+		}
+		next = page.Next
+	}
+	if len(out) == 0 || out[0].Config.Version != from {
+		return nil, errHistory
+	}
+	return out, nil
 }
