queue, traffic: order requests by rank when room is short

The rank that a configuration states for a route or a customer decided nothing at a node: requests waited in the order of fair queueing and deadlines, whatever their rank, and a full queue refused whoever came last.

A queue now serves the most urgent rank first, and within it as before. An item that has waited for half of its objective is overdue, and its rank gets one turn in four ahead of more urgent ones that came later. A full queue makes way for a more urgent request: the youngest of the least urgent rank is refused as not run, with a hint. Admission of ranked requests and the limits of endpoints count only the requests that really go first.

--- /dev/null
+++ b/core/queue/class.go
@@ -0,0 +1,256 @@
+package queue
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"strings"
+	"time"
+)
+
+// class holds the waiting items of one rank.
+type class struct {
+	rank   int
+	flows  map[string]*flow
+	active flowHeap
+	// now is the current virtual time: the start tag of the item served last.
+	now   float64
+	items int
+	bytes int64
+	// overdue holds the items by the time from which they are overdue.
+	overdue overdueHeap
+	// youngest is the item that was pushed last; the others follow by Item.older.
+	youngest *Item
+}
+
+// first returns the item that goes first in a class that is not empty.
+func (c *class) first() *Item { return c.active[0].items[0] }
+
+// push adds an item.
+func (c *class) push(it *Item) {
+	f := c.flows[it.Caller]
+	if f == nil {
+		f = &flow{caller: it.Caller, index: -1}
+		c.flows[it.Caller] = f
+	}
+	it.flow, it.class = f, c
+	heap.Push(&f.items, it)
+	heap.Push(&c.overdue, it)
+	c.items++
+	c.bytes += it.Bytes
+	if it.older = c.youngest; it.older != nil {
+		it.older.younger = it
+	}
+	c.youngest = it
+	if f.index < 0 {
+		f.startTag = max(f.startTag, c.now)
+		heap.Push(&c.active, f)
+	} else {
+		heap.Fix(&c.active, f.index)
+	}
+}
+
+// remove removes an item from its flow, and the flow from the active flows if it has no more items.
+func (c *class) remove(it *Item) {
+	f := it.flow
+	heap.Remove(&f.items, it.index)
+	heap.Remove(&c.overdue, it.overdueIndex)
+	c.unlink(it)
+	it.flow, it.class = nil, nil
+	c.items--
+	c.bytes -= it.Bytes
+	if len(f.items) > 0 {
+		heap.Fix(&c.active, f.index)
+		return
+	}
+	heap.Remove(&c.active, f.index)
+	f.index = -1
+	if f.startTag <= c.now {
+		// A flow that is not ahead of the virtual time has no state worth keeping.
+		delete(c.flows, f.caller)
+	}
+	if c.items == 0 {
+		// No item waits: every caller starts from zero again.
+		clear(c.flows)
+		c.now = 0
+	}
+}
+
+// unlink removes an item from the list by arrival.
+func (c *class) unlink(it *Item) {
+	if it.younger != nil {
+		it.younger.older = it.older
+	} else {
+		c.youngest = it.older
+	}
+	if it.older != nil {
+		it.older.younger = it.younger
+	}
+	it.older, it.younger = nil, nil
+}
+
+// appendItems appends the items in the order in which they go if no other comes.
+func (c *class) appendItems(out []*Item) []*Item {
+	type tagged struct {
+		*Item
+		startTag float64
+	}
+	items := make([]tagged, 0, c.items)
+	for _, f := range c.active {
+		own := slices.SortedFunc(slices.Values(f.items), (*Item).compare)
+		tag := f.startTag
+		for _, it := range own {
+			items = append(items, tagged{it, tag})
+			tag += it.cost()
+		}
+	}
+	slices.SortFunc(items, func(a, b tagged) int {
+		return cmp.Or(cmp.Compare(a.startTag, b.startTag), a.Deadline.Compare(b.Deadline), strings.Compare(a.Caller, b.Caller), cmp.Compare(a.seq, b.seq))
+	})
+	for _, it := range items {
+		out = append(out, it.Item)
+	}
+	return out
+}
+
+// ahead counts the items that go before another one, which is not in the queue: those of its own caller, and those of
+// others. Of each other caller it may miss one, where it depends on the deadline who goes first.
+func (c *class) ahead(it *Item) (own, others int) {
+	tag := c.now
+	f := c.flows[it.Caller]
+	if f != nil {
+		tag = max(tag, f.startTag)
+		for _, o := range f.items {
+			if !o.Deadline.After(it.Deadline) {
+				own++
+				tag += o.cost()
+			}
+		}
+	}
+	for _, g := range c.active {
+		if g == f {
+			continue
+		}
+		theirs := g.startTag
+		for _, o := range g.items {
+			if theirs >= tag {
+				break
+			}
+			others++
+			theirs += o.cost()
+		}
+	}
+	return own, others
+}
+
+// overdueBy counts the items that are overdue at now.
+func (c *class) overdueBy(now time.Time) int {
+	n := 0
+	for _, it := range c.overdue {
+		if it.overdueBy(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// flow holds the waiting items of one caller.
+type flow struct {
+	caller string
+	items  itemHeap
+	// startTag is the start tag of the caller's next item, in virtual time.
+	startTag float64
+	index    int
+}
+
+type itemHeap []*Item
+
+func (h itemHeap) Len() int { return len(h) }
+
+func (h itemHeap) Less(i, j int) bool { return h[i].compare(h[j]) < 0 }
+
+// compare orders the items of a flow by deadline, and then by arrival.
+func (it *Item) compare(o *Item) int {
+	return cmp.Or(it.Deadline.Compare(o.Deadline), cmp.Compare(it.seq, o.seq))
+}
+
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *itemHeap) Push(x any) {
+	it := x.(*Item)
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+func (h *itemHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
+
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].startTag != h[j].startTag {
+		return h[i].startTag < h[j].startTag
+	}
+	a, b := h[i].items, h[j].items
+	if len(a) > 0 && len(b) > 0 && !a[0].Deadline.Equal(b[0].Deadline) {
+		return a[0].Deadline.Before(b[0].Deadline)
+	}
+	return h[i].caller < h[j].caller
+}
+
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return f
+}
+
+// overdueHeap orders the items of a class by OverdueAt, and then by arrival.
+type overdueHeap []*Item
+
+func (h overdueHeap) Len() int { return len(h) }
+
+func (h overdueHeap) Less(i, j int) bool {
+	return cmp.Or(h[i].OverdueAt().Compare(h[j].OverdueAt()), cmp.Compare(h[i].seq, h[j].seq)) < 0
+}
+
+func (h overdueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].overdueIndex, h[j].overdueIndex = i, j
+}
+
+func (h *overdueHeap) Push(x any) {
+	it := x.(*Item)
+	it.overdueIndex = len(*h)
+	*h = append(*h, it)
+}
+
+func (h *overdueHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -1,8 +1,12 @@
-// Package queue implements the queue of requests that wait for an endpoint: fair between callers, by deadline
-// within a caller, and bounded in items and memory.
+// Package queue implements the queue of requests that wait for an endpoint: ordered by rank, fair between the callers
+// of one rank, by deadline within a caller, and bounded in items and memory.
 //
-// A large batch of one caller must not starve a single interactive request of another one. Between callers the
-// queue uses start-time fair queueing. Each caller has a virtual time that grows by the cost of the items that
+// The most urgent rank goes first. An item that has waited for half of the time until its deadline is overdue. Its rank
+// then goes ahead of more urgent items that came after it, in one of every few turns, so that nothing starves, and yet a
+// surplus of less urgent items cannot displace urgent ones; see [Turns].
+//
+// A large batch of one caller must not starve a single interactive request of another one. Between callers of one rank
+// the queue uses start-time fair queueing. Each caller has a virtual time that grows by the cost of the items that
 // were served to it. The caller with the least virtual time goes next, and among equals the one with the
 // earliest deadline. Within a caller the earliest deadline goes first. A caller that comes back after a pause
 // starts at the current virtual time of the queue, so that it neither pays for its earlier work nor saves up
@@ -12,7 +16,8 @@
 package queue
 
 import (
-	"container/heap"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -20,6 +25,10 @@
 type Item struct {
 	// Caller identifies the flow to which the item's cost is charged.
 	Caller string
+	// Rank orders items before all else; 0 is the most urgent. A queue holds few different ranks.
+	Rank int
+	// Arrived is when the item began to wait. It matters only where ranks differ.
+	Arrived time.Time
 	// Deadline is the time by which the item must have left the queue.
 	Deadline time.Time
 	// Cost is the cost of serving the item, in a unit that all items share. Values below 1 count as 1.
@@ -29,11 +38,18 @@
 	// Value is for the owner of the queue, which does not read it.
 	Value any
 
-	index int
-	flow  *flow
-	seq   uint64
+	// index is the position in the heap of the flow, and overdueIndex that in the heap of the class.
+	index, overdueIndex int
+	flow                *flow
+	class               *class
+	seq                 uint64
+	// older and younger are the neighbours by arrival in the class.
+	older, younger *Item
 }
 
+// cost returns Cost, at least 1.
+func (it *Item) cost() float64 { return max(1, it.Cost) }
+
 // Limits bounds the size of a queue.
 type Limits struct {
 	// Items is the maximum number of waiting items.
@@ -42,22 +58,19 @@
 	Bytes int64
 }
 
-// Queue is a fair queue of items with deadlines.
+// Queue is a fair queue of items with ranks and deadlines.
 type Queue struct {
 	limits Limits
-	flows  map[string]*flow
-	active flowHeap
-	// now is the current virtual time: the start tag of the item served last.
-	now   float64
-	items int
-	bytes int64
-	seq   uint64
+	// classes holds the items by rank, the most urgent first. A class stays when it has no more items.
+	classes []*class
+	items   int
+	bytes   int64
+	seq     uint64
+	turns   Turns
 }
 
 // New returns an empty queue.
-func New(limits Limits) *Queue {
-	return &Queue{limits: limits, flows: make(map[string]*flow)}
-}
+func New(limits Limits) *Queue { return &Queue{limits: limits} }
 
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return q.items }
@@ -70,45 +83,89 @@
 	if q.items+1 > q.limits.Items || q.bytes+it.Bytes > q.limits.Bytes {
 		return false
 	}
-	f := q.flows[it.Caller]
-	if f == nil {
-		f = &flow{caller: it.Caller, index: -1}
-		q.flows[it.Caller] = f
-	}
 	q.seq++
 	it.seq = q.seq
-	it.flow = f
-	heap.Push(&f.items, it)
+	q.class(it.Rank).push(it)
 	q.items++
 	q.bytes += it.Bytes
-	if f.index < 0 {
-		f.startTag = max(f.startTag, q.now)
-		heap.Push(&q.active, f)
-	} else {
-		heap.Fix(&q.active, f.index)
-	}
 	return true
 }
 
-// Pop removes and returns the next item, or nil if none waits.
-func (q *Queue) Pop() *Item {
-	if len(q.active) == 0 {
+// PushOver is like Push, but an item for which there is no room takes that of less urgent items: those of the least
+// urgent rank leave first, and the youngest of a rank. It returns the items that left. If they would not make enough
+// room, none leaves.
+func (q *Queue) PushOver(it *Item) (left []*Item, ok bool) {
+	items, bytes := q.items+1-q.limits.Items, q.bytes+it.Bytes-q.limits.Bytes
+	var lessUrgent class
+	for _, c := range q.classes {
+		if c.rank > it.Rank {
+			lessUrgent.items += c.items
+			lessUrgent.bytes += c.bytes
+		}
+	}
+	if items > lessUrgent.items || bytes > lessUrgent.bytes {
+		return nil, false
+	}
+	for i := len(q.classes) - 1; items > 0 || bytes > 0; {
+		youngest := q.classes[i].youngest
+		if youngest == nil {
+			i--
+			continue
+		}
+		items, bytes = items-1, bytes-youngest.Bytes
+		q.remove(youngest)
+		left = append(left, youngest)
+	}
+	return left, q.Push(it)
+}
+
+// class returns the class of a rank and creates it on first use.
+func (q *Queue) class(rank int) *class {
+	i, ok := slices.BinarySearchFunc(q.classes, rank, func(c *class, rank int) int { return cmp.Compare(c.rank, rank) })
+	if !ok {
+		q.classes = slices.Insert(q.classes, i, &class{rank: rank, flows: make(map[string]*flow)})
+	}
+	return q.classes[i]
+}
+
+// Pop removes and returns the item that goes next at now, or nil if none waits.
+func (q *Queue) Pop(now time.Time) *Item {
+	it, overdue := q.next(now)
+	if it == nil {
 		return nil
 	}
-	f := q.active[0]
-	it := f.items[0]
-	q.now = f.startTag
-	f.startTag += max(1, it.Cost)
+	q.turns.Served(overdue)
+	it.class.now = it.flow.startTag
+	it.flow.startTag += it.cost()
 	q.remove(it)
 	return it
 }
 
-// Peek returns the next item without removing it, or nil if none waits.
-func (q *Queue) Peek() *Item {
-	if len(q.active) == 0 {
-		return nil
+// Peek returns the item that goes next at now without removing it, or nil if none waits.
+func (q *Queue) Peek(now time.Time) *Item {
+	it, _ := q.next(now)
+	return it
+}
+
+// next returns the item that goes next at now, and whether its rank goes ahead of a more urgent one because an item of
+// it is overdue.
+func (q *Queue) next(now time.Time) (it *Item, overdue bool) {
+	var first, owed *Item
+	for _, c := range q.classes {
+		switch {
+		case c.items == 0:
+		case first == nil:
+			first = c.first()
+		case q.turns.Due():
+			if o := c.overdue[0]; o.Passes(first, now) && (owed == nil || o.OverdueAt().Before(owed.OverdueAt())) {
+				owed = o
+			}
+		}
 	}
-	return q.active[0].items[0]
+	if owed != nil {
+		return owed.class.first(), true
+	}
+	return first, false
 }
 
 // Remove removes an item from any position. It reports false if the item is no longer in the queue.
@@ -120,18 +177,35 @@
 	return true
 }
 
-// Items returns the waiting items in no particular order.
+// remove removes an item that is in the queue.
+func (q *Queue) remove(it *Item) {
+	it.class.remove(it)
+	q.items--
+	q.bytes -= it.Bytes
+}
+
+// Items returns the waiting items in the order in which they go if no other comes and none is overdue.
 func (q *Queue) Items() []*Item {
 	out := make([]*Item, 0, q.items)
-	for _, f := range q.active {
-		out = append(out, f.items...)
+	for _, c := range q.classes {
+		out = c.appendItems(out)
 	}
 	return out
 }
 
+// MostUrgent returns the most urgent rank of the waiting items; 0 if none waits.
+func (q *Queue) MostUrgent() int {
+	for _, c := range q.classes {
+		if c.items > 0 {
+			return c.rank
+		}
+	}
+	return 0
+}
+
 // Earliest returns the earliest deadline; ok is false if no item waits.
 func (q *Queue) Earliest() (deadline time.Time, ok bool) {
-	for _, f := range q.active {
+	for f := range q.waitingFlows {
 		if d := f.items[0].Deadline; !ok || d.Before(deadline) {
 			deadline, ok = d, true
 		}
@@ -142,7 +216,7 @@
 // Due returns the earliest deadline after now, or the earliest of all if none is after now, and the latest
 // deadline of all; ok is false if no item waits.
 func (q *Queue) Due(now time.Time) (next, last time.Time, ok bool) {
-	for _, f := range q.active {
+	for f := range q.waitingFlows {
 		for _, it := range f.items {
 			d := it.Deadline
 			if !ok || Before(d, next, now) {
@@ -157,6 +231,17 @@
 	return next, last, ok
 }
 
+// waitingFlows iterates over the flows that have waiting items.
+func (q *Queue) waitingFlows(yield func(*flow) bool) {
+	for _, c := range q.classes {
+		for _, f := range c.active {
+			if !yield(f) {
+				return
+			}
+		}
+	}
+}
+
 // Before reports whether deadline a goes before deadline b. Deadlines after now go before those that have passed.
 func Before(a, b, now time.Time) bool {
 	if past := !a.After(now); past != !b.After(now) {
@@ -164,100 +249,3 @@
 	}
 	return a.Before(b)
 }
-
-// remove removes an item from its flow, and the flow from the active flows if it has no more items.
-func (q *Queue) remove(it *Item) {
-	f := it.flow
-	heap.Remove(&f.items, it.index)
-	it.flow = nil
-	q.items--
-	q.bytes -= it.Bytes
-	if len(f.items) > 0 {
-		heap.Fix(&q.active, f.index)
-		return
-	}
-	heap.Remove(&q.active, f.index)
-	f.index = -1
-	if f.startTag <= q.now || q.items == 0 {
-		// A flow that is not ahead of the virtual time has no state worth keeping.
-		delete(q.flows, f.caller)
-	}
-	if q.items == 0 {
-		// The queue is empty: every caller starts from zero again.
-		clear(q.flows)
-		q.now = 0
-	}
-}
-
-// flow holds the waiting items of one caller.
-type flow struct {
-	caller string
-	items  itemHeap
-	// startTag is the start tag of the caller's next item, in virtual time.
-	startTag float64
-	index    int
-}
-
-type itemHeap []*Item
-
-func (h itemHeap) Len() int { return len(h) }
-
-func (h itemHeap) Less(i, j int) bool {
-	if !h[i].Deadline.Equal(h[j].Deadline) {
-		return h[i].Deadline.Before(h[j].Deadline)
-	}
-	return h[i].seq < h[j].seq
-}
-
-func (h itemHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-func (h *itemHeap) Push(x any) {
-	it := x.(*Item)
-	it.index = len(*h)
-	*h = append(*h, it)
-}
-
-func (h *itemHeap) Pop() any {
-	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return it
-}
-
-type flowHeap []*flow
-
-func (h flowHeap) Len() int { return len(h) }
-
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].startTag != h[j].startTag {
-		return h[i].startTag < h[j].startTag
-	}
-	a, b := h[i].items, h[j].items
-	if len(a) > 0 && len(b) > 0 && !a[0].Deadline.Equal(b[0].Deadline) {
-		return a[0].Deadline.Before(b[0].Deadline)
-	}
-	return h[i].caller < h[j].caller
-}
-
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.index = len(*h)
-	*h = append(*h, f)
-}
-
-func (h *flowHeap) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return f
-}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -37,7 +37,7 @@
 				}
 			}
 			var got []string
-			for it := q.Pop(); it != nil; it = q.Pop() {
+			for it := q.Pop(zero); it != nil; it = q.Pop(zero) {
 				got = append(got, it.Value.(string))
 			}
 			if diff := cmp.Diff(tc.want, got); diff != "" {
@@ -54,11 +54,11 @@
 		q.Push(item("museum", i))
 	}
 	for range 100 {
-		q.Pop()
+		q.Pop(zero)
 	}
 	q.Push(item("clerk", 5000))
 	for i := 1; ; i++ {
-		if it := q.Pop(); it.Caller == "clerk" {
+		if it := q.Pop(zero); it.Caller == "clerk" {
 			if i > 2 {
 				t.Errorf("the clerk was served as number %d, want 1 or 2", i)
 			}
@@ -81,7 +81,7 @@
 					waiting[it] = true
 				}
 			case 1:
-				it := q.Pop()
+				it := q.Pop(zero)
 				if (it == nil) != (len(waiting) == 0) || (it != nil && !waiting[it]) {
 					rt.Fatalf("popped %v of %d waiting", it, len(waiting))
 				}
--- /dev/null
+++ b/core/queue/rank.go
@@ -0,0 +1,86 @@
+package queue
+
+import (
+	"fmt"
+	"time"
+)
+
+// overdueDivisor is the part of the time until its deadline after which a waiting item is overdue: a half. The other
+// half is left to serve it in time.
+const overdueDivisor = 2
+
+// OverdueAt returns when something that began to wait at since, and is of full use to its caller until the time
+// limit has passed, stops yielding to all that is more urgent.
+func OverdueAt(since time.Time, limit time.Duration) time.Time {
+	return since.Add(limit / overdueDivisor)
+}
+
+// OverdueAt returns when the item stops yielding to all more urgent ones.
+func (it *Item) OverdueAt() time.Time { return OverdueAt(it.Arrived, it.Deadline.Sub(it.Arrived)) }
+
+// overdueBy reports whether the item is overdue at now.
+func (it *Item) overdueBy(now time.Time) bool { return !now.Before(it.OverdueAt()) }
+
+// Passes reports whether the item goes ahead of a more urgent one in a turn of overdue items: it is overdue, and came
+// first.
+func (it *Item) Passes(first *Item, now time.Time) bool {
+	return it.Rank > first.Rank && it.Arrived.Before(first.Arrived) && it.overdueBy(now)
+}
+
+// turnsBetweenOverdue is how many turns go by rank between two of overdue items. While there are enough urgent items,
+// they keep three quarters of the capacity, however many less urgent ones are overdue.
+const turnsBetweenOverdue = 3
+
+// Turns decides which turns go to overdue items in place of more urgent ones: the first, and then one in
+// turnsBetweenOverdue+1. So an overdue item with n others before it is served within (n+1)*(turnsBetweenOverdue+1)
+// turns, whatever more urgent items come after it. The zero value is ready to use.
+type Turns struct {
+	// left is the number of turns by rank until the next one of an overdue item.
+	left int
+}
+
+// Due reports whether an overdue item may go next.
+func (t *Turns) Due() bool { return t.left == 0 }
+
+// Served records a turn. overdue is true if an item went ahead of a more urgent one because it was overdue.
+func (t *Turns) Served(overdue bool) {
+	if overdue {
+		t.left = turnsBetweenOverdue
+	} else if t.left > 0 {
+		t.left--
+	}
+}
+
+// Ahead counts the items that go before another one, by the reason.
+type Ahead struct {
+	// MoreUrgent have a more urgent rank. Callers are those of other callers that have been served less. Sooner are the
+	// caller's own with an earlier deadline. Overdue are less urgent and have waited for long.
+	MoreUrgent, Callers, Sooner, Overdue int
+}
+
+// Total returns the number of items.
+func (a Ahead) Total() int { return a.MoreUrgent + a.Callers + a.Sooner + a.Overdue }
+
+// String returns the counts by reason, for logs.
+func (a Ahead) String() string {
+	return fmt.Sprintf("moreUrgent=%d callers=%d sooner=%d overdue=%d", a.MoreUrgent, a.Callers, a.Sooner, a.Overdue)
+}
+
+// Ahead counts the waiting items that go before an item that is not in the queue, if no other comes. It may miss one of
+// each other caller of the rank.
+func (q *Queue) Ahead(it *Item, now time.Time) Ahead {
+	var a Ahead
+	overdue := 0
+	for _, c := range q.classes {
+		switch {
+		case c.rank < it.Rank:
+			a.MoreUrgent += c.items
+		case c.rank == it.Rank:
+			a.Sooner, a.Callers = c.ahead(it)
+		default:
+			overdue += c.overdueBy(now)
+		}
+	}
+	a.Overdue = min(overdue, a.Total()/turnsBetweenOverdue)
+	return a
+}
--- a/internal/traffic/dispatcher.go
+++ b/internal/traffic/dispatcher.go
@@ -67,6 +67,8 @@
 	signals *signal.Registry
 	// heldByLimit is Totals.HeldByLimit.
 	heldByLimit int64
+	// displaced is Totals.Displaced.
+	displaced int64
 	// withheld is Totals.Withheld.
 	withheld map[string]int64
 	// retriesGranted and retriesDenied are Totals.RetriesGranted and Totals.RetriesDenied.
@@ -202,14 +204,16 @@
 			return d.slot(p, cand, &req, start, now, cold), nil
 		}
 	}
-	if err := p.checkDeadline(&req, p.requestsAhead(req.queueDeadline(start), now), now); err != nil {
+	w := newWaiter(&req, start)
+	if err := p.checkDeadline(&req, p.requestsAhead(w.item, now), now); err != nil {
 		p.retryHints++
 		d.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{request: req, ended: make(chan waitResult, 1)}
-	w.item = &queue.Item{Caller: req.Caller, Deadline: req.queueDeadline(start), Cost: req.Cost, Bytes: req.Bytes, Value: w}
-	if !p.queue.Push(w.item) {
+	if req.Ahead != nil {
+		*req.Ahead = p.queue.Ahead(w.item, now)
+	}
+	if !d.push(p, w, now) {
 		n := p.queue.Len()
 		d.mu.Unlock()
 		return nil, refusal.New(refusal.QueueFull, "%d requests are already queued for %s", n, p)
@@ -387,76 +391,6 @@
 	}
 }
 
-// pumpEndpoint grants slots to queued requests of the pools that share an endpoint, the pool whose next request has
-// the earliest deadline first, until the next request finds no slot.
-func (d *Dispatcher) pumpEndpoint(ep *endpointState, now time.Time) {
-	for {
-		var next *pool
-		for p := range ep.pools {
-			head := p.queue.Peek()
-			if head == nil {
-				continue
-			}
-			if next == nil || head.Deadline.Before(next.queue.Peek().Deadline) {
-				next = p
-			}
-		}
-		if next == nil {
-			return
-		}
-		if !d.grantNext(next, now) {
-			return
-		}
-	}
-}
-
-// pump grants slots to a pool's queued requests until none is queued or no endpoint has a free slot.
-func (d *Dispatcher) pump(p *pool, now time.Time) {
-	for p.queue.Len() > 0 && d.grantNext(p, now) {
-		continue
-	}
-}
-
-// grantNext grants a slot to the next request in a pool's queue, which must not be empty. It returns false if no
-// endpoint has a free slot, after scheduling a pump for when one becomes available.
-func (d *Dispatcher) grantNext(p *pool, now time.Time) bool {
-	w := p.queue.Peek().Value.(*waiter)
-	cand, ok := p.pick(now, d.hall, d.view.NewBuilds, &w.request)
-	if !ok {
-		d.schedulePump(p, now)
-		return false
-	}
-	p.queue.Pop()
-	p.addRunning(cand, &w.request)
-	w.ended <- waitResult{candidate: cand, forecastReady: w.forecastReady}
-	return true
-}
-
-// schedulePump sets a timer for each endpoint of the pool that is unavailable until a known time (window closed,
-// ejected, rate limit used up or backoff), to serve the queues at that time.
-func (d *Dispatcher) schedulePump(p *pool, now time.Time) {
-	for _, cand := range p.endpoints {
-		ep := cand.endpointState
-		at := ep.window.OpensAt()
-		if until := ep.health.Until(); until.After(at) {
-			at = until
-		}
-		if available := ep.unavailableUntil(); available.After(at) {
-			at = available
-		}
-		if ep.pumpScheduled || !at.After(now) {
-			continue
-		}
-		ep.pumpScheduled = true
-		d.clock.AfterFunc(at.Sub(now), func() {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			ep.pumpScheduled = false
-			d.pumpEndpoint(ep, d.clock.Now())
-		})
-	}
-}
-
 // pool returns the pool with a key and creates it on first use. A name may restrict the pool to regions; see
 // region.SplitPool.
 func (d *Dispatcher) pool(k poolKey) *pool {
--- a/internal/traffic/endpoint_state.go
+++ b/internal/traffic/endpoint_state.go
@@ -6,6 +6,7 @@
 	"olivetiller/core/admit"
 	"olivetiller/core/choose"
 	"olivetiller/core/directory"
+	"olivetiller/core/queue"
 	"olivetiller/core/view"
 )
 
@@ -46,6 +47,8 @@
 	// slots is how many requests of all nodes the endpoint runs at once, and serve estimates how long one takes.
 	slots int
 	serve admit.Estimate
+	// turns decides when a pool with an overdue request goes ahead of one with a more urgent request.
+	turns queue.Turns
 	endpointSignals
 }
 
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -112,7 +112,7 @@
 // checkWait refuses a request whose wait is longer than its time.
 func (p *pool) checkWait(req SlotRequest, now time.Time) error {
 	least := p.model.MinWait(admit.Backlog{
-		Ready: len(p.endpoints) > 0, Ahead: p.queue.Len(), Capacity: p.capacity(), LoadElapsed: p.loadElapsed(now),
+		Ready: len(p.endpoints) > 0, Ahead: p.backlog(&req, now), Capacity: p.capacity(), LoadElapsed: p.loadElapsed(now),
 	})
 	if left := req.Deadline.Sub(now); least > left {
 		return refusal.New(refusal.CannotMakeDeadline, "%s of the request's time is left, and the wait for %s is at least %s",
@@ -121,6 +121,14 @@
 	return nil
 }
 
+// backlog returns how many queued requests go before one that arrives now; all of them, if ranks are not in use.
+func (p *pool) backlog(req *SlotRequest, now time.Time) int {
+	if !req.Ranked {
+		return p.queue.Len()
+	}
+	return p.queue.Ahead(req.item(now), now).Total()
+}
+
 // capacity returns how many requests of this node the pool's endpoints run at once; at least 1.
 func (p *pool) capacity() int {
 	n := 0
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -5,13 +5,19 @@
 
 	"olivetiller/core/origin"
 	"olivetiller/core/quarantine"
+	"olivetiller/core/queue"
 	"olivetiller/core/view"
 )
 
 // SlotRequest describes a request that needs a slot.
 type SlotRequest struct {
-	// Caller is the account among which the pool's queue shares capacity fairly.
+	// Caller is the account or customer among which the pool's queue shares capacity fairly.
 	Caller string
+	// Ranked is true if requests of several ranks compete. Rank is then the rank, 0 for the most urgent, and 0 otherwise.
+	Ranked bool
+	Rank   int
+	// Ahead receives the queued requests that go before this one when it is queued; nil if nobody asks.
+	Ahead *queue.Ahead
 	// Deadline is when the caller must have its answer or refusal.
 	Deadline time.Time
 	// Bytes is the memory the request holds while it waits.
@@ -68,6 +74,11 @@
 	return req.Deadline
 }
 
+// item returns the queue's item for the request, which arrived at start.
+func (req *SlotRequest) item(start time.Time) *queue.Item {
+	return &queue.Item{Caller: req.Caller, Rank: req.Rank, Arrived: start, Deadline: req.queueDeadline(start), Cost: req.Cost, Bytes: req.Bytes}
+}
+
 // waitDeadline returns when the request stops waiting. The caller should be refused by the time it gives up, as a
 // longer wait would only delay its next attempt.
 func (req *SlotRequest) waitDeadline() time.Time {
--- a/internal/traffic/usage.go
+++ b/internal/traffic/usage.go
@@ -48,6 +48,8 @@
 	// AtHome and AwayFromHome count the requests that [choose.Lanes] sent to an endpoint, by whether it took them.
 	AtHome       int64 `json:"atHome"`
 	AwayFromHome int64 `json:"awayFromHome"`
+	// Displaced counts the queued requests that were refused because a more urgent one took their place.
+	Displaced int64 `json:"displaced"`
 	// HeldByLimit counts how often a request lost its slot because the endpoint's rate limit had no capacity.
 	// Withheld counts the requests that CheckSend withheld, by WithheldError.By.
 	HeldByLimit int64            `json:"heldByLimit"`
@@ -59,7 +61,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := Totals{RetryReserve: d.retries.Reserve, Limited: d.signals.Limits(), Backoffs: d.signals.Backoffs(d.clock.Now()), HeldByLimit: d.heldByLimit, Withheld: maps.Clone(d.withheld),
-		RetriesGranted: d.retriesGranted, RetriesDenied: d.retriesDenied}
+		RetriesGranted: d.retriesGranted, RetriesDenied: d.retriesDenied, Displaced: d.displaced}
 	t.AtHome, t.AwayFromHome = d.atHome.Load(), d.awayFromHome.Load()
 	t.Paces, t.Loads = maps.Clone(d.paces), make(map[string]int)
 	for name, ep := range d.endpointStates {
@@ -96,6 +98,8 @@
 	// Urgent is the earliest queue deadline among the waiting requests that is not past, or the earliest of all if
 	// every one is past. Last is the latest. Both are zero if none waits.
 	Urgent, Last time.Time
+	// Rank is the most urgent rank among the waiting requests; 0 if ranks are not in use.
+	Rank int
 	// RunningAt counts the running requests by endpoint name.
 	RunningAt map[string]int
 	// Tokens and LongTokens are the lengths of the prompts, and of the long ones, that have arrived since the last call.
@@ -116,6 +120,7 @@
 		}
 		u := Usage{Pool: p.name, Bound: p.bound, Build: p.build, Waiting: p.queue.Len(), Arrivals: p.arrivals, Deferred: p.retryHints, Late: p.late, Tokens: p.tokens, LongTokens: p.longTokens, Objective: p.objective, RunningAt: maps.Clone(p.runningAt), ReadingAt: maps.Clone(p.readingAt)}
 		u.Urgent, u.Last, _ = p.queue.Due(now)
+		u.Rank = p.queue.MostUrgent()
 		p.arrivals, p.retryHints, p.late, p.tokens, p.longTokens, p.objective = 0, 0, 0, 0, 0, 0
 		out = append(out, u)
 	}
--- a/internal/traffic/wait.go
+++ b/internal/traffic/wait.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"olivetiller/core/queue"
@@ -30,6 +29,28 @@
 	ended chan waitResult
 }
 
+// newWaiter returns the waiter for a request that arrived at start.
+func newWaiter(req *SlotRequest, start time.Time) *waiter {
+	w := &waiter{request: *req, item: req.item(start), ended: make(chan waitResult, 1)}
+	w.item.Value = w
+	return w
+}
+
+// push queues a waiter. If the queue is full, it takes the place of less urgent requests, which are refused. It reports
+// false if there are not enough of them.
+func (d *Dispatcher) push(p *pool, w *waiter, now time.Time) bool {
+	displaced, ok := p.queue.PushOver(w.item)
+	for _, it := range displaced {
+		// A place is free once a request ahead has been served.
+		at := now.Add(p.model.Serve.Mean(defaultServe))
+		p.retryHints++
+		p.refuse(it, refusal.New(refusal.QueueFull, "a more urgent request took its place in the full queue for %s", p).
+			WithRetryAfter(p.retryAfter(at, &it.Value.(*waiter).request, now)))
+	}
+	d.displaced += int64(len(displaced))
+	return ok
+}
+
 // waitResult ends a wait, with a candidate or with the refusal.
 type waitResult struct {
 	candidate
@@ -125,10 +146,8 @@
 	if _, limited := p.availableAt(0, now); !limited && (len(p.endpoints) > 0 || p.readyAt.IsZero()) {
 		return
 	}
-	items := p.queue.Items()
-	slices.SortFunc(items, func(a, b *queue.Item) int { return a.Deadline.Compare(b.Deadline) })
 	ahead := 0
-	for _, it := range items {
+	for _, it := range p.queue.Items() {
 		w := it.Value.(*waiter)
 		err := p.checkDeadline(&w.request, ahead, now)
 		if err == nil {
@@ -146,19 +165,13 @@
 	it.Value.(*waiter).ended <- waitResult{refused: err}
 }
 
-// requestsAhead returns how many queued requests have a queue deadline no later than the given one. It returns 0 if
-// rate limits and backoffs do not decide when a request gets a slot.
-func (p *pool) requestsAhead(queueDeadline, now time.Time) int {
+// requestsAhead returns how many queued requests go before one that is not queued yet. It returns 0 if rate limits and
+// backoffs do not decide when a request gets a slot.
+func (p *pool) requestsAhead(it *queue.Item, now time.Time) int {
 	if _, limited := p.availableAt(0, now); !limited {
 		return 0
 	}
-	n := 0
-	for _, it := range p.queue.Items() {
-		if !it.Deadline.After(queueDeadline) {
-			n++
-		}
-	}
-	return n
+	return p.queue.Ahead(it, now).Total()
 }
 
 // retryAfter returns the retry hint for a caller whose pool has capacity again at the given time. Each hint is one
