route, caller: rank requests where a configuration states several ranks

A service counts as ranked if the routes or customers that lead to it state different priorities. Only then do its requests carry their rank to the queue, with the customer as the flow; others are queued as before. Log lines of ranked requests have rank and ahead, metrics have waits and refusals by rank.

--- a/core/customer/customer.go
+++ b/core/customer/customer.go
@@ -104,6 +104,8 @@
 		return InvalidError{"", "the name is empty; set one"}
 	case !validHeaderValue(c.Name):
 		return InvalidError{c.Name, "the name is not a valid header value; use printable ASCII characters, and no space at either end"}
+	case c.Ranked && c.Priority < 0:
+		return InvalidError{c.Name, fmt.Sprintf("the priority is %d; use 0, the most urgent, or more", c.Priority)}
 	case !validAmount(l.Rate):
 		return InvalidError{c.Name, fmt.Sprintf("the rate is %v; use a finite number of 0 or more", l.Rate)}
 	case !validAmount(l.Burst):
--- a/core/customer/customer_test.go
+++ b/core/customer/customer_test.go
@@ -58,6 +58,7 @@
 		{"rate below 0", []Customer{{Name: "a", Limit: Limit{Rate: -1}}}, "a"},
 		{"rate is no number", []Customer{{Name: "a", Limit: Limit{Rate: math.NaN()}}}, "a"},
 		{"endless burst", []Customer{{Name: "a", Limit: Limit{Burst: math.Inf(1)}}}, "a"},
+		{"priority below 0", []Customer{{Name: "a", Priority: -1, Ranked: true}}, "a"},
 		{"tokens below 0", []Customer{{Name: "a", Limit: Limit{PlainTokens: -1}}}, "a"},
 	}
 	for _, tt := range tests {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"olivetiller/core/customer"
 )
 
 func config() *Config {
@@ -80,6 +82,7 @@
 	}{
 		{"no service", func(c *Config) { c.Routes[0].Services = nil }, Fault{"short", "the route names no service"}},
 		{"unknown service", func(c *Config) { c.Routes[1].Services = []Share{{"x", 1}} }, Fault{"long", `there is no service "x"`}},
+		{"priority", func(c *Config) { c.Routes[1].Priority = -1 }, Fault{"long", "the priority is -1; use 0, the most urgent, or more"}},
 		{"prefix", func(c *Config) { c.Routes[2].Prefix = "a/" }, Fault{"other", `the prefix "a/" does not begin and end with a slash`}},
 	}
 	for _, tt := range tests {
@@ -97,3 +100,41 @@
 		})
 	}
 }
+
+// TestRanked checks for which services the configuration states several ranks.
+func TestRanked(t *testing.T) {
+	tests := []struct {
+		name      string
+		priority  []int
+		customers []customer.Customer
+		want      map[string]bool
+	}{
+		{"equal", []int{3, 3, 3, 3}, nil, map[string]bool{}},
+		{"of two services", []int{0, 0, 0, 1}, nil, map[string]bool{"s": true}},
+		{"a customer of its own rank", []int{3, 3, 3, 3}, []customer.Customer{{Name: "a"}, {Name: "b", Priority: 1, Ranked: true}}, map[string]bool{"s": true, "t": true}},
+		{"a customer of the same rank", []int{3, 3, 3, 3}, []customer.Customer{{Name: "a"}, {Name: "b", Priority: 3, Ranked: true}}, map[string]bool{}},
+		{"only customers of one rank", []int{0, 1, 2, 3}, []customer.Customer{{Name: "b", Priority: 3, Ranked: true}}, map[string]bool{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := config()
+			c.Customers = tt.customers
+			for i := range c.Routes {
+				c.Routes[i].Priority = tt.priority[i]
+			}
+			table, err := New(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := make(map[string]bool)
+			for _, s := range c.Services {
+				if table.Ranked(s.Name) {
+					got[s.Name] = true
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("ranked services (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -33,6 +33,8 @@
 	// customers is the index of the customers. It is part of the table, so that routes and customers of a
 	// version take effect together.
 	customers *customer.Index
+	// ranked names the services whose requests have several ranks.
+	ranked map[string]bool
 }
 
 // ModelKey identifies a model of a service.
@@ -69,6 +71,7 @@
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
 	}
+	t.ranked = c.rankedServices()
 	for _, routes := range t.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
@@ -84,12 +87,48 @@
 			return Fault{Where: r.Name, Problem: fmt.Sprintf("there is no service %q", s.Service)}
 		}
 	}
+	if r.Priority < 0 {
+		return Fault{Where: r.Name, Problem: fmt.Sprintf("the priority is %d; use 0, the most urgent, or more", r.Priority)}
+	}
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return Fault{Where: r.Name, Problem: fmt.Sprintf("the prefix %q does not begin and end with a slash", r.Prefix)}
 	}
 	return nil
 }
 
+// rankedServices returns the services whose requests have several ranks: those of their routes, and of the customers that
+// have their own.
+func (c *Config) rankedServices() map[string]bool {
+	ranked, first := make(map[string]bool), make(map[string]int)
+	add := func(r *Route, rank int) {
+		for _, s := range r.Services {
+			if old, ok := first[s.Service]; !ok {
+				first[s.Service] = rank
+			} else if old != rank {
+				ranked[s.Service] = true
+			}
+		}
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Public || !slices.ContainsFunc(c.Customers, func(u customer.Customer) bool { return u.Ranked }) {
+			add(r, r.Priority)
+			continue
+		}
+		for _, u := range c.Customers {
+			if u.Ranked {
+				add(r, u.Priority)
+			} else {
+				add(r, r.Priority)
+			}
+		}
+	}
+	return ranked
+}
+
+// Ranked reports whether requests for a service have several ranks, so that their order matters.
+func (t *Table) Ranked(service string) bool { return t.ranked[service] }
+
 // Match returns the route with the longest prefix of path on a host, or nil.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.hosts[host] {
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"olivetiller/core/quarantine"
@@ -100,11 +101,18 @@
 
 // newSlotRequest returns the slot request for the first attempt of an exchange.
 func newSlotRequest(x *Exchange) traffic.SlotRequest {
-	return traffic.SlotRequest{
+	req := traffic.SlotRequest{
 		Caller: x.Caller.GetName(), Deadline: x.Deadline, Bytes: int64(len(x.Body)), Cost: x.Target.Cost,
 		Budget: x.Target.Budget, Objective: x.Target.Objective, Affinity: x.Target.Affinity,
 		Prompt: x.Target.TokensIn, RequestFingerprint: x.Fingerprint, Service: x.Target.Service, Resumable: x.Target.Resumable,
 	}
+	if x.Target.Ranked {
+		req.Ranked, req.Rank, req.Ahead = true, x.Target.Priority, &x.Progress.Ahead
+		if x.Customer != nil {
+			req.Caller = x.Customer.Name
+		}
+	}
+	return req
 }
 
 // nextSlot waits for the slot of the next attempt and, for a request in isolation, for the lock under which one copy
@@ -290,4 +298,7 @@
 		s.Metrics.ForecastError.Record(missed.Abs().Milliseconds())
 	}
 	s.Metrics.Wait.Record(slot.Waited.Milliseconds())
+	if x.Target.Ranked {
+		s.Metrics.WaitByRank.Record(strconv.Itoa(x.Target.Priority), slot.Waited.Milliseconds())
+	}
 }
--- a/io/caller/attempts_test.go
+++ b/io/caller/attempts_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"olivetiller/core/customer"
 	"olivetiller/core/retry"
 	"olivetiller/core/view"
 	"olivetiller/internal/isolation"
@@ -62,3 +63,32 @@
 		})
 	}
 }
+
+// TestRankedSlotRequest checks that a request has a rank, and its customer as the flow, only where requests have several
+// ranks.
+func TestRankedSlotRequest(t *testing.T) {
+	type result struct {
+		Caller string
+		Ranked bool
+		Rank   int
+		Ahead  bool
+	}
+	tests := []struct {
+		name     string
+		ranked   bool
+		customer *customer.Customer
+		want     result
+	}{
+		{"no ranks", false, &customer.Customer{Name: "c"}, result{}},
+		{"ranks", true, &customer.Customer{Name: "c"}, result{"c", true, 2, true}},
+		{"ranks without customers", true, nil, result{"", true, 2, true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			req := newSlotRequest(&Exchange{Customer: tt.customer, Target: Target{Priority: 2, Ranked: tt.ranked}})
+			if diff := cmp.Diff(tt.want, result{req.Caller, req.Ranked, req.Rank, req.Ahead != nil}); diff != "" {
+				t.Errorf("slot request (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -9,6 +9,7 @@
 	"olivetiller/core/directory"
 	"olivetiller/core/origin"
 	"olivetiller/core/quarantine"
+	"olivetiller/core/queue"
 	"olivetiller/core/view"
 	"olivetiller/internal/traffic"
 	pb "olivetiller/proto/olivetiller/v1"
@@ -128,6 +129,8 @@
 	Gateway string
 	// Waited is the total time spent waiting for slots.
 	Waited time.Duration
+	// Ahead are the requests that went first when this one was queued last, if it is ranked.
+	Ahead queue.Ahead
 	// Cold is true if an attempt found no endpoint ready on its arrival.
 	Cold bool
 	// Expected is how long the wait for the model was first predicted to be; 0 without a prediction.
@@ -183,8 +186,10 @@
 	// Route names the route that matched, and Version the version of the configuration, for logs.
 	Route   string
 	Version int64
-	// Priority is the priority of the request; 0 is the most urgent.
+	// Priority is the priority of the request; 0 is the most urgent. Ranked is true if requests for the service have several
+	// priorities; they then decide who waits for whom.
 	Priority int
+	Ranked   bool
 	// TokensIn is the length of the prompt and TokensOut the maximum length of the answer, in tokens. Both are 0, and
 	// Counted is false, if the caller did not say.
 	TokensIn, TokensOut int
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -26,6 +26,9 @@
 	// Histograms of times in milliseconds. Wait is the wait for a slot, and ColdStart the same for requests that
 	// found no endpoint ready.
 	Wait, ColdStart, FirstToken, BetweenTokens *metric.Histogram
+	// WaitByRank is Wait by the rank of the request, and RefusedByRank counts refusals by it, where ranks differ.
+	WaitByRank    *metric.Family
+	RefusedByRank expvar.Map
 	// ForecastError is the difference between the first predicted and the actual wait for a model, in milliseconds.
 	ForecastError *metric.Histogram
 	// Signals counts the answers that changed the recorded signals of their endpoint, and DamagedSignals the signals
@@ -38,10 +41,11 @@
 	m := &Metrics{
 		Wait: metric.NewHistogram(), ColdStart: metric.NewHistogram(),
 		FirstToken: metric.NewHistogram(), BetweenTokens: metric.NewHistogram(),
-		ForecastError: metric.NewHistogram(),
+		ForecastError: metric.NewHistogram(), WaitByRank: metric.NewFamily(),
 	}
 	m.Refused.Init()
 	m.Retries.Init()
+	m.RefusedByRank.Init()
 	m.Closed.Init()
 	for _, c := range []*expvar.Map{&m.ExtraOpened, &m.ExtraWon, &m.ExtraLost, &m.ExtraDenied} {
 		c.Init()
@@ -67,6 +71,8 @@
 	t.Set("signals", &m.Signals)
 	t.Set("damagedSignals", &m.DamagedSignals)
 	t.Set("wait", m.Wait)
+	t.Set("waitByRank", m.WaitByRank)
+	t.Set("refusedByRank", &m.RefusedByRank)
 	t.Set("coldStart", m.ColdStart)
 	t.Set("forecastError", m.ForecastError)
 	t.Set("firstToken", m.FirstToken)
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -53,6 +53,9 @@
 		}
 		e := refusal.As(err)
 		s.Metrics.Refused.Add(string(e.Kind), 1)
+		if x.Target.Ranked {
+			s.Metrics.RefusedByRank.Add(strconv.Itoa(x.Target.Priority), 1)
+		}
 		s.Logger.Info("refused", append(x.logArgs(), "kind", string(e.Kind), "detail", e.Detail, "notRun", e.NotRun(),
 			"retryAfterMs", e.RetryHint().Milliseconds(), "began", x.Began, "allowedMs", x.Allowed.Milliseconds(),
 			"patienceMs", x.Target.FirstEventTimeout.Milliseconds(), "tookMs", took.Milliseconds())...)
@@ -83,6 +86,9 @@
 	if x.Resumes.Stated() {
 		args = append(args, "resumes", x.Resumes.Of, "position", x.Resumes.Position)
 	}
+	if x.Target.Ranked {
+		args = append(args, "rank", x.Target.Priority, "ahead", t.Ahead.String())
+	}
 	if t.Gateway != "" {
 		args = append(args, "gateway", t.Gateway)
 	}
