placement: load the models of the most urgent requests first

Which of several models, adapters and bound models was loaded first went by the next deadline alone. Nodes now report the most urgent rank among the requests that wait for a unit, and the lease holder plans by rank, then by deadline; models whose requests can still be in time go before those that cannot, as before. A report without a rank counts as the most urgent, so that an older release's requests are not put behind.

--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// loadAdapters loads the adapters that requests wait for, those with the next deadline first.
+// loadAdapters loads the adapters that requests wait for, the most urgent first.
 func (g *planning) loadAdapters() {
 	type demand struct {
-		unit    Unit
-		nextDue time.Time
+		unit Unit
+		urgency
 	}
 	var demands []demand
 	for unit, u := range g.usages {
@@ -17,17 +17,24 @@
 			continue
 		}
 		if u.waiting > 0 || g.deferredByLimits(u) {
-			demands = append(demands, demand{unit, u.deadlines(g.now).nextDue})
+			demands = append(demands, demand{unit, u.urgency(g.now)})
 		}
 	}
 	sort.Slice(demands, func(i, j int) bool {
-		if !demands[i].nextDue.Equal(demands[j].nextDue) {
-			return demands[i].nextDue.Before(demands[j].nextDue)
+		if c := demands[i].compare(demands[j].urgency); c != 0 {
+			return c < 0
 		}
 		return demands[i].unit.compare(demands[j].unit) < 0
 	})
+	if len(demands) == 0 {
+		return
+	}
+	first := demands[0].urgency
+	takeTurns(demands, g.adapterTurns, g.now, func(d demand) urgency { return d.urgency })
 	for _, d := range demands {
+		sent := len(g.actions)
 		g.loadAdapter(d.unit, func(*engine) bool { return true })
+		g.countTurn(&g.adapterTurns, sent, d.urgency, first)
 	}
 }
 
--- a/core/placement/bound.go
+++ b/core/placement/bound.go
@@ -43,18 +43,20 @@
 	BoundUnit
 	*usage
 	deadlines
+	urgency urgency
 }
 
-// boundDemands returns the demands, those with the next deadline first.
+// boundDemands returns the demands, the most urgent first.
 func (g *planning) boundDemands() []boundDemand {
 	var out []boundDemand
 	for b, u := range g.bound {
 		if u.waiting > 0 || g.recentlyDeferred(u.deferredAt) {
-			out = append(out, boundDemand{b, u, u.deadlines(g.now)})
+			u.observeWait(g.now)
+			out = append(out, boundDemand{b, u, u.deadlines(g.now), u.urgency(g.now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b boundDemand) int {
-		return cmp.Or(a.nextDue.Compare(b.nextDue), a.Unit.compare(b.Unit), strings.Compare(a.Build.String(), b.Build.String()))
+		return cmp.Or(a.urgency.compare(b.urgency), a.Unit.compare(b.Unit), strings.Compare(a.Build.String(), b.Build.String()))
 	})
 	return out
 }
@@ -62,7 +64,13 @@
 // placeBound loads units at engines of the builds that requests are bound to. late selects those that would be served
 // after the waiting requests have given up, whose callers may come back.
 func (g *planning) placeBound(late bool) {
-	for _, d := range g.boundDemands() {
+	demands := g.boundDemands()
+	if len(demands) == 0 {
+		return
+	}
+	first := demands[0].urgency
+	takeTurns(demands, g.boundTurns, g.now, func(d boundDemand) urgency { return d.urgency })
+	for _, d := range demands {
 		m := d.model
 		if m.spec == nil || g.inBackoff(m) {
 			continue
@@ -87,7 +95,9 @@
 			continue
 		}
 		g.setBoundReadyAt(d.BoundUnit, c.ready)
+		sent := len(g.actions)
 		g.commit(m, c, true, "streams go on at a build")
+		g.countTurn(&g.boundTurns, sent, d.urgency, first)
 	}
 }
 
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -45,6 +45,9 @@
 	rate, lateRate float64
 	// tokenRate and longTokenRate are in tokens of prompts, and of long ones, a second.
 	tokenRate, longTokenRate float64
+	// rank is the most urgent rank of the waiting requests, and waitingSince since when requests wait without a break.
+	rank         int
+	waitingSince time.Time
 	// lastUse and deferredAt are the latest of the model's usages.
 	lastUse, deferredAt time.Time
 	// objective is the least latency objective among the model's usages; 0 if none is known.
@@ -95,6 +98,7 @@
 	m.deadlines, m.rate, m.lateRate, m.tokenRate, m.longTokenRate, m.objective = deadlines{}, 0, 0, 0, 0, 0
 	m.limitedReplicas, m.limitedRate = 0, 0
 	m.lastUse, m.deferredAt = time.Time{}, time.Time{}
+	m.rank, m.waitingSince = 0, time.Time{}
 	for _, u := range m.usages {
 		m.lateRate += u.decayed(u.lateRate, now)
 		m.tokenRate += u.decayed(u.tokenRate, now)
@@ -105,7 +109,14 @@
 		}
 		m.lastUse = latest(m.lastUse, u.lastUse)
 		m.deferredAt = latest(m.deferredAt, u.deferredAt)
+		u.observeWait(now)
 		if u.waiting > 0 {
+			if rank := u.rank(); m.waitingSince.IsZero() || rank < m.rank {
+				m.rank = rank
+			}
+			if m.waitingSince.IsZero() || u.waitingSince.Before(m.waitingSince) {
+				m.waitingSince = u.waitingSince
+			}
 			m.add(u.deadlines(now), now)
 		}
 	}
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -146,6 +146,9 @@
 	// deadline if all have passed. LastDue is the latest deadline. Both are zero if no request
 	// waits.
 	NextDue, LastDue time.Time
+	// Rank is the most urgent rank among the waiting requests, 0 being the most urgent; 0 if their ranks do not differ,
+	// or the node does not report them.
+	Rank int
 	// RunningAt counts the running requests by engine id.
 	RunningAt map[string]int
 	// Late counts the answers since the previous report that came late though they had a slot in time.
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -7,6 +7,7 @@
 
 	"olivetiller/core/admit"
 	"olivetiller/core/directory"
+	"olivetiller/core/queue"
 	"olivetiller/core/route"
 )
 
@@ -65,6 +66,8 @@
 	readyAt map[Unit]time.Time
 	// boundReadyAt is the result of BoundReadyAt.
 	boundReadyAt map[BoundUnit]time.Time
+	// modelTurns, boundTurns and adapterTurns decide when loads for overdue requests go ahead of more urgent ones.
+	modelTurns, boundTurns, adapterTurns queue.Turns
 	// drainPerRun estimates how long one running request delays the unload of its model.
 	drainPerRun admit.Estimate
 	// histories holds what outlasts an engine's incarnation and directory entry, by engine id.
--- a/core/placement/usage.go
+++ b/core/placement/usage.go
@@ -45,6 +45,8 @@
 	// objective is the least latency objective in the latest report that had one; 0 if none
 	// had.
 	objective time.Duration
+	// waitingSince is since when requests wait without a break, as of the last plan; zero if none waits.
+	waitingSince time.Time
 }
 
 // nodeReport is the time of a node's latest usage report and the units that it names.
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -6,8 +6,8 @@
 )
 
 // wanted returns the models that have waiting requests or recently deferred callers and no
-// replica, neither serving nor pending. Models with waiting requests come first, and then those
-// with the next deadline.
+// replica, neither serving nor pending. Models with waiting requests come first, and among them
+// the most urgent.
 func (g *planning) wanted() []*modelState {
 	var out []*modelState
 	for _, m := range g.modelList {
@@ -21,8 +21,8 @@
 		if (a.waiting > 0) != (b.waiting > 0) {
 			return a.waiting > 0
 		}
-		if !a.nextDue.Equal(b.nextDue) {
-			return a.nextDue.Before(b.nextDue)
+		if c := a.urgency().compare(b.urgency()); c != 0 {
+			return c < 0
 		}
 		return a.unit.compare(b.unit) < 0
 	})
@@ -39,6 +39,11 @@
 // still meet its deadline go first, and so do busy ones, whose later requests benefit. If the
 // engines cannot keep up, serving the late models first would make all of them late.
 func (g *planning) placeWanted(wanted []*modelState) {
+	if len(wanted) == 0 {
+		return
+	}
+	first := wanted[0].urgency()
+	takeTurns(wanted, g.modelTurns, g.now, (*modelState).urgency)
 	var late []*modelState
 	for _, m := range wanted {
 		c, ok := g.bestCandidate(m)
@@ -46,10 +51,14 @@
 			late = append(late, m)
 			continue
 		}
+		sent := len(g.actions)
 		g.commit(m, c, ok, "requests wait")
+		g.countTurn(&g.modelTurns, sent, m.urgency(), first)
 	}
 	for _, m := range late {
+		sent := len(g.actions)
 		g.place(m, "late requests wait")
+		g.countTurn(&g.modelTurns, sent, m.urgency(), first)
 	}
 }
 
--- a/internal/placer/followers.go
+++ b/internal/placer/followers.go
@@ -53,6 +53,7 @@
 		if w.Waiting > 0 {
 			u.NextDue = now.Add(time.Duration(w.UrgentInMs) * time.Millisecond)
 			u.LastDue = now.Add(time.Duration(w.LastInMs) * time.Millisecond)
+			u.Rank = w.Rank
 		}
 		uses = append(uses, u)
 	}
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -469,19 +469,22 @@
 		if !ok {
 			continue
 		}
-		out = addUse(out, placement.Usage{Unit: unit, Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, Tokens: u.Tokens, LongTokens: u.LongTokens, Objective: u.Objective, NextDue: u.Urgent, LastDue: u.Last, RunningAt: u.RunningAt, ReadingAt: u.ReadingAt})
+		out = addUse(out, placement.Usage{Unit: unit, Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, Tokens: u.Tokens, LongTokens: u.LongTokens, Objective: u.Objective, NextDue: u.Urgent, LastDue: u.Last, Rank: u.Rank, RunningAt: u.RunningAt, ReadingAt: u.ReadingAt})
 	}
 	return out
 }
 
 // addUse adds u to the use of its unit, since several regions of a pool have the same unit. The earliest urgent time,
-// the latest last time and the smallest objective apply to the sum.
+// the latest last time, the smallest objective and the most urgent rank apply to the sum.
 func addUse(uses []placement.Usage, u placement.Usage) []placement.Usage {
 	i := slices.IndexFunc(uses, func(o placement.Usage) bool { return o.Unit == u.Unit && o.Bound == u.Bound && o.Build == u.Build })
 	if i < 0 {
 		return append(uses, u)
 	}
 	o := &uses[i]
+	if o.Waiting == 0 || u.Waiting > 0 && u.Rank < o.Rank {
+		o.Rank = u.Rank
+	}
 	o.Waiting, o.Arrivals, o.Deferred, o.Late = o.Waiting+u.Waiting, o.Arrivals+u.Arrivals, o.Deferred+u.Deferred, o.Late+u.Late
 	o.Tokens, o.LongTokens = o.Tokens+u.Tokens, o.LongTokens+u.LongTokens
 	if o.Objective == 0 || u.Objective > 0 && u.Objective < o.Objective {
@@ -507,6 +510,7 @@
 	for _, u := range c.uses(now) {
 		w := peer.PoolUsage{Pool: u.Unit.Pool(), Bound: u.Bound, Build: u.Build, Waiting: u.Waiting, Arrivals: u.Arrivals, Deferred: u.Deferred, Late: u.Late, Tokens: u.Tokens, LongTokens: u.LongTokens, ObjectiveMs: u.Objective.Milliseconds(), RunningAt: u.RunningAt, ReadingAt: u.ReadingAt}
 		if !u.NextDue.IsZero() {
+			w.Rank = u.Rank
 			w.UrgentInMs, w.LastInMs = u.NextDue.Sub(now).Milliseconds(), u.LastDue.Sub(now).Milliseconds()
 		}
 		out = append(out, w)
--- a/internal/traffic/explain.go
+++ b/internal/traffic/explain.go
@@ -75,7 +75,7 @@
 		out.Endpoint = out.Candidates[i].Endpoint
 		return out
 	}
-	out.refuse(p.checkDeadline(&req, p.requestsAhead(req.queueDeadline(now), now), now))
+	out.refuse(p.checkDeadline(&req, p.requestsAhead(newWaiter(&req, now).item, now), now))
 	return out
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -87,9 +87,11 @@
 	ObjectiveMs int64 `json:"objectiveMs,omitempty"`
 	// UrgentInMs and LastInMs are the times, in milliseconds, until the most urgent and the least urgent waiting
 	// request should get a slot; negative if that moment has passed.
-	UrgentInMs int64          `json:"urgentInMs,omitempty"`
-	LastInMs   int64          `json:"lastInMs,omitempty"`
-	RunningAt  map[string]int `json:"runningAt,omitempty"`
+	UrgentInMs int64 `json:"urgentInMs,omitempty"`
+	LastInMs   int64 `json:"lastInMs,omitempty"`
+	// Rank is the most urgent rank among the waiting requests, 0 being the most urgent; 0 also where ranks do not differ.
+	Rank      int            `json:"rank,omitempty"`
+	RunningAt map[string]int `json:"runningAt,omitempty"`
 	// Tokens and LongTokens are the lengths of the prompts, and of the long ones, that came since the previous report.
 	Tokens     int `json:"tokens,omitempty"`
 	LongTokens int `json:"longTokens,omitempty"`
