endpoint, peer, platform: bound the heads and bodies of answers

net/http reads 10 MB of a head, which take several times that when parsed. A connection to an endpoint now reads 16 KB before its head is complete, interim heads and status lines included, and fails with a typed error that counts as a failure of the endpoint and not as a broken connection, since it is no sign of a crash. All other clients get net/http's bound of 16 KB, and a request for a tunnel reads no more either.

The text of a refusal is waited for no longer than 200 ms: its head has said everything.

--- a/io/endpoint/check.go
+++ b/io/endpoint/check.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"olivetiller/core/answerlimit"
 )
 
 // Check decides right before a request is written whether it may still be sent, and returns the reason if not.
@@ -29,7 +33,8 @@
 	return errors.As(err, &e)
 }
 
-// checkedConn is a connection that calls the check of the current request before each write.
+// checkedConn is a connection that calls the check of the current request before each write, and bounds the head of its
+// answer.
 type checkedConn struct {
 	net.Conn
 	mu    sync.Mutex
@@ -40,8 +45,14 @@
 	wrote bool
 	// openedAt is when the connection was opened. It is set before the first request and not changed later.
 	openedAt time.Time
+	// headLeft is how many bytes may still be read before the head of the current answer is complete; unlimited at other
+	// times.
+	headLeft atomic.Int64
 }
 
+// unlimited is the value of checkedConn.headLeft while no head is awaited.
+const unlimited = math.MaxInt64
+
 // setCheck sets the check of the current request; nil for none.
 func (c *checkedConn) setCheck(check Check, onCheckFailed func(error)) {
 	c.mu.Lock()
@@ -68,6 +79,23 @@
 	return n, err
 }
 
+// Read implements net.Conn. Its error is an *answerlimit.TooLongError if a head is awaited that is longer than its bound.
+// The bound covers interim answers, and bytes that are no HTTP.
+func (c *checkedConn) Read(b []byte) (int, error) {
+	if c.headLeft.Load() <= 0 {
+		return 0, &answerlimit.TooLongError{From: "endpoint " + c.RemoteAddr().String(), Part: answerlimit.Head, Limit: answerlimit.HeadBytes}
+	}
+	n, err := c.Conn.Read(b)
+	c.headLeft.Add(-int64(n))
+	return n, err
+}
+
+// awaitHead bounds what is read until headComplete is called.
+func (c *checkedConn) awaitHead() { c.headLeft.Store(answerlimit.HeadBytes) }
+
+// headComplete ends the bound on the head.
+func (c *checkedConn) headComplete() { c.headLeft.Store(unlimited) }
+
 // beginRequest notes that nothing of the next request is written yet.
 func (c *checkedConn) beginRequest() {
 	c.mu.Lock()
@@ -104,7 +132,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: conn}, nil
+		c := &checkedConn{Conn: conn}
+		c.headComplete()
+		return c, nil
 	}
 }
 
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -30,6 +30,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 
+	"olivetiller/core/answerlimit"
 	"olivetiller/core/retry"
 	"olivetiller/core/signal"
 )
@@ -87,7 +88,8 @@
 	Withheld bool
 	// Replaced is true when another endpoint now has the address.
 	Replaced bool
-	// Answered is true when the endpoint gave a complete answer that counts as a failure, such as a server error.
+	// Answered is true when the endpoint gave a complete answer that counts as a failure, such as a server error, or sent
+	// more than an answer may have.
 	Answered bool
 	// Sends counts the connections on which part of the request may have been sent: 0 or 1.
 	Sends int
@@ -124,7 +126,11 @@
 
 // BrokenError returns the error for an answer whose body could not be read to its end because of cause.
 func (r *Response) BrokenError(cause error) *Error {
-	return &Error{Outcome: retry.Ran, ConnectionBroken: brokenByPeer(cause), Sends: r.Sends, Gateway: r.Gateway, Cause: cause}
+	var tooLong *answerlimit.TooLongError
+	if errors.As(cause, &tooLong) && tooLong.From == "" && r.Request != nil {
+		tooLong.From = "endpoint " + r.Request.URL.Host
+	}
+	return &Error{Outcome: retry.Ran, ConnectionBroken: brokenByPeer(cause), Answered: tooLong != nil, Sends: r.Sends, Gateway: r.Gateway, Cause: cause}
 }
 
 // Framed reports whether the end of the answer is marked, by a length or chunked encoding, so that a truncated answer
@@ -138,7 +144,7 @@
 func brokenByPeer(err error) bool {
 	var timeout net.Error
 	switch {
-	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded), answerlimit.IsTooLong(err), answerlimit.IsNoRoom(err):
 		return false
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return false
@@ -191,6 +197,9 @@
 	pooled, onceOnly, tunnelled *http.Transport
 }
 
+// transportHeadBytes is net/http's own bound on heads. It is higher than that of checkedConn, whose error has a type.
+const transportHeadBytes = 2 * answerlimit.HeadBytes
+
 // NewClient returns a client for the default engine protocol.
 func NewClient() *Client { return NewClientWith(Options{}) }
 
@@ -209,11 +218,15 @@
 		judge: o.Judge, paths: o.Paths, clock: o.Clock,
 		pooled: &http.Transport{
 			DialContext: CheckedDial(o.Paths.Direct), MaxIdleConnsPerHost: 256,
-			IdleConnTimeout: time.Minute, DisableCompression: true,
+			IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: transportHeadBytes,
+		},
+		onceOnly: &http.Transport{
+			DialContext: CheckedDial(o.Paths.Direct), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: transportHeadBytes,
 		},
-		onceOnly: &http.Transport{DialContext: CheckedDial(o.Paths.Direct), DisableKeepAlives: true, DisableCompression: true},
 		// A gateway may stop at any time, so that no tunnel is kept for a later request.
-		tunnelled: &http.Transport{DialContext: CheckedDial(o.Paths.Tunnel), DisableKeepAlives: true, DisableCompression: true},
+		tunnelled: &http.Transport{
+			DialContext: CheckedDial(o.Paths.Tunnel), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: transportHeadBytes,
+		},
 	}
 }
 
@@ -257,7 +270,12 @@
 		if why := context.Cause(ctx); Withheld(why) {
 			return nil, &Error{Outcome: retry.NotSent, Withheld: true, Cause: why}
 		}
-		return nil, &Error{Outcome: outcomeOf(n > 0), ConnectFailed: s.conn == nil, ConnectionBroken: n > 0 && ctx.Err() == nil && brokenByPeer(err), Sends: n, Gateway: gateway, Cause: err}
+		failure := &Error{Outcome: outcomeOf(n > 0), ConnectFailed: s.conn == nil, ConnectionBroken: n > 0 && ctx.Err() == nil && brokenByPeer(err), Sends: n, Gateway: gateway, Cause: err}
+		var tooLong *answerlimit.TooLongError
+		if errors.As(err, &tooLong) {
+			failure.Answered, failure.Cause = true, tooLong
+		}
+		return nil, failure
 	}
 	answer, failure := c.classify(r, resp)
 	if failure != nil {
@@ -270,7 +288,7 @@
 }
 
 // maxInquiryBytes bounds the answer to an inquiry.
-const maxInquiryBytes = 1 << 20
+const maxInquiryBytes = 256 << 10
 
 // Inquire sends a request that the endpoint answers about itself, over the path that other requests take, and returns the
 // body of the answer. It fails unless the status is 200.
@@ -289,7 +307,20 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("status %d", resp.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxInquiryBytes))
+	return ReadBody(resp.Body, maxInquiryBytes, "endpoint "+r.Address)
+}
+
+// ReadBody reads a body of at most limit bytes. The error is an *answerlimit.TooLongError if it is longer; from names the
+// sender and its address.
+func ReadBody(body io.Reader, limit int64, from string) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, limit+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case int64(len(raw)) > limit:
+		return nil, &answerlimit.TooLongError{From: from, Part: answerlimit.Body, Limit: limit}
+	}
+	return raw, nil
 }
 
 // sending tracks the connections that net/http takes for a request. It takes another one only if nothing was written on the
@@ -313,6 +344,14 @@
 	s.taken, s.conn = true, conn
 	if c, ok := conn.(*checkedConn); ok {
 		c.beginRequest()
+		c.awaitHead()
+	}
+}
+
+// headComplete notes that the head of the answer has been read.
+func (s *sending) headComplete() {
+	if c, ok := s.conn.(*checkedConn); ok {
+		c.headComplete()
 	}
 }
 
@@ -403,11 +442,7 @@
 		resp.Body.Close()
 		return nil, &Error{Outcome: retry.MaybeRun, Cause: errMismatched}
 	case v.NotStarted:
-		text, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalText))
-		if err != nil {
-			text = []byte(err.Error())
-		}
-		resp.Body.Close()
+		text := c.refusalText(resp.Body)
 		return nil, &Error{
 			Outcome: retry.NotSent, Refused: true, Full: v.Full, Missing: v.Missing, Replaced: v.Replaced, Signals: v.Signals,
 			Cause: eris.Errorf("the endpoint did not start the request (%d): %s", resp.StatusCode, bytes.TrimSpace(text)),
@@ -416,6 +451,22 @@
 	return &Response{Response: resp, Running: v.Running, Draining: v.Draining, Signals: v.Signals}, nil
 }
 
+// refusalTextTimeout bounds the wait for the text of a refusal. The head says all that counts.
+const refusalTextTimeout = 200 * time.Millisecond
+
+// refusalText reads the begin of a refusal's body and closes it.
+func (c *Client) refusalText(body io.ReadCloser) []byte {
+	defer body.Close()
+	if c.clock != nil {
+		defer c.clock.AfterFunc(refusalTextTimeout, func() { _ = body.Close() }).Stop()
+	}
+	text, err := io.ReadAll(io.LimitReader(body, maxRefusalText))
+	if err != nil {
+		text = append(text, " ("+err.Error()+")"...)
+	}
+	return text
+}
+
 // judgeDefault is the Judge of the default engine protocol.
 func judgeDefault(_ *Request, resp *http.Response) ResponseInfo {
 	v := ResponseInfo{
--- a/io/endpoint/paths.go
+++ b/io/endpoint/paths.go
@@ -70,9 +70,11 @@
 	tunnel := c.paths.Tunnelled(r.Address)
 	resp, err := c.roundTripBy(tunnel, req, r)
 	if err == nil || s.taken || req.Context().Err() != nil {
+		s.headComplete()
 		return resp, err
 	}
 	other, otherErr := c.roundTripBy(!tunnel, req, r)
+	s.headComplete()
 	if otherErr != nil && !s.taken {
 		return nil, err
 	}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -20,6 +20,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"olivetiller/core/answerlimit"
 )
 
 // Errors of an order.
@@ -79,7 +81,7 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: answerlimit.HeadBytes}}}
 }
 
 // Status returns an engine's status, or ErrUnknown.
--- a/io/instancelist/instancelist.go
+++ b/io/instancelist/instancelist.go
@@ -14,6 +14,8 @@
 	"net/url"
 
 	"github.com/rotisserie/eris"
+
+	"olivetiller/core/answerlimit"
 )
 
 // Kind is the kind of an instance.
@@ -54,7 +56,7 @@
 
 // NewClient returns a client of the list service at an address, given as host and port.
 func NewClient(address string) *Client {
-	return &Client{address: address, http: &http.Client{}}
+	return &Client{address: address, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: answerlimit.HeadBytes}}}
 }
 
 // List returns the current contents of the list, or ErrUnavailable.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -35,6 +35,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"olivetiller/core/answerlimit"
 	"olivetiller/core/directory"
 	"olivetiller/core/feedtree"
 	"olivetiller/core/lease"
@@ -443,7 +444,7 @@
 
 // NewClient returns a client that connects with a dialer.
 func NewClient(d *net.Dialer) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 3}}, dial: d.DialContext}
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 3, MaxResponseHeaderBytes: answerlimit.HeadBytes}}, dial: d.DialContext}
 }
 
 // CloseIdleConnections closes the idle keep-alive connections.
@@ -524,7 +525,7 @@
 	case resp.StatusCode == http.StatusNotFound:
 		return ErrNoHolder
 	case resp.StatusCode >= http.StatusMultipleChoices:
-		return fmt.Errorf("peer: status %d: %s", resp.StatusCode, raw)
+		return fmt.Errorf("peer: status %d: %.256s", resp.StatusCode, raw)
 	case answer == nil:
 		return nil
 	}
--- a/io/peer/tunnel.go
+++ b/io/peer/tunnel.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -15,6 +16,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"olivetiller/core/answerlimit"
 )
 
 // A tunnel is a connection between a node and an endpoint by way of another node, the gateway, which forwards bytes both
@@ -241,12 +244,17 @@
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
-	early := bufio.NewReader(conn)
+	bounded := &io.LimitedReader{R: conn, N: answerlimit.HeadBytes}
+	early := bufio.NewReader(bounded)
 	resp, err := http.ReadResponse(early, req)
-	if err != nil {
+	switch {
+	case err != nil && bounded.N <= 0:
+		return nil, &answerlimit.TooLongError{From: "node at " + address, Part: answerlimit.Head, Limit: answerlimit.HeadBytes}
+	case err != nil:
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
+		bounded.N = math.MaxInt64
 		return early, nil
 	}
 	defer resp.Body.Close()
