caller, hosted: bound what all answers hold and what streams send without an event

Whole answers were read up to 32 MB each and counted only when they were complete. They are counted while they are read: 10 % of the memory together, a quarter of that each. An answer without room is given up without blame for its endpoint and without another attempt, and never refused as not run. An event may still have 1 MB; what it holds beyond its first 8 KB is counted too. Comments, of which endless ones were forwarded without a bound, go out with the event that follows, 64 KB at most.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -90,7 +90,7 @@
 
 // Limits of a hosted node.
 const (
-	// answerBytes bounds an answer that is buffered as a whole.
+	// answerBytes bounds an answer that is buffered as a whole, on a machine whose memory allows it.
 	answerBytes = 32 << 20
 	// bodyBytes bounds a request body if the configuration sets no limit.
 	bodyBytes = 8 << 20
@@ -111,6 +111,10 @@
 	// heldShare is the percentage of MemoryBytes for buffered request bodies and answers. The rest is for the node's
 	// state, connection buffers and garbage.
 	heldShare = 20
+	// answerShare is the percentage of MemoryBytes for buffered answers, whose requests have run and cannot be refused as
+	// those not run, and longAnswers how many of the longest ones fit into it.
+	answerShare = 10
+	longAnswers = 4
 	// queueItems and queueBytes bound the queue of one unit.
 	queueItems = 2000
 	queueBytes = 32 << 20
@@ -265,7 +269,7 @@
 	n.caller = &caller.Server{
 		Clock: n.clock, Logger: n.logger.Named("caller"), Dispatcher: n.traffic, TakeConnection: n.shedder.take,
 		Limits: caller.Limits{
-			BodyBytes: bodyBytes, AnswerBytes: answerBytes, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+			BodyBytes: bodyBytes, AnswerBytes: maxAnswer(s.MemoryBytes), HeldAnswerBytes: s.MemoryBytes * answerShare / 100, HeaderBytes: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 			Connections: s.Descriptors * callerShare / 100, HeldBytes: s.MemoryBytes * heldShare / 100,
 		},
 		Endpoints: endpoints, Origins: n.origins, Processes: processes, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
@@ -273,6 +277,14 @@
 	}
 }
 
+// maxAnswer returns the length of the longest answer on a machine with the given memory; 0 if that is unknown.
+func maxAnswer(memory int64) int64 {
+	if memory <= 0 {
+		return answerBytes
+	}
+	return min(answerBytes, memory*answerShare/100/longAnswers)
+}
+
 // maxTunnels returns how many tunnels of other nodes a node with the given limit on descriptors opens. Each uses one
 // connection to the node and one to the endpoint.
 func maxTunnels(descriptors int) int {
@@ -316,7 +328,10 @@
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readTimeout}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: readTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}),
+	}
 	n.servers = append(n.servers, srv)
 	n.wg.Go(func() { n.logServerError(address, srv.Serve(l)) })
 	return nil
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"olivetiller/core/answerlimit"
 	"olivetiller/core/quarantine"
 	"olivetiller/core/refusal"
 	"olivetiller/core/retry"
@@ -56,6 +57,7 @@
 		unlock(err == nil)
 		slot.Release(result)
 		s.logAttempt(x, slot, sent, err)
+		s.recordExcess(x, slot.Endpoint.Name, err)
 		if err == nil {
 			return nil
 		}
@@ -67,6 +69,10 @@
 			Outcome: outcome, OnceOnly: x.Target.OnceOnly, Ran: x.ran, Attempts: x.Target.attempts(),
 			Late: s.Clock.Now().After(x.Deadline), CallerGone: ctx.Err() != nil, Withheld: s.Isolation.State(x.subjects...) == quarantine.Quarantined,
 		})
+		if step == retry.Repeat && answerlimit.IsNoRoom(err) {
+			// Another endpoint's answer would find no room here either. Another node may have some.
+			step = finalStep(x)
+		}
 		if step != retry.Repeat {
 			return s.refusalFor(step, x, err)
 		}
@@ -265,8 +271,8 @@
 	var e *endpoint.Error
 	if errors.As(err, &e) {
 		r.Full, r.Missing, r.Draining = e.Full, e.Missing, e.Replaced
-		if e.Withheld {
-			// The request was withheld on this side, which says nothing about the endpoint.
+		if e.Withheld || answerlimit.IsNoRoom(err) {
+			// The request was withheld, or its answer given up, on this side, which says nothing about the endpoint.
 			r.Err, r.NotStarted = nil, true
 			return r
 		}
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -29,18 +28,18 @@
 // dispatch sends the request to an endpoint and its answer to the caller. It is the last handler of each chain.
 func (s *Server) dispatch(ctx context.Context, x *Exchange) error {
 	x.setFingerprint()
-	switch {
-	case x.Target.OnceOnly && x.Target.Keyed:
+	x.held.held = &s.heldBytes
+	if x.Target.OnceOnly && x.Target.Keyed {
 		return s.dispatchOnce(ctx, x)
-	case x.Target.Stream:
+	}
+	defer x.held.end()
+	if x.Target.Stream {
 		return s.stream(ctx, x)
 	}
 	a, err := s.fetchAnswer(ctx, x)
 	if err != nil {
 		return err
 	}
-	s.heldBytes.add(int64(len(a.body)))
-	defer s.heldBytes.remove(int64(len(a.body)))
 	return writeAnswer(x, s.protocol(), a)
 }
 
@@ -62,6 +61,8 @@
 		return err
 	}
 	kept, err := s.Once.Do(ctx, key, x.Digest, x.Deadline, func(ctx context.Context) (*once.Answer, error) {
+		// The run may go on after the end of the exchange.
+		defer x.held.end()
 		a, err := s.fetchAnswer(ctx, x)
 		if err != nil {
 			return nil, err
@@ -125,16 +126,12 @@
 		}
 		defer resp.Body.Close()
 		run.Began()
-		body, err := io.ReadAll(io.LimitReader(resp.Body, s.Limits.AnswerBytes+1))
-		if err == nil && int64(len(body)) > s.Limits.AnswerBytes {
-			err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Sends: resp.Sends, Cause: errAnswerTooLong}
-			return failedResult(err), err
-		}
+		a, err := x.readAnswer(resp)
 		if err != nil {
-			err = st.withStallCause(resp.BrokenError(err))
+			err = st.withStallCause(err)
 			return failedResult(err), err
 		}
-		got = &answer{status: resp.StatusCode, header: resp.Header, body: body}
+		got = a
 		if err := failedAnswer(x, got); err != nil {
 			return failedResult(err), err
 		}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -73,6 +73,8 @@
 	Retarget func(service string) bool
 	// origin is where the stream began: at the first event of this answer, or of the one that is taken up; nil before.
 	origin *origin.Origin
+	// held counts what is held of answers.
+	held holding
 	// Began is true once part of an answer was written to the caller.
 	Began bool
 	// Progress is what has happened to the request so far, for logs.
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -21,6 +21,10 @@
 	// ExtraOpened, ExtraWon and ExtraLost count the extra attempts beside late ones by route, and ExtraDenied those that were
 	// not opened by reason.
 	ExtraOpened, ExtraWon, ExtraLost, ExtraDenied expvar.Map
+	// AnswersTooLong counts, by answerlimit.Part, the attempts whose endpoint sent more than an answer may have.
+	// AnswersWithoutRoom counts those given up because other answers took the room of this node.
+	AnswersTooLong     expvar.Map
+	AnswersWithoutRoom expvar.Int
 	// Closed counts, by CloseCause, the requests that ended without a complete answer or a refusal.
 	Closed expvar.Map
 	// Histograms of times in milliseconds. Wait is the wait for a slot, and ColdStart the same for requests that
@@ -50,6 +54,7 @@
 	for _, c := range []*expvar.Map{&m.ExtraOpened, &m.ExtraWon, &m.ExtraLost, &m.ExtraDenied} {
 		c.Init()
 	}
+	m.AnswersTooLong.Init()
 	return m
 }
 
@@ -68,6 +73,8 @@
 	t.Set("extraWon", &m.ExtraWon)
 	t.Set("extraLost", &m.ExtraLost)
 	t.Set("extraDenied", &m.ExtraDenied)
+	t.Set("answersTooLong", &m.AnswersTooLong)
+	t.Set("answersWithoutRoom", &m.AnswersWithoutRoom)
 	t.Set("signals", &m.Signals)
 	t.Set("damagedSignals", &m.DamagedSignals)
 	t.Set("wait", m.Wait)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"olivetiller/core/answerlimit"
 	"olivetiller/core/refusal"
 	"olivetiller/core/view"
 	"olivetiller/internal/isolation"
@@ -36,8 +37,9 @@
 	ReadTimeout time.Duration
 	// IdleTimeout limits how long a connection stays open without a request.
 	IdleTimeout time.Duration
-	// HeldBytes limits the total bytes of request and answer bodies in memory; 0 for no limit.
-	HeldBytes int64
+	// HeldBytes limits the total bytes of request and answer bodies in memory, beyond which new requests are refused.
+	// HeldAnswerBytes limits those of answers, beyond which answers are given up; 0 for no limit.
+	HeldBytes, HeldAnswerBytes int64
 	// Connections limits the open connections; 0 for no limit.
 	Connections int
 }
@@ -93,7 +95,6 @@
 // model; readBody sets a read deadline instead.
 func (s *Server) init() {
 	s.callers = newCallerLimits()
-	s.heldBytes.limit = s.Limits.HeldBytes
 	s.connections.clock = s.Clock
 	base, cancelRequests := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancelRequests
@@ -155,6 +156,8 @@
 	if s.callers == nil {
 		s.callers = newCallerLimits()
 	}
+	s.heldBytes.limit = s.Limits.HeldBytes
+	s.heldBytes.answerLimits = answerlimit.Limits{Answer: s.Limits.AnswerBytes, Total: s.Limits.HeldAnswerBytes}
 	if s.Isolation == nil {
 		s.Isolation = isolation.New(isolation.Options{Clock: s.Clock, Logger: s.Logger, Refuses: s.Endpoints.Refuses})
 	}
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -106,6 +106,7 @@
 		s.Logger.Info("discarded a standby", "requestId", x.ID, "standby", sb.slot.Endpoint.Name, "outcome", outcome, "extra", sb.extra, "error", err.Error())
 		result.Ended = reportRun(context.Background(), sb.run, err)
 		sb.slot.Release(result)
+		s.recordExcess(x, sb.slot.Endpoint.Name, err)
 	}()
 }
 
@@ -119,9 +120,9 @@
 		if resp.StatusCode != http.StatusOK {
 			return false, nil
 		}
-		read, err = readEvent(resp.Body)
+		read, err = readEvent(resp.Body, &x.held)
 	} else {
-		read, err = io.ReadAll(io.LimitReader(resp.Body, s.Limits.AnswerBytes+1))
+		read, err = x.held.readAll(resp.Body, resp.ContentLength)
 	}
 	if err == nil && x.Target.Stream {
 		var unconfirmed *unconfirmedError
@@ -164,21 +165,26 @@
 }
 
 // readEvent reads a body until the first event is complete. A body that ends before does not go on with the stream.
-func readEvent(body io.Reader) ([]byte, error) {
+func readEvent(body io.Reader, held *holding) ([]byte, error) {
 	var read []byte
+	var scanner eventScanner
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := body.Read(buf)
+		if err := held.grow(int64(len(read)), int64(len(read)+n)); err != nil {
+			return nil, err
+		}
 		read = append(read, buf[:n]...)
+		end, tooLong := scanner.scan(read)
 		switch {
-		case bytes.Contains(read, eventEnd):
+		case end > 0:
 			return read, nil
 		case errors.Is(err, io.EOF):
 			return nil, errTruncated
 		case err != nil:
 			return nil, err
-		case len(read) > maxEvent:
-			return nil, errEventTooLong
+		case tooLong != nil:
+			return nil, tooLong
 		}
 	}
 }
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"olivetiller/core/answerlimit"
 	"olivetiller/core/pace"
 	"olivetiller/core/retry"
 	"olivetiller/core/view"
@@ -19,35 +20,27 @@
 const (
 	// relayBuffer is the initial buffer of a stream, in bytes.
 	relayBuffer = 8 << 10
-	// maxEvent is the maximum size of one event, in bytes.
-	maxEvent = 1 << 20
 )
 
-var eventEnd = []byte("\n\n")
-
 // Events of the default protocol's streams.
 const (
 	dataPrefix = "data: "
 	doneMarker = "data: [DONE]"
 )
 
-// errEventTooLong is the error of a stream with an event of more than maxEvent bytes.
-var errEventTooLong = errors.New("an event of the stream is too long")
-
-// errAnswerTooLong is the error of an answer that is not a stream and longer than Limits.AnswerBytes.
-var errAnswerTooLong = errors.New("the answer is longer than limits.answerBytes")
-
 // errTruncated is the error of a stream that ended before its last event.
 var errTruncated = errors.New("the stream ended before its last event")
 
-// relay forwards the complete events of a stream and tracks the caller's position in it. It uses one buffer for the
-// whole stream, so that forwarding a token allocates nothing.
+// relay forwards the complete events of a stream and tracks the caller's position in it. Comments are forwarded with the event
+// that follows, so that a caller gets nothing of a stream that has only comments. It uses one buffer for the whole stream, so
+// that forwarding a token allocates nothing.
 type relay struct {
 	x     *Exchange
 	flush *http.ResponseController
 	buf   []byte
-	// buffered is the number of bytes in buf, which belong to an event that is not complete yet.
+	// buffered is the number of bytes in buf, which are comments or belong to an event that is not complete yet.
 	buffered int
+	scanner  eventScanner
 	events   EventReader
 	// relayed counts the events forwarded.
 	relayed int
@@ -140,16 +133,10 @@
 		err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Cause: errTruncated}
 		return failedResult(err), err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, r.s.Limits.AnswerBytes+1))
-	if err == nil && int64(len(body)) > r.s.Limits.AnswerBytes {
-		err := &endpoint.Error{Outcome: retry.Ran, Answered: true, Sends: resp.Sends, Cause: errAnswerTooLong}
-		return failedResult(err), err
-	}
+	a, err := r.x.readAnswer(resp)
 	if err != nil {
-		err := resp.BrokenError(err)
 		return failedResult(err), err
 	}
-	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
 	if err := failedAnswer(r.x, a); err != nil {
 		r.fallback = a
 		return failedResult(err), err
@@ -186,11 +173,14 @@
 // copy forwards events until the stream is complete. It drops an incomplete event of an earlier attempt, since the
 // endpoint that resumes the stream sends that token again from its start.
 func (r *relay) copy(ctx context.Context, body io.Reader) error {
-	r.buffered = 0
+	r.buffered, r.scanner = 0, eventScanner{}
 	for !r.done {
 		if r.buffered == len(r.buf) {
-			if r.buffered >= maxEvent {
-				return errEventTooLong
+			if len(r.buf) >= answerlimit.EventBytes {
+				return &answerlimit.TooLongError{Part: answerlimit.Event, Limit: answerlimit.EventBytes}
+			}
+			if err := r.x.held.grow(int64(len(r.buf)), 2*int64(len(r.buf))); err != nil {
+				return err
 			}
 			r.buf = append(r.buf, make([]byte, len(r.buf))...)
 		}
@@ -205,9 +195,12 @@
 			if ctx.Err() != nil || !errors.Is(err, io.EOF) {
 				return err
 			}
-			if !r.events.EndsWithBody() || r.buffered > 0 {
+			if !r.events.EndsWithBody() || r.buffered > r.scanner.blocks {
 				return errTruncated
 			}
+			if err := r.forward(ctx, r.buffered); err != nil {
+				return err
+			}
 			r.writeHead()
 			r.done = true
 		}
@@ -217,11 +210,18 @@
 
 // writeEvents writes the complete events in the buffer to the caller and keeps the rest.
 func (r *relay) writeEvents(ctx context.Context) error {
-	end := bytes.LastIndex(r.buf[:r.buffered], eventEnd)
-	if end < 0 {
+	end, tooLong := r.scanner.scan(r.buf[:r.buffered])
+	if err := r.forward(ctx, end); err != nil {
+		return err
+	}
+	return tooLong
+}
+
+// forward writes the first end bytes of the buffer, which are whole events and comments, to the caller.
+func (r *relay) forward(ctx context.Context, end int) error {
+	if end == 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	if r.slot != nil {
 		if err := r.s.confirmProcess(ctx, r.x, r.x.Began, r.endpoint, r.connectedAt); err != nil {
 			return err
@@ -244,6 +244,7 @@
 	setWriteTimeout(r.flush, 0)
 	r.stall.forwarded(r.events.Position())
 	r.buffered = copy(r.buf, r.buf[end:r.buffered])
+	r.scanner.removed(end)
 	return nil
 }
 
@@ -254,6 +255,9 @@
 		end := bytes.Index(events, eventEnd)
 		event := events[:end]
 		events = events[end+len(eventEnd):]
+		if !isEvent(event) {
+			continue
+		}
 		if r.events.Note(event) {
 			r.done = true
 			continue
