olivetiller: lines of libraries go to the JSON log at debug level, shortened

net/http writes up to 4 KB of what an endpoint sends after an answer to the standard logger, which went to the log at level info, or past it in the default product. Servers keep their own error lines at level info.

--- a/cmd/olivetiller/hosted.go
+++ b/cmd/olivetiller/hosted.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -40,9 +39,7 @@
 	out := logout.New(os.Stdout)
 	defer out.Close()
 	logger := hclog.New(&hclog.LoggerOptions{Name: "olivetiller", Level: hclog.Info, JSONFormat: true, Output: out})
-	// Libraries write to the standard logger; redirect it to the JSON log.
-	log.SetFlags(0)
-	log.SetOutput(logger.Named("library").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}))
+	redirectLibraryLog(logger)
 	s.ExtraAttempts = extraAttempts
 	n, err := hosted.Start(platform.NodeSettings(s), platform.NewAdapter(s), newClock(logger), logger)
 	if err != nil {
--- a/cmd/olivetiller/node.go
+++ b/cmd/olivetiller/node.go
@@ -64,6 +64,7 @@
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name: "olivetiller", Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: os.Stderr,
 	})
+	redirectLibraryLog(logger)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	n, err := entry.Start(s, entry.Options{Clock: clockwork.NewRealClock(), Logger: logger})
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -198,7 +198,10 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: n.Settings.Limits.ReadTimeout, Protocols: &protocols}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: n.Settings.Limits.ReadTimeout, Protocols: &protocols,
+		ErrorLog: n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}),
+	}
 	l := n.listen[name]
 	if n.Caller.TLS != nil && name == listenOperator {
 		l = tls.NewListener(l, n.Caller.TLS)
