caller, traffic: what a review of extra attempts and explain found

- An endpoint whose attempts extra ones replace again and again is ejected: before, a hanging one got requests, and used up the limit, for as long as extra attempts answered in its place.
Replaced after the stall timeout, it counts as silent, as without extra attempts.
- Extra attempts take only what first attempts have earned of the retry budget, heed the load that other nodes have at an endpoint, are counted as won once they have answered, and go back to the limit if they were not sent.
Only successes tell how long answers take.
- Explaining a request changes neither the rotation between equal endpoints nor the spacing of retry hints, and leaves no pool behind.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -51,6 +51,14 @@
 	return true
 }
 
+// SpendEarned is Spend without the limits' reserve: it leaves that to others.
+func (b *Budget) SpendEarned(now time.Time) bool {
+	if b.Left(now)-b.limits.Reserve < minBudget {
+		return false
+	}
+	return b.Spend(now)
+}
+
 // Reserve reserves what is left for one retry that is sent later, and returns the reserved part, from 0 to 1. If it is
 // less than 1, the remainder must come from elsewhere. A call of Sent or Release with the same part must follow.
 func (b *Budget) Reserve(now time.Time) (part float64) {
--- a/internal/hosted/explain.go
+++ b/internal/hosted/explain.go
@@ -32,9 +32,9 @@
 	if h.Host == "" {
 		return nil, fmt.Errorf("host is missing; set it to the host name of a route")
 	}
-	r := &http.Request{Method: h.Method, URL: u, Host: h.Host, RequestURI: h.Path, Header: h.Header}
-	if r.Header == nil {
-		r.Header = make(http.Header)
+	r := &http.Request{Method: h.Method, URL: u, Host: h.Host, RequestURI: h.Path, Header: make(http.Header), Body: http.NoBody}
+	for name, values := range h.Header {
+		r.Header[http.CanonicalHeaderKey(name)] = values
 	}
 	return r, nil
 }
--- a/internal/traffic/build.go
+++ b/internal/traffic/build.go
@@ -47,6 +47,11 @@
 	if !p.bound || p.acquiring > 0 || p.running > 0 || p.queue.Len() > 0 {
 		return
 	}
+	d.drop(p)
+}
+
+// drop removes a pool that nothing uses.
+func (d *Dispatcher) drop(p *pool) {
 	for _, cand := range p.endpoints {
 		delete(cand.endpointState.pools, p)
 	}
--- a/internal/traffic/explain.go
+++ b/internal/traffic/explain.go
@@ -53,8 +53,19 @@
 		out.refuse(err)
 		return out
 	}
-	p := d.pool(d.keyOf(name, &req))
-	defer d.dropIdle(p)
+	key := d.keyOf(name, &req)
+	_, known := d.pools[key]
+	p := d.pool(key)
+	if !known {
+		defer d.drop(p)
+	}
+	// The next pick starts one further, and a refusal spaces the retry hints of later ones.
+	p.rotation++
+	defer func() { p.rotation-- }()
+	for _, cand := range p.endpoints {
+		hints := cand.endpointState.retryHints
+		defer func() { cand.endpointState.retryHints = hints }()
+	}
 	replicas, home := p.replicas(now, d.hall, d.view.NewBuilds, &req)
 	out := Explanation{Pool: p.String(), Waiting: p.queue.Len(), Home: home, Candidates: []CandidateVerdict{}}
 	if len(p.endpoints) == 0 && p.readyAt.After(now) {
--- a/internal/traffic/explain_test.go
+++ b/internal/traffic/explain_test.go
@@ -27,6 +27,18 @@
 		want    outcome
 	}{
 		{"lanes", lanePool, func(d *Dispatcher) { d.SetUneven(uneven(true)) }, SlotRequest{Prompt: 800}, outcome{Endpoint: "e2", Home: "e2", States: []string{"open", "open", "open"}}},
+		{"equal endpoints", lanePool, func(d *Dispatcher) {
+			for range 4 {
+				s, err := d.Acquire(context.Background(), lanePool, SlotRequest{Deadline: clock.Now().Add(time.Minute)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.Release(Result{Running: -1})
+			}
+			d.Usage()
+			next := d.pools[poolKey{name: lanePool}]
+			next.rotation = 3
+		}, SlotRequest{}, outcome{Endpoint: "e2", States: []string{"open", "open", "open"}}},
 		{"an endpoint rests", lanePool, func(d *Dispatcher) {
 			d.pool(poolKey{name: lanePool})
 			d.endpointStates["e2"].backoffUntil = clock.Now().Add(time.Second)
@@ -64,6 +76,18 @@
 					t.Errorf("explanation (-want +got):\n%s", diff)
 				}
 			}
+			for name, ep := range d.endpointStates {
+				if ep.retryHints != 0 {
+					t.Errorf("explanations count as %d retry hints at %s", ep.retryHints, name)
+				}
+			}
+			before := len(d.pools)
+			for _, model := range []string{"unit/s/a", "unit/s/b"} {
+				d.Explain(model, tt.req)
+			}
+			if len(d.pools) != before {
+				t.Errorf("%d pools, want %d as before the explanations", len(d.pools), before)
+			}
 			if usage := d.Usage(); len(usage) != 0 {
 				t.Errorf("explanations count as use: %v", usage)
 			}
--- a/internal/traffic/extra.go
+++ b/internal/traffic/extra.go
@@ -17,7 +17,8 @@
 
 // SwitchExtra acquires a second slot like Switch, for a request whose endpoint is late and not silent for too long. Extra
 // attempts make way for other requests: an endpoint must have spare room, and the retry must come from this node's own budget,
-// since what the lease holder grants is for attempts that failed. If there is no slot, denied is the reason.
+// from what first attempts have earned: the reserve, and
+// what the lease holder grants, are for attempts that failed. If there is no slot, denied is the reason.
 func (d *Dispatcher) SwitchExtra(s *Slot, req SlotRequest) (second *Slot, denied retry.Denial) {
 	if req.State != quarantine.Clear && req.State != quarantine.Released {
 		return nil, retry.DeniedBySuspicion
@@ -32,7 +33,7 @@
 	if !ok || !cand.endpointState.hasSpareRoom(now) {
 		return nil, retry.DeniedByRoom
 	}
-	if !d.budget(p, &req).Spend(now) {
+	if !d.budget(p, &req).SpendEarned(now) {
 		return nil, retry.DeniedByRetryBudget
 	}
 	p.addRunning(cand, &req)
@@ -50,7 +51,7 @@
 			return false
 		}
 	}
-	load := ep.running
+	load := max(ep.running, ep.load)
 	if now.Sub(ep.reportedAt) <= loadTTL {
 		load = max(load, ep.reported)
 	}
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -276,10 +276,6 @@
 			r.Err, r.NotStarted = nil, true
 			return r
 		}
-		if errors.Is(e.Cause, errLate) {
-			r.Err, r.NotStarted = nil, true
-			return r
-		}
 		r.Silent = e.ConnectFailed || errors.Is(e.Cause, errStalled)
 		if e.Outcome == retry.NotSent && e.Refused {
 			// The endpoint is healthy and only refused to start this request.
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -135,8 +135,12 @@
 		if err := failedAnswer(x, got); err != nil {
 			return failedResult(err), err
 		}
-		st.answered()
-		run.Answered(got.status/100 == 2 && resp.Framed())
+		success := got.status/100 == 2
+		if success {
+			// Endpoints reject requests faster than they answer them.
+			st.answered()
+		}
+		run.Answered(success && resp.Framed())
 		return traffic.Result{Running: resp.Running, Draining: resp.Draining}, nil
 	})
 	if got == nil {
--- a/io/caller/extra.go
+++ b/io/caller/extra.go
@@ -11,8 +11,9 @@
 	"olivetiller/io/endpoint"
 )
 
-// errLate is the cause of an attempt that was canceled because an extra attempt at another endpoint answered first. It says
-// nothing about the endpoint.
+// errLate is the cause of an attempt that was canceled because an extra attempt at another endpoint answered first. It counts
+// as a failure of the endpoint, which is ejected after several in a row: otherwise one that hangs would get requests, and use
+// up the limit, for as long as extra attempts answer in its place.
 var errLate = errors.New("the answer was late; another endpoint answered first")
 
 // wasReplaced reports whether a standby took the place of the attempt that ended with an error.
@@ -195,6 +196,15 @@
 		"samples", int(t.Samples), "spentShare", s.Extra.spent(now))
 }
 
+// countExtra counts how an extra attempt ended: it won if it answered in place of the first one.
+func (s *Server) countExtra(x *Exchange, won bool) {
+	if won {
+		s.Metrics.ExtraWon.Add(routeLabel(x), 1)
+		return
+	}
+	s.Metrics.ExtraLost.Add(routeLabel(x), 1)
+}
+
 // routeLabel returns the name of a request's route for metrics. Pools are too many for one metric each.
 func routeLabel(x *Exchange) string {
 	if x.Target.Route == "" {
--- a/io/caller/send.go
+++ b/io/caller/send.go
@@ -17,10 +17,10 @@
 	var err error
 	if sb := x.standby; sb != nil && sb.slot == slot {
 		x.standby = nil
+		resp, err = sb.await(ctx)
 		if sb.extra {
-			s.Metrics.ExtraWon.Add(routeLabel(x), 1)
+			s.countExtra(x, err == nil)
 		}
-		resp, err = sb.await(ctx)
 	} else {
 		resp, err = s.request(ctx, x, slot, position, x.trial)
 	}
--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -161,6 +161,9 @@
 	switch current := !st.ended && !st.forwarding && st.events == events; {
 	case !current && ok:
 		second.Release(traffic.Result{NotStarted: true, Running: -1})
+		if extra {
+			s.Extra.putBack(s.Clock.Now())
+		}
 	case current && !ok && extra:
 		st.rearmAfterExtra()
 	case current && !ok:
@@ -203,7 +206,7 @@
 	}
 	state.FirstBegan = st.events > 0
 	if state.Replaces() {
-		st.replaced, st.late.lost = true, sb.extra
+		st.replaced, st.late.lost = true, sb.extra && (st.first <= 0 || st.s.Clock.Since(st.late.started) < st.first)
 		st.cancel()
 		return
 	}
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -93,7 +93,7 @@
 	}
 	s.Metrics.StandbysDiscarded.Add(1)
 	if sb.extra {
-		s.Metrics.ExtraLost.Add(routeLabel(x), 1)
+		s.countExtra(x, false)
 	}
 	sb.cancel()
 	go func() {
