caller, answerlimit, hosted: what a review of answers without end found

- Comments of a stream that has begun go out at once again, as before the bounds: they keep its connection alive. 1 MB of them without an event end it.
- An answer may take the room of all answers (10 % of the memory) instead of a quarter of it before its endpoint is blamed.
- Answers to HEAD and with status 304 are not judged by the length of a body that they don't have.
- A read whose length was announced needs no second buffer of that size for its end; counting an answer that does not fit no longer takes room from others for a moment; a standby that is under way is not thrown away for want of room.

--- a/core/answerlimit/answerlimit.go
+++ b/core/answerlimit/answerlimit.go
@@ -17,9 +17,10 @@
 	HeadBytes = 16 << 10
 	// EventBytes bounds one event of a stream with the comments before it.
 	EventBytes = 1 << 20
-	// CommentBytes bounds what a stream sends between two events. One comment a second as a sign of life reaches it after
-	// more than an hour.
-	CommentBytes = 64 << 10
+	// CommentBytes bounds what a stream sends before its first event, which is held until then. ForwardedCommentBytes bounds
+	// what it sends between two later events.
+	CommentBytes          = 64 << 10
+	ForwardedCommentBytes = 1 << 20
 	// SmallBytes is what any answer may hold, however much others hold.
 	SmallBytes = 16 << 10
 	// minBuffer is the size of the first buffer of a body whose length is unknown.
@@ -103,8 +104,12 @@
 // byte more than the answer may have.
 func (l Limits) NextBuffer(size, announced int64) int64 {
 	next := max(minBuffer, 2*size)
-	if announced > size {
+	switch {
+	case announced > size:
 		next = min(next, announced)
+	case announced >= 0:
+		// All that was announced has come. What is left to read is the end.
+		next = size + minBuffer
 	}
 	if l.Answer > 0 {
 		next = max(size+1, min(next, l.Answer+1))
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -112,9 +112,8 @@
 	// state, connection buffers and garbage.
 	heldShare = 20
 	// answerShare is the percentage of MemoryBytes for buffered answers, whose requests have run and cannot be refused as
-	// those not run, and longAnswers how many of the longest ones fit into it.
+	// those not run.
 	answerShare = 10
-	longAnswers = 4
 	// queueItems and queueBytes bound the queue of one unit.
 	queueItems = 2000
 	queueBytes = 32 << 20
@@ -277,12 +276,12 @@
 	}
 }
 
-// maxAnswer returns the length of the longest answer on a machine with the given memory; 0 if that is unknown.
+// maxAnswer returns the length of the longest answer on a machine with the given memory: one that takes the room of all.
 func maxAnswer(memory int64) int64 {
 	if memory <= 0 {
 		return answerBytes
 	}
-	return min(answerBytes, memory*answerShare/100/longAnswers)
+	return min(answerBytes, memory*answerShare/100)
 }
 
 // maxTunnels returns how many tunnels of other nodes a node with the given limit on descriptors opens. Each uses one
--- a/io/caller/attempts.go
+++ b/io/caller/attempts.go
@@ -69,7 +69,7 @@
 			Outcome: outcome, OnceOnly: x.Target.OnceOnly, Ran: x.ran, Attempts: x.Target.attempts(),
 			Late: s.Clock.Now().After(x.Deadline), CallerGone: ctx.Err() != nil, Withheld: s.Isolation.State(x.subjects...) == quarantine.Quarantined,
 		})
-		if step == retry.Repeat && answerlimit.IsNoRoom(err) {
+		if step == retry.Repeat && x.standby == nil && answerlimit.IsNoRoom(err) {
 			// Another endpoint's answer would find no room here either. Another node may have some.
 			step = finalStep(x)
 		}
--- a/io/caller/held.go
+++ b/io/caller/held.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -69,9 +70,14 @@
 	if h.ended {
 		return errExchangeEnded
 	}
-	if err := h.held.answerLimits.CheckRoom(to, h.held.answers.Add(to-from)); err != nil {
-		h.held.answers.Add(from - to)
-		return err
+	for {
+		held := h.held.answers.Load()
+		if err := h.held.answerLimits.CheckRoom(to, held+to-from); err != nil {
+			return err
+		}
+		if h.held.answers.CompareAndSwap(held, held+to-from) {
+			break
+		}
 	}
 	h.held.bytes.Add(to - from)
 	h.bytes += to - from
@@ -144,13 +150,22 @@
 
 // readAnswer reads the body of a whole answer. The error is an *endpoint.Error.
 func (x *Exchange) readAnswer(resp *endpoint.Response) (*answer, error) {
-	body, err := x.held.readAll(resp.Body, resp.ContentLength)
+	body, err := x.held.readAll(resp.Body, announcedLength(resp))
 	if err != nil {
 		return nil, resp.BrokenError(err)
 	}
 	return &answer{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
+// announcedLength returns the announced length of the body that is sent; below 0 if there is none. Answers to HEAD, and those
+// with status 304, announce the length of a body that they don't have.
+func announcedLength(resp *endpoint.Response) int64 {
+	if resp.StatusCode == http.StatusNotModified || resp.Request != nil && resp.Request.Method == http.MethodHead {
+		return -1
+	}
+	return resp.ContentLength
+}
+
 // recordExcess logs and counts an attempt that failed because its endpoint sent more than an answer may have, or because
 // this node had no room for it.
 func (s *Server) recordExcess(x *Exchange, name string, err error) {
--- a/io/caller/standby.go
+++ b/io/caller/standby.go
@@ -122,7 +122,7 @@
 		}
 		read, err = readEvent(resp.Body, &x.held)
 	} else {
-		read, err = x.held.readAll(resp.Body, resp.ContentLength)
+		read, err = x.held.readAll(resp.Body, announcedLength(resp))
 	}
 	if err == nil && x.Target.Stream {
 		var unconfirmed *unconfirmedError
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -210,6 +210,7 @@
 
 // writeEvents writes the complete events in the buffer to the caller and keeps the rest.
 func (r *relay) writeEvents(ctx context.Context) error {
+	r.scanner.begun = r.x.Began
 	end, tooLong := r.scanner.scan(r.buf[:r.buffered])
 	if err := r.forward(ctx, end); err != nil {
 		return err
@@ -293,8 +294,10 @@
 		r.s.Metrics.FirstToken.Record((now - r.x.Start.UnixNano()) / nanosPerMilli)
 	} else {
 		r.x.Progress.LongestPause = max(r.x.Progress.LongestPause, time.Duration(now-r.lastEvent))
-		r.gaps.Add(time.Duration(now - r.lastEvent))
+		if !r.fresh {
+			r.gaps.Add(time.Duration(now - r.lastEvent))
+		}
 		r.s.Metrics.BetweenTokens.Record((now - r.lastEvent) / nanosPerMilli)
 	}
-	r.lastEvent = now
+	r.lastEvent, r.fresh = now, false
 }
