queue: late requests of a rank go last

By deadline alone, a queue that is longer than the objectives of its requests serves each just after its objective has passed. Where requests are ranked, those that can still be in time now go first in their rank, and late ones get the turns of overdue ones, which are one in eight.

--- a/core/queue/class.go
+++ b/core/queue/class.go
@@ -10,31 +10,51 @@
 
 // class holds the waiting items of one rank.
 type class struct {
-	rank   int
-	flows  map[string]*flow
-	active flowHeap
-	// now is the current virtual time: the start tag of the item served last.
-	now   float64
-	items int
-	bytes int64
-	// overdue holds the items by the time from which they are overdue.
+	rank int
+	// late holds the items of which it was found that they can no longer be in time, and inTime the others.
+	inTime, late fairQueue
+	items        int
+	bytes        int64
+	// overdue holds all items by the time from which they are overdue.
 	overdue overdueHeap
 	// youngest is the item that was pushed last; the others follow by Item.older.
 	youngest *Item
 }
 
 // first returns the item that goes first in a class that is not empty.
-func (c *class) first() *Item { return c.active[0].items[0] }
+func (c *class) first(now time.Time) *Item {
+	for c.inTime.items > 0 {
+		it := c.inTime.first()
+		if !it.late(now) {
+			return it
+		}
+		c.makeLate(it)
+	}
+	return c.late.first()
+}
+
+// firstOverdue returns the item that goes first in a turn of overdue items: a late one, if there is one. oldest is the
+// item that has been overdue longest.
+func (c *class) firstOverdue(oldest *Item, now time.Time) *Item {
+	if oldest.fair == &c.inTime && oldest.late(now) {
+		c.makeLate(oldest)
+	}
+	if c.late.items > 0 {
+		return c.late.first()
+	}
+	return c.inTime.first()
+}
+
+// makeLate moves an item to the late ones.
+func (c *class) makeLate(it *Item) {
+	c.inTime.remove(it)
+	c.late.push(it)
+}
 
 // push adds an item.
 func (c *class) push(it *Item) {
-	f := c.flows[it.Caller]
-	if f == nil {
-		f = &flow{caller: it.Caller, index: -1}
-		c.flows[it.Caller] = f
-	}
-	it.flow, it.class = f, c
-	heap.Push(&f.items, it)
+	it.class = c
+	c.inTime.push(it)
 	heap.Push(&c.overdue, it)
 	c.items++
 	c.bytes += it.Bytes
@@ -42,38 +62,16 @@
 		it.older.younger = it
 	}
 	c.youngest = it
-	if f.index < 0 {
-		f.startTag = max(f.startTag, c.now)
-		heap.Push(&c.active, f)
-	} else {
-		heap.Fix(&c.active, f.index)
-	}
 }
 
-// remove removes an item from its flow, and the flow from the active flows if it has no more items.
+// remove removes an item.
 func (c *class) remove(it *Item) {
-	f := it.flow
-	heap.Remove(&f.items, it.index)
+	it.fair.remove(it)
 	heap.Remove(&c.overdue, it.overdueIndex)
 	c.unlink(it)
-	it.flow, it.class = nil, nil
+	it.class = nil
 	c.items--
 	c.bytes -= it.Bytes
-	if len(f.items) > 0 {
-		heap.Fix(&c.active, f.index)
-		return
-	}
-	heap.Remove(&c.active, f.index)
-	f.index = -1
-	if f.startTag <= c.now {
-		// A flow that is not ahead of the virtual time has no state worth keeping.
-		delete(c.flows, f.caller)
-	}
-	if c.items == 0 {
-		// No item waits: every caller starts from zero again.
-		clear(c.flows)
-		c.now = 0
-	}
 }
 
 // unlink removes an item from the list by arrival.
@@ -89,17 +87,98 @@
 	it.older, it.younger = nil, nil
 }
 
+// overdueBy counts the items that are overdue at now.
+func (c *class) overdueBy(now time.Time) int {
+	return c.count(func(it *Item) bool { return it.overdueBy(now) })
+}
+
+// lateBy counts the items that are late at now.
+func (c *class) lateBy(now time.Time) int {
+	return c.count(func(it *Item) bool { return it.late(now) })
+}
+
+func (c *class) count(is func(*Item) bool) int {
+	n := 0
+	for _, it := range c.overdue {
+		if is(it) {
+			n++
+		}
+	}
+	return n
+}
+
+// fairQueue is a fair queue between callers.
+type fairQueue struct {
+	flows  map[string]*flow
+	active flowHeap
+	items  int
+	// now is the current virtual time: the start tag of the item served last.
+	now float64
+}
+
+// first returns the item that goes first; the queue must not be empty.
+func (q *fairQueue) first() *Item { return q.active[0].items[0] }
+
+// push adds an item.
+func (q *fairQueue) push(it *Item) {
+	f := q.flows[it.Caller]
+	if f == nil {
+		f = &flow{caller: it.Caller, index: -1}
+		if q.flows == nil {
+			q.flows = make(map[string]*flow)
+		}
+		q.flows[it.Caller] = f
+	}
+	it.flow, it.fair = f, q
+	heap.Push(&f.items, it)
+	q.items++
+	if f.index < 0 {
+		f.startTag = max(f.startTag, q.now)
+		heap.Push(&q.active, f)
+	} else {
+		heap.Fix(&q.active, f.index)
+	}
+}
+
+// serve charges an item that goes first to its caller.
+func (q *fairQueue) serve(it *Item) {
+	q.now = it.flow.startTag
+	it.flow.startTag += it.cost()
+}
+
+// remove removes an item from its flow, and the flow from the active flows if it has no more items.
+func (q *fairQueue) remove(it *Item) {
+	f := it.flow
+	heap.Remove(&f.items, it.index)
+	it.flow, it.fair = nil, nil
+	q.items--
+	if len(f.items) > 0 {
+		heap.Fix(&q.active, f.index)
+		return
+	}
+	heap.Remove(&q.active, f.index)
+	f.index = -1
+	if f.startTag <= q.now {
+		// A flow that is not ahead of the virtual time has no state worth keeping.
+		delete(q.flows, f.caller)
+	}
+	if q.items == 0 {
+		// No item waits: every caller starts from zero again.
+		clear(q.flows)
+		q.now = 0
+	}
+}
+
 // appendItems appends the items in the order in which they go if no other comes.
-func (c *class) appendItems(out []*Item) []*Item {
+func (q *fairQueue) appendItems(out []*Item) []*Item {
 	type tagged struct {
 		*Item
 		startTag float64
 	}
-	items := make([]tagged, 0, c.items)
-	for _, f := range c.active {
-		own := slices.SortedFunc(slices.Values(f.items), (*Item).compare)
+	items := make([]tagged, 0, q.items)
+	for _, f := range q.active {
 		tag := f.startTag
-		for _, it := range own {
+		for _, it := range slices.SortedFunc(slices.Values(f.items), (*Item).compare) {
 			items = append(items, tagged{it, tag})
 			tag += it.cost()
 		}
@@ -113,21 +192,21 @@
 	return out
 }
 
-// ahead counts the items that go before another one, which is not in the queue: those of its own caller, and those of
-// others. Of each other caller it may miss one, where it depends on the deadline who goes first.
-func (c *class) ahead(it *Item) (own, others int) {
-	tag := c.now
-	f := c.flows[it.Caller]
+// ahead counts the items that are in time at now and go before another one, which is not in the queue: those of its own
+// caller, and those of others. Of each other caller it may miss one, where it depends on the deadline who goes first.
+func (q *fairQueue) ahead(it *Item, now time.Time) (own, others int) {
+	tag := q.now
+	f := q.flows[it.Caller]
 	if f != nil {
 		tag = max(tag, f.startTag)
 		for _, o := range f.items {
-			if !o.Deadline.After(it.Deadline) {
+			if !o.Deadline.After(it.Deadline) && !o.late(now) {
 				own++
 				tag += o.cost()
 			}
 		}
 	}
-	for _, g := range c.active {
+	for _, g := range q.active {
 		if g == f {
 			continue
 		}
@@ -136,24 +215,15 @@
 			if theirs >= tag {
 				break
 			}
-			others++
-			theirs += o.cost()
+			if !o.late(now) {
+				others++
+				theirs += o.cost()
+			}
 		}
 	}
 	return own, others
 }
 
-// overdueBy counts the items that are overdue at now.
-func (c *class) overdueBy(now time.Time) int {
-	n := 0
-	for _, it := range c.overdue {
-		if it.overdueBy(now) {
-			n++
-		}
-	}
-	return n
-}
-
 // flow holds the waiting items of one caller.
 type flow struct {
 	caller string
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -2,7 +2,7 @@
 // of one rank, by deadline within a caller, and bounded in items and memory.
 //
 // The most urgent rank goes first. An item that has waited for half of the time until its deadline is overdue. Its rank
-// then goes ahead of more urgent items that came after it, in one of every few turns, so that nothing starves, and yet a
+// then goes ahead of more urgent items that came after it, in one of a few turns, so that nothing starves, and yet a
 // surplus of less urgent items cannot displace urgent ones; see [Turns].
 //
 // A large batch of one caller must not starve a single interactive request of another one. Between callers of one rank
@@ -12,6 +12,10 @@
 // starts at the current virtual time of the queue, so that it neither pays for its earlier work nor saves up
 // credit.
 //
+// When a queue is longer than the objectives of its items, the earliest deadline first makes nearly all of them late.
+// Items may therefore go after others of their rank once they are late, see [Item.LateLast]. The turns of overdue items
+// are theirs then.
+//
 // A [Queue] is not safe for concurrent use; its owner holds a lock.
 package queue
 
@@ -31,6 +35,9 @@
 	Arrived time.Time
 	// Deadline is the time by which the item must have left the queue.
 	Deadline time.Time
+	// LateLast is true if the item goes after others of its rank once its deadline has passed, since these can still be in
+	// time. Otherwise the earliest deadline goes first, also when it has passed.
+	LateLast bool
 	// Cost is the cost of serving the item, in a unit that all items share. Values below 1 count as 1.
 	Cost float64
 	// Bytes is the memory that the item uses while it waits.
@@ -41,6 +48,7 @@
 	// index is the position in the heap of the flow, and overdueIndex that in the heap of the class.
 	index, overdueIndex int
 	flow                *flow
+	fair                *fairQueue
 	class               *class
 	seq                 uint64
 	// older and younger are the neighbours by arrival in the class.
@@ -123,7 +131,7 @@
 func (q *Queue) class(rank int) *class {
 	i, ok := slices.BinarySearchFunc(q.classes, rank, func(c *class, rank int) int { return cmp.Compare(c.rank, rank) })
 	if !ok {
-		q.classes = slices.Insert(q.classes, i, &class{rank: rank, flows: make(map[string]*flow)})
+		q.classes = slices.Insert(q.classes, i, &class{rank: rank})
 	}
 	return q.classes[i]
 }
@@ -135,8 +143,7 @@
 		return nil
 	}
 	q.turns.Served(overdue)
-	it.class.now = it.flow.startTag
-	it.flow.startTag += it.cost()
+	it.fair.serve(it)
 	q.remove(it)
 	return it
 }
@@ -147,23 +154,22 @@
 	return it
 }
 
-// next returns the item that goes next at now, and whether its rank goes ahead of a more urgent one because an item of
-// it is overdue.
+// next returns the item that goes next at now, and whether it goes in a turn of overdue items.
 func (q *Queue) next(now time.Time) (it *Item, overdue bool) {
 	var first, owed *Item
 	for _, c := range q.classes {
-		switch {
-		case c.items == 0:
-		case first == nil:
-			first = c.first()
-		case q.turns.Due():
-			if o := c.overdue[0]; o.Passes(first, now) && (owed == nil || o.OverdueAt().Before(owed.OverdueAt())) {
-				owed = o
-			}
+		if c.items == 0 {
+			continue
+		}
+		if first == nil {
+			first = c.first(now)
+		}
+		if o := c.overdue[0]; q.turns.Due() && o.Passes(first, now) && (owed == nil || o.OverdueAt().Before(owed.OverdueAt())) {
+			owed = o
 		}
 	}
 	if owed != nil {
-		return owed.class.first(), true
+		return owed.class.firstOverdue(owed, now), true
 	}
 	return first, false
 }
@@ -184,11 +190,12 @@
 	q.bytes -= it.Bytes
 }
 
-// Items returns the waiting items in the order in which they go if no other comes and none is overdue.
+// Items returns the waiting items in the order in which they go if no other comes and none is overdue. Which of them are
+// late is known as of the last call of Pop or Peek.
 func (q *Queue) Items() []*Item {
 	out := make([]*Item, 0, q.items)
 	for _, c := range q.classes {
-		out = c.appendItems(out)
+		out = c.late.appendItems(c.inTime.appendItems(out))
 	}
 	return out
 }
@@ -234,9 +241,11 @@
 // waitingFlows iterates over the flows that have waiting items.
 func (q *Queue) waitingFlows(yield func(*flow) bool) {
 	for _, c := range q.classes {
-		for _, f := range c.active {
-			if !yield(f) {
-				return
+		for _, active := range []flowHeap{c.inTime.active, c.late.active} {
+			for _, f := range active {
+				if !yield(f) {
+					return
+				}
 			}
 		}
 	}
--- a/core/queue/rank.go
+++ b/core/queue/rank.go
@@ -21,15 +21,30 @@
 // overdueBy reports whether the item is overdue at now.
 func (it *Item) overdueBy(now time.Time) bool { return !now.Before(it.OverdueAt()) }
 
-// Passes reports whether the item goes ahead of a more urgent one in a turn of overdue items: it is overdue, and came
-// first.
+// late reports whether the item goes after others of its rank at now.
+func (it *Item) late(now time.Time) bool { return it.LateLast && !it.Deadline.After(now) }
+
+// GoesBefore reports whether the item goes before another one of any caller by rank and deadline.
+func (it *Item) GoesBefore(o *Item, now time.Time) bool {
+	switch {
+	case it.Rank != o.Rank:
+		return it.Rank < o.Rank
+	case it.late(now) != o.late(now):
+		return o.late(now)
+	}
+	return it.Deadline.Before(o.Deadline)
+}
+
+// Passes reports whether the item goes in a turn of overdue items before the one that goes first otherwise: it is overdue,
+// came before that, and would have to wait for it because of its rank or because it is late.
 func (it *Item) Passes(first *Item, now time.Time) bool {
-	return it.Rank > first.Rank && it.Arrived.Before(first.Arrived) && it.overdueBy(now)
+	yields := it.Rank > first.Rank || it.Rank == first.Rank && it.late(now) && !first.late(now)
+	return yields && it.Arrived.Before(first.Arrived) && it.overdueBy(now)
 }
 
-// turnsBetweenOverdue is how many turns go by rank between two of overdue items. While there are enough urgent items,
-// they keep three quarters of the capacity, however many less urgent ones are overdue.
-const turnsBetweenOverdue = 3
+// turnsBetweenOverdue is how many turns go by rank between two of overdue items. While there are enough urgent items that
+// can be in time, they keep seven eighths of the capacity, however many others are overdue.
+const turnsBetweenOverdue = 7
 
 // Turns decides which turns go to overdue items in place of more urgent ones: the first, and then one in
 // turnsBetweenOverdue+1. So an overdue item with n others before it is served within (n+1)*(turnsBetweenOverdue+1)
@@ -54,7 +69,7 @@
 // Ahead counts the items that go before another one, by the reason.
 type Ahead struct {
 	// MoreUrgent have a more urgent rank. Callers are those of other callers that have been served less. Sooner are the
-	// caller's own with an earlier deadline. Overdue are less urgent and have waited for long.
+	// caller's own with an earlier deadline. Overdue are less urgent, or late, and have waited for long.
 	MoreUrgent, Callers, Sooner, Overdue int
 }
 
@@ -76,7 +91,8 @@
 		case c.rank < it.Rank:
 			a.MoreUrgent += c.items
 		case c.rank == it.Rank:
-			a.Sooner, a.Callers = c.ahead(it)
+			a.Sooner, a.Callers = c.inTime.ahead(it, now)
+			overdue += c.lateBy(now)
 		default:
 			overdue += c.overdueBy(now)
 		}
--- a/internal/traffic/pump.go
+++ b/internal/traffic/pump.go
@@ -19,11 +19,11 @@
 }
 
 // nextPool returns the pool whose next request goes first at the endpoint, by rank and then by deadline, and whether it
-// goes ahead of a more urgent one because it is overdue. The pool is nil if no request is queued.
+// goes in a turn of overdue ones. The pool is nil if no request is queued.
 func (ep *endpointState) nextPool(now time.Time) (next *pool, overdue bool) {
 	var first *queue.Item
 	for p := range ep.pools {
-		if head := p.queue.Peek(now); head != nil && (first == nil || head.Rank < first.Rank || head.Rank == first.Rank && head.Deadline.Before(first.Deadline)) {
+		if head := p.queue.Peek(now); head != nil && (first == nil || head.GoesBefore(first, now)) {
 			next, first = p, head
 		}
 	}
