placer: a node without a holder asks others before it runs a suspect

Callers lost a fourth engine to a request that crashes each: the lease holder was lost after the second crash, and a node that had not heard of the third, 0.4 s before, ran the request by itself. Without an answer on the run lock a node now exchanges what it knows with two others first; a verdict that follows stops the request before its first byte.

TestRunAfterHolderIsLost failed before: isolated, want quarantined.

--- a/internal/placer/isolation.go
+++ b/internal/placer/isolation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,9 @@
 	exchangeEvery = 300 * time.Millisecond
 	// exchangePeers is how many other nodes are called per round.
 	exchangePeers = 2
+	// runExchangeTimeout bounds a round before a run whose run lock the lease holder does not grant. Nodes answer within
+	// milliseconds.
+	runExchangeTimeout = 100 * time.Millisecond
 	// verdictRetryPause is the pause after a verdict could not be written to the store.
 	verdictRetryPause = time.Second
 	// verdictsTimeout is how long a node that is otherwise ready waits for the verdicts in the store before it serves
@@ -50,6 +54,9 @@
 	storing  bool
 	// inputsReadyAt is when the node knew everything else that it needs to serve; zero before.
 	inputsReadyAt time.Time
+	// exchanges holds what was exchanged with other nodes, by address; exchangesMu guards it.
+	exchangesMu sync.Mutex
+	exchanges   map[string]exchangeMark
 }
 
 // storedVerdict is one verdict as the store holds it.
@@ -64,7 +71,7 @@
 	if s.guard == nil {
 		s.guard = isolation.New(isolation.Options{Clock: o.Clock, Logger: o.Logger, Refuses: func(context.Context, string) bool { return false }})
 	}
-	s.stored = make(map[quarantine.Fingerprint]storedVerdict)
+	s.stored, s.exchanges = make(map[quarantine.Fingerprint]storedVerdict), make(map[string]exchangeMark)
 }
 
 // SuspectsChanged sends a change of the suspected requests to the other nodes. It may be called from any goroutine.
@@ -184,18 +191,31 @@
 // exchangeSuspects exchanges suspected requests and endpoints' signals with other nodes while no lease holder
 // collects them, until ctx ends.
 func (c *Controller) exchangeSuspects(ctx context.Context) {
-	marks := make(map[string]exchangeMark)
 	for ctx.Err() == nil {
 		c.pause(ctx, exchangeEvery)
 		at := c.suspects.holderAt.Load()
 		if c.leading.Load() || at != nil && c.o.Clock.Now().Sub(*at) <= exchangeAfter {
 			continue
 		}
-		for range exchangePeers {
-			if address := c.peers.pick(c.o.Self.Address); address != "" {
-				marks[address] = c.exchangeWith(ctx, address, marks[address])
-			}
+		c.exchangeRound(ctx)
+	}
+}
+
+// exchangeRound exchanges suspected requests and endpoints' signals with exchangePeers other nodes.
+func (c *Controller) exchangeRound(ctx context.Context) {
+	s := &c.suspects
+	for range exchangePeers {
+		address := c.peers.pick(c.o.Self.Address)
+		if address == "" {
+			return
 		}
+		s.exchangesMu.Lock()
+		m := s.exchanges[address]
+		s.exchangesMu.Unlock()
+		m = c.exchangeWith(ctx, address, m)
+		s.exchangesMu.Lock()
+		s.exchanges[address] = m
+		s.exchangesMu.Unlock()
 	}
 }
 
--- a/internal/placer/isolation_test.go
+++ b/internal/placer/isolation_test.go
@@ -99,6 +99,30 @@
 	}
 }
 
+// TestRunAfterHolderIsLost guards against a request that is sent to a fourth engine by a node that has lost the lease
+// holder, and knows two of the three crashes that other nodes have seen.
+func TestRunAfterHolderIsLost(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		peers []string
+		want  quarantine.State
+	}{
+		{"another node knows the third crash", []string{"a", "b"}, quarantine.Quarantined},
+		{"no other node answers", []string{"a", "c"}, quarantine.Isolated},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newPeerControllers(clockwork.NewFakeClock(), "a", "b")
+			a, f := d.nodes["a"], quarantine.Fingerprint{1}
+			a.peers.setPeers(tt.peers)
+			addSuspicions(a, f, "e1", "e2")
+			addSuspicions(d.nodes["b"], f, "e1", "e2", "e3")
+			if after := a.AcquireRun(t.Context(), f, "1"); after != 0 || a.suspects.guard.State(f) != tt.want {
+				t.Errorf("run lock after %v, state %v; want at once, %v", after, a.suspects.guard.State(f), tt.want)
+			}
+		})
+	}
+}
+
 // TestSuspectsReachAllNodes checks that a node's suspicions reach the lease holder with its report, and that a
 // verdict reaches every other node with the lease holder's snapshots.
 func TestSuspectsReachAllNodes(t *testing.T) {
--- a/internal/placer/runlock.go
+++ b/internal/placer/runlock.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"olivetiller/core/quarantine"
+	"olivetiller/io/boottime"
 	"olivetiller/io/peer"
 )
 
@@ -38,12 +39,16 @@
 
 // AcquireRun implements isolation.RunLocker: it asks the lease holder for the run lock of an isolated request. It
 // returns 0 if the lock was granted, otherwise the time after which to ask again. It also returns 0 if the lease holder
-// does not answer; each node then serializes its own copies only.
+// does not answer; each node then serializes its own copies only, after it has asked other nodes what they know: one of
+// them may have seen the crash that convicts the request.
 func (c *Controller) AcquireRun(ctx context.Context, f quarantine.Fingerprint, run string) (after time.Duration) {
 	q := &peer.RunLockRequest{Request: f, Run: c.o.Self.Incarnation + "/" + run}
 	a, err := askHolder(ctx, c, q, c.HandleRunLock, c.o.Peers.RequestRunLock)
 	if err != nil {
 		c.o.Logger.Info("no answer on the run lock of an isolated request", "fingerprint", f.String(), "error", err.Error())
+		rctx, cancel := boottime.WithTimeout(ctx, c.o.Clock, runExchangeTimeout)
+		defer cancel()
+		c.exchangeRound(rctx)
 		return 0
 	}
 	return time.Duration(a.AfterMs) * time.Millisecond
