--- a/io/endpoint/check.go
+++ b/io/endpoint/check.go
@@ -93,7 +93,8 @@
 // awaitHead bounds what is read until headComplete is called.
 func (c *checkedConn) awaitHead() { c.headLeft.Store(answerlimit.HeadBytes) }
 
-// headComplete ends the bound on the head.
+// headComplete ends the bound on the head. Where an answer has no body, the next request may have the connection already;
+// then only the bound of the transport holds for it.
 func (c *checkedConn) headComplete() { c.headLeft.Store(unlimited) }
 
 // beginRequest notes that nothing of the next request is written yet.
