caller, endpoint: a HEAD answer has no body, and a test of what an endless head tells

The length in an answer to HEAD is that of a body which is not sent, so it is not compared with the limit. The new test of heads fails if an endless head counts as a broken connection.

--- a/io/caller/endless_test.go
+++ b/io/caller/endless_test.go
@@ -311,6 +311,16 @@
 	}
 }
 
+// TestLengthInAnswerToHead guards against an answer to HEAD that fails for the length of the body that it does not have.
+func TestLengthInAnswerToHead(t *testing.T) {
+	x := &Exchange{}
+	x.held.held = &heldBytes{answerLimits: answerlimit.Limits{Answer: testAnswerBytes}}
+	resp := &http.Response{Request: httptest.NewRequest(http.MethodHead, "/x", nil), ContentLength: 1 << 30, Body: http.NoBody}
+	if a, err := x.readAnswer(&endpoint.Response{Response: resp}); err != nil || len(a.body) > 0 {
+		t.Errorf("%v, %v, want an answer without a body", a, err)
+	}
+}
+
 // TestNoRoomIsNoPromise checks that a request whose answer found no room is not sent to another endpoint, and not refused as
 // not run.
 func TestNoRoomIsNoPromise(t *testing.T) {
--- a/io/endpoint/refusal_test.go
+++ b/io/endpoint/endless_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/jonboulle/clockwork"
 
 	"olivetiller/core/answerlimit"
@@ -32,6 +33,32 @@
 	}
 }
 
+// TestEndlessHead guards against an endpoint whose endless head is taken for a broken connection, which is how a crash looks, or
+// for a request that has not run.
+func TestEndlessHead(t *testing.T) {
+	for _, shape := range endless.Heads {
+		t.Run(shape.Name, func(t *testing.T) {
+			pipes := endless.Pipes{Serve: func(_ string, conn net.Conn) {
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 4096))
+				shape.Play(conn, "")
+			}}
+			c := NewClientWith(Options{Paths: pipes})
+			_, err := c.Do(t.Context(), &Request{Address: "e", Method: http.MethodGet, Path: "/", Header: http.Header{}})
+			got, ok := err.(*Error)
+			if !ok {
+				t.Fatalf("%v, want an *Error", err)
+			}
+			want := &Error{Outcome: retry.MaybeRun, Answered: true, Sends: 1, Cause: &answerlimit.TooLongError{
+				From: "endpoint pipe", Part: answerlimit.Head, Limit: answerlimit.HeadBytes,
+			}}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestEndlessInquiry guards against an endpoint that answers an inquiry about itself without end.
 func TestEndlessInquiry(t *testing.T) {
 	for _, shape := range append(endless.Heads, endless.Chunked, endless.Unframed) {
