queue, placement, traffic: what a review of the order by rank found

A rank-0 request could wait behind another pool's rank-1 requests as long as its own pool had a turn of an overdue one due; pools now compare without their own turns. A caller that gives up before its deadline is overdue by that time. A begun stream's retry does not leave a full queue. In plans, a turn counts only if its load sent orders, and is decided when it comes. The holder does not append ledger records while the store's history is read.

Tests: two pools with urgent requests behind overdue ones (failed before), PushOver with kept items, OverdueAt, turns without orders.

--- a/core/placement/adapters.go
+++ b/core/placement/adapters.go
@@ -26,16 +26,9 @@
 		}
 		return demands[i].unit.compare(demands[j].unit) < 0
 	})
-	if len(demands) == 0 {
-		return
-	}
-	first := demands[0].urgency
-	takeTurns(demands, g.adapterTurns, g.now, func(d demand) urgency { return d.urgency })
-	for _, d := range demands {
-		sent := len(g.actions)
+	byTurns(g, &g.adapterTurns, demands, func(d demand) urgency { return d.urgency }, func(d demand) {
 		g.loadAdapter(d.unit, func(*engine) bool { return true })
-		g.countTurn(&g.adapterTurns, sent, d.urgency, first)
-	}
+	})
 }
 
 // evictionPenalty is how many more running requests an engine may have than one that would have
--- a/core/placement/bound.go
+++ b/core/placement/bound.go
@@ -50,8 +50,8 @@
 func (g *planning) boundDemands() []boundDemand {
 	var out []boundDemand
 	for b, u := range g.bound {
+		u.observeWait(g.now)
 		if u.waiting > 0 || g.recentlyDeferred(u.deferredAt) {
-			u.observeWait(g.now)
 			out = append(out, boundDemand{b, u, u.deadlines(g.now), u.urgency(g.now)})
 		}
 	}
@@ -64,41 +64,38 @@
 // placeBound loads units at engines of the builds that requests are bound to. late selects those that would be served
 // after the waiting requests have given up, whose callers may come back.
 func (g *planning) placeBound(late bool) {
-	demands := g.boundDemands()
-	if len(demands) == 0 {
+	byTurns(g, &g.boundTurns, g.boundDemands(), func(d boundDemand) urgency { return d.urgency }, func(d boundDemand) {
+		g.placeBoundDemand(d, late)
+	})
+}
+
+// placeBoundDemand loads a unit at an engine of its build, see placeBound.
+func (g *planning) placeBoundDemand(d boundDemand, late bool) {
+	m := d.model
+	if m.spec == nil || g.inBackoff(m) {
 		return
 	}
-	first := demands[0].urgency
-	takeTurns(demands, g.boundTurns, g.now, func(d boundDemand) urgency { return d.urgency })
-	for _, d := range demands {
-		m := d.model
-		if m.spec == nil || g.inBackoff(m) {
-			continue
-		}
-		if slices.ContainsFunc(m.replicas, d.servedBy) {
-			if d.Adapter != "" && !late {
-				g.loadAdapter(d.Unit, d.servedBy)
-			}
-			continue
-		}
-		if at, ok := g.pendingAt(d); ok {
-			g.setBoundReadyAt(d.BoundUnit, at)
-			continue
-		}
-		c, ok := g.bestBoundCandidate(d)
-		if !ok {
-			// No engine of the build can make way for the model now. Its callers are told when a load could be over.
-			g.setBoundReadyAt(d.BoundUnit, g.now.Add(m.spec.Load))
-			continue
-		}
-		if (d.waiting == 0 || c.ready.After(d.lastDue)) != late {
-			continue
+	if slices.ContainsFunc(m.replicas, d.servedBy) {
+		if d.Adapter != "" && !late {
+			g.loadAdapter(d.Unit, d.servedBy)
 		}
-		g.setBoundReadyAt(d.BoundUnit, c.ready)
-		sent := len(g.actions)
-		g.commit(m, c, true, "streams go on at a build")
-		g.countTurn(&g.boundTurns, sent, d.urgency, first)
+		return
+	}
+	if at, ok := g.pendingAt(d); ok {
+		g.setBoundReadyAt(d.BoundUnit, at)
+		return
+	}
+	c, ok := g.bestBoundCandidate(d)
+	if !ok {
+		// No engine of the build can make way for the model now. Its callers are told when a load could be over.
+		g.setBoundReadyAt(d.BoundUnit, g.now.Add(m.spec.Load))
+		return
+	}
+	if (d.waiting == 0 || c.ready.After(d.lastDue)) != late {
+		return
 	}
+	g.setBoundReadyAt(d.BoundUnit, c.ready)
+	g.commit(m, c, true, "streams go on at a build")
 }
 
 // servedBy reports whether an engine is of the build.
--- a/core/placement/urgency.go
+++ b/core/placement/urgency.go
@@ -23,32 +23,45 @@
 	return cmp.Or(cmp.Compare(u.rank, o.rank), u.nextDue.Compare(o.nextDue))
 }
 
-// passes reports whether a load goes ahead of a more urgent one in a turn of overdue loads.
-func (u urgency) passes(first urgency, now time.Time) bool {
-	return u.rank > first.rank && !u.overdueAt.IsZero() && !now.Before(u.overdueAt)
+// overdueBy reports whether the load no longer yields to all more urgent ones at now.
+func (u urgency) overdueBy(now time.Time) bool {
+	return !u.overdueAt.IsZero() && !now.Before(u.overdueAt)
 }
 
-// takeTurns moves overdue loads ahead of more urgent ones, in their turns. The loads are sorted by urgency. When more
-// loads are wanted than the engines and the weight store allow, as when demand moves to many models at once, those of
-// the most urgent requests go first, and others still get their part.
-func takeTurns[L any](loads []L, t queue.Turns, now time.Time, urgencyOf func(L) urgency) {
-	if !slices.ContainsFunc(loads, func(l L) bool { return urgencyOf(l).rank != 0 }) {
-		return
+// byTurns calls load for all loads, which are sorted by urgency. An overdue one goes ahead of more urgent ones when it is its
+// turn. When more loads are wanted than the engines and the weight store allow, as when demand moves to many models at
+// once, those of the most urgent requests go first, and others still get their part. Only calls that send orders are turns.
+func byTurns[L any](g *planning, t *queue.Turns, loads []L, urgencyOf func(L) urgency, load func(L)) {
+	var overdue []int
+	for i, l := range loads {
+		if urgencyOf(l).overdueBy(g.now) {
+			overdue = append(overdue, i)
+		}
 	}
-	for i := range loads {
-		first := urgencyOf(loads[i])
-		overdue := -1
-		for j := i + 1; t.Due() && j < len(loads); j++ {
-			u := urgencyOf(loads[j])
-			if u.passes(first, now) && (overdue < 0 || u.overdueAt.Before(urgencyOf(loads[overdue]).overdueAt)) {
-				overdue = j
+	slices.SortStableFunc(overdue, func(i, j int) int {
+		return urgencyOf(loads[i]).overdueAt.Compare(urgencyOf(loads[j]).overdueAt)
+	})
+	done := make([]bool, len(loads))
+	first := 0
+	for range loads {
+		for done[first] {
+			first++
+		}
+		next := first
+		if t.Due() {
+			for _, i := range overdue {
+				if !done[i] && urgencyOf(loads[i]).rank > urgencyOf(loads[first]).rank {
+					next = i
+					break
+				}
 			}
 		}
-		if overdue >= 0 {
-			l := loads[overdue]
-			loads = slices.Insert(slices.Delete(loads, overdue, overdue+1), i, l)
+		done[next] = true
+		sent := len(g.actions)
+		load(loads[next])
+		if len(g.actions) > sent {
+			t.Served(next != first)
 		}
-		t.Served(overdue >= 0)
 	}
 }
 
@@ -83,10 +96,10 @@
 	return rank
 }
 
-// overdueAt returns when requests that wait since a time are overdue. Without an objective their last deadline counts.
+// overdueAt returns when requests that wait since a time are overdue. Without an objective their next deadline counts.
 func overdueAt(since time.Time, objective time.Duration, d deadlines) time.Time {
 	if objective <= 0 {
-		objective = max(0, d.lastDue.Sub(since))
+		objective = max(0, d.nextDue.Sub(since))
 	}
 	return queue.OverdueAt(since, objective)
 }
@@ -99,11 +112,3 @@
 	}
 	return u
 }
-
-// countTurn records the turn of a load if orders were sent for it since there were sent actions. The first load of the
-// plan in the order by rank is first.
-func (g *planning) countTurn(t *queue.Turns, sent int, u, first urgency) {
-	if len(g.actions) > sent {
-		t.Served(u.passes(first, g.now))
-	}
-}
--- a/core/placement/urgency_test.go
+++ b/core/placement/urgency_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"olivetiller/core/directory"
+	"olivetiller/core/queue"
 )
 
 // rankedUse is waitingUse for requests of a rank, with an objective of a second.
@@ -103,3 +104,27 @@
 		t.Errorf("ranks in the order of loads (-want +got):\n%s", diff)
 	}
 }
+
+// TestTurnsCountOrders checks that an overdue load without orders neither uses up the turn nor keeps others from it.
+func TestTurnsCountOrders(t *testing.T) {
+	type load struct {
+		urgency
+		sends bool
+	}
+	g := &planning{now: at(10)}
+	var turns queue.Turns
+	loads := []load{{urgency{rank: 0, nextDue: at(1)}, true}, {urgency{rank: 0, nextDue: at(2)}, true}, {urgency{rank: 1, nextDue: at(3), overdueAt: at(4)}, false}, {urgency{rank: 1, nextDue: at(4), overdueAt: at(5)}, true}}
+	var got []int
+	byTurns(g, &turns, loads, func(l load) urgency { return l.urgency }, func(l load) {
+		got = append(got, int(l.nextDue.Sub(at(0)).Milliseconds()))
+		if l.sends {
+			g.actions = append(g.actions, Action{})
+		}
+	})
+	if diff := cmp.Diff([]int{3, 4, 1, 2}, got); diff != "" {
+		t.Errorf("loads in their order (-want +got):\n%s", diff)
+	}
+	if turns.Due() {
+		t.Error("the turn is due again after two others")
+	}
+}
--- a/core/placement/want.go
+++ b/core/placement/want.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -39,27 +40,17 @@
 // still meet its deadline go first, and so do busy ones, whose later requests benefit. If the
 // engines cannot keep up, serving the late models first would make all of them late.
 func (g *planning) placeWanted(wanted []*modelState) {
-	if len(wanted) == 0 {
-		return
-	}
-	first := wanted[0].urgency()
-	takeTurns(wanted, g.modelTurns, g.now, (*modelState).urgency)
-	var late []*modelState
-	for _, m := range wanted {
+	late := make(map[*modelState]bool)
+	byTurns(g, &g.modelTurns, wanted, (*modelState).urgency, func(m *modelState) {
 		c, ok := g.bestCandidate(m)
 		if m.waiting > 0 && !(m.rate >= busyRate && g.loadExceedsObjective(m)) && (!ok || c.ready.After(m.lastDue)) {
-			late = append(late, m)
-			continue
+			late[m] = true
+			return
 		}
-		sent := len(g.actions)
 		g.commit(m, c, ok, "requests wait")
-		g.countTurn(&g.modelTurns, sent, m.urgency(), first)
-	}
-	for _, m := range late {
-		sent := len(g.actions)
-		g.place(m, "late requests wait")
-		g.countTurn(&g.modelTurns, sent, m.urgency(), first)
-	}
+	})
+	wanted = slices.DeleteFunc(wanted, func(m *modelState) bool { return !late[m] })
+	byTurns(g, &g.modelTurns, wanted, (*modelState).urgency, func(m *modelState) { g.place(m, "late requests wait") })
 }
 
 // scaleUp is a busy model that would gain by one more replica.
--- a/core/queue/class.go
+++ b/core/queue/class.go
@@ -14,10 +14,12 @@
 	// late holds the items of which it was found that they can no longer be in time, and inTime the others.
 	inTime, late fairQueue
 	items        int
-	bytes        int64
+	// mayLeave is the number of the items that may leave for more urgent ones, and mayLeaveBytes their memory.
+	mayLeave      int
+	mayLeaveBytes int64
 	// overdue holds all items by the time from which they are overdue.
 	overdue overdueHeap
-	// youngest is the item that was pushed last; the others follow by Item.older.
+	// youngest is the item pushed last of those that may leave; the others follow by Item.older.
 	youngest *Item
 }
 
@@ -57,7 +59,11 @@
 	c.inTime.push(it)
 	heap.Push(&c.overdue, it)
 	c.items++
-	c.bytes += it.Bytes
+	if it.Keep {
+		return
+	}
+	c.mayLeave++
+	c.mayLeaveBytes += it.Bytes
 	if it.older = c.youngest; it.older != nil {
 		it.older.younger = it
 	}
@@ -68,10 +74,14 @@
 func (c *class) remove(it *Item) {
 	it.fair.remove(it)
 	heap.Remove(&c.overdue, it.overdueIndex)
-	c.unlink(it)
 	it.class = nil
 	c.items--
-	c.bytes -= it.Bytes
+	if it.Keep {
+		return
+	}
+	c.unlink(it)
+	c.mayLeave--
+	c.mayLeaveBytes -= it.Bytes
 }
 
 // unlink removes an item from the list by arrival.
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -35,6 +35,10 @@
 	Arrived time.Time
 	// Deadline is the time by which the item must have left the queue.
 	Deadline time.Time
+	// GivesUpAt is when its caller gives up, if that can be before the deadline; zero otherwise.
+	GivesUpAt time.Time
+	// Keep is true for an item that does not leave for a more urgent one.
+	Keep bool
 	// LateLast is true if the item goes after others of its rank once its deadline has passed, since these can still be in
 	// time. Otherwise the earliest deadline goes first, also when it has passed.
 	LateLast bool
@@ -51,7 +55,7 @@
 	fair                *fairQueue
 	class               *class
 	seq                 uint64
-	// older and younger are the neighbours by arrival in the class.
+	// older and younger are the neighbours by arrival in the class, among those that may leave for more urgent ones.
 	older, younger *Item
 }
 
@@ -100,18 +104,18 @@
 }
 
 // PushOver is like Push, but an item for which there is no room takes that of less urgent items: those of the least
-// urgent rank leave first, and the youngest of a rank. It returns the items that left. If they would not make enough
-// room, none leaves.
+// urgent rank leave first, and the youngest of a rank, but none that is to be kept. It returns the items that left. If
+// they would not make enough room, none leaves.
 func (q *Queue) PushOver(it *Item) (left []*Item, ok bool) {
 	items, bytes := q.items+1-q.limits.Items, q.bytes+it.Bytes-q.limits.Bytes
-	var lessUrgent class
+	lessUrgentItems, lessUrgentBytes := 0, int64(0)
 	for _, c := range q.classes {
 		if c.rank > it.Rank {
-			lessUrgent.items += c.items
-			lessUrgent.bytes += c.bytes
+			lessUrgentItems += c.mayLeave
+			lessUrgentBytes += c.mayLeaveBytes
 		}
 	}
-	if items > lessUrgent.items || bytes > lessUrgent.bytes {
+	if items > lessUrgentItems || bytes > lessUrgentBytes {
 		return nil, false
 	}
 	for i := len(q.classes) - 1; items > 0 || bytes > 0; {
@@ -154,17 +158,28 @@
 	return it
 }
 
+// First returns the item that goes first at now whatever turns overdue items have, or nil if none waits.
+func (q *Queue) First(now time.Time) *Item {
+	for _, c := range q.classes {
+		if c.items > 0 {
+			return c.first(now)
+		}
+	}
+	return nil
+}
+
 // next returns the item that goes next at now, and whether it goes in a turn of overdue items.
 func (q *Queue) next(now time.Time) (it *Item, overdue bool) {
-	var first, owed *Item
+	first := q.First(now)
+	if first == nil || !q.turns.Due() {
+		return first, false
+	}
+	var owed *Item
 	for _, c := range q.classes {
 		if c.items == 0 {
 			continue
 		}
-		if first == nil {
-			first = c.first(now)
-		}
-		if o := c.overdue[0]; q.turns.Due() && o.Passes(first, now) && (owed == nil || o.OverdueAt().Before(owed.OverdueAt())) {
+		if o := c.overdue[0]; o.Passes(first, now) && (owed == nil || o.OverdueAt().Before(owed.OverdueAt())) {
 			owed = o
 		}
 	}
--- a/core/queue/rank.go
+++ b/core/queue/rank.go
@@ -16,7 +16,13 @@
 }
 
 // OverdueAt returns when the item stops yielding to all more urgent ones.
-func (it *Item) OverdueAt() time.Time { return OverdueAt(it.Arrived, it.Deadline.Sub(it.Arrived)) }
+func (it *Item) OverdueAt() time.Time {
+	until := it.Deadline
+	if !it.GivesUpAt.IsZero() && it.GivesUpAt.Before(until) {
+		until = it.GivesUpAt
+	}
+	return OverdueAt(it.Arrived, until.Sub(it.Arrived))
+}
 
 // overdueBy reports whether the item is overdue at now.
 func (it *Item) overdueBy(now time.Time) bool { return !now.Before(it.OverdueAt()) }
--- a/core/queue/rank_test.go
+++ b/core/queue/rank_test.go
@@ -123,6 +123,33 @@
 	}
 }
 
+// TestPushOverKeeps checks that an item which is to be kept does not leave, and that the others do.
+func TestPushOverKeeps(t *testing.T) {
+	q := New(Limits{Items: 2, Bytes: 10})
+	kept := ranked("a", 1, 1, 100)
+	kept.Keep = true
+	q.Push(ranked("a", 1, 0, 100))
+	q.Push(kept)
+	for i, want := range [][]string{{"a1@0"}, nil} {
+		left, ok := q.PushOver(ranked("b", 0, 2+i, 100))
+		if diff := gocmp.Diff(want, values(left)); diff != "" || ok != (want != nil) {
+			t.Errorf("PushOver = %t, left (-want +got):\n%s", ok, diff)
+		}
+	}
+}
+
+// TestOverdueAt checks that an item whose caller gives up before its deadline is overdue sooner.
+func TestOverdueAt(t *testing.T) {
+	it := ranked("a", 0, 0, 1000)
+	if got := it.OverdueAt(); !got.Equal(at(500)) {
+		t.Errorf("OverdueAt() = %v, want half of the time until the deadline", got)
+	}
+	it.GivesUpAt = at(400)
+	if got := it.OverdueAt(); !got.Equal(at(200)) {
+		t.Errorf("OverdueAt() = %v, want half of the time until the caller gives up", got)
+	}
+}
+
 // TestOverdueItemsAreServed checks the bound on starvation: from when an item is overdue, it waits for no more turns
 // than those of the items that waited then, and the turns by rank between them, whatever more urgent items come.
 func TestOverdueItemsAreServed(t *testing.T) {
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -399,7 +399,7 @@
 // maintainLease renews or takes the lease, and starts or ends this node's term when the lease is gained or lost.
 func (c *Controller) maintainLease(ctx context.Context, now time.Time) {
 	c.handOver(ctx, now)
-	c.lease.SetUrgent(c.held && c.listed && c.ledgerBehind())
+	c.lease.SetUrgent(c.held && c.listed && !c.builds.readsHistory() && c.ledgerBehind())
 	if c.lease.ShouldAppend(now) && !c.handingOver && !c.stopping.Load() && !c.defersToHolder(now) && !c.listTimedOut(now) {
 		c.lease.SetMembers(c.quotas.members(now))
 		c.lease.SetLedger(c.nextLedger(ctx, now))
--- a/internal/placer/moves.go
+++ b/internal/placer/moves.go
@@ -80,6 +80,9 @@
 	return resumableServices(t), true
 }
 
+// readsHistory reports whether the store's history is being read. The ledger cannot follow the configuration until then.
+func (b *builds) readsHistory() bool { return b.historyFrom != 0 && !b.historyDone }
+
 // historyRead holds the configurations from a version on, as the store's history has them.
 type historyRead struct {
 	from   int64
--- a/internal/traffic/pump.go
+++ b/internal/traffic/pump.go
@@ -18,12 +18,13 @@
 	}
 }
 
-// nextPool returns the pool whose next request goes first at the endpoint, by rank and then by deadline, and whether it
-// goes in a turn of overdue ones. The pool is nil if no request is queued.
+// nextPool returns the pool whose next request goes first at the endpoint, and whether it goes in a turn of overdue ones of
+// the endpoint. Pools compare by the request that goes first without the turns of overdue ones in their own queues: these
+// would hide urgent requests behind them. The pool is nil if no request is queued.
 func (ep *endpointState) nextPool(now time.Time) (next *pool, overdue bool) {
 	var first *queue.Item
 	for p := range ep.pools {
-		if head := p.queue.Peek(now); head != nil && (first == nil || head.GoesBefore(first, now)) {
+		if head := p.queue.First(now); head != nil && (first == nil || head.GoesBefore(first, now)) {
 			next, first = p, head
 		}
 	}
--- a/internal/traffic/rank_test.go
+++ b/internal/traffic/rank_test.go
@@ -70,6 +70,7 @@
 		{"two pools", true, 0, []int{2, 1, 0, 0, 0, 0}, []int{0, 0, 0, 0, 1, 2}},
 		{"one pool, overdue", false, 600 * time.Millisecond, []int{2, 0, 0, 0, 0, 1}, []int{2, 0, 0, 0, 0, 1}},
 		{"two pools, overdue", true, 600 * time.Millisecond, []int{2, 0, 2, 0, 2, 0}, []int{2, 0, 0, 0, 2, 2}},
+		{"two pools, overdue beside urgent in one", true, 600 * time.Millisecond, []int{0, 1, 0, 1, 0, 1, 1, 1, 0}, []int{0, 1, 0, 0, 1, 0, 1, 1, 1}},
 		{"equal ranks", true, 600 * time.Millisecond, []int{1, 1, 1, 1}, []int{1, 1, 1, 1}},
 	}
 	for _, tt := range tests {
--- a/internal/traffic/slot.go
+++ b/internal/traffic/slot.go
@@ -76,7 +76,18 @@
 
 // item returns the queue's item for the request, which arrived at start.
 func (req *SlotRequest) item(start time.Time) *queue.Item {
-	return &queue.Item{Caller: req.Caller, Rank: req.Rank, LateLast: req.Ranked, Arrived: start, Deadline: req.queueDeadline(start), Cost: req.Cost, Bytes: req.Bytes}
+	return &queue.Item{
+		Caller:    req.Caller,
+		Rank:      req.Rank,
+		LateLast:  req.Ranked,
+		Arrived:   start,
+		Deadline:  req.queueDeadline(start),
+		GivesUpAt: req.waitDeadline(),
+		// Refused, the caller would be left with a truncated answer.
+		Keep:  req.Began,
+		Cost:  req.Cost,
+		Bytes: req.Bytes,
+	}
 }
 
 // waitDeadline returns when the request stops waiting. The caller should be refused by the time it gives up, as a
