--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -112,8 +112,10 @@
 	// state, connection buffers and garbage.
 	heldShare = 20
 	// answerShare is the percentage of MemoryBytes for buffered answers, whose requests have run and cannot be refused as
-	// those not run.
+	// those not run, and longAnswers how many of the longest ones fit into it. With one, an answer without end would run out of
+	// room before it is found too long.
 	answerShare = 10
+	longAnswers = 2
 	// queueItems and queueBytes bound the queue of one unit.
 	queueItems = 2000
 	queueBytes = 32 << 20
@@ -276,12 +278,12 @@
 	}
 }
 
-// maxAnswer returns the length of the longest answer on a machine with the given memory: one that takes the room of all.
+// maxAnswer returns the length of the longest answer on a machine with the given memory.
 func maxAnswer(memory int64) int64 {
 	if memory <= 0 {
 		return answerBytes
 	}
-	return min(answerBytes, memory*answerShare/100)
+	return min(answerBytes, memory*answerShare/100/longAnswers)
 }
 
 // maxTunnels returns how many tunnels of other nodes a node with the given limit on descriptors opens. Each uses one
--- a/io/caller/endless_test.go
+++ b/io/caller/endless_test.go
@@ -344,7 +344,7 @@
 // all endpoints.
 func BenchmarkEndlessAnswers(b *testing.B) {
 	const memory, requests = 144 << 20, 20
-	limits := Limits{AnswerBytes: memory / 40, HeldAnswerBytes: memory / 10, HeldBytes: memory / 5}
+	limits := Limits{AnswerBytes: memory / 20, HeldAnswerBytes: memory / 10, HeldBytes: memory / 5}
 	// As the program sets it on the platform.
 	defer debug.SetGCPercent(debug.SetGCPercent(50))
 	for _, shape := range append(append(append([]endless.Shape{}, endless.Heads...), endless.Bodies...), endless.Streams...) {
