--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -37,7 +37,7 @@
 	Event      = Shape{"endless event", chunkedHead, chunks("data: a")}
 	Comments   = Shape{"endless comments", chunkedHead, chunks(": working\n\n")}
 	EmptyLines = Shape{"endless empty lines", chunkedHead, chunks("\n")}
-	Refusal    = Shape{"endless refusal", "HTTP/1.1 503 Service Unavailable\r\nEngine-Not-Run: true\r\nNot-Executed: 1\r\n%s\r\n", filler("a")}
+	Refusal    = Shape{"endless refusal", "HTTP/1.1 503 Service Unavailable\r\nEngine-Not-Run: true\r\n%s\r\n", filler("a")}
 )
 
 // Heads, Bodies and Streams are the shapes that end in the head, in the body of any answer, and in a stream.
