--- a/internal/traffic/extra.go
+++ b/internal/traffic/extra.go
@@ -16,9 +16,9 @@
 )
 
 // SwitchExtra acquires a second slot like Switch, for a request whose endpoint is late and not silent for too long. Extra
-// attempts make way for other requests: an endpoint must have spare room, and the retry must come from this node's own budget,
-// from what first attempts have earned: the reserve, and
-// what the lease holder grants, are for attempts that failed. If there is no slot, denied is the reason.
+// attempts make way for other requests: an endpoint must have spare room, and the retry budget must have earned the attempt at
+// this node, since the reserve and what the lease holder grants are for attempts that failed. If there is no slot, denied is
+// the reason.
 func (d *Dispatcher) SwitchExtra(s *Slot, req SlotRequest) (second *Slot, denied retry.Denial) {
 	if req.State != quarantine.Clear && req.State != quarantine.Released {
 		return nil, retry.DeniedBySuspicion
--- a/io/caller/stall.go
+++ b/io/caller/stall.go
@@ -40,9 +40,10 @@
 const maxTimerDelay = 100 * time.Millisecond
 
 // stall watches one attempt. If the endpoint is silent, the request may be repeated and another endpoint has a free slot,
-// it opens a standby there; earlier, and within the operator's limit, if the answer is later than nearly all of its kind. The attempt goes on until the standby has an event or a whole answer: a silent endpoint may
-// send again at any time, and the other one may refuse the request or break off. The first to send something serves the
-// caller, and the other one is canceled.
+// it opens a standby there; earlier, and within the operator's limit, if the answer is later than nearly all of its kind.
+// The attempt goes on until the standby has an event or a whole answer: a silent endpoint may send again at any time, and
+// the other one may refuse the request or break off. The first to send something serves the caller, and the other one is
+// canceled.
 type stall struct {
 	s      *Server
 	x      *Exchange
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -31,9 +31,9 @@
 // errTruncated is the error of a stream that ended before its last event.
 var errTruncated = errors.New("the stream ended before its last event")
 
-// relay forwards the complete events of a stream and tracks the caller's position in it. Comments are forwarded with the event
-// that follows, so that a caller gets nothing of a stream that has only comments. It uses one buffer for the whole stream, so
-// that forwarding a token allocates nothing.
+// relay forwards the complete events of a stream and tracks the caller's position in it. Comments before the first
+// event are forwarded with it, so that a caller gets nothing of a stream that has only comments. It uses one buffer for the
+// whole stream, so that forwarding a token allocates nothing.
 type relay struct {
 	x     *Exchange
 	flush *http.ResponseController
