placer: a configuration alone makes no lease record urgent before there are builds

Cause: since a new holder wrote a record for the configuration 50 ms after its first one, when it knew no endpoint yet. The record that names the first builds then had to wait for 50 ms more; where the store went away in between, no stream could begin until it came back.

Change: without endpoints that take requests, the configuration does not count, since no stream can begin.

--- a/internal/placer/builds.go
+++ b/internal/placer/builds.go
@@ -107,17 +107,19 @@
 
 // ledgerBehind reports whether the ledger of the latest record lacks a build of an endpoint that takes requests, or does not
 // take the configuration in force into account. If all nodes end meanwhile, streams that are taken up then are refused.
+// While there are no builds, no stream begins, and a record for the configuration alone would delay the one that names them.
 func (c *Controller) ledgerBehind() bool {
 	l, _ := c.lease.Ledger()
-	if l == nil || l.Config < c.config.Load().version() {
+	if l == nil {
 		return true
 	}
-	for o := range c.index.builds() {
+	builds := c.index.builds()
+	for o := range builds {
 		if !l.Admits(o.Service, o.Build) {
 			return true
 		}
 	}
-	return false
+	return len(builds) > 0 && l.Config < c.config.Load().version()
 }
 
 // nextLedger returns the ledger for the next lease record of this node.
