--- a/review/1/main.go
+++ b/review/1/main.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,27 +16,30 @@
 	"olivetiller/review/rig"
 )
 
-// Sizes and times of the case. The rate is that of all requests of the site, and the times of a request are those of
-// quote-snap.
+// Sizes and times of the case. The rate of requests, two of each user, is that of the whole site, and the times of a request
+// are those of quote-snap.
 const (
-	nodes        = 3
-	servers      = 3
-	perSecond    = 90
-	work         = 60 * time.Millisecond
-	timeout      = 1500 * time.Millisecond
-	deadline     = 3000 * time.Millisecond
-	comeUp       = time.Second
-	lossAt       = 5 * time.Second
-	contact      = 3 * time.Second
-	trafficFor   = 45 * time.Second
-	readyWithin  = 20 * time.Second
-	host         = "wuny96.example"
-	backend      = "quote-api"
-	overdue      = 500 * time.Millisecond
-	minOverdue   = 8
-	exitHeld     = 0
-	exitBroken   = 1
-	exitNoResult = 2
+	nodes   = 3
+	servers = 3
+	// usersPerSecond come, and each sends requestsEach on one connection, nextAfter the answer to the one before.
+	usersPerSecond = 45
+	requestsEach   = 2
+	nextAfter      = 2 * time.Second
+	work           = 60 * time.Millisecond
+	timeout        = 1500 * time.Millisecond
+	deadline       = 3000 * time.Millisecond
+	comeUp         = time.Second
+	lossAt         = 5 * time.Second
+	contact        = 3 * time.Second
+	trafficFor     = 65 * time.Second
+	readyWithin    = 20 * time.Second
+	host           = "wuny96.example"
+	backend        = "quote-api"
+	overdue        = 500 * time.Millisecond
+	minOverdue     = 8
+	exitHeld       = 0
+	exitBroken     = 1
+	exitNoResult   = 2
 )
 
 // request is one client request and what its client saw.
@@ -64,7 +68,7 @@
 	}
 	defer site.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
-	r.Say("trouble=%t nodes=%d rate=%d a second for %v", trouble, nodes, perSecond, trafficFor)
+	r.Say("trouble=%t nodes=%d users=%d a second for %v, %d requests each", trouble, nodes, usersPerSecond, trafficFor, requestsEach)
 	site.Configure(rig.Config(1, backend, rig.Route{
 		Name: "quote-snap", Host: host, Prefix: "/snap/", Type: "unsafe", TimeoutMs: 1500, TargetMs: 300, Priority: 2, Backend: backend, Attempts: 1,
 	}))
@@ -87,15 +91,14 @@
 	return judge(r, traffic(site, trouble), site)
 }
 
-// traffic sends the requests and returns them when all have ended.
+// traffic lets the users come and returns their requests when all have ended.
 func traffic(site *rig.Site, trouble bool) []*request {
-	var all []*request
 	var wg sync.WaitGroup
-	var users connections
+	var users users
 	defer users.close()
 	start := time.Now()
 	lost := !trouble
-	tick := time.NewTicker(time.Second / perSecond)
+	tick := time.NewTicker(time.Second / usersPerSecond)
 	defer tick.Stop()
 	for i := 0; time.Since(start) < trafficFor; i++ {
 		<-tick.C
@@ -106,51 +109,36 @@
 				n.Remove()
 			}
 		}
-		q := &request{id: fmt.Sprintf("%016x", i+1)}
-		all = append(all, q)
-		wg.Go(func() { q.run(site, i, &users) })
+		wg.Go(func() { users.come(site, i) })
 	}
 	wg.Wait()
-	return all
+	return users.requests
 }
 
-// run sends the request of a user on a new connection, which stays open for the user's next request until the system
-// closes it.
-func (q *request) run(site *rig.Site, user int, users *connections) {
-	n := site.Pick(user)
+// come sends the requests of a user on a new connection, which stays open for a further one until the system closes it.
+func (u *users) come(site *rig.Site, number int) {
+	n := site.Pick(number)
 	if n == nil {
-		q.problem = "no node is in"
+		u.add(&request{id: fmt.Sprintf("%015x0", number), problem: "no node is in"}, nil)
 		return
 	}
-	q.node = n.Name
 	conn, err := net.DialTimeout("tcp", n.Front, comeUp)
 	if err != nil {
-		q.problem = "no connection: " + err.Error()
+		u.add(&request{id: fmt.Sprintf("%015x0", number), node: n.Name, problem: "no connection: " + err.Error()}, nil)
 		return
 	}
-	users.add(conn)
-	q.sent = time.Now()
-	body := "what the quote is for"
-	fmt.Fprintf(conn, "POST /snap/%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\nContent-Length: %d\r\n\r\n%s", q.id, host, q.id, deadline.Milliseconds(), len(body), body)
-	_ = conn.SetReadDeadline(q.sent.Add(deadline))
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		q.problem = "no answer: " + err.Error()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			q.problem = "no answer within the deadline"
+	answers := bufio.NewReader(conn)
+	for i := range requestsEach {
+		q := &request{id: fmt.Sprintf("%015x%x", number, i), node: n.Name}
+		keep := q.run(conn, answers)
+		u.add(q, conn)
+		site.Record.Add("%s at %s: sent at %s, status %d after %v %s", q.id, q.node, q.sent.Format("05.000"), q.status, q.took(), q.problem)
+		if !keep {
 			_ = conn.Close()
+			return
 		}
-		site.Record.Add("%s at %s: %s", q.id, q.node, q.problem)
-		return
+		time.Sleep(nextAfter)
 	}
-	_ = resp.Body.Close()
-	q.answered, q.status = time.Now(), resp.StatusCode
-	site.Record.Add("%s at %s: %d after %v", q.id, q.node, q.status, q.answered.Sub(q.sent).Round(time.Millisecond))
-	if resp.Close {
-		_ = conn.Close()
-		return
-	}
-	_ = conn.SetReadDeadline(time.Time{})
 	go func() {
 		// The system's close ends the read, and with it the connection.
 		_, _ = conn.Read(make([]byte, 1))
@@ -158,22 +146,57 @@
 	}()
 }
 
-// connections are the connections of all users.
-type connections struct {
-	mu  sync.Mutex
-	all []net.Conn
+// took returns how long the answer took; 0 for none.
+func (q *request) took() time.Duration {
+	if q.answered.IsZero() {
+		return 0
+	}
+	return q.answered.Sub(q.sent).Round(time.Millisecond)
+}
+
+// run sends the request and waits for the answer until the deadline. It reports whether the connection can be used again.
+func (q *request) run(conn net.Conn, answers *bufio.Reader) (keep bool) {
+	q.sent = time.Now()
+	body := "what the quote is for"
+	fmt.Fprintf(conn, "POST /snap/%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\nContent-Length: %d\r\n\r\n%s", q.id, host, q.id, deadline.Milliseconds(), len(body), body)
+	_ = conn.SetReadDeadline(q.sent.Add(deadline))
+	resp, err := http.ReadResponse(answers, nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.problem = "no answer within the deadline"
+		return false
+	case err != nil:
+		q.problem = "no answer: " + err.Error()
+		return false
+	}
+	q.answered, q.status = time.Now(), resp.StatusCode
+	_ = conn.SetReadDeadline(time.Time{})
+	return !resp.Close
+}
+
+// users are what all users have sent, and their connections.
+type users struct {
+	mu          sync.Mutex
+	requests    []*request
+	connections []net.Conn
 }
 
-func (c *connections) add(conn net.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.all = append(c.all, conn)
+func (u *users) add(q *request, conn net.Conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.requests = append(u.requests, q)
+	if conn != nil {
+		u.connections = append(u.connections, conn)
+	}
 }
 
-func (c *connections) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.all {
+func (u *users) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, conn := range u.connections {
 		_ = conn.Close()
 	}
 }
@@ -182,7 +205,12 @@
 // than half still have no answer half a second later; or eight or more, and over a quarter, still lack one.
 func judge(r *rig.Record, all []*request, site *rig.Site) int {
 	served, unanswered, late, first, problems := 0, 0, 0, time.Duration(0), map[string]int{}
-	begin := all[0].sent
+	var begin time.Time
+	for _, q := range all {
+		if !q.sent.IsZero() && (begin.IsZero() || q.sent.Before(begin)) {
+			begin = q.sent
+		}
+	}
 	for _, q := range all {
 		if q.status == http.StatusOK {
 			served++
@@ -200,8 +228,8 @@
 		unanswered++
 		if q.answered.IsZero() || q.answered.Sub(q.sent) > timeout+overdue {
 			late++
-			if first == 0 {
-				first = q.sent.Sub(begin)
+			if at := q.sent.Sub(begin); first == 0 || at < first {
+				first = at
 			}
 		}
 	}
