--- a/review/2/main.go
+++ b/review/2/main.go
@@ -96,13 +96,13 @@
 	var wg sync.WaitGroup
 	var users users
 	defer users.close()
-	start := time.Now()
+	start := rig.Clock.Now()
 	lost := !trouble
-	tick := time.NewTicker(time.Second / usersPerSecond)
+	tick := rig.Clock.NewTicker(time.Second / usersPerSecond)
 	defer tick.Stop()
-	for i := 0; time.Since(start) < trafficFor; i++ {
-		<-tick.C
-		if !lost && time.Since(start) >= lossAt {
+	for i := 0; rig.Clock.Since(start) < trafficFor; i++ {
+		<-tick.Chan()
+		if !lost && rig.Clock.Since(start) >= lossAt {
 			lost = true
 			for _, n := range site.Nodes[1:] {
 				site.Record.Say("machine %s is removed for good", n.Name)
@@ -137,7 +137,7 @@
 			_ = conn.Close()
 			return
 		}
-		time.Sleep(nextAfter)
+		rig.Clock.Sleep(nextAfter)
 	}
 	go func() {
 		// The system's close ends the read, and with it the connection.
@@ -156,7 +156,7 @@
 
 // run sends the request and waits for the answer until the deadline. It reports whether the connection can be used again.
 func (q *request) run(conn net.Conn, answers *bufio.Reader) (keep bool) {
-	q.sent = time.Now()
+	q.sent = rig.Clock.Now()
 	body := "what the quote is for"
 	fmt.Fprintf(conn, "POST /snap/%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\nContent-Length: %d\r\n\r\n%s", q.id, host, q.id, deadline.Milliseconds(), len(body), body)
 	_ = conn.SetReadDeadline(q.sent.Add(deadline))
@@ -172,7 +172,7 @@
 		q.problem = "no answer: " + err.Error()
 		return false
 	}
-	q.answered, q.status = time.Now(), resp.StatusCode
+	q.answered, q.status = rig.Clock.Now(), resp.StatusCode
 	_ = conn.SetReadDeadline(time.Time{})
 	return !resp.Close
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -31,14 +31,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Record{f: f, start: time.Now()}, nil
+	return &Record{f: f, start: Clock.Now()}, nil
 }
 
 // Add writes a line.
 func (r *Record) Add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.f, "%8.3f ", time.Since(r.start).Seconds())
+	fmt.Fprintf(r.f, "%8.3f ", Clock.Since(r.start).Seconds())
 	fmt.Fprintf(r.f, format+"\n", args...)
 }
 
@@ -316,7 +316,7 @@
 		select {
 		case <-n.site.stop:
 			return
-		case <-time.After(time.Second):
+		case <-Clock.After(time.Second):
 		}
 	}
 }
@@ -363,7 +363,7 @@
 
 // AwaitReady waits until all nodes are in.
 func (s *Site) AwaitReady(limit time.Duration) error {
-	end := time.Now().Add(limit)
+	end := Clock.Now().Add(limit)
 	for {
 		all := true
 		for _, n := range s.Nodes {
@@ -372,9 +372,9 @@
 		switch {
 		case all:
 			return nil
-		case time.Now().After(end):
+		case Clock.Now().After(end):
 			return fmt.Errorf("not all nodes are ready after %v", limit)
 		}
-		time.Sleep(100 * time.Millisecond)
+		Clock.Sleep(100 * time.Millisecond)
 	}
 }
--- a/review/rig/service.go
+++ b/review/rig/service.go
@@ -67,7 +67,7 @@
 		case <-v.site.stop:
 			_ = v.server.Close()
 			return
-		case <-time.After(1200 * time.Millisecond):
+		case <-Clock.After(1200 * time.Millisecond):
 		}
 	}
 }
@@ -106,7 +106,7 @@
 	v.mu.Lock()
 	v.runs = append(v.runs, Run{id, r.Method, r.RequestURI, r.Host, sha256.Sum256(body)})
 	v.mu.Unlock()
-	time.Sleep(v.Work)
+	Clock.Sleep(v.Work)
 	w.Header().Set("Server-Stamp", "3e1b."+v.ID)
 	fmt.Fprintf(w, "whole answer to %s\n", id)
 }
