--- a/review/2/main.go
+++ b/review/2/main.go
@@ -72,11 +72,14 @@
 	site.Configure(rig.Config(1, backend, rig.Route{
 		Name: "quote-snap", Host: host, Prefix: "/snap/", Type: "unsafe", TimeoutMs: 1500, TargetMs: 300, Priority: 2, Backend: backend, Attempts: 1,
 	}))
+	var services []*rig.Service
 	for i := range servers {
-		if _, err := site.AddService(fmt.Sprintf("i-%d", i), backend, rig.Zones[i], i, work); err != nil {
+		s, err := site.AddService(fmt.Sprintf("i-%d", i), backend, rig.Zones[i], i, work)
+		if err != nil {
 			r.Say("not run: %v", err)
 			return exitNoResult
 		}
+		services = append(services, s)
 	}
 	for i := range nodes {
 		if _, err := site.AddNode(i); err != nil {
@@ -88,7 +91,13 @@
 		r.Say("not run: %v", err)
 		return exitNoResult
 	}
-	return judge(r, traffic(site, trouble), site)
+	all := traffic(site, trouble)
+	for _, s := range services {
+		for _, run := range s.Runs() {
+			r.Add("ran %s at %s", run.ID, s.ID)
+		}
+	}
+	return judge(r, all, site)
 }
 
 // traffic lets the users come and returns their requests when all have ended.
