caller: log and count when the limit on connections is reached

Neither logs nor metrics tell whether it has too many connections, closes new ones for want of processor time, or waits for endpoints.

Change: when no connection is accepted until another one ends, a warning names the open connections by state, and a counter rises.

--- a/io/caller/connections.go
+++ b/io/caller/connections.go
@@ -153,6 +153,34 @@
 	return n
 }
 
+// connectionCounts are the numbers of open connections by state: idle ones after an answer, those that have sent nothing yet,
+// those whose request head is incomplete, and those with a request. longest is how long the one that is idle longest has been.
+type connectionCounts struct {
+	open, idle, fresh, partial, active int
+	longest                            time.Duration
+}
+
+// count returns the numbers of open connections.
+func (s *connections) count() connectionCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, now := connectionCounts{open: len(s.open)}, s.clock.Now()
+	for c := range s.open {
+		switch {
+		case c.state == http.StateActive:
+			n.active++
+		case c.reading:
+			n.partial++
+		case c.state == http.StateIdle:
+			n.idle++
+			n.longest = max(n.longest, now.Sub(c.since))
+		default:
+			n.fresh++
+		}
+	}
+	return n
+}
+
 // stopped reports whether a shutdown has begun.
 func (s *connections) stopped() bool {
 	s.mu.Lock()
--- a/io/caller/listener.go
+++ b/io/caller/listener.go
@@ -33,22 +33,29 @@
 	slots chan struct{}
 	done  chan struct{}
 	once  sync.Once
+	// full is called when a connection has to wait for another one to end.
+	full func()
 }
 
-// limitListener limits l to n open connections; 0 for no limit.
-func limitListener(l net.Listener, n int) net.Listener {
+// limitListener limits l to n open connections; 0 for no limit. full is called when the limit is reached.
+func limitListener(l net.Listener, n int, full func()) net.Listener {
 	if n <= 0 {
 		return l
 	}
-	return &limitedListener{Listener: l, slots: make(chan struct{}, n), done: make(chan struct{})}
+	return &limitedListener{Listener: l, slots: make(chan struct{}, n), done: make(chan struct{}), full: full}
 }
 
 // Accept implements net.Listener.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	select {
 	case l.slots <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
+	default:
+		l.full()
+		select {
+		case l.slots <- struct{}{}:
+		case <-l.done:
+			return nil, net.ErrClosed
+		}
 	}
 	c, err := l.Listener.Accept()
 	if err != nil {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -116,7 +116,7 @@
 	if s.TakeConnection != nil {
 		l = &shedListener{Listener: l, take: s.TakeConnection, closed: &s.Metrics.ConnectionsClosed}
 	}
-	l = limitListener(l, s.Limits.Connections)
+	l = limitListener(l, s.Limits.Connections, s.connectionLimitReached)
 	return s.connections.serve(l, s.Limits.ReadTimeout, func(l net.Listener) error {
 		if s.TLS != nil {
 			l = tls.NewListener(l, s.TLS)
@@ -125,6 +125,14 @@
 	})
 }
 
+// connectionLimitReached logs and counts that no connection is accepted until one ends.
+func (s *Server) connectionLimitReached() {
+	s.Metrics.ConnectionLimitReached.Add(1)
+	c := s.connections.count()
+	s.Logger.Warn("no further connection is accepted until one ends: the limit is reached", "limit", s.Limits.Connections,
+		"open", c.open, "idle", c.idle, "noRequestYet", c.fresh, "headIncomplete", c.partial, "active", c.active, "idleLongestMs", c.longest.Milliseconds())
+}
+
 // Active returns the number of requests in progress, whose answers are not written yet.
 func (s *Server) Active() int { return s.connections.active() }
 
