caller: connections without a request give way to new ones

Cause: a node accepted at most half of its descriptors (2,050) and then waited until a connection ended. It kept connections without a request for a fixed 2 min; idle_timeout_ms of the configuration (15 s) was decoded and read by nothing. Callers leave connections open, 45 new ones a second, so that 48 s of them filled it. Nothing connected the limit with readiness.

Evidence: the log of the node when it stops accepting: 2,050 open, 2,044 idle, the longest for 46.8 s, 5 with a request.

Change: core/keepalive decides, apart from I/O. Connections without a request are closed after the configuration's idle timeout, the newest one also for those that are open; at the limit the one that has been without a request the longest is closed for a new one, a new one only after a second. If all carry requests, further ones are closed unread and the node is not ready, until fewer than nine tenths do.

Why it works: what a node keeps without serving it no longer counts against what it can serve, whatever the callers' number and the timeouts; with more requests than connections it says so to the balancer.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -215,6 +215,7 @@
 	tree := new(expvar.Map).Init()
 	tree.Set("control", n.Control.Metrics.Tree())
 	tree.Set("caller", n.Caller.Metrics.Tree())
+	tree.Set("connections", expvar.Func(func() any { return n.Caller.Connections() }))
 	tree.Set("traffic", expvar.Func(func() any { return n.Traffic.Totals() }))
 	tree.Set("peer", expvar.Func(func() any { return n.PeerTraffic() }))
 	mux := http.NewServeMux()
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"olivetiller/core/keepalive"
 	"olivetiller/core/lease"
 	"olivetiller/core/placement"
 	"olivetiller/core/quarantine"
@@ -98,8 +99,7 @@
 	headerBytes = 64 << 10
 	// readTimeout bounds the arrival of a request head, and again of its body.
 	readTimeout = 10 * time.Second
-	// idleTimeout closes idle connections. It is longer than the idle times in the platform's configurations, since
-	// callers reuse a connection for up to four fifths of that time.
+	// idleTimeout closes idle connections of callers if the configuration states no time.
 	idleTimeout = 2 * time.Minute
 	// callerShare is the percentage of Descriptors for callers' connections. Each request in progress also needs a
 	// connection to an endpoint.
@@ -274,10 +274,19 @@
 			Connections: s.Descriptors * callerShare / 100, HeldBytes: s.MemoryBytes * heldShare / 100,
 		},
 		Endpoints: endpoints, Origins: n.origins, Processes: processes, Isolation: n.isolation, Metrics: caller.NewMetrics(), View: n.control.View, Stopping: n.control.Stopping, Protocol: p.Protocol(n.control, n.clock), Limiter: n.control, Starting: n.control,
-		Extra: caller.NewExtraAttempts(s.ExtraAttempts),
+		Extra: caller.NewExtraAttempts(s.ExtraAttempts), Timeouts: n.callerTimeouts,
 	}
 }
 
+// callerTimeouts returns the timeouts of callers' connections in the configuration in force.
+func (n *Node) callerTimeouts() keepalive.Timeouts {
+	t, _ := n.control.ConfigInForce()
+	if t == nil {
+		return keepalive.Timeouts{}
+	}
+	return keepalive.Timeouts{Idle: t.Config.Limits.IdleTimeout}
+}
+
 // maxAnswer returns the length of the longest answer on a machine with the given memory.
 func maxAnswer(memory int64) int64 {
 	if memory <= 0 {
@@ -345,10 +354,10 @@
 	}
 }
 
-// ready answers the load balancer's health check: 200 if the node is ready for requests, otherwise 503.
+// ready answers the load balancer's health check: 200 if the node is ready for requests and takes connections, otherwise 503.
 func (n *Node) ready() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !n.control.Ready() {
+		if !n.control.Ready() || n.caller.Full() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -358,6 +367,7 @@
 func (n *Node) metrics() http.Handler {
 	tree := new(expvar.Map).Init()
 	tree.Set("caller", n.caller.Metrics.Tree())
+	tree.Set("connections", expvar.Func(func() any { return n.caller.Connections() }))
 	tree.Set("traffic", expvar.Func(func() any { return n.traffic.Totals() }))
 	tree.Set("control", n.control.Metrics())
 	tree.Set("isolation", n.isolation.Tree())
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -14,8 +14,8 @@
 	AwaitedReady expvar.Int
 	// ConnectionsClosed counts the new connections that were closed unread because the node was overloaded.
 	ConnectionsClosed expvar.Int
-	// ConnectionLimitReached counts how often a new connection had to wait for another one to end.
-	ConnectionLimitReached expvar.Int
+	// ConnectionsRefused counts those that were closed unread because all others had requests.
+	ConnectionsRefused expvar.Int
 	// Refused counts refusals by kind. Retries counts further attempts by the outcome of the attempt before.
 	Refused, Retries expvar.Map
 	// StandbysDiscarded counts the second attempts beside a silent endpoint that were not needed or failed.
@@ -67,7 +67,7 @@
 	t.Set("resumed", &m.Resumed)
 	t.Set("awaitedReady", &m.AwaitedReady)
 	t.Set("connectionsClosed", &m.ConnectionsClosed)
-	t.Set("connectionLimitReached", &m.ConnectionLimitReached)
+	t.Set("connectionsRefused", &m.ConnectionsRefused)
 	t.Set("refused", &m.Refused)
 	t.Set("retries", &m.Retries)
 	t.Set("standbysDiscarded", &m.StandbysDiscarded)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"olivetiller/core/answerlimit"
+	"olivetiller/core/keepalive"
 	"olivetiller/core/refusal"
 	"olivetiller/core/view"
 	"olivetiller/internal/isolation"
@@ -35,12 +36,14 @@
 	DefaultTimeout, MaxTimeout time.Duration
 	// ReadTimeout limits the time a caller takes to send the head, and again the body, of a request.
 	ReadTimeout time.Duration
-	// IdleTimeout limits how long a connection stays open without a request.
+	// IdleTimeout limits how long a connection stays open without a request. If there are too many connections, those that
+	// have had none the longest are closed before.
 	IdleTimeout time.Duration
 	// HeldBytes limits the total bytes of request and answer bodies in memory, beyond which new requests are refused.
 	// HeldAnswerBytes limits those of answers, beyond which answers are given up; 0 for no limit.
 	HeldBytes, HeldAnswerBytes int64
-	// Connections limits the open connections; 0 for no limit.
+	// Connections limits the open connections; 0 for no limit. Where all of them have requests, further ones are closed
+	// unread.
 	Connections int
 }
 
@@ -70,6 +73,9 @@
 	// Stopping reports whether a planned shutdown has begun. Answers then ask the load balancer to close its
 	// connection.
 	Stopping func() bool
+	// Timeouts returns the timeouts that the configuration in force states for connections; 0 selects those of Limits. nil
+	// if the configuration states none.
+	Timeouts func() keepalive.Timeouts
 	// TakeConnection reports whether a new connection is taken; otherwise it is closed unread. nil to take all.
 	TakeConnection func() bool
 	// Starting tells whether a node that is not ready is about to be; nil to refuse requests until it is.
@@ -92,17 +98,18 @@
 }
 
 // init creates the HTTP server. It sets no http.Server.ReadTimeout, which would end requests that wait long for a
-// model; readBody sets a read deadline instead.
+// model; readBody sets a read deadline instead. It sets no http.Server.IdleTimeout, since the configuration may change
+// while connections are open; s.connections closes them.
 func (s *Server) init() {
 	s.callers = newCallerLimits()
-	s.connections.clock = s.Clock
+	s.connections.clock, s.connections.limit, s.connections.timeouts = s.Clock, s.Limits.Connections, s.timeouts
+	s.connections.refused = s.connectionRefused
 	base, cancelRequests := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancelRequests
 	s.http = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return base },
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: s.Limits.ReadTimeout,
-		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
 		TLSConfig:         s.TLS,
 		ConnState:         s.connections.stateChanged,
@@ -116,8 +123,7 @@
 	if s.TakeConnection != nil {
 		l = &shedListener{Listener: l, take: s.TakeConnection, closed: &s.Metrics.ConnectionsClosed}
 	}
-	l = limitListener(l, s.Limits.Connections, s.connectionLimitReached)
-	return s.connections.serve(l, s.Limits.ReadTimeout, func(l net.Listener) error {
+	return s.connections.serve(l, func(l net.Listener) error {
 		if s.TLS != nil {
 			l = tls.NewListener(l, s.TLS)
 		}
@@ -125,14 +131,33 @@
 	})
 }
 
-// connectionLimitReached logs and counts that no connection is accepted until one ends.
-func (s *Server) connectionLimitReached() {
-	s.Metrics.ConnectionLimitReached.Add(1)
-	c := s.connections.count()
-	s.Logger.Warn("no further connection is accepted until one ends: the limit is reached", "limit", s.Limits.Connections,
-		"open", c.open, "idle", c.idle, "noRequestYet", c.fresh, "headIncomplete", c.partial, "active", c.active, "idleLongestMs", c.longest.Milliseconds())
+// timeouts returns the timeouts in force.
+func (s *Server) timeouts() keepalive.Timeouts {
+	t := keepalive.Timeouts{Idle: s.Limits.IdleTimeout}
+	if s.Timeouts != nil {
+		if stated := s.Timeouts(); stated.Idle > 0 {
+			t.Idle = stated.Idle
+		}
+	}
+	return t
+}
+
+// connectionRefused counts a connection that was closed unread since the others all carry requests, and logs the first one.
+func (s *Server) connectionRefused(n keepalive.Counts, first bool) {
+	s.Metrics.ConnectionsRefused.Add(1)
+	if !first {
+		return
+	}
+	s.Logger.Warn("connection closed unread, since all others have requests; this node is not ready until fewer have",
+		"limit", s.Limits.Connections, "active", n.Active, "headIncomplete", n.Heading, "closing", n.Closing)
 }
 
+// Connections returns the numbers of callers' connections.
+func (s *Server) Connections() keepalive.Counts { return s.connections.counts() }
+
+// Full reports whether the server takes no further connections because nearly all that it may have carry requests.
+func (s *Server) Full() bool { return s.connections.full() }
+
 // Active returns the number of requests in progress, whose answers are not written yet.
 func (s *Server) Active() int { return s.connections.active() }
 
@@ -223,7 +248,7 @@
 
 // health answers a load balancer's health check: 204 if the node takes requests, 503 if not.
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	if !s.View().Ready {
+	if !s.View().Ready || s.Full() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
