caller: the configuration's header_timeout_ms holds, from the first byte

What callers saw: a connection that rested before its first request was closed after 10 s, also where idle_timeout_ms (15 s) lets them take it up after 12 s, so that the request crossed the close. What operators saw: a head that never ends was kept for 10 s whatever header_timeout_ms said, a place among the limited connections each.

Cause: as of idle connections: the time was decoded and read by nothing. http.Server.ReadHeaderTimeout stood in its place, which is fixed and runs from the accept of a connection.

Change: core/keepalive, which had the case already, gets the head's timeout of the configuration in force; the server's own is not set.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -97,7 +97,7 @@
 	bodyBytes = 8 << 20
 	// headerBytes bounds a request head. The platform's callers stay below the limit in the configuration, which is lower.
 	headerBytes = 64 << 10
-	// readTimeout bounds the arrival of a request head, and again of its body.
+	// readTimeout bounds the arrival of a request head if the configuration states no time, and again of the body.
 	readTimeout = 10 * time.Second
 	// idleTimeout closes idle connections of callers if the configuration states no time.
 	idleTimeout = 2 * time.Minute
@@ -284,7 +284,7 @@
 	if t == nil {
 		return keepalive.Timeouts{}
 	}
-	return keepalive.Timeouts{Idle: t.Config.Limits.IdleTimeout}
+	return keepalive.Timeouts{Idle: t.Config.Limits.IdleTimeout, Head: t.Config.Limits.HeaderTimeout}
 }
 
 // maxAnswer returns the length of the longest answer on a machine with the given memory.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -34,7 +35,7 @@
 	HeaderBytes int
 	// DefaultTimeout is the time allowed to a request without HeaderTimeout, and MaxTimeout the longest allowed time.
 	DefaultTimeout, MaxTimeout time.Duration
-	// ReadTimeout limits the time a caller takes to send the head, and again the body, of a request.
+	// ReadTimeout limits the time a caller takes to send the head of a request from its first byte, and again the body.
 	ReadTimeout time.Duration
 	// IdleTimeout limits how long a connection stays open without a request. If there are too many connections, those that
 	// have had none the longest are closed before.
@@ -98,8 +99,9 @@
 }
 
 // init creates the HTTP server. It sets no http.Server.ReadTimeout, which would end requests that wait long for a
-// model; readBody sets a read deadline instead. It sets no http.Server.IdleTimeout, since the configuration may change
-// while connections are open; s.connections closes them.
+// model; readBody sets a read deadline instead. It sets neither http.Server.ReadHeaderTimeout, which would also end
+// connections that have carried nothing yet, nor http.Server.IdleTimeout: the configuration may change while connections
+// are open, and s.connections closes them.
 func (s *Server) init() {
 	s.callers = newCallerLimits()
 	s.connections.clock, s.connections.limit, s.connections.timeouts = s.Clock, s.Limits.Connections, s.timeouts
@@ -107,13 +109,12 @@
 	base, cancelRequests := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancelRequests
 	s.http = &http.Server{
-		BaseContext:       func(net.Listener) context.Context { return base },
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: s.Limits.ReadTimeout,
-		MaxHeaderBytes:    s.Limits.HeaderBytes,
-		TLSConfig:         s.TLS,
-		ConnState:         s.connections.stateChanged,
-		ErrorLog:          s.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		BaseContext:    func(net.Listener) context.Context { return base },
+		Handler:        s.Handler(),
+		MaxHeaderBytes: s.Limits.HeaderBytes,
+		TLSConfig:      s.TLS,
+		ConnState:      s.connections.stateChanged,
+		ErrorLog:       s.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
 
@@ -133,11 +134,10 @@
 
 // timeouts returns the timeouts in force.
 func (s *Server) timeouts() keepalive.Timeouts {
-	t := keepalive.Timeouts{Idle: s.Limits.IdleTimeout}
+	t := keepalive.Timeouts{Idle: s.Limits.IdleTimeout, Head: s.Limits.ReadTimeout}
 	if s.Timeouts != nil {
-		if stated := s.Timeouts(); stated.Idle > 0 {
-			t.Idle = stated.Idle
-		}
+		stated := s.Timeouts()
+		t.Idle, t.Head = cmp.Or(stated.Idle, t.Idle), cmp.Or(stated.Head, t.Head)
 	}
 	return t
 }
