io, internal: connections between nodes and to the platform have idle timeouts

What operators would see: each node, engine or prober that vanishes without closing its connections (a lost machine, a connection that falls silent) leaves one to three of them at every node that it talked to, for the life of the process; a node that runs for weeks beside replaced machines runs out of descriptors, as one does that keeps callers' connections.

Change: servers close after 2 min, pools after 1 min, so that no request crosses a server's close. Tunnels end with their lifetime (2 min at most) and the QUIC connections between nodes after 10 s idle; both had that.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"olivetiller/io/caller"
+	"olivetiller/io/silence"
 	"olivetiller/standin/engine"
 	"olivetiller/standin/site"
 )
@@ -29,7 +30,7 @@
 // New returns a client for a caller of the stand-in deployment.
 func New(name string) *Client {
 	return &Client{
-		HTTP:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}},
+		HTTP:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, IdleConnTimeout: silence.PoolTimeout, DisableCompression: true}},
 		Caller: name, Scheme: "http",
 	}
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -29,6 +29,7 @@
 	"olivetiller/io/logservice"
 	"olivetiller/io/node"
 	"olivetiller/io/operator"
+	"olivetiller/io/silence"
 )
 
 // Options are the parts of a node that do not come from its settings.
@@ -199,7 +200,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: n.Settings.Limits.ReadTimeout, Protocols: &protocols,
+		Handler: h, ReadHeaderTimeout: n.Settings.Limits.ReadTimeout, IdleTimeout: silence.ServerTimeout, Protocols: &protocols,
 		ErrorLog: n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}),
 	}
 	l := n.listen[name]
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -37,6 +37,7 @@
 	"olivetiller/io/caller"
 	"olivetiller/io/endpoint"
 	"olivetiller/io/peer"
+	"olivetiller/io/silence"
 )
 
 // Settings configure a hosted node.
@@ -339,7 +340,7 @@
 		return err
 	}
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: readTimeout, MaxHeaderBytes: headerBytes,
+		Handler: h, ReadHeaderTimeout: readTimeout, IdleTimeout: silence.ServerTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}),
 	}
 	n.servers = append(n.servers, srv)
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -33,6 +33,7 @@
 	"olivetiller/core/answerlimit"
 	"olivetiller/core/retry"
 	"olivetiller/core/signal"
+	"olivetiller/io/silence"
 )
 
 // Headers of the default engine protocol. HeaderNotRun ("true"), HeaderRunning (the engine's load, in running
@@ -218,7 +219,7 @@
 		judge: o.Judge, paths: o.Paths, clock: o.Clock,
 		pooled: &http.Transport{
 			DialContext: CheckedDial(o.Paths.Direct), MaxIdleConnsPerHost: 256,
-			IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: transportHeadBytes,
+			IdleConnTimeout: silence.PoolTimeout, DisableCompression: true, MaxResponseHeaderBytes: transportHeadBytes,
 		},
 		onceOnly: &http.Transport{
 			DialContext: CheckedDial(o.Paths.Direct), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: transportHeadBytes,
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 
 	"olivetiller/core/answerlimit"
+	"olivetiller/io/silence"
 )
 
 // Errors of an order.
@@ -81,7 +82,7 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: answerlimit.HeadBytes}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: silence.PoolTimeout, MaxResponseHeaderBytes: answerlimit.HeadBytes}}}
 }
 
 // Status returns an engine's status, or ErrUnknown.
--- a/io/instancelist/instancelist.go
+++ b/io/instancelist/instancelist.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"olivetiller/core/answerlimit"
+	"olivetiller/io/silence"
 )
 
 // Kind is the kind of an instance.
@@ -56,7 +57,7 @@
 
 // NewClient returns a client of the list service at an address, given as host and port.
 func NewClient(address string) *Client {
-	return &Client{address: address, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: answerlimit.HeadBytes}}}
+	return &Client{address: address, http: &http.Client{Transport: &http.Transport{IdleConnTimeout: silence.PoolTimeout, MaxResponseHeaderBytes: answerlimit.HeadBytes}}}
 }
 
 // List returns the current contents of the list, or ErrUnavailable.
--- a/io/logservice/client.go
+++ b/io/logservice/client.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"olivetiller/core/answerlimit"
+	"olivetiller/io/silence"
 )
 
 // ErrUnavailable is returned if the log service fails or does not answer.
@@ -46,7 +47,7 @@
 
 // NewClient returns a client of a stream of the log service at an address, given as host and port.
 func NewClient(address, stream string) *Client {
-	return &Client{address: address, stream: stream, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: answerlimit.HeadBytes}}}
+	return &Client{address: address, stream: stream, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: silence.PoolTimeout, MaxResponseHeaderBytes: answerlimit.HeadBytes}}}
 }
 
 // Append appends a record and returns its offset. After an error it is unknown whether the record is on the log.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -444,7 +444,7 @@
 
 // NewClient returns a client that connects with a dialer.
 func NewClient(d *net.Dialer) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 3, MaxResponseHeaderBytes: answerlimit.HeadBytes}}, dial: d.DialContext}
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 3, IdleConnTimeout: silence.PoolTimeout, MaxResponseHeaderBytes: answerlimit.HeadBytes}}, dial: d.DialContext}
 }
 
 // CloseIdleConnections closes the idle keep-alive connections.
