placer: an empty lease topic is that of a new fleet only at its first start

What callers would see: all nodes are killed during or after a rollout and come back, and the lease topic is empty. Streams that began at one software version are taken up, answered 200, and go on at another one (ORDER).

Cause: a stream without a record goes on if the ledger of builds, kept in the lease topic, names a single build. A holder that found an empty topic took the fleet for a new one, in which no stream has begun yet, and its ledger named the builds of that moment only.

Change: only a node that the platform starts with the whole fleet for the first time (bootstrap, which was not decoded) takes an empty topic for that of a new fleet; any other concludes nothing for an hour, as after a topic was dropped.

Why it works: the ledger is complete if it follows every earlier one or if there was none, and the second is now known and not guessed.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -68,6 +68,8 @@
 	MemoryBytes int64
 	// Descriptors is the limit on open files and connections; 0 if there is none.
 	Descriptors int
+	// FirstStart is true if the whole fleet is started for the first time, so that an empty store has lost nothing.
+	FirstStart bool
 	// ExtraAttempts limits the extra attempts beside late ones, as a share of the first attempts; 0 turns them off.
 	ExtraAttempts float64
 }
@@ -261,7 +263,7 @@
 		Self:  lease.Record{Holder: s.Name, Incarnation: incarnation, Address: s.PeerAddress},
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
 		Peers: peers, Paths: n.paths, Regions: s.Regions, Dispatcher: n.traffic, Isolation: n.isolation, Limits: s.Loads, Retries: s.Retries,
-		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Hall: s.Hall, Strength: s.Cores * s.LinkMbps, Bound: s.ReactionBound, Fenced: s.Fenced, Tolerance: s.Tolerance, ColdTolerance: s.Cold,
+		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Hall: s.Hall, Strength: s.Cores * s.LinkMbps, Bound: s.ReactionBound, FirstStart: s.FirstStart, Fenced: s.Fenced, Tolerance: s.Tolerance, ColdTolerance: s.Cold,
 		Own: []string{s.CallerAddress, s.ReadyAddress, s.PeerAddress, s.MetricsAddress},
 	})
 	n.origins = origins.New(origins.Options{
--- a/internal/placer/builds.go
+++ b/internal/placer/builds.go
@@ -126,7 +126,7 @@
 func (c *Controller) nextLedger(ctx context.Context, now time.Time) *origin.Ledger {
 	last, first := c.lease.Ledger()
 	switch {
-	case first:
+	case first && c.o.FirstStart:
 		last = origin.First()
 	case last == nil:
 		last = origin.Unknown()
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -87,6 +87,8 @@
 	Bound time.Duration
 	// Fenced is true if engines check the fence of an order.
 	Fenced bool
+	// FirstStart is true if the whole fleet is started for the first time, so that an empty lease topic has lost nothing.
+	FirstStart bool
 	// Tolerance is by how much requests may exceed customers' limits.
 	Tolerance quota.Tolerance
 	// ColdTolerance is by how much requests may exceed the rate that a cold endpoint accepts.
