logout: the test of dropped lines begins with the blocked write

The writer's goroutine took its first line only after the queue had filled and 38 lines were dropped; it put their number into that line's write, as intended, so that 62 were left. The test took it for granted that the goroutine runs before the queue is full.

Change: the test waits until the write is blocked, and wants exactly 99. The product is not changed.

--- a/internal/logout/logout_test.go
+++ b/internal/logout/logout_test.go
@@ -7,14 +7,18 @@
 	"testing"
 )
 
-// blockedWriter is a writer that blocks until free is closed.
+// blockedWriter is a writer that blocks until free is closed. It sends to entered when a write begins.
 type blockedWriter struct {
-	free chan struct{}
-	mu   sync.Mutex
-	buf  bytes.Buffer
+	entered, free chan struct{}
+	mu            sync.Mutex
+	buf           bytes.Buffer
 }
 
 func (b *blockedWriter) Write(p []byte) (int, error) {
+	select {
+	case b.entered <- struct{}{}:
+	default:
+	}
 	<-b.free
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -23,15 +27,19 @@
 
 // TestDropsLinesWhenBlocked checks that lines beyond the limit are dropped and their number is reported.
 func TestDropsLinesWhenBlocked(t *testing.T) {
-	b := &blockedWriter{free: make(chan struct{})}
+	b := &blockedWriter{entered: make(chan struct{}, 1), free: make(chan struct{})}
 	o := New(b)
-	for range maxLines + 100 {
+	for i := range maxLines + 100 {
 		if n, err := o.Write([]byte("line\n")); n != 5 || err != nil {
 			t.Fatalf("Write = %d, %v", n, err)
 		}
+		if i == 0 {
+			// Lines that are dropped before the blocked write begins are reported in it, and no longer counted.
+			<-b.entered
+		}
 	}
-	if n := o.Dropped(); n < 99 || n > 100 {
-		t.Errorf("%d lines dropped, want 99 or 100, because one may be in the blocked write", n)
+	if n := o.Dropped(); n != 99 {
+		t.Errorf("%d lines dropped, want 99", n)
 	}
 	close(b.free)
 	o.Close()
