endpoint: a request target is sent byte for byte, or refused with 400

Cause: the target was set as URL.Opaque, before which net/url writes the scheme if it begins with two slashes.

Every way to an endpoint has the same client; what routing matched is the string that is sent.

--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -101,7 +101,7 @@
 
 // kinds holds the properties of every kind.
 var kinds = map[Kind]kindInfo{
-	BadRequest:         {http.StatusBadRequest, true, "correct the request body", 0},
+	BadRequest:         {http.StatusBadRequest, true, "correct the request body or path", 0},
 	BodyTooLarge:       {http.StatusRequestEntityTooLarge, true, "send a shorter body", 0},
 	HeaderInvalid:      {http.StatusBadRequest, true, "correct the header", 0},
 	Unauthorized:       {http.StatusUnauthorized, true, "send a valid bearer token in Authorization", 0},
--- a/io/caller/resolve.go
+++ b/io/caller/resolve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"olivetiller/core/refusal"
@@ -79,19 +80,34 @@
 // resolveService sets the target of a request to a plain service from its path.
 func (s *Server) resolveService(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) error {
-		name := x.R.PathValue("name")
+		name, path, ok := serviceTarget(x.R.RequestURI)
+		if !ok {
+			return refusal.New(refusal.BadRequest, "the path is not /services/NAME/PATH")
+		}
 		svc := x.View.Catalog.Services[name]
 		if svc == nil {
 			return refusal.New(refusal.UnknownService, "there is no service %q", name)
 		}
-		path := "/" + x.R.PathValue("path")
-		if q := x.R.URL.RawQuery; q != "" {
-			path += "?" + q
-		}
 		x.Target = Target{Pool: view.ServicePool(name), Path: path, OnceOnly: svc.GetOnceOnly() || onceRequested(x.R), Keyed: true, Cost: 1}
 		return next(ctx, x)
 	}
 }
 
+// servicePrefix begins the paths of plain services.
+const servicePrefix = "/services/"
+
+// serviceTarget splits the target of a request to a plain service into the name of the service and what the service gets: the
+// rest of the path with the query, byte for byte.
+func serviceTarget(target string) (name, rest string, ok bool) {
+	after, ok := strings.CutPrefix(target, servicePrefix)
+	path, _, _ := strings.Cut(after, "?")
+	raw, _, found := strings.Cut(path, "/")
+	name, err := url.PathUnescape(raw)
+	if !ok || !found || err != nil {
+		return "", "", false
+	}
+	return name, after[len(raw):], true
+}
+
 // onceRequested reports whether the caller asks that the request run at most once.
 func onceRequested(r *http.Request) bool { return strings.EqualFold(r.Header.Get(HeaderOnce), "true") }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -204,10 +204,17 @@
 	mux.HandleFunc("POST /v1/chat/completions", s.serve(models))
 	mux.HandleFunc("POST /v1/completions", s.serve(models))
 	mux.HandleFunc("GET /v1/models", s.serve(Chain(s.listModels, s.refuse, s.recoverPanic, s.ready, s.identify)))
-	mux.HandleFunc("/services/{name}/{path...}", s.serve(services))
 	mux.HandleFunc("GET /healthz", s.health)
 	mux.HandleFunc("/", s.serve(Chain(notFound, s.refuse)))
-	return mux
+	toService := s.serve(services)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, _, ok := serviceTarget(r.RequestURI); ok {
+			// The mux would redirect paths with empty segments and dots.
+			toService(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // serve returns an HTTP handler that creates an exchange for each request and passes it to h.
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -253,8 +253,10 @@
 		cancel()
 		return nil, &Error{Outcome: retry.NotSent, Cause: eris.Wrap(err, "build request")}
 	}
-	// Opaque sends the path byte for byte as given.
-	req.URL.Opaque = r.Path
+	if err := setTarget(req.URL, r.Path); err != nil {
+		cancel()
+		return nil, &Error{Outcome: retry.NotSent, Cause: err}
+	}
 	req.Header = r.Header
 	if r.Host != "" {
 		req.Host = r.Host
