caller: a refusal does not wait for the body of its request

What callers see: a request that is refused before its body is read (no route, no valid key, a node that is not ready) gets its answer only when the whole body has come; if it never comes, neither does the answer, and the connection counts as one with a request for good.

Cause: net/http reads up to 256 KB of the rest of a request before it writes an answer, and no read deadline was set until readBody.

Change: the rest of a refused request is read for at most 0.25 s; then its answer is written and the connection closed. If the body comes in that time the connection is kept as before.

Tests: before, TestRefusedWithoutBody got no answer in 10 s; now it gets 503 and the close.

--- a/io/caller/keepalive_test.go
+++ b/io/caller/keepalive_test.go
@@ -91,3 +91,23 @@
 		t.Errorf("a request after four fifths of the idle time: %v, %v", resp, err)
 	}
 }
+
+// TestRefusedWithoutBody guards against requests that are refused before their body is read, and whose answer waits, and whose
+// connection stays open, for as long as the body does not come.
+func TestRefusedWithoutBody(t *testing.T) {
+	s := testServer(false)
+	c := serveOnLoopback(t, s)()
+	if _, err := io.WriteString(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	r := bufio.NewReader(c)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("%v, %v, want a refusal", resp, err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("the connection is kept for the rest of a refused request: %v", err)
+	}
+}
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"olivetiller/core/refusal"
 )
@@ -63,6 +64,10 @@
 			// Refuse may panic.
 			s.logClose(ctx, x, err)
 		}
+		if !x.bodyRead && x.R.ContentLength != 0 {
+			// net/http reads the rest of the request before it writes the answer.
+			setReadTimeout(x.W, discardTimeout)
+		}
 		s.protocol().Refuse(x, e)
 		if !x.Began && !x.incomplete && s.endingOf(ctx, x, err).callerLeft() {
 			s.logClose(ctx, x, err)
@@ -71,6 +76,9 @@
 	}
 }
 
+// discardTimeout is how long the rest of a refused request is read, so that its connection can be used again.
+const discardTimeout = 250 * time.Millisecond
+
 // logArgs returns the log fields common to the ends of answered and refused requests.
 func (x *Exchange) logArgs() []any {
 	t := &x.Progress
--- a/io/caller/resolve.go
+++ b/io/caller/resolve.go
@@ -31,7 +31,7 @@
 			}
 			return refusal.New(refusal.BadRequest, "the body could not be read: %v", err)
 		}
-		x.Body = body
+		x.Body, x.bodyRead = body, true
 		setReadTimeout(x.W, 0)
 		n := int64(len(body))
 		if err := s.heldBytes.admit(n); err != nil {
