--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -24,6 +24,7 @@
 // plays are the cases by name.
 var plays = map[string]play{
 	"late-load":    lateLoad,
+	"left-engine":  leftEngine,
 	"stale-holder": staleHolder,
 }
 
