review: the stand-ins read the project's clock

Cause: TestNoOtherClock allows no other clock in sources, also under review/.

Change: rig2 reads the clock of io/boottime.

Measured: the test failed before and passes now.

--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -80,7 +80,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.addr, e.born = l.Addr().String(), time.Now().UnixMilli()
+	e.addr, e.born = l.Addr().String(), clock.Now().UnixMilli()
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func(s *http.Server) { _ = s.Serve(l) }(e.server)
 	return nil
@@ -91,7 +91,7 @@
 func (e *engine) crash(down time.Duration) error {
 	e.r.record.printf("engine %s crashes", e.id)
 	e.close()
-	time.Sleep(down)
+	clock.Sleep(down)
 	e.mu.Lock()
 	e.models, e.busy, e.seq, e.running = nil, false, 0, make(map[string]int)
 	e.mu.Unlock()
@@ -179,7 +179,7 @@
 	if late != nil {
 		if delay, ok := late(e, &o); ok {
 			e.r.record.printf("engine %s: order %s %s of %s at count %d gets no answer, to be carried out after %v", e.id, o.Operation, o.unit(), o.Holder, *o.Expected, delay)
-			time.AfterFunc(delay, func() { e.take(&o, "late ") })
+			clock.AfterFunc(delay, func() { e.take(&o, "late ") })
 			<-q.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -209,7 +209,7 @@
 	default:
 		e.begin(o, m)
 	}
-	e.arrivals = append(e.arrivals, arrival{time.Now(), e.id, o.Holder, o.Fence, o.Operation, unit, status})
+	e.arrivals = append(e.arrivals, arrival{clock.Now(), e.id, o.Holder, o.Fence, o.Operation, unit, status})
 	e.r.record.printf("engine %s: %sorder %s %s of %s with fencing token %d: %d", e.id, how, o.Operation, unit, o.Holder, o.Fence, status)
 	return status
 }
@@ -223,7 +223,7 @@
 		took = unloadTime
 		e.models = slices.DeleteFunc(e.models, func(h *heldModel) bool { return h == m })
 	}
-	time.AfterFunc(took, func() {
+	clock.AfterFunc(took, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.born != born {
@@ -294,7 +294,7 @@
 	w.Header().Set("Server-Stamp", "stamp."+e.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := 1; i <= streamEvents; i++ {
-		time.Sleep(streamGap)
+		clock.Sleep(streamGap)
 		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
 		_ = http.NewResponseController(w).Flush()
 	}
--- a/review/rig2/lateload.go
+++ b/review/rig2/lateload.go
@@ -86,7 +86,7 @@
 		wg.Go(func() { c.send(ctx, nodes[i%len(nodes)], models[i*5%lateModels]) })
 		select {
 		case <-found:
-		case <-time.After(askEvery):
+		case <-clock.After(askEvery):
 			if i > 80 {
 				return nil, errors.New("no engine was ordered to load at the count of the case")
 			}
@@ -94,20 +94,20 @@
 		}
 		break
 	}
-	sent := time.Now()
+	sent := clock.Now()
 	if r.trouble {
-		time.Sleep(time.Second)
+		clock.Sleep(time.Second)
 		if err := unanswered.crash(engineDown); err != nil {
 			return nil, err
 		}
 		s.Put("keyed.servers", unanswered.id, unanswered.entry(engineService, 1))
-		time.Sleep(time.Second)
+		clock.Sleep(time.Second)
 		for _, n := range nodes {
 			if n.name != s.currentHolder() {
 				continue
 			}
 			n.signal(syscall.SIGKILL)
-			time.Sleep(nodeDown)
+			clock.Sleep(nodeDown)
 			if err := n.start(); err != nil {
 				return nil, err
 			}
@@ -115,13 +115,13 @@
 	}
 	// Callers ask for models that no engine holds until the engine that was empty is full, and then only for what it holds.
 	// Nobody asks again for the model of the late order.
-	for i := 0; time.Since(sent) < lateAfter+time.Second; i++ {
+	for i := 0; clock.Since(sent) < lateAfter+time.Second; i++ {
 		wanted := unanswered.names()
 		if len(wanted) < lateCapacity {
 			wanted = unheld(engines, models, lateModel)
 		}
 		wg.Go(func() { c.send(ctx, nodes[i%len(nodes)], wanted[i%len(wanted)]) })
-		time.Sleep(askEvery)
+		clock.Sleep(askEvery)
 	}
 	r.record.printf("requests ended: %s", c.summary())
 	for _, e := range engines {
--- a/review/rig2/leftengine.go
+++ b/review/rig2/leftengine.go
@@ -69,9 +69,9 @@
 		return
 	}
 	e.mu.Lock()
-	e.arrived[id] = time.Now()
+	e.arrived[id] = clock.Now()
 	e.mu.Unlock()
-	time.Sleep(callWork)
+	clock.Sleep(callWork)
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Server-Stamp", "stamp."+e.id)
 	e.mu.Lock()
@@ -148,35 +148,35 @@
 	defer cancel()
 	c := &calls{node: make(map[string]string), status: make(map[string]int)}
 	wg.Go(func() { c.run(ctx, &wg, nodes) })
-	time.Sleep(3 * time.Second)
+	clock.Sleep(3 * time.Second)
 	for round := range leftRounds {
-		began := time.Now()
+		began := clock.Now()
 		holder := s.currentHolder()
 		if r.trouble {
 			r.record.printf("round %d: %s, the holder, is cut from the store", round+1, holder)
 			fronts[holder].setCut(true)
 		}
-		time.Sleep(removedAfter)
+		clock.Sleep(removedAfter)
 		e := engines[round]
 		s.Put("keyed.servers", e.id, nil)
 		e.mu.Lock()
-		e.removed = time.Now()
+		e.removed = clock.Now()
 		e.mu.Unlock()
 		r.record.printf("the entry of engine %s is removed", e.id)
-		time.Sleep(cutFor - removedAfter)
+		clock.Sleep(cutFor - removedAfter)
 		fronts[holder].setCut(false)
-		time.Sleep(servesOn - (cutFor - removedAfter))
+		clock.Sleep(servesOn - (cutFor - removedAfter))
 		e.mu.Lock()
 		e.ended = true
 		e.mu.Unlock()
 		_ = e.server.Close()
 		r.record.printf("engine %s ends", e.id)
-		time.Sleep(time.Second)
+		clock.Sleep(time.Second)
 		broken = append(broken, c.judge(r, e, holder)...)
 		if err := add(); err != nil {
 			return nil, err
 		}
-		time.Sleep(max(0, leftRound-time.Since(began)))
+		clock.Sleep(max(0, leftRound-clock.Since(began)))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -191,13 +191,13 @@
 // run sends callRate calls a second, each on a route whose calls may not be repeated, until ctx ends.
 func (c *calls) run(ctx context.Context, wg *sync.WaitGroup, nodes []*node) {
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	tick := time.NewTicker(time.Second / callRate)
+	tick := clock.NewTicker(time.Second / callRate)
 	defer tick.Stop()
 	for i := 0; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-tick.Chan():
 		}
 		n, id := nodes[i%len(nodes)], fmt.Sprintf("9c41d%011x", i)
 		c.mu.Lock()
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -70,7 +70,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	r := &run{program: program, dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: rec, begun: time.Now()}
+	r := &run{program: program, dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: rec, begun: clock.Now()}
 	broken, err := p(r)
 	if keep := os.Getenv("RIG2_KEEP"); keep != "" {
 		_ = os.CopyFS(keep, os.DirFS(dir))
--- a/review/rig2/node.go
+++ b/review/rig2/node.go
@@ -170,11 +170,11 @@
 	n.mu.Unlock()
 	select {
 	case <-done:
-	case <-time.After(grace):
+	case <-clock.After(grace):
 		n.signal(syscall.SIGKILL)
 		<-done
 	}
-	time.Sleep(300 * time.Millisecond)
+	clock.Sleep(300 * time.Millisecond)
 	return n.start()
 }
 
@@ -202,13 +202,13 @@
 
 // awaitReady waits until all nodes are ready.
 func awaitReady(nodes []*node, limit time.Duration) error {
-	end := time.Now().Add(limit)
+	end := clock.Now().Add(limit)
 	for _, n := range nodes {
 		for !n.ready() {
-			if time.Now().After(end) {
+			if clock.Now().After(end) {
 				return fmt.Errorf("%s is not ready after %v", n.name, limit)
 			}
-			time.Sleep(50 * time.Millisecond)
+			clock.Sleep(50 * time.Millisecond)
 		}
 	}
 	return nil
--- a/review/rig2/record.go
+++ b/review/rig2/record.go
@@ -21,13 +21,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, w: bufio.NewWriter(f), begun: time.Now()}, nil
+	return &record{file: f, w: bufio.NewWriter(f), begun: clock.Now()}, nil
 }
 
 func (r *record) printf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.w, "%8.3f ", time.Since(r.begun).Seconds())
+	fmt.Fprintf(r.w, "%8.3f ", clock.Since(r.begun).Seconds())
 	fmt.Fprintf(r.w, format, args...)
 	_ = r.w.WriteByte('\n')
 }
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -65,8 +65,8 @@
 	b := &balancer{in: make(map[*node]bool)}
 	for i, n := range nodes {
 		wg.Go(func() {
-			time.Sleep(time.Duration(i) * time.Second / time.Duration(len(nodes)))
-			tick := time.NewTicker(time.Second)
+			clock.Sleep(time.Duration(i) * time.Second / time.Duration(len(nodes)))
+			tick := clock.NewTicker(time.Second)
 			defer tick.Stop()
 			for misses := 0; ; {
 				misses++
@@ -79,7 +79,7 @@
 				select {
 				case <-ctx.Done():
 					return
-				case <-tick.C:
+				case <-tick.Chan():
 				}
 			}
 		})
@@ -145,7 +145,7 @@
 // run sends perSecond requests a second, each for one of the models, until ctx ends.
 func (c *callers) run(ctx context.Context, b *balancer, nodes []*node, models []string, perSecond int) {
 	rng := rand.New(rand.NewPCG(88, 4))
-	tick := time.NewTicker(time.Second / time.Duration(perSecond))
+	tick := clock.NewTicker(time.Second / time.Duration(perSecond))
 	defer tick.Stop()
 	var wg sync.WaitGroup
 	for {
@@ -153,7 +153,7 @@
 		case <-ctx.Done():
 			wg.Wait()
 			return
-		case <-tick.C:
+		case <-tick.Chan():
 		}
 		in := b.nodesIn(nodes)
 		if len(in) == 0 {
--- a/review/rig2/staleholder.go
+++ b/review/rig2/staleholder.go
@@ -81,14 +81,14 @@
 	c := r.newCallers()
 	b := newBalancer(ctx, &wg, nodes)
 	wg.Go(func() { c.run(ctx, b, nodes, asked, staleRate) })
-	time.Sleep(4 * time.Second)
+	clock.Sleep(4 * time.Second)
 	for round := range rounds {
-		began := time.Now()
+		began := clock.Now()
 		r.record.printf("round %d", round+1)
 		if _, err := playRound(r, s, byName); err != nil {
 			return nil, err
 		}
-		time.Sleep(max(0, roundTime-time.Since(began)))
+		clock.Sleep(max(0, roundTime-clock.Since(began)))
 	}
 	r.record.printf("requests ended: %s", c.summary())
 	return staleOrders(engines), nil
@@ -96,13 +96,13 @@
 
 // beats writes the entries of the engines as they change, about every heartbeat.
 func beats(ctx context.Context, s *store, engines []*engine) {
-	tick := time.NewTicker(1200 * time.Millisecond)
+	tick := clock.NewTicker(1200 * time.Millisecond)
 	defer tick.Stop()
 	for beat := 1; ; beat++ {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-tick.Chan():
 		}
 		for _, e := range engines {
 			s.Put("keyed.servers", e.id, e.entry(engineService, beat))
@@ -127,11 +127,11 @@
 	}
 	held := make(chan struct{})
 	var mu sync.Mutex
-	began, lost := time.Now(), false
+	began, lost := clock.Now(), false
 	s.setLate(func(by string) (time.Duration, bool) {
 		mu.Lock()
 		defer mu.Unlock()
-		if lost || by != holder || time.Since(began) < lostAfter {
+		if lost || by != holder || clock.Since(began) < lostAfter {
 			return 0, false
 		}
 		lost = true
@@ -145,10 +145,10 @@
 	go func() { ended <- other.roll() }()
 	select {
 	case <-held:
-	case <-time.After(2 * lostAfter):
+	case <-clock.After(2 * lostAfter):
 		return "", fmt.Errorf("%s renews the lease no more", holder)
 	}
-	time.Sleep(stopAfter)
+	clock.Sleep(stopAfter)
 	r.record.printf("SIGTERM to %s, the holder", holder)
 	return holder, errors.Join(n.roll(), <-ended)
 }
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -71,7 +71,7 @@
 	if late != nil {
 		if delay, ok := late(rec.Holder); ok {
 			s.r.record.printf("store: %s of %s at %s gets no answer, to be carried out after %v", what, rec.Holder, at, delay)
-			time.AfterFunc(delay, func() {
+			clock.AfterFunc(delay, func() {
 				s.r.record.printf("store: late %s of %s at %s: %d", what, rec.Holder, at, s.carryOut(q.URL.String(), body).Code)
 			})
 			<-q.Context().Done()
