lease: an answer is matched to the append that it answers

Cause: Lease.Acknowledged took any acknowledged append for the one in flight. The acknowledgement of the release was applied as the record of the unanswered renewal, from the time at which that one was sent, so that it gave the lease back.

Change: Begin and BeginRelease return a lease.Append, which Acknowledged and Failed have to name. What was sent before the node gave the lease up, stopped, or learned of another holder or a higher fence gives no right. Stop holds for good: what an append in flight still brings is released, and a release that fails is sent again once the topic was read. The handover goes the same way; its own message and state are gone.

Existing tests only name the append.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -64,6 +64,18 @@
 	return r.Holder == o.Holder && r.Incarnation == o.Incarnation
 }
 
+// Append is one append of a record to the lease topic. Its answer has to name it: what answers one append says nothing of
+// another that is in flight.
+type Append struct {
+	Record Record
+	// At is the position at which the topic has to end for the record to be added.
+	At position.Position
+	// sentAt is when the append was sent.
+	sentAt time.Time
+	// id numbers the appends of a node from 1; 0 is no append.
+	id uint64
+}
+
 // Lease is one node's view of the lease, built from the records that it has read and the results of
 // its own appends. It is not safe for concurrent use.
 type Lease struct {
@@ -94,8 +106,18 @@
 	seenAt time.Time
 	// until is when this node must stop sending orders; zero if it does not hold the lease.
 	until time.Time
-	// sentAt is when the append in flight was sent; zero if there is none.
-	sentAt time.Time
+	// appends is the number of appends that this node has sent, inFlight the takeover or renewal whose answer is awaited, and
+	// release the release whose answer is.
+	appends           uint64
+	inFlight, release Append
+	// voidTo is the id up to which the answers to appends give no right to send orders, because this node has given the lease
+	// up since it sent them, or has learned of another holder.
+	voidTo uint64
+	// releaseDue is true if this node has given the lease up and is to release it. releaseFailed is true from a failed
+	// release until the topic is read again.
+	releaseDue, releaseFailed bool
+	// stopped is true if this node is about to end: it takes and renews the lease no more.
+	stopped bool
 	// readAt is when the topic was last read to its end; zero if it never was.
 	readAt time.Time
 	// retryAt is the earliest time for the next append after a failed one.
@@ -187,7 +209,7 @@
 	case r.Release && same:
 		l.retire()
 		// A former holder also waits for its full delay before it takes the free lease again.
-		l.holder, l.until, l.freeSince = Record{}, time.Time{}, time.Time{}
+		l.holder, l.freeSince = Record{}, time.Time{}
 	case r.Release:
 		// A release by a previous holder changes nothing.
 	case same && !l.fromEarlierEra && position.Era(l.fence-1) == position.Era(offset):
@@ -200,8 +222,10 @@
 		}
 		l.holder, l.latestPos, l.fence, l.seenAt, l.fromEarlierEra = r, offset, offset+1, now, false
 	}
+	l.releaseFailed = false
 	if !l.heldBySelf() {
-		l.until, l.heldUntil = time.Time{}, time.Time{}
+		l.loseRight()
+		l.releaseDue = false
 	}
 }
 
@@ -246,7 +270,13 @@
 // forgetHolder records that the current holder is not known any more.
 func (l *Lease) forgetHolder() {
 	l.retire()
-	l.holder, l.until, l.heldUntil = Record{}, time.Time{}, time.Time{}
+	l.holder, l.releaseDue = Record{}, false
+	l.loseRight()
+}
+
+// loseRight ends this node's right to send orders. No answer to an append that was sent before gives it back.
+func (l *Lease) loseRight() {
+	l.until, l.heldUntil, l.voidTo = time.Time{}, time.Time{}, l.appends
 }
 
 // noteHistory records what the first complete read of the topic leaves open.
@@ -296,7 +326,7 @@
 	if l.readAt.IsZero() {
 		l.noteHistory(now)
 	}
-	l.readAt, l.takeoverPending = now, false
+	l.readAt, l.takeoverPending, l.releaseFailed = now, false, false
 }
 
 // TakeoverPending reports whether a takeover by this node may still take effect although it was not acknowledged.
@@ -336,7 +366,9 @@
 	// A successor's first append relies on the records that the holder has relayed to it.
 	relayed := l.successor && !l.refused && l.end > 0
 	switch {
-	case l.readAt.IsZero() && !relayed || !l.sentAt.IsZero() || now.Before(l.retryAt):
+	case l.stopped || l.releaseDue || l.Appending():
+		return false
+	case l.readAt.IsZero() && !relayed || now.Before(l.retryAt):
 		return false
 	case l.heldBySelf() && now.Before(l.until):
 		return now.Sub(l.seenAt) >= RenewEvery || l.urgent && now.Sub(l.seenAt) >= urgentEvery
@@ -366,12 +398,20 @@
 	return now.Sub(l.seenAt) >= TTL+l.delay
 }
 
-// Begin records that an append at [Lease.End] is being sent, and returns the record to append. Others
-// are the other nodes that may take the lease, nil if unknown; they become [Record.Nodes].
-func (l *Lease) Begin(now time.Time, others []string) Record {
-	l.sentAt, l.self.Nodes, l.self.Era = now, others, position.Era(l.end)
+// Begin records that a takeover or a renewal is being sent, and returns it. Others are the other nodes that may take the
+// lease, nil if unknown; they become [Record.Nodes].
+func (l *Lease) Begin(now time.Time, others []string) Append {
+	l.self.Nodes = others
 	l.takeoverPending = l.takeoverPending || !l.heldBySelf()
-	return l.self
+	l.inFlight = l.nextAppend(now)
+	return l.inFlight
+}
+
+// nextAppend returns an append of this node's record at the end of the topic.
+func (l *Lease) nextAppend(now time.Time) Append {
+	l.appends++
+	l.self.Era = position.Era(l.end)
+	return Append{Record: l.self, At: l.end, sentAt: now, id: l.appends}
 }
 
 // Ledger returns the ledger of the latest record that was read. It is nil if that record has none, if no record of the
@@ -397,38 +437,51 @@
 func (l *Lease) Members() int { return max(l.holder.Members, l.former.Members) }
 
 // Appending reports whether an append is in flight.
-func (l *Lease) Appending() bool { return !l.sentAt.IsZero() }
+func (l *Lease) Appending() bool { return l.inFlight.id != 0 || l.release.id != 0 }
 
-// appendAge returns how long the append in flight has waited for its answer; 0 if none is in flight.
+// appendAge returns how long the takeover or renewal in flight has waited for its answer; 0 if none is in flight.
 func (l *Lease) appendAge(now time.Time) time.Duration {
-	if l.sentAt.IsZero() {
+	if l.inFlight.id == 0 {
 		return 0
 	}
-	return now.Sub(l.sentAt)
+	return now.Sub(l.inFlight.sentAt)
 }
 
-// Acknowledged records that the append in flight was acknowledged at a position.
-func (l *Lease) Acknowledged(offset uint64, now time.Time) {
+// Acknowledged records that an append was acknowledged at a position.
+func (l *Lease) Acknowledged(a Append, offset uint64, now time.Time) {
 	if position.Era(offset) < position.Era(l.end) {
 		// The store has been restored since, without this record.
-		l.Failed(now)
+		l.Failed(a, now)
 		return
 	}
-	sent := l.sentAt
-	l.sentAt = time.Time{}
-	l.Apply(offset, l.self, now)
-	if l.heldBySelf() && !l.fromEarlierEra {
-		l.until = sent.Add(TTL - Margin)
-		l.heldUntil = l.until
+	l.answered(a)
+	void := a.Record.Release || a.id <= l.voidTo
+	l.Apply(offset, a.Record, now)
+	if void || !l.heldBySelf() || l.fromEarlierEra {
+		return
 	}
+	l.until = latest(l.until, a.sentAt.Add(TTL-Margin))
+	l.heldUntil = l.until
 }
 
-// Failed records that the append in flight was refused, or got no answer. It may still take effect:
-// its record is then read like any other, and gives no right to send orders until a renewal is
-// acknowledged.
-func (l *Lease) Failed(now time.Time) {
-	l.sentAt, l.refused = time.Time{}, true
-	l.retryAt = now.Add(RetryEvery)
+// Failed records that an append was refused, or got no answer. It may still take effect: its record is then read like any
+// other, and gives no right to send orders until a renewal is acknowledged.
+func (l *Lease) Failed(a Append, now time.Time) {
+	l.answered(a)
+	l.refused, l.retryAt = true, now.Add(RetryEvery)
+	if a.Record.Release {
+		l.releaseDue, l.releaseFailed = l.releaseDue && l.stopped, true
+	}
+}
+
+// answered records that the answer to an append is not awaited any more.
+func (l *Lease) answered(a Append) {
+	switch a.id {
+	case l.inFlight.id:
+		l.inFlight = Append{}
+	case l.release.id:
+		l.release = Append{}
+	}
 }
 
 // mayOutlast reports whether a holder whose lease expired may continue if the store is unreachable:
@@ -438,18 +491,36 @@
 }
 
 // Superseded records that an engine has seen a higher fencing number than this node's.
-func (l *Lease) Superseded() { l.until, l.heldUntil = time.Time{}, time.Time{} }
+func (l *Lease) Superseded() { l.loseRight() }
 
-// Releasing returns the record that gives up the lease; ok is false if this node does not hold it.
-// From this call on the node sends no orders.
-func (l *Lease) Releasing() (r Record, ok bool) {
+// GiveUp makes this node, if it holds the lease, send no more orders and release the lease. It renews the lease again if
+// the release fails.
+func (l *Lease) GiveUp() {
 	if !l.heldBySelf() {
-		return Record{}, false
+		return
 	}
-	l.until, l.heldUntil = time.Time{}, time.Time{}
-	r = l.self
-	r.Release = true
-	return r, true
+	l.loseRight()
+	l.releaseDue = true
+}
+
+// Stop makes this node send no more orders and take the lease no more, since it is about to end. It releases the lease if it
+// holds it, also by an append that is still in flight.
+func (l *Lease) Stop() {
+	l.loseRight()
+	l.stopped = true
+}
+
+// ReleaseDue reports whether this node should release the lease now. After a failed release it waits for a read of the
+// topic, which shows whether the record was added.
+func (l *Lease) ReleaseDue() bool {
+	return (l.releaseDue || l.stopped) && l.heldBySelf() && l.release.id == 0 && !l.releaseFailed
+}
+
+// BeginRelease records that the release is being sent, and returns it.
+func (l *Lease) BeginRelease(now time.Time) Append {
+	l.release = l.nextAppend(now)
+	l.release.Record.Release = true
+	return l.release
 }
 
 // NewIncarnation returns a name that is unique to this incarnation of a node's process.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -63,20 +63,17 @@
 		{"named, and refused once", func(l *Lease, _ time.Time) {
 			l.SetSuccession(true, 0)
 			l.Apply(4, rec("a"), at(0))
-			l.Begin(at(2500), nil)
-			l.Failed(at(2510))
+			l.Failed(l.Begin(at(2500), nil), at(2510))
 		}, at(3500), false},
 		{"named, refused once, and read", func(l *Lease, now time.Time) {
 			l.SetSuccession(true, 0)
 			l.Apply(4, rec("a"), at(0))
-			l.Begin(at(2500), nil)
-			l.Failed(at(2510))
+			l.Failed(l.Begin(at(2500), nil), at(2510))
 			l.CaughtUp(5, now)
 		}, at(3500), true},
 		{"an append has just failed", func(l *Lease, now time.Time) {
 			l.CaughtUp(0, now)
-			l.Begin(at(0), nil)
-			l.Failed(at(10))
+			l.Failed(l.Begin(at(0), nil), at(10))
 		}, at(400), false},
 		{"an append is in flight", func(l *Lease, now time.Time) { l.CaughtUp(0, now); l.Begin(at(0), nil) }, at(5000), false},
 	}
@@ -131,11 +128,9 @@
 func TestDroppedTakeoverRaisesFence(t *testing.T) {
 	l := New(rec("a"), 0)
 	l.CaughtUp(0, at(0))
-	l.Begin(at(0), nil)
-	l.Acknowledged(0, at(4))
+	l.Acknowledged(l.Begin(at(0), nil), 0, at(4))
 	l.Apply(9, Record{Holder: "c", Incarnation: "c-1", Release: true}, at(6000))
-	l.Begin(at(6000), nil)
-	l.Acknowledged(10, at(6004))
+	l.Acknowledged(l.Begin(at(6000), nil), 10, at(6004))
 	if fence, _ := l.Held(at(6004)); fence != 11 {
 		t.Errorf("fencing number = %d, want 11", fence)
 	}
@@ -146,8 +141,7 @@
 func TestHeld(t *testing.T) {
 	l := New(rec("a"), 0)
 	l.CaughtUp(7, at(0))
-	l.Begin(at(0), nil)
-	l.Acknowledged(7, at(400))
+	l.Acknowledged(l.Begin(at(0), nil), 7, at(400))
 	type held struct {
 		Fence uint64
 		OK    bool
@@ -162,8 +156,7 @@
 		t.Errorf("Held (-want +got):\n%s", diff)
 	}
 	// A renewal without an answer gives no right when it is read back later.
-	l.Begin(at(1500), nil)
-	l.Failed(at(1600))
+	l.Failed(l.Begin(at(1500), nil), at(1600))
 	l.Apply(8, rec("a"), at(6000))
 	if _, ok := l.Held(at(6000)); ok {
 		t.Error("a renewal read back late gave the right to order")
@@ -175,14 +168,96 @@
 	}
 }
 
+// TestAnswerIsMatchedToItsAppend guards against a node that goes on as the holder after it has given the lease up, because an
+// answer to one append, lost or late, was taken for that to another.
+func TestAnswerIsMatchedToItsAppend(t *testing.T) {
+	type state struct {
+		Held, ReleaseDue, ShouldAppend bool
+	}
+	// The node took the lease 600 ms ago and begins a renewal.
+	tests := []struct {
+		name string
+		do   func(l *Lease, renewal Append)
+		want state
+	}{
+		{"renewed", func(l *Lease, renewal Append) { l.Acknowledged(renewal, 1, at(604)) }, state{Held: true}},
+		{"released, the renewal is not answered", func(l *Lease, _ Append) {
+			l.Stop()
+			l.Acknowledged(l.BeginRelease(at(610)), 1, at(614))
+		}, state{}},
+		{"handed over, the renewal is not answered", func(l *Lease, _ Append) {
+			l.GiveUp()
+			l.Acknowledged(l.BeginRelease(at(610)), 1, at(614))
+		}, state{}},
+		{"stopped, the renewal is acknowledged later", func(l *Lease, renewal Append) {
+			l.Stop()
+			l.Acknowledged(renewal, 1, at(614))
+		}, state{ReleaseDue: true}},
+		{"stopped, the renewal is acknowledged later and the release refused", func(l *Lease, renewal Append) {
+			l.Stop()
+			release := l.BeginRelease(at(610))
+			l.Failed(release, at(614))
+			l.Acknowledged(renewal, 1, at(615))
+		}, state{ReleaseDue: true}},
+		{"stopped, the release is not answered and the topic not read", func(l *Lease, renewal Append) {
+			l.Stop()
+			l.Failed(renewal, at(612))
+			l.Failed(l.BeginRelease(at(610)), at(1010))
+		}, state{}},
+		{"stopped, the release is not answered and the topic read", func(l *Lease, renewal Append) {
+			l.Stop()
+			l.Failed(renewal, at(612))
+			l.Failed(l.BeginRelease(at(610)), at(1010))
+			l.CaughtUp(1, at(1020))
+		}, state{ReleaseDue: true}},
+		{"stopped, an engine was ordered under a higher fence", func(l *Lease, renewal Append) {
+			l.Superseded()
+			l.Acknowledged(renewal, 1, at(614))
+		}, state{}},
+		{"handed over, refused, renewed", func(l *Lease, renewal Append) {
+			l.Failed(renewal, at(604))
+			l.GiveUp()
+			l.Failed(l.BeginRelease(at(610)), at(614))
+			l.CaughtUp(1, at(700))
+			l.Acknowledged(l.Begin(at(1020), nil), 1, at(1024))
+		}, state{Held: true}},
+		{"an earlier renewal is acknowledged after a later one", func(l *Lease, renewal Append) {
+			l.Acknowledged(l.Begin(at(900), nil), 1, at(904))
+			l.Acknowledged(renewal, 1, at(905))
+		}, state{Held: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New(rec("a"), 0)
+			l.CaughtUp(0, at(0))
+			l.Acknowledged(l.Begin(at(0), nil), 0, at(4))
+			tt.do(l, l.Begin(at(600), nil))
+			got := state{ReleaseDue: l.ReleaseDue(), ShouldAppend: l.ShouldAppend(at(1100))}
+			_, got.Held = l.Held(at(1100))
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("after the answers (-want +got):\n%s", diff)
+			}
+		})
+	}
+	t.Run("stopped during a takeover that is acknowledged later", func(t *testing.T) {
+		l := New(rec("a"), 0)
+		l.CaughtUp(0, at(0))
+		takeover := l.Begin(at(0), nil)
+		l.Stop()
+		l.Acknowledged(takeover, 0, at(4))
+		if _, held := l.Held(at(4)); held || !l.ReleaseDue() {
+			t.Errorf("held = %t, release due = %t, want a release", held, l.ReleaseDue())
+		}
+	})
+}
+
 // TestOutlasts checks how long a holder may continue while the store is unreachable, and that any
 // sign of another holder ends it.
 func TestOutlasts(t *testing.T) {
 	held := func() *Lease {
 		l := New(rec("a"), 0)
 		l.CaughtUp(0, at(0))
-		l.Begin(at(0), nil)
-		l.Acknowledged(0, at(4))
+		l.Acknowledged(l.Begin(at(0), nil), 0, at(4))
 		return l
 	}
 	tests := []struct {
@@ -196,7 +271,8 @@
 		{"ran out long ago", func(*Lease) {}, 16800, false},
 		{"another holder is known", func(l *Lease) { l.Apply(1, rec("b"), at(3000)) }, 3001, false},
 		{"an engine has seen a higher fence", func(l *Lease) { l.Superseded() }, 3001, false},
-		{"given up", func(l *Lease) { l.Releasing() }, 10, false},
+		{"given up", func(l *Lease) { l.GiveUp() }, 10, false},
+		{"stopped", func(l *Lease) { l.Stop() }, 10, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -212,10 +288,15 @@
 // pendingAppend is an append in flight to the log of the model.
 type pendingAppend struct {
 	node, at int
-	rec      Record
+	append   Append
 	// arrives is when the append takes effect; answer is true if it is then acknowledged or refused.
 	arrives time.Time
 	answer  bool
+	// givesUp is when the node stops to await the answer, which is still open while awaited is true.
+	givesUp time.Time
+	awaited bool
+	// done is true once the append has taken effect or was refused.
+	done bool
 }
 
 // logModel models a log and nodes whose answers may be lost, whose appends may be late and which may freeze.
@@ -228,6 +309,8 @@
 	readEra  []uint64
 	era      uint64
 	restores bool
+	// releases is true if nodes hand the lease over or stop, and await the answer to an append for some time.
+	releases bool
 	frozen   []time.Time
 	pending  []pendingAppend
 	now      time.Time
@@ -247,6 +330,21 @@
 	rapid.Check(t, func(t *rapid.T) { runSchedule(t, &logModel{now: start, restores: true}) })
 }
 
+// TestOneHolderOverReleases runs the same schedules with handovers and planned stops, which release the lease while a renewal
+// awaits its answer. It guards against a node that takes the answer to its release for one to the renewal, and goes on as the
+// holder beside the next one.
+func TestOneHolderOverReleases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, &logModel{now: start, releases: true}) })
+}
+
+// actions returns the highest number of an action of runSchedule.
+func (w *logModel) actions() int {
+	if w.releases {
+		return 11
+	}
+	return 9
+}
+
 // runSchedule runs one random schedule.
 func runSchedule(t *rapid.T, w *logModel) {
 	const n = 3
@@ -263,7 +361,15 @@
 		if w.now.Before(w.frozen[i]) {
 			continue
 		}
-		switch rapid.IntRange(0, 9).Draw(t, "what") {
+		switch rapid.IntRange(0, w.actions()).Draw(t, "what") {
+		case 10:
+			// A handover, or a planned stop: the process runs on until it is replaced.
+			if rapid.Bool().Draw(t, "stop") {
+				w.nodes[i].Stop()
+			} else {
+				w.nodes[i].GiveUp()
+			}
+			w.appendIfWanted(t, i)
 		case 0:
 			w.frozen[i] = w.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "freeze")) * time.Millisecond)
 		case 1:
@@ -283,26 +389,35 @@
 	}
 }
 
-// executeDue executes the appends that are due.
+// executeDue executes the appends that are due, and ends the waits for answers.
 func (w *logModel) executeDue() {
 	var later []pendingAppend
 	for _, p := range w.pending {
-		if w.now.Before(p.arrives) {
-			later = append(later, p)
-			continue
+		rec, l := p.append.Record, w.nodes[p.node]
+		// A process that has ended awaits nothing.
+		p.awaited = p.awaited && l.self.SameIncarnation(rec)
+		if !p.done && !w.now.Before(p.arrives) {
+			p.done = true
+			ok := p.at == len(w.log) && (rec.Era == w.era || w.restores)
+			if ok {
+				w.log = append(w.log, rec)
+			}
+			switch {
+			case !p.awaited || !p.answer:
+			case ok && rec.Era == w.era && !w.now.Before(w.frozen[p.node]):
+				l.Acknowledged(p.append, w.at(p.at), w.now)
+				p.awaited = false
+			default:
+				l.Failed(p.append, w.now)
+				p.awaited = false
+			}
 		}
-		ok := p.at == len(w.log) && (p.rec.Era == w.era || w.restores)
-		if ok {
-			w.log = append(w.log, p.rec)
+		if p.awaited && !w.now.Before(p.givesUp) {
+			l.Failed(p.append, w.now)
+			p.awaited = false
 		}
-		l := w.nodes[p.node]
-		switch {
-		case !l.self.SameIncarnation(p.rec):
-			// The process that sent it has ended.
-		case ok && p.answer && p.rec.Era == w.era && !w.now.Before(w.frozen[p.node]):
-			l.Acknowledged(w.at(p.at), w.now)
-		default:
-			l.Failed(w.now)
+		if !p.done || p.awaited {
+			later = append(later, p)
 		}
 	}
 	w.pending = later
@@ -330,18 +445,25 @@
 
 func (w *logModel) appendIfWanted(t *rapid.T, i int) {
 	l := w.nodes[i]
-	if !l.ShouldAppend(w.now) {
-		return
+	switch {
+	case l.ReleaseDue():
+		w.send(t, i, l.BeginRelease(w.now))
+	case l.ShouldAppend(w.now):
+		w.send(t, i, l.Begin(w.now, nil))
 	}
-	rec := l.Begin(w.now, nil)
+}
+
+// send carries an append out, in time or late, and answers it or not.
+func (w *logModel) send(t *rapid.T, i int, a Append) {
+	const patience = 1500 * time.Millisecond
 	late := time.Duration(rapid.SampledFrom([]int{4, 4, 4, 300, 3000, 6000}).Draw(t, "late")) * time.Millisecond
 	answer := rapid.IntRange(0, 3).Draw(t, "answer") > 0
-	w.pending = append(w.pending, pendingAppend{i, int(position.Offset(l.End())), rec, w.now.Add(late), answer})
-	if late > 1500*time.Millisecond || !answer {
-		// The node no longer waits for the answer.
-		l.Failed(w.now)
-		w.pending[len(w.pending)-1].answer = false
+	p := pendingAppend{node: i, at: int(position.Offset(a.At)), append: a, arrives: w.now.Add(late), answer: answer, givesUp: w.now.Add(patience), awaited: true}
+	if !w.releases && (late > patience || !answer) {
+		w.nodes[i].Failed(a, w.now)
+		p.answer, p.awaited = false, false
 	}
+	w.pending = append(w.pending, p)
 }
 
 func (w *logModel) check(t *rapid.T, highest uint64) uint64 {
@@ -371,10 +493,9 @@
 	if !l.ShouldAppend(at(200)) {
 		t.Fatal("ShouldAppend = false after the delay, although the lease is free")
 	}
-	l.Begin(at(200), nil)
-	l.Acknowledged(0, at(210))
-	rec, _ := l.Releasing()
-	l.Apply(1, rec, at(5000))
+	l.Acknowledged(l.Begin(at(200), nil), 0, at(210))
+	l.GiveUp()
+	l.Acknowledged(l.BeginRelease(at(4990)), 1, at(5000))
 	l.CaughtUp(2, at(5000))
 	got := []bool{l.ShouldAppend(at(5000)), l.ShouldAppend(at(5099)), l.ShouldAppend(at(5100))}
 	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
@@ -388,8 +509,7 @@
 func TestAckOfAnotherEra(t *testing.T) {
 	l := New(Record{Holder: "a", Incarnation: "a-1"}, 0)
 	l.CaughtUp(0, start)
-	l.Begin(start, nil)
-	l.Acknowledged(position.Begin(1), at(10))
+	l.Acknowledged(l.Begin(start, nil), position.Begin(1), at(10))
 	if fence, held := l.Held(at(10)); held {
 		t.Errorf("the lease is held under fencing number %d by a record of an earlier era", fence)
 	}
--- a/core/lease/outage_test.go
+++ b/core/lease/outage_test.go
@@ -50,8 +50,7 @@
 	l := New(rec("b"), 0)
 	l.Apply(0, rec("a"), at(0))
 	l.CaughtUp(1, at(0))
-	l.Begin(at(3000), nil)
-	l.Failed(at(4500))
+	l.Failed(l.Begin(at(3000), nil), at(4500))
 	if !l.TakeoverPending() {
 		t.Error("after a takeover without an answer: TakeoverPending = false, want true")
 	}
@@ -263,17 +262,17 @@
 
 func (w *outageModel) tryAppend(t *rapid.T, i int) {
 	m := w.members[i]
-	rec := m.Begin(w.now, m.outage.Others(w.now))
+	a := m.Begin(w.now, m.outage.Others(w.now))
 	if w.now.Before(m.cutOff) {
 		if rapid.Bool().Draw(t, "carried out late") {
 			late := time.Duration(rapid.IntRange(1, 120).Draw(t, "late")) * modelStep
-			w.pending = append(w.pending, pendingAppend{i, int(m.End()), rec, w.now.Add(late), false})
+			w.pending = append(w.pending, pendingAppend{node: i, at: int(a.At), append: a, arrives: w.now.Add(late)})
 		}
-		m.Failed(w.now)
+		m.Failed(a, w.now)
 		m.outage.Failed(w.now)
 		return
 	}
-	w.pending = append(w.pending, pendingAppend{i, int(m.End()), rec, w.now, true})
+	w.pending = append(w.pending, pendingAppend{node: i, at: int(a.At), append: a, arrives: w.now, answer: true, givesUp: w.now.Add(time.Hour), awaited: true})
 }
 
 // order sends an order if the node may, and panics if its fencing number is lower than an earlier one.
@@ -315,13 +314,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			l := New(Record{Holder: "a", Incarnation: "1"}, 0)
 			l.CaughtUp(0, at(0))
-			l.Begin(at(0), nil)
-			l.Acknowledged(0, at(4))
+			l.Acknowledged(l.Begin(at(0), nil), 0, at(4))
 			o := NewOutage("a", tt.fenced)
 			o.ReportReceived("b", Report{At: at(4)})
 			o.Acquired(l, at(4))
-			l.Begin(at(5000), nil)
-			l.Acknowledged(1, at(5004))
+			l.Acknowledged(l.Begin(at(5000), nil), 1, at(5004))
 			o.ReportReceived("b", Report{At: at(5004)})
 			o.Renewed(at(5004))
 			now := l.Until().Add(tt.after)
--- a/core/lease/turnmodel_test.go
+++ b/core/lease/turnmodel_test.go
@@ -65,9 +65,6 @@
 	read                 int
 	readEra              uint64
 	nextRead             time.Time
-	// releasing is set once the node has stopped to order in order to release the lease, and stopped from then until its
-	// process starts again.
-	releasing, stopped bool
 	// notBefore is the limit of waitAll and waitNamed, by engine.
 	notBefore map[int]time.Time
 	nextOrder []time.Time
@@ -120,7 +117,7 @@
 	n.life++
 	n.Lease = New(Record{Holder: w.name(i), Incarnation: fmt.Sprint(w.name(i), "-", n.life)}, w.delay(i))
 	n.turns = NewTurns(turnBound, w.now)
-	n.read, n.readEra, n.nextRead, n.releasing, n.stopped = 0, 0, time.Time{}, false, false
+	n.read, n.readEra, n.nextRead = 0, 0, time.Time{}
 	n.notBefore, n.nextOrder = make(map[int]time.Time), make([]time.Time, len(w.engines))
 	if w.fault == restartForgets {
 		n.turns.startedAt = w.now.Add(-time.Hour)
@@ -212,51 +209,45 @@
 // keepLease has a node renew, take or release the lease.
 func (w *turnModel) keepLease(i int) {
 	n := w.nodes[i]
-	if n.releasing {
+	if n.ReleaseDue() {
 		if !n.turns.Settled(w.now) && w.fault != releaseAtOnce {
 			return
 		}
-		n.releasing = false
-		if r, ok := n.Releasing(); ok {
-			for e := range w.engines {
-				if l := w.engines[e]; len(l) > 0 {
-					w.named[e] = l[len(l)-1].at
-				}
+		for e := range w.engines {
+			if l := w.engines[e]; len(l) > 0 {
+				w.named[e] = l[len(l)-1].at
 			}
-			w.append(i, r, usualDelay, func(uint64) {})
 		}
+		w.append(i, n.BeginRelease(w.now))
 		return
 	}
-	if n.stopped || !n.ShouldAppend(w.now) {
+	if !n.ShouldAppend(w.now) {
 		return
 	}
 	n.SetReturned(n.turns.Waiting(n.Lease, w.now) > 0)
-	r := n.Begin(w.now, nil)
+	a := n.Begin(w.now, nil)
 	if w.now.Before(n.cutOff) {
-		n.Failed(w.now)
+		n.Failed(a, w.now)
 		return
 	}
-	life := n.life
-	w.append(i, r, usualDelay, func(offset uint64) {
-		if n.life == life && w.runs(n) {
-			n.Acknowledged(offset, w.now)
-			n.read, n.readEra = int(position.Offset(offset))+1, w.era
-		}
-	})
+	w.append(i, a)
 }
 
-// append appends a record at the end that a node has read, after a delay.
-func (w *turnModel) append(i int, r Record, delay time.Duration, acknowledged func(offset uint64)) {
-	n, life, end := w.nodes[i], w.nodes[i].life, w.nodes[i].End()
-	w.later(delay, func() {
-		if end != w.at(len(w.log)) {
-			if n.life == life && !r.Release {
-				n.Failed(w.now)
+// append carries out an append at the end that a node has read, and answers it.
+func (w *turnModel) append(i int, a Append) {
+	n, life := w.nodes[i], w.nodes[i].life
+	w.later(usualDelay, func() {
+		if a.At != w.at(len(w.log)) {
+			if n.life == life {
+				n.Failed(a, w.now)
 			}
 			return
 		}
-		w.log = append(w.log, r)
-		acknowledged(w.at(len(w.log) - 1))
+		w.log = append(w.log, a.Record)
+		if n.life == life && w.runs(n) {
+			n.Acknowledged(a, a.At, w.now)
+			n.read, n.readEra = int(position.Offset(a.At))+1, w.era
+		}
 	})
 }
 
@@ -275,7 +266,7 @@
 func (w *turnModel) order(i int) {
 	n := w.nodes[i]
 	fence, held := n.Held(w.now)
-	if !held || n.releasing {
+	if !held {
 		return
 	}
 	for e := range w.engines {
@@ -313,8 +304,7 @@
 // stop has a node release the lease once its orders have ended, and end its process after a while. A new one starts later.
 func (w *turnModel) stop(i int, after time.Duration) {
 	n, life := w.nodes[i], w.nodes[i].life
-	_, n.releasing = n.Held(w.now)
-	n.stopped = true
+	n.Stop()
 	w.later(after, func() {
 		if n.life == life {
 			w.kill(i, 300*time.Millisecond)
--- a/core/lease/turns_test.go
+++ b/core/lease/turns_test.go
@@ -245,7 +245,7 @@
 // orderable counts the engines that some node may order now.
 func (w *turnModel) orderable() (n int) {
 	h := w.holder()
-	if h < 0 || w.nodes[h].releasing {
+	if h < 0 {
 		return 0
 	}
 	for e := range w.engines {
--- a/internal/placer/confirmed_test.go
+++ b/internal/placer/confirmed_test.go
@@ -303,8 +303,7 @@
 // gain has node i take the lease, or renew it.
 func (w *configWorld) gain(i int) {
 	c, now := w.nodes[i], w.clock.Now()
-	c.lease.Begin(now, nil)
-	c.lease.Acknowledged(w.leaseEnd, now)
+	c.lease.Acknowledged(c.lease.Begin(now, nil), w.leaseEnd, now)
 	w.leaseEnd++
 	c.maintainLease(context.Background(), now)
 	w.logNode(i, "holds the lease")
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -197,20 +197,14 @@
 	// read.
 	listed   bool
 	listedTo uint64
-	// released is set once the lease was released for a planned stop. sendRelease sends the record that releases it; nil if
-	// none is to be sent.
-	released    bool
-	sendRelease func()
 	// terms counts how often this process has published as the lease holder.
 	terms int
 	// termPublished is true once this term's publication has begun, which requires the list of endpoints. inherited
 	// is what the previous lease holder had published of each engine, by engine id.
 	termPublished bool
 	inherited     map[string][]string
-	// heldSince is when this node last gained the lease; handingOver is set while it releases the lease to a stronger
-	// node.
+	// heldSince is when this node last gained the lease.
 	heldSince        time.Time
-	handingOver      bool
 	holderState      holderState
 	misses           map[missKey]time.Time
 	unreportedMisses []peer.Miss
@@ -386,7 +380,7 @@
 func (c *Controller) step(ctx context.Context) {
 	now := c.o.Clock.Now()
 	c.maintainLease(ctx, now)
-	c.releaseOnceSettled(now)
+	c.releaseOnceSettled(ctx, now)
 	c.updateLatestLease()
 	c.updateLeaseRead()
 	c.followLedger()
@@ -408,14 +402,13 @@
 
 // maintainLease renews or takes the lease, and starts or ends this node's term when the lease is gained or lost.
 func (c *Controller) maintainLease(ctx context.Context, now time.Time) {
-	c.handOver(ctx, now)
+	c.handOver(now)
 	c.lease.SetUrgent(c.held && c.listed && !c.builds.readsHistory() && c.ledgerBehind())
-	if c.lease.ShouldAppend(now) && !c.handingOver && !c.stopping.Load() && !c.defersToHolder(now) && !c.listTimedOut(now) {
+	if c.lease.ShouldAppend(now) && !c.stopping.Load() && !c.defersToHolder(now) && !c.listTimedOut(now) {
 		c.lease.SetMembers(c.quotas.members(now))
 		c.lease.SetReturned(c.turns.Waiting(c.lease, now) > 0)
 		c.lease.SetLedger(c.nextLedger(ctx, now))
-		rec := c.lease.Begin(now, c.outage.Others(now))
-		go c.append(ctx, c.lease.End(), rec)
+		go c.append(ctx, c.lease.Begin(now, c.outage.Others(now)))
 	}
 	if c.planner.Fenced() {
 		c.lease.Superseded()
@@ -515,67 +508,78 @@
 	return !c.held && c.holderState.fresh && c.outage.FailedRecently(now)
 }
 
-// append appends a lease record and sends the result to the owner.
-func (c *Controller) append(ctx context.Context, at uint64, rec lease.Record) {
+// append sends an append of a lease record, and its result to the owner.
+func (c *Controller) append(ctx context.Context, a lease.Append) {
 	begun := c.o.Clock.Now()
-	offset, err := c.appendLease(ctx, at, rec)
+	offset, err := c.appendLease(ctx, a)
 	if err != nil {
-		c.inbox.Send(ctx, leaseFailed{err})
+		c.inbox.Send(ctx, leaseFailed{a, err})
 		return
 	}
-	c.inbox.Send(ctx, leaseAppended{rec, offset, begun})
+	c.inbox.Send(ctx, leaseAppended{a, offset, begun})
 }
 
-// appendLease appends a lease record at an offset, and fails if the topic does not end there.
-func (c *Controller) appendLease(ctx context.Context, at uint64, rec lease.Record) (offset uint64, err error) {
-	raw, err := json.Marshal(rec)
+// appendLease sends an append of a lease record, and fails if the topic does not end at a.At.
+func (c *Controller) appendLease(ctx context.Context, a lease.Append) (offset uint64, err error) {
+	raw, err := json.Marshal(a.Record)
 	if err != nil {
 		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	return c.o.Store.Append(ctx, at, raw)
+	return c.o.Store.Append(ctx, a.At, raw)
 }
 
 type leaseAppended struct {
-	rec    lease.Record
+	append lease.Append
 	offset uint64
 	// begun is when the append was sent.
 	begun time.Time
 }
 
 func (m leaseAppended) handle(c *Controller) {
-	c.lease.Acknowledged(m.offset, c.o.Clock.Now())
-	c.outage.Renewed(c.o.Clock.Now())
+	now := c.o.Clock.Now()
+	c.lease.Acknowledged(m.append, m.offset, now)
 	// A holder does not read the lease topic, so that its appends are what shows that the store answers.
 	c.storeHealth.succeeded(m.begun)
-	c.published.setLease(m.rec, m.offset)
+	if m.append.Record.Release {
+		c.o.Logger.Info("lease released", "position", m.offset)
+		c.leaseReleased()
+		return
+	}
+	c.outage.Renewed(now)
+	if rec, offset, ok := c.lease.Latest(); ok && offset == m.offset {
+		c.published.setLease(rec, offset)
+	}
 }
 
-type leaseFailed struct{ err error }
+type leaseFailed struct {
+	append lease.Append
+	err    error
+}
 
 func (m leaseFailed) handle(c *Controller) {
-	c.o.Logger.Debug("append of a lease record failed", "error", m.err.Error())
-	c.lease.Failed(c.o.Clock.Now())
+	if m.append.Record.Release {
+		// It may still take effect: a read of the topic will show.
+		c.o.Logger.Info("release of the lease failed", "error", m.err.Error())
+	} else {
+		c.o.Logger.Debug("append of a lease record failed", "error", m.err.Error())
+	}
+	c.lease.Failed(m.append, c.o.Clock.Now())
 	c.leaseUncertain.Store(true)
 }
 
-// BeginStop begins a planned stop: the node reports that it is stopping and releases the lease if it holds it. ctx
-// bounds the release.
+// BeginStop begins a planned stop: the node reports that it is stopping, orders engines no more, and releases the lease if
+// it holds it or an append in flight gives it the lease.
 func (c *Controller) BeginStop(ctx context.Context) {
 	c.stopping.Store(true)
-	c.inbox.Send(ctx, stop{ctx})
+	c.inbox.Send(ctx, stop{})
 }
 
-type stop struct{ ctx context.Context }
+type stop struct{}
 
-func (m stop) handle(c *Controller) {
+func (stop) handle(c *Controller) {
 	// Report the stop to the lease holder at once.
 	c.dirty = true
-	rec, ok := c.lease.Releasing()
-	if !ok || c.released {
-		return
-	}
-	c.released = true
-	c.sendRelease = func() { go c.append(m.ctx, c.lease.End(), rec) }
+	c.lease.Stop()
 }
--- a/internal/placer/handover.go
+++ b/internal/placer/handover.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"olivetiller/core/lease"
 )
 
 // Limits and delays of handing the lease over to a stronger node.
@@ -24,36 +22,28 @@
 // handOver releases the lease to the successor if that node is much stronger, or if only this one is cut off from
 // endpoints. Otherwise a weak machine that took the lease after a failure of all strong ones would keep it when they are
 // back, and is too slow to relay a long configuration to all nodes; and a node that is cut off could order nothing.
-func (c *Controller) handOver(ctx context.Context, now time.Time) {
+func (c *Controller) handOver(now time.Time) {
 	if !c.mayHandOver(now) {
 		return
 	}
 	to := c.successor(now)
-	rec, ok := c.lease.Releasing()
-	if !ok {
-		return
-	}
+	c.lease.GiveUp()
 	c.o.Logger.Info("lease handed over", "to", to, "strength", c.o.Strength, "itsStrength", c.nodes[to].strength, "cutOff", c.cutOff())
-	c.handingOver = true
-	c.sendRelease = func() { go c.release(ctx, c.lease.End(), rec) }
 }
 
-// releaseOnceSettled sends the record that releases the lease, if there is one, once no order of this node can arrive after
-// one of the next lease holder. Otherwise engines that check no fence would carry out the orders of two holders in the wrong
-// order.
-func (c *Controller) releaseOnceSettled(now time.Time) {
-	if c.sendRelease == nil || !c.turns.Settled(now) {
-		return
+// releaseOnceSettled releases the lease, if that is due, once no order of this node can arrive after one of the next lease
+// holder. Otherwise engines that check no fence would carry out the orders of two holders in the wrong order.
+func (c *Controller) releaseOnceSettled(ctx context.Context, now time.Time) {
+	if c.lease.ReleaseDue() && c.turns.Settled(now) {
+		go c.append(ctx, c.lease.BeginRelease(now))
 	}
-	c.sendRelease()
-	c.sendRelease = nil
 }
 
 // mayHandOver reports whether the lease should be handed over now.
 func (c *Controller) mayHandOver(now time.Time) bool {
 	_, held := c.lease.Held(now)
 	switch {
-	case !held || !c.held || c.paused || c.handingOver || c.stopping.Load():
+	case !held || !c.held || c.paused || c.stopping.Load():
 		return false
 	case now.Sub(c.heldSince) < handoverAfter || c.lease.Appending() || c.outage.SuspectsStore(c.lease, now):
 		return false
@@ -69,31 +59,8 @@
 	return c.o.Strength > 0 && f.strength >= handoverRatio*c.o.Strength
 }
 
-// release appends the record that releases the lease, and sends the result to the owner.
-func (c *Controller) release(ctx context.Context, at uint64, rec lease.Record) {
-	offset, err := c.appendLease(ctx, at, rec)
-	c.inbox.Send(ctx, handoverDone{rec: rec, offset: offset, err: err})
-}
-
-// handoverDone is the result of appending the record that releases the lease.
-type handoverDone struct {
-	rec    lease.Record
-	offset uint64
-	err    error
-}
-
-func (m handoverDone) handle(c *Controller) {
-	c.handingOver = false
-	now := c.o.Clock.Now()
-	if m.err != nil {
-		// The append may still take effect; a renewal or a read of the topic will show.
-		c.o.Logger.Info("lease handover failed", "error", m.err.Error())
-		c.lease.Failed(now)
-		c.leaseUncertain.Store(true)
-		return
-	}
-	c.lease.Apply(m.offset, m.rec, now)
-	// Otherwise this node, the first to know that the lease is free, would take it again.
+// leaseReleased delays the next takeover by this node, which is the first to know that the lease is free.
+func (c *Controller) leaseReleased() {
 	c.lease.SetSuccession(false, c.o.TakeoverDelay+handoverDelay)
 	c.leaseUncertain.Store(true)
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -250,8 +250,7 @@
 func TestAppendShowsStoreAvailable(t *testing.T) {
 	c := newController(clockwork.NewFakeClock())
 	c.storeHealth.failed(c.o.Clock.Now())
-	c.lease.Begin(c.o.Clock.Now(), nil)
-	leaseAppended{c.o.Self, 0, c.o.Clock.Now()}.handle(c)
+	leaseAppended{c.lease.Begin(c.o.Clock.Now(), nil), 0, c.o.Clock.Now()}.handle(c)
 	if c.storeHealth.unavailable() {
 		t.Error("the store has answered, but counts as unavailable")
 	}
@@ -273,8 +272,7 @@
 	})
 	<-waits
 	clock.Advance(time.Second)
-	c.lease.Begin(clock.Now(), nil)
-	leaseAppended{c.o.Self, 0, clock.Now()}.handle(c)
+	leaseAppended{c.lease.Begin(clock.Now(), nil), 0, clock.Now()}.handle(c)
 	fails <- true
 	// The message is sent after the failure was recorded.
 	if m, ok := (<-c.inbox.C).(storeReadFailed); !ok {
--- a/internal/placer/restore_test.go
+++ b/internal/placer/restore_test.go
@@ -126,8 +126,7 @@
 	c := newController(clock)
 	c.listed = true
 	hold := func(at uint64) uint64 {
-		c.lease.Begin(clock.Now(), nil)
-		c.lease.Acknowledged(at, clock.Now())
+		c.lease.Acknowledged(c.lease.Begin(clock.Now(), nil), at, clock.Now())
 		c.maintainLease(t.Context(), clock.Now())
 		_, fence := c.lease.Holder()
 		if err := c.mayOrder(fence); err != nil {
--- a/internal/placer/turns_test.go
+++ b/internal/placer/turns_test.go
@@ -37,8 +37,7 @@
 	store := appendStore{appended: make(chan lease.Record, 9)}
 	c.o.Store, c.o.TurnBound, c.turns = store, bound, lease.NewTurns(bound, clock.Now())
 	c.lease.CaughtUp(0, clock.Now())
-	c.lease.Begin(clock.Now(), nil)
-	c.lease.Acknowledged(0, clock.Now())
+	c.lease.Acknowledged(c.lease.Begin(clock.Now(), nil), 0, clock.Now())
 	c.maintainLease(t.Context(), clock.Now())
 	if !c.held {
 		t.Fatal("the lease is not held")
@@ -52,7 +51,7 @@
 	const bound = 3 * time.Second
 	answered := func(c *Controller) { orderDone{&placement.Order{Engine: "e"}, placement.Accepted}.handle(c) }
 	lost := func(c *Controller) { orderDone{&placement.Order{Engine: "e"}, placement.Unanswered}.handle(c) }
-	stopped := func(c *Controller) { stop{context.Background()}.handle(c) }
+	stopped := func(c *Controller) { stop{}.handle(c) }
 	tests := []struct {
 		name  string
 		bound time.Duration
@@ -80,9 +79,9 @@
 					tt.ended(c)
 				}
 				c.maintainLease(t.Context(), clock.Now())
-				sending := c.sendRelease != nil
-				c.releaseOnceSettled(clock.Now())
-				if sending && c.sendRelease == nil {
+				due := c.lease.ReleaseDue()
+				c.releaseOnceSettled(t.Context(), clock.Now())
+				if due && !c.lease.ReleaseDue() {
 					if waited != tt.want {
 						t.Errorf("released after %v, want %v", waited, tt.want)
 					}
@@ -162,8 +161,7 @@
 			c.maintainLease(t.Context(), clock.Now())
 			clock.Advance(time.Second)
 			c.lease.Apply(2, lease.Record{Holder: "b", Incarnation: "b-1", Release: true}, clock.Now())
-			c.lease.Begin(clock.Now(), nil)
-			c.lease.Acknowledged(3, clock.Now())
+			c.lease.Acknowledged(c.lease.Begin(clock.Now(), nil), 3, clock.Now())
 			c.maintainLease(t.Context(), clock.Now())
 			table, err := route.New(&route.Config{Version: 1, Services: []route.Service{{Name: "s", Engine: &route.Engine{
 				Slots: 8, WeightsMB: 210, LoadsPerSecond: 3, Models: []route.Model{{Name: "m", WeightsMB: 100, Load: 6 * time.Second, Warm: 400 * time.Millisecond}},
