lease: a former holder does not release another node's lease after a restore

Cause: a stopping node released the lease whenever the latest record that it knew was its own. After a restore that has lost the takeover of another node, that is so although the other one still holds. The release is the first record of the new era, so that nobody waits for the holder that the restore may have lost.

TestReleaseAfterRestore fails before: "restored after the term: ReleaseDue = true".

Why it works: a release is due in the era of the node's latest record, where its condition excludes another holder, or before the node's own term ends, as no other node can have taken the lease by then.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -116,6 +116,8 @@
 	// releaseDue is true if this node has given the lease up and is to release it. releaseFailed is true from a failed
 	// release until the topic is read again.
 	releaseDue, releaseFailed bool
+	// heldTo is the end of this node's term when it gave the lease up: no other node can have taken the lease before.
+	heldTo time.Time
 	// stopped is true if this node is about to end: it takes and renews the lease no more.
 	stopped bool
 	// readAt is when the topic was last read to its end; zero if it never was.
@@ -499,6 +501,7 @@
 	if !l.heldBySelf() {
 		return
 	}
+	l.heldTo = l.until
 	l.loseRight()
 	l.releaseDue = true
 }
@@ -506,14 +509,19 @@
 // Stop makes this node send no more orders and take the lease no more, since it is about to end. It releases the lease if it
 // holds it, also by an append that is still in flight.
 func (l *Lease) Stop() {
+	l.heldTo = latest(l.heldTo, l.until)
 	l.loseRight()
 	l.stopped = true
 }
 
 // ReleaseDue reports whether this node should release the lease now. After a failed release it waits for a read of the
 // topic, which shows whether the record was added.
-func (l *Lease) ReleaseDue() bool {
-	return (l.releaseDue || l.stopped) && l.heldBySelf() && l.release.id == 0 && !l.releaseFailed
+func (l *Lease) ReleaseDue(now time.Time) bool {
+	if !l.releaseDue && !l.stopped || !l.heldBySelf() || l.fromEarlierEra || l.release.id != 0 || l.releaseFailed {
+		return false
+	}
+	// In a later era than that of its latest record the holder may be another node, whose takeover the restore lost.
+	return position.Era(l.latestPos) == position.Era(l.end) || now.Before(l.heldTo)
 }
 
 // BeginRelease records that the release is being sent, and returns it.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -232,7 +232,7 @@
 			l.CaughtUp(0, at(0))
 			l.Acknowledged(l.Begin(at(0), nil), 0, at(4))
 			tt.do(l, l.Begin(at(600), nil))
-			got := state{ReleaseDue: l.ReleaseDue(), ShouldAppend: l.ShouldAppend(at(1100))}
+			got := state{ReleaseDue: l.ReleaseDue(at(1100)), ShouldAppend: l.ShouldAppend(at(1100))}
 			_, got.Held = l.Held(at(1100))
 			if diff := cmp.Diff(tt.want, got); diff != "" {
 				t.Errorf("after the answers (-want +got):\n%s", diff)
@@ -245,12 +245,42 @@
 		takeover := l.Begin(at(0), nil)
 		l.Stop()
 		l.Acknowledged(takeover, 0, at(4))
-		if _, held := l.Held(at(4)); held || !l.ReleaseDue() {
-			t.Errorf("held = %t, release due = %t, want a release", held, l.ReleaseDue())
+		if _, held := l.Held(at(4)); held || !l.ReleaseDue(at(4)) {
+			t.Errorf("held = %t, release due = %t, want a release", held, l.ReleaseDue(at(4)))
 		}
 	})
 }
 
+// TestReleaseAfterRestore guards against a former holder that releases the lease of another node: the restore of the store has
+// lost the takeover, and the next node took the lease at once, without the wait for that holder's term.
+func TestReleaseAfterRestore(t *testing.T) {
+	tests := []struct {
+		name string
+		// restored is when the stopped node reads that the store was restored, in ms; 0 if never. Its term ends after 1,800 ms.
+		restored, now int
+		want          bool
+	}{
+		{"no restore", 0, 3000, true},
+		{"restored within the term", 1200, 1300, true},
+		{"restored within the term, long ago", 1200, 1800, false},
+		{"restored after the term", 2000, 2000, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New(rec("a"), 0)
+			l.CaughtUp(0, at(0))
+			l.Acknowledged(l.Begin(at(0), nil), 0, at(4))
+			l.Stop()
+			if tt.restored > 0 {
+				l.CaughtUp(position.Begin(1), at(tt.restored))
+			}
+			if got := l.ReleaseDue(at(tt.now)); got != tt.want {
+				t.Errorf("ReleaseDue = %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestOutlasts checks how long a holder may continue while the store is unreachable, and that any
 // sign of another holder ends it.
 func TestOutlasts(t *testing.T) {
@@ -446,7 +476,7 @@
 func (w *logModel) appendIfWanted(t *rapid.T, i int) {
 	l := w.nodes[i]
 	switch {
-	case l.ReleaseDue():
+	case l.ReleaseDue(w.now):
 		w.send(t, i, l.BeginRelease(w.now))
 	case l.ShouldAppend(w.now):
 		w.send(t, i, l.Begin(w.now, nil))
--- a/core/lease/turnmodel_test.go
+++ b/core/lease/turnmodel_test.go
@@ -209,7 +209,7 @@
 // keepLease has a node renew, take or release the lease.
 func (w *turnModel) keepLease(i int) {
 	n := w.nodes[i]
-	if n.ReleaseDue() {
+	if n.ReleaseDue(w.now) {
 		if !n.turns.Settled(w.now) && w.fault != releaseAtOnce {
 			return
 		}
--- a/internal/placer/handover.go
+++ b/internal/placer/handover.go
@@ -34,7 +34,7 @@
 // releaseOnceSettled releases the lease, if that is due, once no order of this node can arrive after one of the next lease
 // holder. Otherwise engines that check no fence would carry out the orders of two holders in the wrong order.
 func (c *Controller) releaseOnceSettled(ctx context.Context, now time.Time) {
-	if c.lease.ReleaseDue() && c.turns.Settled(now) {
+	if c.lease.ReleaseDue(now) && c.turns.Settled(now) {
 		go c.append(ctx, c.lease.BeginRelease(now))
 	}
 }
--- a/internal/placer/turns_test.go
+++ b/internal/placer/turns_test.go
@@ -79,9 +79,9 @@
 					tt.ended(c)
 				}
 				c.maintainLease(t.Context(), clock.Now())
-				due := c.lease.ReleaseDue()
+				due := c.lease.ReleaseDue(clock.Now())
 				c.releaseOnceSettled(t.Context(), clock.Now())
-				if due && !c.lease.ReleaseDue() {
+				if due && !c.lease.ReleaseDue(clock.Now()) {
 					if waited != tt.want {
 						t.Errorf("released after %v, want %v", waited, tt.want)
 					}
