directory: removals are held back only after an outage in which entries can lapse

Calls that may not be repeated were lost with 502 as the endpoints ended.

Cause: each call of a reader without an answer counted as an outage of the store, in which entries lapse though their endpoints live. A removal read within 2.5 s of it was held back until then, whatever the settings allow. The holder published the entry as live and the list as just read, so that the nodes that it feeds did not read for themselves.

Change: directory.Lapses decides. The list must have been unreadable for two heartbeats (an entry lapses after three without a write), with two calls without an answer, or one where the holder has lost the store too. The hold ends 2.5 s after the first answer, and contact_ms after the last failed call was sent at the latest. While a removal is held back, what a holder publishes keeps its age. heartbeat_ms and contact_ms are read from the settings. The pause after a failed read counts from its start, so that the end of an outage is noticed as soon where reads time out as where they are refused.

Why it works: a cut that a holder survives as the holder is too short for an entry to lapse, and what made the last failed call fail keeps a node out of touch for contact_ms. TestFeederRelaysDeletedEndpoint now plays an outage that holds a removal back.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -84,10 +84,6 @@
 	Since uint64
 }
 
-// registerGrace is how long a running endpoint may take to register again once the store is reachable.
-// The platform states about two seconds.
-const registerGrace = 2500 * time.Millisecond
-
 // Directory is the list of endpoints of one node. It is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*Entry
@@ -126,10 +122,22 @@
 	d.tombstones[e.ID] = e
 }
 
-// StoreUnreachable records that the store did not answer at now. Entries whose deletion is read from the store within
-// the following registerGrace count as gone only at its end. A relayed deletion counts at once, since the node that
-// relays it has waited itself if the store did not answer it.
-func (d *Directory) StoreUnreachable(now time.Time) { d.deletionsValidAt = now.Add(registerGrace) }
+// HoldRemovals sets the earliest time at which an entry whose deletion is read from the store may count as gone; see [Lapses].
+// A relayed deletion counts at once, since the node that relays it holds it back itself where that is due.
+func (d *Directory) HoldRemovals(until time.Time) { d.deletionsValidAt = until }
+
+// HeldBack reports whether an entry whose deletion was read still counts as live.
+func (d *Directory) HeldBack(now time.Time) bool {
+	if !d.deletionsValidAt.After(now) {
+		return false
+	}
+	for _, e := range d.tombstones {
+		if e.GoneAt.After(now) {
+			return true
+		}
+	}
+	return false
+}
 
 // Apply applies one record and returns what changed.
 func (d *Directory) Apply(r Record, now time.Time) Change {
@@ -257,8 +265,8 @@
 	}
 }
 
-// markGone marks an entry as gone: at once if a relayed record deletes it, otherwise after the grace time that
-// [Directory.StoreUnreachable] began. It never moves the time later.
+// markGone marks an entry as gone: at once if a relayed record deletes it, otherwise not before the time set by
+// [Directory.HoldRemovals]. It never moves the time later.
 func (d *Directory) markGone(e *Entry, now time.Time, relayed bool) Change {
 	at := now
 	if !relayed && d.deletionsValidAt.After(now) {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -50,17 +50,17 @@
 		}, at(100), nil},
 		{"vanished after the store was away", func(d *Directory) {
 			d.Apply(registered("a"), at(0))
-			d.StoreUnreachable(at(5000))
+			d.HoldRemovals(at(5000).Add(registerGrace))
 			d.Apply(Record{ID: "a"}, at(5100))
 		}, at(7400), []string{"a"}},
 		{"vanished and still missing later", func(d *Directory) {
 			d.Apply(registered("a"), at(0))
-			d.StoreUnreachable(at(5000))
+			d.HoldRemovals(at(5000).Add(registerGrace))
 			d.Apply(Record{ID: "a"}, at(5100))
 		}, at(7500), nil},
 		{"vanished and back", func(d *Directory) {
 			d.Apply(registered("a"), at(0))
-			d.StoreUnreachable(at(5000))
+			d.HoldRemovals(at(5000).Add(registerGrace))
 			d.Apply(Record{ID: "a"}, at(5100))
 			d.Apply(registered("a"), at(6500))
 		}, at(9000), []string{"a"}},
@@ -97,7 +97,7 @@
 		{"gone, and relayed by one that keeps it because the store was away", func(d *Directory) {
 			keeper := New()
 			keeper.Apply(version(3, registered("a")), at(0))
-			keeper.StoreUnreachable(at(10))
+			keeper.HoldRemovals(at(10).Add(registerGrace))
 			keeper.Replace(nil, 9, at(20), ignoreChange)
 			d.Apply(version(3, registered("a")), at(0))
 			d.Apply(version(7, Record{ID: "a"}), at(10))
@@ -107,42 +107,42 @@
 		}, at(30), nil},
 		{"relayed as gone after the store was away", func(d *Directory) {
 			d.Apply(version(3, registered("a")), at(0))
-			d.StoreUnreachable(at(10))
+			d.HoldRemovals(at(10).Add(registerGrace))
 			d.Apply(version(7, relayed(Record{ID: "a"})), at(20))
 		}, at(20), nil},
 		{"kept after the store was away, and relayed as gone", func(d *Directory) {
 			d.Apply(version(3, registered("a")), at(0))
-			d.StoreUnreachable(at(10))
+			d.HoldRemovals(at(10).Add(registerGrace))
 			d.Apply(version(9, Record{ID: "a"}), at(20))
 			d.Apply(version(7, relayed(Record{ID: "a"})), at(30))
 		}, at(30), nil},
 		{"kept after the store was away, and missing on a relayed whole list", func(d *Directory) {
 			d.Apply(version(3, registered("a")), at(0))
-			d.StoreUnreachable(at(10))
+			d.HoldRemovals(at(10).Add(registerGrace))
 			d.Replace(nil, 9, at(20), ignoreChange)
 			d.ReplaceRelayed(nil, 7, at(30), ignoreChange)
 		}, at(30), nil},
 		{"kept after the store was away, and missing on a relayed whole list of before it was added", func(d *Directory) {
 			d.Apply(version(7, registered("a")), at(0))
-			d.StoreUnreachable(at(10))
+			d.HoldRemovals(at(10).Add(registerGrace))
 			d.Replace(nil, 9, at(20), ignoreChange)
 			d.ReplaceRelayed(nil, 6, at(30), ignoreChange)
 		}, at(30), []string{"a"}},
 		{"kept after the store was away, and relayed as gone before it was added", func(d *Directory) {
 			d.Apply(version(7, registered("a")), at(0))
-			d.StoreUnreachable(at(10))
+			d.HoldRemovals(at(10).Add(registerGrace))
 			d.Apply(version(9, Record{ID: "a"}), at(20))
 			d.Apply(version(5, relayed(Record{ID: "a"})), at(30))
 		}, at(30), []string{"a"}},
 		{"kept after the store was away, and on a relayed whole list", func(d *Directory) {
 			d.Apply(version(3, registered("a")), at(0))
-			d.StoreUnreachable(at(10))
+			d.HoldRemovals(at(10).Add(registerGrace))
 			d.Replace(nil, 9, at(20), ignoreChange)
 			d.ReplaceRelayed([]Record{version(3, relayed(registered("a")))}, 7, at(30), ignoreChange)
 		}, at(30), []string{"a"}},
 		{"back after the store was away, and missing on an older relayed whole list", func(d *Directory) {
 			d.Apply(version(3, registered("a")), at(0))
-			d.StoreUnreachable(at(10))
+			d.HoldRemovals(at(10).Add(registerGrace))
 			d.Replace(nil, 9, at(20), ignoreChange)
 			d.Apply(version(11, registered("a")), at(25))
 			d.ReplaceRelayed(nil, 9, at(30), ignoreChange)
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -63,6 +63,9 @@
 	// TurnBound is the time within which orders of two nodes must not alternate at an engine; 0 if engines reject orders
 	// with an outdated fence.
 	TurnBound time.Duration
+	// Heartbeat is the interval at which endpoints write their entries, and Contact how long after a disruption of a node the
+	// platform's bounds hold for it again; 0 if the platform states none.
+	Heartbeat, Contact time.Duration
 	// Tolerance is the excess over customers' limits that the platform tolerates.
 	Tolerance quota.Tolerance
 	// Cold is the excess over the rate limit of a cold endpoint that the platform tolerates.
@@ -266,7 +269,7 @@
 		Self:  lease.Record{Holder: s.Name, Incarnation: incarnation, Address: s.PeerAddress},
 		Clock: n.clock, Logger: n.logger.Named("control"), Store: p.Store, Engines: p.Engines,
 		Peers: peers, Paths: n.paths, Regions: s.Regions, Dispatcher: n.traffic, Isolation: n.isolation, Limits: s.Loads, Retries: s.Retries,
-		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Hall: s.Hall, Strength: s.Cores * s.LinkMbps, Bound: s.ReactionBound, FirstStart: s.FirstStart, Fenced: s.Fenced, TurnBound: s.TurnBound, Tolerance: s.Tolerance, ColdTolerance: s.Cold,
+		TakeoverDelay: takeoverDelay(s.Name, s.Cores), Hall: s.Hall, Strength: s.Cores * s.LinkMbps, Bound: s.ReactionBound, FirstStart: s.FirstStart, Fenced: s.Fenced, TurnBound: s.TurnBound, Heartbeat: s.Heartbeat, Contact: s.Contact, Tolerance: s.Tolerance, ColdTolerance: s.Cold,
 		Own: []string{s.CallerAddress, s.ReadyAddress, s.PeerAddress, s.MetricsAddress},
 	})
 	n.origins = origins.New(origins.Options{
--- a/internal/placer/controller.go
+++ b/internal/placer/controller.go
@@ -90,6 +90,9 @@
 	// TurnBound is the time within which orders of two nodes must not alternate at an engine; see [lease.Turns]. It is 0 if
 	// engines check the fence.
 	TurnBound time.Duration
+	// Heartbeat is the interval at which endpoints write their entries, and Contact how long after a disruption of a node the
+	// platform's bounds hold for it again; 0 selects a default.
+	Heartbeat, Contact time.Duration
 	// FirstStart is true if the whole fleet is started for the first time, so that an empty lease topic has lost nothing.
 	FirstStart bool
 	// Tolerance is by how much requests may exceed customers' limits.
@@ -191,6 +194,11 @@
 	turns     *lease.Turns
 	planner   *placement.Planner
 	directory *directory.Directory
+	// lapses decides for how long removals of entries are held back after an outage of the store, and removalHeld is true if one
+	// was at the last read. listReadAt is when this node last sent a read of the list that reached its end.
+	lapses      *directory.Lapses
+	removalHeld bool
+	listReadAt  time.Time
 	// held is true while this node orders engines as the lease holder.
 	held bool
 	// listed is set once the list of endpoints was read or received, and listedTo is the version up to which it was
@@ -263,6 +271,7 @@
 	}
 	c.startedAt, c.firstReady = o.Clock.Now(), make(chan struct{})
 	c.turns = lease.NewTurns(o.TurnBound, c.startedAt)
+	c.lapses = directory.NewLapses(o.Heartbeat, o.Contact)
 	c.peers.init(o.Self.Incarnation)
 	c.gateways.reset()
 	c.published.init()
--- a/internal/placer/feeding_test.go
+++ b/internal/placer/feeding_test.go
@@ -237,7 +237,7 @@
 // readStore has f read the whole list from the store itself, after a failed read if failed is true.
 func (s *feedSite) readStore(f *feedFollower, failed bool) {
 	if failed {
-		f.list.StoreUnreachable(s.now)
+		f.list.HoldRemovals(s.now.Add(2500 * time.Millisecond))
 	}
 	f.list.Replace(slices.Collect(maps.Values(s.records)), s.offset, s.now, func(directory.Record, directory.Change) {})
 }
@@ -403,9 +403,16 @@
 	fetch(feeder, &holder)
 	holder.publishInstances([]directory.Record{record("stays", 4)}, 7)
 	fetch(leaf, &holder)
-	storeReadFailed{}.handle(feeder)
+	// An outage in which entries may have lapsed, so that the feeder holds removals back.
+	clock.Advance(5 * time.Second)
+	for range 2 {
+		storeReadFailed{topic: endpointsTopic, asked: clock.Now()}.handle(feeder)
+	}
 	page := logstore.Page[logstore.Instance]{Records: []logstore.Record[logstore.Instance]{{Offset: 3, Value: logstore.Instance{ID: "stays", Instance: instance("stays")}}}, Next: 9, End: 9}
 	instancePage{page, true, clock.Now()}.handle(feeder)
+	if diff := cmp.Diff([]string{"leaves", "stays"}, live(feeder)); diff != "" {
+		t.Errorf("endpoints in use after the outage (-want +got):\n%s", diff)
+	}
 	holder.setFeeders([]feedtree.Node{{Name: "x", Address: "x:1"}}, 200)
 	fetch(feeder, &holder)
 	fetch(leaf, &feeder.relay)
--- a/internal/placer/halls_test.go
+++ b/internal/placer/halls_test.go
@@ -180,7 +180,7 @@
 	clock := clockwork.NewFakeClock()
 	c := newHallController(t, clock)
 	c.publish(clock.Now())
-	c.directory.StoreUnreachable(clock.Now())
+	c.directory.HoldRemovals(clock.Now().Add(2500 * time.Millisecond))
 	c.directory.Apply(directory.Record{ID: "e-1", Version: 2}, clock.Now())
 	c.touch("e-1")
 	c.publish(clock.Now())
--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -322,7 +322,9 @@
 	if s.ConfigVersion > 0 {
 		c.recordReadTo(s.ConfigReadTo)
 	}
-	c.relayed.Store(&relayMark{at: m.storeReadAt(now)})
+	at := m.storeReadAt(now)
+	c.lapses.ListRelayed(at)
+	c.relayed.Store(&relayMark{at: at})
 }
 
 // setNodes records how many nodes share the traffic, as counted by the lease holder.
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -191,7 +191,7 @@
 
 // updateListedAsOf updates the result of ListedAsOf, after the view was put in force.
 func (c *Controller) updateListedAsOf() {
-	at := c.published.instancesReadAt()
+	at := c.listReadAt
 	if m := c.relayed.Load(); m != nil && m.at.After(at) {
 		at = m.at
 	}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -39,6 +39,9 @@
 	outagePause = 500 * time.Millisecond
 )
 
+// endpointsTopic is the name of the reader of the list of endpoints.
+const endpointsTopic = "endpoints"
+
 // reader reads one topic of the store repeatedly.
 type reader[T any] struct {
 	name string
@@ -78,7 +81,7 @@
 		},
 	})
 	go follow(ctx, c, reader[logstore.Instance]{
-		name: "endpoints", holderInterval: c.timing.instancesEvery, ownInterval: c.timing.ownInstancesEvery, readFull: s.NewestInstances, read: s.Instances, idle: c.skipsStoreReads,
+		name: endpointsTopic, holderInterval: c.timing.instancesEvery, ownInterval: c.timing.ownInstancesEvery, readFull: s.NewestInstances, read: s.Instances, idle: c.skipsStoreReads,
 		apply: func(p logstore.Page[logstore.Instance], full bool, asked time.Time) message {
 			return instancePage{p, full, asked}
 		},
@@ -188,11 +191,12 @@
 			if r.retriesInOutage {
 				c.storeHealth.failed(started)
 			}
-			c.inbox.Send(ctx, storeReadFailed{r.retriesInOutage})
+			c.inbox.Send(ctx, storeReadFailed{r.name, r.retriesInOutage, started})
 			if c.holderLostStore.Load() {
 				pause = outagePause
 			}
-			c.pause(ctx, pause)
+			// From one read to the next, so that the store's return is noticed as soon after reads that time out.
+			c.pause(ctx, max(retryPause, pause-c.o.Clock.Now().Sub(started)))
 			pause, silence = min(2*pause, c.timing.maxRetryPause), min(2*silence, c.timing.maxSilenceTimeout)
 			continue
 		}
@@ -279,13 +283,21 @@
 	}
 }
 
-// storeReadFailed reports that a reader got no answer from the store; leaseTopic is true for the reader of the lease.
-type storeReadFailed struct{ leaseTopic bool }
+// storeReadFailed reports that a reader got no answer from the store.
+type storeReadFailed struct {
+	topic string
+	// leaseTopic is true for the reader of the lease.
+	leaseTopic bool
+	// asked is when the read was sent.
+	asked time.Time
+}
 
 func (m storeReadFailed) handle(c *Controller) {
 	now := c.o.Clock.Now()
 	c.outage.Failed(now)
-	c.directory.StoreUnreachable(now)
+	if m.leaseTopic || m.topic == endpointsTopic {
+		c.lapses.Failed(m.asked, c.holderLostStore.Load())
+	}
 	if m.leaseTopic {
 		c.leaseReadFailedAt = now
 		c.dirty = c.dirty || c.holderLostStore.Load()
@@ -355,9 +367,11 @@
 func (m instancePage) handle(c *Controller) {
 	now := c.o.Clock.Now()
 	c.enterEra(position.Era(m.page.Next), now)
+	c.lapses.ListRead(m.asked, now)
+	c.directory.HoldRemovals(c.lapses.HoldUntil())
 	if m.full && c.listed && !c.rewriteGraceOver(now) {
 		// The store was restored from a backup, and this node's state is newer. What is written again is read later.
-		c.published.instancesRead(m.asked)
+		c.listRead(m.asked, now)
 		return
 	}
 	changes := &listChanges{source: "store"}
@@ -386,7 +400,22 @@
 		}
 	}
 	if m.page.Next >= m.page.End {
-		c.published.instancesRead(m.asked)
+		c.listRead(m.asked, now)
+	}
+}
+
+// listRead records that the list was read to its end by a read that was sent at a time. While a removal is held back, what
+// this node publishes is as old as before: others may know that the store was not away, and are to read for themselves.
+func (c *Controller) listRead(asked, now time.Time) {
+	c.listReadAt = asked
+	heldBack := c.directory.HeldBack(now)
+	if c.removalHeld && !heldBack && c.held {
+		// The published list must not contain the entry any more.
+		c.publishInstances(now)
+	}
+	c.removalHeld = heldBack
+	if !heldBack {
+		c.published.instancesRead(asked)
 	}
 }
 
--- a/internal/placer/returned_test.go
+++ b/internal/placer/returned_test.go
@@ -34,7 +34,7 @@
 		q.Life, q.Version = s.Term, s.Version
 	}
 	fetch()
-	holder.StoreUnreachable(now)
+	holder.HoldRemovals(now.Add(2500 * time.Millisecond))
 	holder.Apply(gone, now)
 	p.publishInstances(holder.Records(now), 2)
 	follower.Apply(gone, now)
--- a/internal/placer/storestate.go
+++ b/internal/placer/storestate.go
@@ -13,7 +13,8 @@
 type storeState struct {
 	config    confirmedConfig
 	instances map[string]instanceEntry
-	// configAt and instancesAt are when the latest reads of the topics up to their ends were sent.
+	// configAt and instancesAt are when the latest reads of the topics up to their ends were sent of which the publication
+	// shows all.
 	configAt, instancesAt time.Time
 	// listedTo is the version up to which the list of endpoints was read.
 	listedTo    uint64
@@ -106,13 +107,6 @@
 	p.store.instancesAt = asked
 }
 
-// instancesReadAt returns when the latest read of the list to its end was sent.
-func (p *publication) instancesReadAt() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.store.instancesAt
-}
-
 // setLease publishes the latest lease record.
 func (p *publication) setLease(rec lease.Record, offset uint64) {
 	p.mu.Lock()
