--- a/internal/placer/holderstate.go
+++ b/internal/placer/holderstate.go
@@ -181,13 +181,18 @@
 	madeAt time.Time
 }
 
+// asOf returns a time at which the ages that the snapshot states may have been true, for one that is handled at now. It is the
+// earliest such time.
+func (m snapshotReceived) asOf(now time.Time) time.Time {
+	if at := now.Add(-m.transit); at.Before(m.madeAt) {
+		return at
+	}
+	return m.madeAt
+}
+
 // storeReadAt returns when the store had been read to its end, for a snapshot that is handled at now.
 func (m snapshotReceived) storeReadAt(now time.Time) time.Time {
-	at := now.Add(-m.transit)
-	if m.madeAt.Before(at) {
-		at = m.madeAt
-	}
-	return at.Add(-time.Duration(m.s.AgeMs) * time.Millisecond)
+	return m.asOf(now).Add(-time.Duration(m.s.AgeMs) * time.Millisecond)
 }
 
 func (m snapshotReceived) handle(c *Controller) {
@@ -201,7 +206,7 @@
 		c.touchAll()
 	}
 	c.viewStale = c.viewStale || s.Version != r.version
-	r.version, r.seenAt = s.Version, now.Add(-time.Duration(s.HolderAgeMs)*time.Millisecond)
+	r.version, r.seenAt = s.Version, m.asOf(now).Add(-time.Duration(s.HolderAgeMs)*time.Millisecond)
 	seenAt := r.seenAt
 	c.holderSeenAt.Store(&seenAt)
 	r.fresh = now.Sub(r.seenAt) <= holderTTL
--- a/internal/placer/holderstate_test.go
+++ b/internal/placer/holderstate_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
 
 	"olivetiller/core/placement"
+	"olivetiller/io/peer"
 )
 
 // TestRankOfRegions checks that the most urgent rank that waits in any region of a pool applies to its unit.
@@ -29,3 +32,30 @@
 		}
 	}
 }
+
+// TestHolderStateAge guards against a state of the lease holder that counts as fresh for longer than holderTTL after the holder had
+// sent it, because its time on the way and in the inbox did not count.
+func TestHolderStateAge(t *testing.T) {
+	tests := []struct {
+		name string
+		// transit is the time on the way, and inbox the time from the arrival until the snapshot is handled.
+		transit, inbox time.Duration
+		fresh          bool
+	}{
+		{"at once", 0, 0, true},
+		{"long on the way", 1200 * time.Millisecond, 0, false},
+		{"handled late", 0, 1200 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			c := newController(clock)
+			madeAt := clock.Now()
+			clock.Advance(tt.transit + tt.inbox)
+			snapshotReceived{&peer.Snapshot{Term: "h-1", Version: 1, Full: true, HolderAgeMs: 1000}, tt.transit, madeAt}.handle(c)
+			if got := c.holderState.fresh; got != tt.fresh {
+				t.Errorf("fresh = %t, want %t", got, tt.fresh)
+			}
+		})
+	}
+}
