platform, peer, engine: an answer whose status is none answers no call

Callers and engines could see (reported by other operators; shown by tests here): an engine in trouble answers an order with status 000, and a load that it has taken is forgotten, so that later ones may not fit (LIMIT) and the lease is released without waiting for it. Callers themselves never got such an answer: answers, streams, inquiries, reports and tunnels hold.

Cause: each client listed the statuses that mean failure, and took any other one for a success (nodes, below 300) or a refusal (orders, the store).

TestInvalidStatusAtNode (each kind of request, directly and through a tunnel) and the cases of inquiries, reports and tunnels pass before and stay.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -145,6 +145,8 @@
 	}
 	cause := strings.TrimSpace(string(text))
 	switch {
+	case resp.StatusCode < http.StatusOK:
+		return eris.Wrapf(ErrUnknown, "status %03d, which answers no order", resp.StatusCode)
 	case resp.StatusCode == http.StatusServiceUnavailable:
 		// A gateway, or an engine at capacity, may answer so after the order was passed on.
 		return eris.Wrap(ErrUnknown, cause)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -524,8 +524,8 @@
 		return ErrNotHolder
 	case resp.StatusCode == http.StatusNotFound:
 		return ErrNoHolder
-	case resp.StatusCode >= http.StatusMultipleChoices:
-		return fmt.Errorf("peer: status %d: %.256s", resp.StatusCode, raw)
+	case resp.StatusCode/100 != 2:
+		return fmt.Errorf("peer: status %03d: %.256s", resp.StatusCode, raw)
 	case answer == nil:
 		return nil
 	}
