hosted: a planned stop takes requests for half of its time at most

Cause: a stop took requests for 2.5 s, whatever time it had.

Why it works: those that come last have as much time for themselves as the stop took requests. Later ones are refused as not run, so that callers go to another node at once; the node still listens, so that new connections get that answer too. With 8 s nothing changes.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -409,10 +409,10 @@
 	n.origins.HandOver()
 	timer := n.clock.AfterFunc(n.s.StopTimeout-waitReserve, n.traffic.StopWaiting)
 	defer timer.Stop()
-	select {
-	case <-n.clock.After(balancerLag):
-	case <-ctx.Done():
-	}
+	taken, listened := n.s.takeFor()
+	n.sleep(ctx, taken)
+	n.caller.RefuseRequests()
+	n.sleep(ctx, listened-taken)
 	err := n.caller.Shutdown(ctx)
 	if err != nil {
 		n.caller.CancelRequests()
@@ -423,6 +423,23 @@
 	return err
 }
 
+// takeFor returns for how long a planned stop takes further requests, and for how long it listens, so that those that come later
+// are refused with a reason. It does both while the load balancer may still send requests, but takes them for at most half of the
+// time until requests in progress are aborted, so that the last ones have as much for themselves.
+func (s *Settings) takeFor() (taken, listened time.Duration) {
+	untilCut := max(0, s.StopTimeout-cutReserve)
+	taken = min(balancerLag, untilCut/2)
+	return taken, max(taken, min(balancerLag, untilCut-cutReserve))
+}
+
+// sleep waits for a time, or until ctx ends.
+func (n *Node) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-n.clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // drain waits until no request is in progress, nor a tunnel of another node open, or the deadline has passed.
 func (n *Node) drain(until time.Time) {
 	for n.caller.Active()+n.paths.Stop() > 0 && n.clock.Now().Before(until) {
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
 
 	"olivetiller/core/answerlimit"
 )
@@ -20,3 +23,21 @@
 		}
 	}
 }
+
+// TestTakeFor checks for how long a planned stop takes requests and listens.
+func TestTakeFor(t *testing.T) {
+	tests := []struct{ timeout, taken, listened time.Duration }{
+		{8 * time.Second, balancerLag, balancerLag},
+		{4 * time.Second, 1700 * time.Millisecond, balancerLag},
+		{2 * time.Second, 700 * time.Millisecond, 800 * time.Millisecond},
+		{time.Second, 200 * time.Millisecond, 200 * time.Millisecond},
+		{500 * time.Millisecond, 0, 0},
+	}
+	for _, tt := range tests {
+		s := Settings{StopTimeout: tt.timeout}
+		taken, listened := s.takeFor()
+		if diff := cmp.Diff([]time.Duration{tt.taken, tt.listened}, []time.Duration{taken, listened}); diff != "" {
+			t.Errorf("timeout %v (-want +got):\n%s", tt.timeout, diff)
+		}
+	}
+}
--- a/io/caller/connections.go
+++ b/io/caller/connections.go
@@ -47,8 +47,8 @@
 	listeners []net.Listener
 	// serving counts the calls of serve in progress, which may add connections.
 	serving int
-	// draining is set once a shutdown has begun.
-	draining bool
+	// refusing is set once further requests are refused, and draining once a shutdown has begun.
+	refusing, draining bool
 }
 
 // trackedConn is a connection of a caller. The mutex of its set guards its fields.
@@ -260,17 +260,24 @@
 	return n
 }
 
-// stopped reports whether a shutdown has begun.
+// stopped reports whether further requests are refused.
 func (s *connections) stopped() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.refusing
+}
+
+// refuse has further requests refused.
+func (s *connections) refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = true
 }
 
 // drain closes the listeners and waits until all connections are closed, or ctx ends. It closes those without a request.
 func (s *connections) drain(ctx context.Context) error {
 	s.mu.Lock()
-	s.draining = true
+	s.refusing, s.draining = true, true
 	for _, l := range s.listeners {
 		_ = l.Close()
 	}
--- a/io/caller/ready.go
+++ b/io/caller/ready.go
@@ -31,7 +31,7 @@
 }
 
 // ready refuses requests while the node has not read the current state, or its state differs from that of other nodes,
-// and once its shutdown has closed the listener. It holds a request for a moment if the node has just started: where all
+// and once its planned stop takes no more. It holds a request for a moment if the node has just started: where all
 // nodes start together, other nodes are no sooner ready, and a caller that is refused may have used up its attempts.
 func (s *Server) ready(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) error {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -161,6 +161,12 @@
 // Active returns the number of requests in progress, whose answers are not written yet.
 func (s *Server) Active() int { return s.connections.active() }
 
+// RefuseRequests refuses all further requests. It still takes connections, so that new ones are told so.
+func (s *Server) RefuseRequests() {
+	s.initOnce.Do(s.init)
+	s.connections.refuse()
+}
+
 // Shutdown closes the listener and waits until every request has ended or ctx ends. Requests that come on open connections
 // meanwhile are refused.
 func (s *Server) Shutdown(ctx context.Context) error {
