--- a/core/directory/lapses.go
+++ b/core/directory/lapses.go
@@ -61,7 +61,16 @@
 
 // ListRead records that a read of the list that was sent at asked is answered at now.
 func (l *Lapses) ListRead(asked, now time.Time) {
-	l.readable(asked, now)
+	if l.failures >= minFailures || l.failures > 0 && l.confirmed {
+		// The store can have been away since the latest time at which the list is known to have been readable.
+		if now.Sub(l.answered) >= lapseHeartbeats*l.heartbeat {
+			l.holdUntil = earliest(now.Add(registerGrace), l.askedAt.Add(l.contact))
+		}
+	}
+	l.failures, l.confirmed = 0, false
+	if asked.After(l.answered) {
+		l.answered = asked
+	}
 }
 
 // ListRelayed records that another node has read the list to its end at a time.
@@ -73,21 +82,7 @@
 		}
 		return
 	}
-	l.readable(at, at)
-}
-
-// readable records that the list was readable between two times.
-func (l *Lapses) readable(from, to time.Time) {
-	if l.failures >= minFailures || l.failures > 0 && l.confirmed {
-		// The store can have been away from the time at which it last answered at the latest until now.
-		if to.Sub(l.answered) >= lapseHeartbeats*l.heartbeat {
-			l.holdUntil = earliest(to.Add(registerGrace), l.askedAt.Add(l.contact))
-		}
-	}
-	l.failures, l.confirmed = 0, false
-	if from.After(l.answered) {
-		l.answered = from
-	}
+	l.ListRead(at, at)
 }
 
 // HoldUntil returns until when a removal that is read now takes no effect; zero or a time in the past if it takes effect at
--- a/core/directory/lapses_test.go
+++ b/core/directory/lapses_test.go
@@ -157,7 +157,7 @@
 		w.answerAt = time.Time{}
 		if w.fails || away {
 			w.lapses.Failed(w.asked, false)
-			w.nextRead, w.pause = latest(w.now.Add(250*time.Millisecond), w.asked.Add(w.pause)), min(2*w.pause, time.Second)
+			w.nextRead, w.pause = w.now.Add(max(250*time.Millisecond, w.pause-w.now.Sub(w.asked))), min(2*w.pause, time.Second)
 			return
 		}
 		w.lapses.ListRead(w.asked, w.now)
@@ -173,14 +173,6 @@
 	}
 }
 
-// latest returns the later one of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // TestRemovalsAroundOutages plays outages of the store, cuts of the node from it, single lost reads and endpoints that leave. It
 // guards against a node in touch that uses an endpoint for longer than the bound after the store has taken its leave, and
 // against a node without the endpoints whose entries have lapsed in an outage, until they register again.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -501,17 +501,21 @@
 	if !l.heldBySelf() {
 		return
 	}
-	l.heldTo = l.until
-	l.loseRight()
+	l.endTerm()
 	l.releaseDue = true
 }
 
 // Stop makes this node send no more orders and take the lease no more, since it is about to end. It releases the lease if it
 // holds it, also by an append that is still in flight.
 func (l *Lease) Stop() {
+	l.endTerm()
+	l.stopped = true
+}
+
+// endTerm ends this node's right to send orders before its term ends.
+func (l *Lease) endTerm() {
 	l.heldTo = latest(l.heldTo, l.until)
 	l.loseRight()
-	l.stopped = true
 }
 
 // ReleaseDue reports whether this node should release the lease now. After a failed release it waits for a read of the
--- a/internal/placer/lapses_test.go
+++ b/internal/placer/lapses_test.go
@@ -64,7 +64,7 @@
 			clock.Advance(100 * time.Millisecond)
 			for range 2 {
 				if tt.cut > 0 {
-					storeReadFailed{endpointsTopic, false, clock.Now().Add(tt.cut / 2)}.handle(c)
+					storeReadFailed{endpointsTopic, clock.Now().Add(tt.cut / 2)}.handle(c)
 				}
 				clock.Advance(tt.cut / 2)
 			}
--- a/internal/placer/readers.go
+++ b/internal/placer/readers.go
@@ -39,8 +39,11 @@
 	outagePause = 500 * time.Millisecond
 )
 
-// endpointsTopic is the name of the reader of the list of endpoints.
-const endpointsTopic = "endpoints"
+// Names of the readers whose failures say whether the store is away.
+const (
+	endpointsTopic = "endpoints"
+	leaseTopic     = "lease"
+)
 
 // reader reads one topic of the store repeatedly.
 type reader[T any] struct {
@@ -92,7 +95,7 @@
 		apply: func(p logstore.Page[logstore.Verdict], _ bool, _ time.Time) message { return verdictPage{p} },
 	})
 	go follow(ctx, c, reader[[]byte]{
-		name: "lease", read: s.Lease, retriesInOutage: true,
+		name: leaseTopic, read: s.Lease, retriesInOutage: true,
 		idle: func() bool {
 			return c.relayFresh() && !(c.holderLostStore.Load() && c.needsAllReports()) || !c.relayFresh() && !c.shouldReadLease() || c.leading.Load() && !c.leaseUncertain.Load()
 		},
@@ -191,7 +194,7 @@
 			if r.retriesInOutage {
 				c.storeHealth.failed(started)
 			}
-			c.inbox.Send(ctx, storeReadFailed{r.name, r.retriesInOutage, started})
+			c.inbox.Send(ctx, storeReadFailed{r.name, started})
 			if c.holderLostStore.Load() {
 				pause = outagePause
 			}
@@ -286,8 +289,6 @@
 // storeReadFailed reports that a reader got no answer from the store.
 type storeReadFailed struct {
 	topic string
-	// leaseTopic is true for the reader of the lease.
-	leaseTopic bool
 	// asked is when the read was sent.
 	asked time.Time
 }
@@ -295,10 +296,10 @@
 func (m storeReadFailed) handle(c *Controller) {
 	now := c.o.Clock.Now()
 	c.outage.Failed(now)
-	if m.leaseTopic || m.topic == endpointsTopic {
+	if m.topic == leaseTopic || m.topic == endpointsTopic {
 		c.lapses.Failed(m.asked, c.holderLostStore.Load())
 	}
-	if m.leaseTopic {
+	if m.topic == leaseTopic {
 		c.leaseReadFailedAt = now
 		c.dirty = c.dirty || c.holderLostStore.Load()
 	}
