--- a/internal/placer/index.go
+++ b/internal/placer/index.go
@@ -173,10 +173,22 @@
 	for pool := range x.changedPools {
 		out = append(out, pool)
 	}
-	clear(x.changedPools)
+	x.changedPools = emptied(x.changedPools)
 	return out
 }
 
+// maxKeptNames is up to how many names a set that is emptied keeps its memory.
+const maxKeptNames = 256
+
+// emptied returns an empty set in place of one. A set that has held the names of a whole fleet would keep the memory for them.
+func emptied(set map[string]bool) map[string]bool {
+	if len(set) > maxKeptNames {
+		return make(map[string]bool)
+	}
+	clear(set)
+	return set
+}
+
 // has reports whether an endpoint takes requests.
 func (x *index) has(endpoint string) bool {
 	_, ok := x.byEndpoint[endpoint]
--- a/internal/placer/publish.go
+++ b/internal/placer/publish.go
@@ -58,7 +58,7 @@
 		c.publishInstances(now)
 	}
 	c.rebuildAll = t == nil
-	c.clearTouched()
+	c.touched = emptied(c.touched)
 	c.view.Store(v)
 	c.o.Dispatcher.Update(v, changed)
 	if v.Ready && !c.wasReady {
@@ -67,18 +67,6 @@
 	}
 }
 
-// maxKeptTouched is up to how many touched endpoints the memory for them is kept for later ones.
-const maxKeptTouched = 256
-
-// clearTouched forgets which endpoints were touched. A map that has held all endpoints of a large fleet would keep its memory.
-func (c *Controller) clearTouched() {
-	if len(c.touched) > maxKeptTouched {
-		c.touched = make(map[string]bool)
-		return
-	}
-	clear(c.touched)
-}
-
 // updateEndpoint updates the pools of an endpoint, and removes it from all of them if its entry is gone.
 func (c *Controller) updateEndpoint(id string, now time.Time) {
 	delete(c.halls.coldRates, id)
